--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Development commands; README.md explains them.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN = $(VENV)/bin
+SEED ?= 1
+SECONDS ?= 60
+STAMP = $(VENV)/.installed
+SOURCES = src tests dev
+
+.PHONY: venv test lint format lock demo
+venv: $(STAMP)
+
+$(STAMP): requirements.lock
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+test: venv
+	$(BIN)/python -m pytest
+
+lint: venv
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+format: venv
+	$(BIN)/ruff check --fix --select I,RUF100 $(SOURCES)
+	$(BIN)/ruff format $(SOURCES)
+
+# Re-pins every dependency after pyproject.toml changed.
+lock: venv
+	$(BIN)/python -m pip install --quiet pip-tools
+	$(BIN)/pip-compile --quiet --extra dev --strip-extras --no-emit-index-url --no-emit-trusted-host --no-header -o requirements.lock pyproject.toml
+
+demo: venv
+	$(BIN)/python -m dev.demo --seed=$(SEED)
--- /dev/null
+++ b/dev/__init__.py
@@ -0,0 +1,1 @@
+"""Development programs: stand-ins, demo and measurements."""
--- /dev/null
+++ b/src/bulrushcove/cluster.py
@@ -0,0 +1,88 @@
+"""Inputs and outputs of one scheduling pass over one failure domain."""
+
+import msgspec
+
+from .contract import Contract
+from .ids import AttemptId, DomainName, JobId, OrganisationId
+from .job import JobRecord, PlacedPart
+from .worker_api import WorkerDescription
+
+
+class WorkerRoom(msgspec.Struct, frozen=True):
+    """A worker and what is not taken by reserved or running tasks."""
+
+    description: WorkerDescription
+    free_accelerators: int
+    free_cores: int
+    free_memory_mb: int
+    # False: silent, failing or leaving; nothing new is placed there.
+    usable: bool = True
+
+
+class RunningGang(msgspec.Struct, frozen=True):
+    """A gang that holds room, reserved or running."""
+
+    job: JobId
+    attempt: AttemptId
+    organisation: OrganisationId
+    record: JobRecord
+    placement: tuple[PlacedPart, ...]
+    borrowed: bool
+    started_s: float
+    # Work that a stop now would throw away, in seconds of the whole gang.
+    unsaved_s: float = 0.0
+    # A stop was asked for already; its room comes back soon.
+    stopping: bool = False
+
+
+class DomainSnapshot(msgspec.Struct, frozen=True):
+    """Everything a scheduling pass looks at."""
+
+    domain: DomainName
+    now_s: float
+    now_unix_ms: int
+    workers: tuple[WorkerRoom, ...]
+    running: tuple[RunningGang, ...]
+    # In the order of acceptance.
+    queued: tuple[JobRecord, ...]
+    contracts: dict[OrganisationId, Contract]
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Start this job as one gang on these workers."""
+
+    job: JobId
+    placement: tuple[PlacedPart, ...]
+    borrowed: bool = False
+
+
+class Reclaim(msgspec.Struct, frozen=True):
+    """Stop this borrowed gang whole, after a checkpoint where possible."""
+
+    attempt: AttemptId
+    # The job whose guarantee asks for the room.
+    wanted_by: JobId
+    reason: str
+
+
+class SetAside(msgspec.Struct, frozen=True):
+    """This job can never run here; the reason says why."""
+
+    job: JobId
+    reason: str
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """This job stays queued; the reason is shown by explain."""
+
+    job: JobId
+    reason: str
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Decisions of one pass; jobs left out simply wait."""
+
+    places: tuple[Place, ...] = ()
+    reclaims: tuple[Reclaim, ...] = ()
+    set_aside: tuple[SetAside, ...] = ()
+    waits: tuple[Wait, ...] = ()
--- /dev/null
+++ b/src/bulrushcove/store.py
@@ -0,0 +1,74 @@
+"""Narrow interface to the platform's key-value service."""
+
+from typing import NewType, Protocol
+
+import msgspec
+
+StoreLeaseId = NewType('StoreLeaseId', int)
+
+CONFIGURATION_KEY = 'bulrushcove/configuration'
+JOBS_PREFIX = 'bulrushcove/jobs/'
+CONTROL_PREFIX = 'bulrushcove/control/'
+CLAIMS_PREFIX = 'bulrushcove/claims/'
+
+
+class StoredValue(msgspec.Struct, frozen=True):
+    """A key with its value and the store revision that wrote it."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+class Scan(msgspec.Struct, frozen=True):
+    """Answer to a read: what was found as of ``store_revision``."""
+
+    found: tuple[StoredValue, ...]
+    store_revision: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """One compare-and-swap: expects ``expected_revision`` (0: absent).
+
+    A value of None deletes the key.
+    """
+
+    key: str
+    value: bytes | None
+    expected_revision: int
+    lease: StoreLeaseId | None = None
+
+
+class WriteAnswer(msgspec.Struct, frozen=True):
+    """Whether all writes took effect, and what stands where they did not."""
+
+    written: bool
+    store_revision: int
+    # Current values of the compared keys when not written.
+    current: tuple[StoredValue, ...] = ()
+
+
+class Store(Protocol):
+    """Operations used of the key-value service.
+
+    Each raises ``StoreUnavailableError`` when it surely had no effect and
+    ``StoreOutcomeUnknownError`` when a write may have taken effect.
+    """
+
+    async def read(self, key: str, *, newer_than: int = 0) -> Scan:
+        """Read one key; found is empty unless written after newer_than."""
+
+    async def scan(self, prefix: str, *, newer_than: int = 0) -> Scan:
+        """Read all keys below prefix that were written after newer_than."""
+
+    async def write(self, *writes: Write) -> WriteAnswer:
+        """Apply all writes in one transaction, or none."""
+
+    async def grant_lease(self, ttl_s: int) -> StoreLeaseId:
+        """Create a lease that lapses ttl_s seconds after its last renewal."""
+
+    async def renew_lease(self, lease: StoreLeaseId) -> int:
+        """Renew a lease; returns its seconds left, 0 when it has lapsed."""
+
+    async def revoke_lease(self, lease: StoreLeaseId) -> None:
+        """End a lease and delete the keys that hang on it."""
