--- a/src/bulrushcove/settings.py
+++ b/src/bulrushcove/settings.py
@@ -178,8 +178,9 @@
     hints = get_type_hints(section_type, include_extras=True)
     for field in msgspec.structs.fields(section_type):
         key = f'{section}.{field.name}'
-        if field.name in table:
-            yield from _field_errors(key, table[field.name], hints[field.name])
+        found = table.get(field.name, msgspec.UNSET)
+        if found is not msgspec.UNSET:
+            yield from _field_errors(key, found, hints[field.name])
         elif field.required:
             yield SettingsError(key, None, describe_type(hints[field.name]))
 
