--- a/src/bulrushcove/wire.py
+++ b/src/bulrushcove/wire.py
@@ -50,7 +50,7 @@
     Raises ``WireError`` when it is malformed or of another version.
     """
     try:
-        unpacked = msgpack.unpackb(body, max_buffer_size=MAX_FRAME_BYTES)
+        unpacked = msgpack.unpackb(body)
     except (ValueError, msgpack.UnpackException) as exc:
         raise WireError(f'frame is not msgpack: {exc}') from exc
     try:
