--- /dev/null
+++ b/src/bulrushcove/configuration_holder.py
@@ -0,0 +1,32 @@
+"""The newest configuration that a process has seen."""
+
+from collections.abc import Callable
+
+from .configuration import Configuration, empty_configuration
+
+
+class ConfigurationHolder:
+    """Holds a configuration that is only ever replaced by a newer one."""
+
+    def __init__(self) -> None:
+        """Start with the empty configuration, revision 0."""
+        self._current = empty_configuration()
+        self._listeners: list[Callable[[Configuration], None]] = []
+
+    @property
+    def current(self) -> Configuration:
+        """Return the configuration in force in this process."""
+        return self._current
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Put ``configuration`` in force if it is newer; tell if it was."""
+        if configuration.revision <= self._current.revision:
+            return False
+        self._current = configuration
+        for listener in self._listeners:
+            listener(configuration)
+        return True
+
+    def listen(self, listener: Callable[[Configuration], None]) -> None:
+        """Call ``listener`` with each configuration that comes in force."""
+        self._listeners.append(listener)
--- /dev/null
+++ b/src/bulrushcove/job_store.py
@@ -0,0 +1,131 @@
+"""Job records in the platform's store, changed by compare-and-swap only."""
+
+import msgspec
+
+from .exceptions import BulrushcoveError, StoreOutcomeUnknownError
+from .ids import JobId
+from .job import JobRecord
+from .store import JOBS_PREFIX, Store, StoredValue, Write
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(JobRecord)
+
+
+class StoredJob(msgspec.Struct, frozen=True):
+    """A record and the store revision that wrote it."""
+
+    record: JobRecord
+    mod_revision: int
+
+
+class JobScan(msgspec.Struct, frozen=True):
+    """Records found, as of ``store_revision``."""
+
+    jobs: tuple[StoredJob, ...]
+    store_revision: int
+
+
+class JobExistsError(BulrushcoveError):
+    """A record with this id stands already; ``stored`` is that record."""
+
+    def __init__(self, stored: StoredJob) -> None:
+        """Keep the record that stands."""
+        super().__init__(f'job {stored.record.job!r} exists already')
+        self.stored = stored
+
+
+class JobChangedError(BulrushcoveError):
+    """The record changed since it was read, or is gone."""
+
+    def __init__(self, job: JobId, stored: StoredJob | None) -> None:
+        """Keep what stands now; None: no record."""
+        super().__init__(f'job {job!r} was changed by another process')
+        self.stored = stored
+
+
+class JobStore:
+    """Reads and writes job records; store errors pass through."""
+
+    def __init__(self, store: Store) -> None:
+        """Work on ``store``."""
+        self._store = store
+
+    async def create(self, record: JobRecord) -> StoredJob:
+        """Write a new record; raises ``JobExistsError``.
+
+        After a lost answer the record is read back: when it is the same, the
+        write took effect.
+        """
+        try:
+            return await self._swap(record, 0)
+        except JobChangedError as exc:
+            if exc.stored is None:
+                raise
+            raise JobExistsError(exc.stored) from exc
+
+    async def load(self, job: JobId) -> StoredJob | None:
+        """Return the record of ``job``; None without one."""
+        scan = await self._store.read(_key(job))
+        if not scan.found:
+            return None
+        return _decode(scan.found[0])
+
+    async def replace(self, stored: StoredJob, record: JobRecord) -> StoredJob:
+        """Write ``record`` over ``stored``; raises ``JobChangedError``."""
+        return await self._swap(record, stored.mod_revision)
+
+    async def delete(self, stored: StoredJob) -> None:
+        """Delete the record; raises ``JobChangedError``."""
+        job = stored.record.job
+        answer = await self._store.write(
+            Write(_key(job), None, stored.mod_revision),
+        )
+        if not answer.written:
+            raise JobChangedError(job, _first(answer.current))
+
+    async def scan(self, newer_than: int = 0) -> JobScan:
+        """Return all records written after ``newer_than``."""
+        scan = await self._store.scan(JOBS_PREFIX, newer_than=newer_than)
+        jobs = tuple(_decode(stored_value) for stored_value in scan.found)
+        return JobScan(jobs, scan.store_revision)
+
+    async def _swap(self, record: JobRecord, expected: int) -> StoredJob:
+        encoded = _encoder.encode(record)
+        write = Write(_key(record.job), encoded, expected)
+        try:
+            answer = await self._store.write(write)
+        except StoreOutcomeUnknownError:
+            return await self._read_back(record, encoded)
+        if answer.written:
+            return StoredJob(record, answer.store_revision)
+        current = _first(answer.current)
+        if current is not None and current.record == record:
+            # An earlier try of ours, whose answer was lost.
+            return current
+        raise JobChangedError(record.job, current)
+
+    async def _read_back(self, record: JobRecord, encoded: bytes) -> StoredJob:
+        scan = await self._store.read(_key(record.job))
+        if scan.found and scan.found[0].value == encoded:
+            return _decode(scan.found[0])
+        if scan.found:
+            raise JobChangedError(record.job, _decode(scan.found[0]))
+        # The write may still arrive: only a later read can tell.
+        raise StoreOutcomeUnknownError(
+            f'job {record.job!r}: not found after a lost answer',
+        )
+
+
+def _key(job: JobId) -> str:
+    return f'{JOBS_PREFIX}{job}'
+
+
+def _decode(stored_value: StoredValue) -> StoredJob:
+    record = _decoder.decode(stored_value.value)
+    return StoredJob(record, stored_value.mod_revision)
+
+
+def _first(current: tuple[StoredValue, ...]) -> StoredJob | None:
+    if not current:
+        return None
+    return _decode(current[0])
--- /dev/null
+++ b/src/bulrushcove/permit.py
@@ -0,0 +1,54 @@
+"""Start permits: recent proof that a failure domain is in service.
+
+A proof is the instant, on this process's monotonic clock, at which the
+platform surely held a configuration of some revision. It comes from an own
+read or from a peer's heartbeat.
+"""
+
+from .clock import MS_PER_S
+from .configuration import Configuration
+from .ids import DomainName, Revision
+from .states import DomainState
+
+
+class PermitBook:
+    """Newest proof of the configuration."""
+
+    def __init__(self) -> None:
+        """Start without any proof."""
+        self._proved_at_s: float | None = None
+        self._revision = Revision(0)
+
+    def prove(self, revision: Revision, proved_at_s: float) -> None:
+        """Take a proof that ``revision`` was the newest at ``proved_at_s``.
+
+        A proof older than the one held changes nothing.
+        """
+        if self._proved_at_s is None or proved_at_s > self._proved_at_s:
+            self._proved_at_s = proved_at_s
+            self._revision = max(revision, self._revision)
+
+    def age_ms(self, now_s: float) -> int | None:
+        """Return the age of the newest proof; None without any."""
+        if self._proved_at_s is None:
+            return None
+        return int((now_s - self._proved_at_s) * MS_PER_S)
+
+    def may_start(
+        self,
+        domain: DomainName,
+        configuration: Configuration,
+        now_s: float,
+        ttl_ms: int,
+    ) -> bool:
+        """Return whether a task may start in ``domain`` now.
+
+        ``configuration`` must be at least as new as the newest proof: a
+        proof of a revision that is not held yet may be of a take-out.
+        """
+        age_ms = self.age_ms(now_s)
+        if age_ms is None or age_ms > ttl_ms:
+            return False
+        if configuration.revision < self._revision:
+            return False
+        return configuration.domains.get(domain) is DomainState.IN
--- /dev/null
+++ b/src/bulrushcove/tracing.py
@@ -0,0 +1,86 @@
+"""Traces: a span for each hop, its context carried as W3C traceparent."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from opentelemetry import context, trace
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from .settings import TracingSettings
+
+TRACEPARENT = 'traceparent'
+TRACER_NAME = 'bulrushcove'
+
+_propagator = TraceContextTextMapPropagator()
+
+
+def setup_tracing(settings: TracingSettings, service: str) -> None:
+    """Install the exporter that the settings ask for.
+
+    Span ids are made in every case, so that answers can name their trace.
+    """
+    # The SDK costs resident memory, so only processes that trace import it.
+    from opentelemetry.sdk.resources import Resource
+    from opentelemetry.sdk.trace import TracerProvider
+
+    resource = Resource({'service.name': service})
+    provider = TracerProvider(resource=resource)
+    if settings.exporter != 'none':
+        provider.add_span_processor(_make_processor(settings))
+    trace.set_tracer_provider(provider)
+
+
+def _make_processor(settings: TracingSettings) -> Any:
+    from opentelemetry.sdk.trace.export import BatchSpanProcessor
+
+    if settings.exporter == 'otlp':
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
+        return BatchSpanProcessor(OTLPSpanExporter(settings.otlp_url))
+    from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+
+    from .span_log import SpanLogExporter
+
+    return SimpleSpanProcessor(SpanLogExporter())
+
+
+@contextmanager
+def span(
+    name: str,
+    *,
+    traceparent: str = '',
+    **attributes: Any,
+) -> Iterator[trace.Span]:
+    """Record one hop.
+
+    Its parent is ``traceparent`` (W3C) when given and well formed, else the
+    span in progress.
+    """
+    parent = None
+    if traceparent:
+        parent = _propagator.extract({TRACEPARENT: traceparent})
+    tracer = trace.get_tracer(TRACER_NAME)
+    with tracer.start_as_current_span(
+        name,
+        context=parent,
+        attributes=attributes,
+    ) as current:
+        yield current
+
+
+def current_traceparent() -> str:
+    """Return the W3C traceparent of the span in progress; empty: none."""
+    carrier: dict[str, str] = {}
+    _propagator.inject(carrier, context.get_current())
+    return carrier.get(TRACEPARENT, '')
+
+
+def current_trace_id() -> str:
+    """Return the id of the trace in progress as 32 hexadecimal digits."""
+    span_context = trace.get_current_span().get_span_context()
+    return trace.format_trace_id(span_context.trace_id)
