--- a/src/bulrushcove/membership.py
+++ b/src/bulrushcove/membership.py
@@ -52,6 +52,13 @@
         )
         return tuple(view for view in aged if view.age_ms <= VIEW_LIFETIME_MS)
 
+    def control_of(self, domain: DomainName, now_s: float) -> VmId | None:
+        """Return the active control of ``domain``; None when not known."""
+        for view in self.domain_views(now_s):
+            if view.domain == domain:
+                return view.control
+        return None
+
     def is_reachable(self, vm: VmId, now_s: float) -> bool:
         """Return whether ``vm`` was heard within the silence limit."""
         heard_at_s = self._heard_at_s.get(vm)
--- /dev/null
+++ b/src/bulrushcove/peer_links.py
@@ -0,0 +1,62 @@
+"""One stream to each peer control, following the list of VMs."""
+
+from mode import Service
+
+from .ids import VmId
+from .messages import Hello
+from .states import VmRole
+from .streams import FrameHandler, StreamClient
+from .vm_list import VmEntry
+
+
+class PeerLinks(Service):
+    """Opens a stream to each new entry VM and closes those of gone ones."""
+
+    def __init__(self, hello: Hello, on_frame: FrameHandler) -> None:
+        """Greet with ``hello``; ``on_frame`` takes what peers send."""
+        super().__init__()
+        self._hello = hello
+        self._on_frame = on_frame
+        self._links: dict[VmId, tuple[VmEntry, StreamClient]] = {}
+
+    def get(self, vm: VmId) -> StreamClient | None:
+        """Return the stream to ``vm``; None when it is not in the list."""
+        link = self._links.get(vm)
+        return link[1] if link else None
+
+    def connected(self) -> list[StreamClient]:
+        """Return the streams that are open."""
+        return [
+            client
+            for _entry, client in self._links.values()
+            if client.is_connected
+        ]
+
+    async def follow(self, vms: tuple[VmEntry, ...]) -> None:
+        """Open and close streams so that they match ``vms``."""
+        wanted = {entry.vm: entry for entry in vms if self._is_peer(entry)}
+        for vm, (entry, client) in tuple(self._links.items()):
+            if wanted.get(vm) != entry:
+                self._links.pop(vm)
+                await client.stop()
+        for entry in wanted.values():
+            if entry.vm not in self._links:
+                await self._open(entry)
+
+    async def on_stop(self) -> None:
+        """Close every stream."""
+        for _entry, client in self._links.values():
+            await client.stop()
+
+    async def _open(self, entry: VmEntry) -> None:
+        client = StreamClient(
+            entry.address,
+            entry.control_port,
+            self._hello,
+            self._on_frame,
+        )
+        self._links[entry.vm] = (entry, client)
+        await self.add_runtime_dependency(client)
+
+    def _is_peer(self, entry: VmEntry) -> bool:
+        return entry.role is VmRole.ENTRY and entry.vm != self._hello.vm
--- /dev/null
+++ b/src/bulrushcove/peers.py
@@ -0,0 +1,255 @@
+"""Streams of a control to its peers: heartbeats, configuration, notices."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import msgspec
+from mode import Service
+
+from .clock import MS_PER_S, Clock
+from .configuration_holder import ConfigurationHolder
+from .exceptions import PeerUnreachableError, WireError
+from .logs import log_event
+from .membership import Membership
+from .messages import (
+    Acknowledged,
+    ClusterView,
+    ConfigurationPush,
+    ConfigurationRequest,
+    DomainView,
+    Heartbeat,
+    Hello,
+    JobNotice,
+    VmStatus,
+    parse_message,
+)
+from .peer_links import PeerLinks
+from .permit import PermitBook
+from .settings import Settings
+from .states import VmRole
+from .streams import StreamClient, StreamServer
+from .vm_list import VmEntry
+from .vm_list_poll import VmListPoll
+from .wire import Frame
+
+ENTRY_ROLE = 'entry'
+CONTROL_ROLE = 'control'
+NOTICE_TIMEOUT_S = 1.0
+
+NoticeHandler = Callable[[JobNotice], Awaitable[None]]
+
+logger = logging.getLogger(__name__)
+
+
+class Peers(Service):
+    """Membership by direct heartbeats over one stream to each peer."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        session: aiohttp.ClientSession,
+        hello: Hello,
+        holder: ConfigurationHolder,
+        permits: PermitBook,
+    ) -> None:
+        """Listen and connect once started; ``session`` reads the VM list."""
+        super().__init__()
+        self.leaving = False
+        # Set by the application before the start.
+        self.on_notice: NoticeHandler | None = None
+        self.platform_reachable: Callable[[], bool] = bool
+        self._settings = settings
+        self._clock = clock
+        self._hello = hello
+        self._holder = holder
+        self._permits = permits
+        self._membership = Membership(settings.control.peer_silence_ms)
+        self._links = PeerLinks(hello, self._on_frame)
+        self._vm_list = VmListPoll(
+            settings.platform,
+            session,
+            self._links.follow,
+        )
+        self._server = StreamServer(
+            settings.control.host,
+            settings.control.stream_port,
+            hello,
+            self._on_frame,
+        )
+        holder.listen(lambda _configuration: self._push_configuration())
+
+    @property
+    def vms(self) -> tuple[VmEntry, ...]:
+        """Return the newest list of VMs read."""
+        return self._vm_list.vms
+
+    @property
+    def statuses(self) -> tuple[VmStatus, ...]:
+        """Return the status of every entry VM, this one included."""
+        now_s = self._clock.monotonic_s()
+        self._membership.heard(self._heartbeat(), now_s)
+        entries = tuple(
+            entry for entry in self.vms if entry.role is VmRole.ENTRY
+        )
+        return self._membership.statuses(entries, now_s)
+
+    def domain_views(self) -> tuple[DomainView, ...]:
+        """Return the newest view of each failure domain."""
+        return self._membership.domain_views(self._clock.monotonic_s())
+
+    def publish(self, view: DomainView) -> None:
+        """Tell peers and the entry about a domain served by this control."""
+        self._membership.learn(view, self._clock.monotonic_s())
+
+    async def notify_job(self, notice: JobNotice) -> None:
+        """Pass ``notice`` to the active control of its domain.
+
+        Raises ``PeerUnreachableError``; the control then finds the record by
+        its next scan.
+        """
+        control = self._membership.control_of(
+            notice.domain,
+            self._clock.monotonic_s(),
+        )
+        if control == self._hello.vm and self.on_notice is not None:
+            await self.on_notice(notice)
+            return
+        client = self._links.get(control) if control else None
+        if client is None:
+            raise PeerUnreachableError(
+                f'no active control of domain {notice.domain!r} is known',
+            )
+        await client.ask(notice, Acknowledged, NOTICE_TIMEOUT_S)
+
+    async def on_start(self) -> None:
+        """Start to listen."""
+        await self.add_runtime_dependency(self._server)
+        await self.add_runtime_dependency(self._links)
+        await self.add_runtime_dependency(self._vm_list)
+
+    @Service.task
+    async def _beat(self) -> None:
+        interval_s = self._settings.control.heartbeat_ms / MS_PER_S
+        # Spreads the heartbeats of VMs that were started together.
+        await self.sleep(random.uniform(0, interval_s))
+        while not self.should_stop:
+            await self._beat_all(interval_s)
+            self._push_view()
+            await self.sleep(interval_s)
+
+    async def _beat_all(self, timeout_s: float) -> None:
+        clients = [client for _entry, client in self._clients.values()]
+        await asyncio.gather(
+            *(
+                self._beat_one(client, timeout_s)
+                for client in clients
+                if client.is_connected
+            )
+        )
+
+    async def _beat_one(self, client: StreamClient, timeout_s: float) -> None:
+        asked_at_s = self._clock.monotonic_s()
+        try:
+            answer = await client.ask(self._heartbeat(), Heartbeat, timeout_s)
+            self._membership.heard(answer, self._clock.monotonic_s())
+            await self._catch_up(client, answer, timeout_s)
+        except (PeerUnreachableError, WireError):
+            return
+        if answer.proof_age_ms is not None:
+            # Counted from the question: never later than the truth.
+            proved_at_s = asked_at_s - answer.proof_age_ms / MS_PER_S
+            self._permits.prove(answer.revision, proved_at_s)
+
+    async def _catch_up(
+        self,
+        client: StreamClient,
+        answer: Heartbeat,
+        timeout_s: float,
+    ) -> None:
+        held = self._holder.current.revision
+        if answer.revision <= held:
+            return
+        push = await client.ask(
+            ConfigurationRequest(newer_than=held),
+            ConfigurationPush,
+            timeout_s,
+        )
+        if push.configuration and self._holder.adopt(push.configuration):
+            log_event(
+                logger,
+                'configuration.adopted',
+                revision=push.configuration.revision,
+                source=answer.vm,
+            )
+
+    async def _on_frame(
+        self,
+        _peer: Hello,
+        frame: Frame,
+    ) -> msgspec.Struct | None:
+        if frame.kind == Heartbeat.__name__:
+            heard = parse_message(Heartbeat, frame.fields)
+            self._membership.heard(heard, self._clock.monotonic_s())
+            return self._heartbeat()
+        if frame.kind == ConfigurationRequest.__name__:
+            request = parse_message(ConfigurationRequest, frame.fields)
+            return _configuration_push(self._holder, request.newer_than)
+        if frame.kind == JobNotice.__name__:
+            await self._relay_notice(parse_message(JobNotice, frame.fields))
+            return Acknowledged()
+        raise WireError(f'unknown frame kind {frame.kind!r}')
+
+    async def _relay_notice(self, notice: JobNotice) -> None:
+        try:
+            await self.notify_job(notice)
+        except PeerUnreachableError as exc:
+            log_event(
+                logger,
+                'job.notice_not_passed',
+                job=notice.job,
+                domain=notice.domain,
+                error=exc,
+            )
+
+    def _heartbeat(self) -> Heartbeat:
+        now_s = self._clock.monotonic_s()
+        return Heartbeat(
+            vm=self._hello.vm,
+            incarnation=self._hello.incarnation,
+            revision=self._holder.current.revision,
+            proof_age_ms=self._permits.age_ms(now_s),
+            domains=self._membership.domain_views(now_s),
+            leaving=self.leaving,
+        )
+
+    def _push_configuration(self) -> None:
+        self._server.push(ENTRY_ROLE, _configuration_push(self._holder, 0))
+
+    def _push_view(self) -> None:
+        self._server.push(
+            ENTRY_ROLE,
+            ClusterView(
+                vm_statuses=self.statuses,
+                domains=self.domain_views(),
+                vms=self.vms,
+                platform_reachable=self.platform_reachable(),
+                permit_age_ms=self._permits.ages_ms(
+                    self._holder.current,
+                    self._clock.monotonic_s(),
+                    self._settings.control.start_permit_ttl_ms,
+                ),
+            ),
+        )
+
+
+def _configuration_push(
+    holder: ConfigurationHolder,
+    newer_than: int,
+) -> ConfigurationPush:
+    if holder.current.revision <= newer_than:
+        return ConfigurationPush(configuration=None)
+    return ConfigurationPush(configuration=holder.current)
--- a/src/bulrushcove/permit.py
+++ b/src/bulrushcove/permit.py
@@ -52,3 +52,19 @@
         if configuration.revision < self._revision:
             return False
         return configuration.domains.get(domain) is DomainState.IN
+
+    def ages_ms(
+        self,
+        configuration: Configuration,
+        now_s: float,
+        ttl_ms: int,
+    ) -> dict[DomainName, int]:
+        """Return the permit's age for each domain that tasks may start in."""
+        age_ms = self.age_ms(now_s)
+        if age_ms is None:
+            return {}
+        return {
+            domain: age_ms
+            for domain in configuration.domains
+            if self.may_start(domain, configuration, now_s, ttl_ms)
+        }
