--- /dev/null
+++ b/tests/fake_store.py
@@ -0,0 +1,150 @@
+"""Key-value store in memory with faults, for tests of its users."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from bulrushcove.clock import Clock, ManualClock
+from bulrushcove.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from bulrushcove.store import (
+    Scan,
+    StoredValue,
+    StoreLeaseId,
+    Write,
+    WriteAnswer,
+)
+
+
+class FakeStore:
+    """Implements ``store.Store``; the attributes below bring faults about.
+
+    down: each call fails without effect.
+    lose_answers: so many writes take effect and lose their answer.
+    lose_writes: so many writes look the same and have no effect.
+    delay_s: each call takes so long, before its effect.
+    before_write: awaited once before the next write, for races.
+    """
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.down = False
+        self.lose_answers = 0
+        self.lose_writes = 0
+        self.delay_s = 0.0
+        self.before_write: Callable[[], Awaitable[object]] | None = None
+        self.calls = 0
+        self.store_revision = 1
+        self.values: dict[str, StoredValue] = {}
+        self._clock = clock or ManualClock()
+        self._lease_of_key: dict[str, StoreLeaseId] = {}
+        self._leases: dict[StoreLeaseId, tuple[int, float]] = {}
+
+    async def read(self, key: str, *, newer_than: int = 0) -> Scan:
+        await self._begin()
+        return self._scan(lambda stored: stored.key == key, newer_than)
+
+    async def scan(self, prefix: str, *, newer_than: int = 0) -> Scan:
+        await self._begin()
+        return self._scan(
+            lambda stored: stored.key.startswith(prefix), newer_than
+        )
+
+    async def write(self, *writes: Write) -> WriteAnswer:
+        if self.before_write is not None:
+            race = self.before_write
+            self.before_write = None
+            await race()
+        await self._begin()
+        if self.lose_writes:
+            self.lose_writes -= 1
+            raise StoreOutcomeUnknownError('write: no answer')
+        answer = self._write(writes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreOutcomeUnknownError('write: no answer')
+        return answer
+
+    async def grant_lease(self, ttl_s: int) -> StoreLeaseId:
+        await self._begin()
+        lease = StoreLeaseId(len(self._leases) + 1)
+        self._leases[lease] = (ttl_s, self._clock.monotonic_s() + ttl_s)
+        return lease
+
+    async def renew_lease(self, lease: StoreLeaseId) -> int:
+        await self._begin()
+        ttl_s, _ = self._leases.get(lease, (0, 0))
+        if ttl_s:
+            self._leases[lease] = (ttl_s, self._clock.monotonic_s() + ttl_s)
+        return ttl_s
+
+    async def revoke_lease(self, lease: StoreLeaseId) -> None:
+        await self._begin()
+        self._end_lease(lease)
+
+    async def _begin(self) -> None:
+        self.calls += 1
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        if self.down:
+            raise StoreUnavailableError('store is down')
+        now_s = self._clock.monotonic_s()
+        for lease, (ttl_s, ends_s) in list(self._leases.items()):
+            if ttl_s and ends_s <= now_s:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease: StoreLeaseId) -> None:
+        self._leases[lease] = (0, 0)
+        held = [key for key, by in self._lease_of_key.items() if by == lease]
+        for key in held:
+            self._lease_of_key.pop(key)
+            self.values.pop(key, None)
+        self.store_revision += bool(held)
+
+    def _scan(
+        self, matches: Callable[[StoredValue], bool], newer_than: int
+    ) -> Scan:
+        found = [
+            stored
+            for _, stored in sorted(self.values.items())
+            if matches(stored) and stored.mod_revision > newer_than
+        ]
+        return Scan(found=tuple(found), store_revision=self.store_revision)
+
+    def _write(self, writes: tuple[Write, ...]) -> WriteAnswer:
+        lapsed = [
+            write.lease
+            for write in writes
+            if write.lease and not self._leases.get(write.lease, (0, 0))[0]
+        ]
+        if lapsed:
+            raise StoreUnavailableError(f'lease {lapsed[0]} not found')
+        current = [
+            self.values[write.key]
+            for write in writes
+            if write.key in self.values
+        ]
+        if any(
+            self._revision(write.key) != write.expected_revision
+            for write in writes
+        ):
+            return WriteAnswer(False, self.store_revision, tuple(current))
+        self.store_revision += 1
+        for write in writes:
+            self._put(write)
+        return WriteAnswer(True, self.store_revision)
+
+    def _revision(self, key: str) -> int:
+        stored = self.values.get(key)
+        return stored.mod_revision if stored else 0
+
+    def _put(self, write: Write) -> None:
+        self._lease_of_key.pop(write.key, None)
+        if write.value is None:
+            self.values.pop(write.key, None)
+            return
+        if write.lease:
+            self._lease_of_key[write.key] = write.lease
+        self.values[write.key] = StoredValue(
+            write.key, write.value, self.store_revision
+        )
