Naive scheduler: first come first served, first fit, least loaded

The yardstick that ours is measured against, and a start for the control until ours stands. Later jobs pass one that does not fit (first fit); with strict order one job that never fits would stop the domain for good. Room of workers during a pass is in rooms.py, shared with the real scheduler.

--- /dev/null
+++ b/src/bulrushcove/naive.py
@@ -0,0 +1,86 @@
+"""The plainest scheduler that is correct; ours is measured against it.
+
+First come first served, first fit, least loaded worker first. It makes no
+reservations and reclaims nothing, so large jobs may wait without end.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+
+from .cluster import DomainSnapshot, Place, Plan
+from .contract import Contract
+from .ids import RackId, WorkerId
+from .job import JobRecord, JobSpec, PlacedPart
+from .rooms import Room, may_see_domain, number_parts, open_room
+from .states import Adjacency
+
+
+def plan(snapshot: DomainSnapshot) -> Plan:
+    """Place the queued jobs in their order, each wherever it fits now."""
+    rooms = [open_room(room) for room in snapshot.workers if room.usable]
+    places = []
+    for record in snapshot.queued:
+        contract = snapshot.contracts.get(record.organisation)
+        if contract is None or record.cancel_requested:
+            continue
+        if not may_see_domain(contract, snapshot.domain):
+            continue
+        placement = _place(record, contract, rooms)
+        if placement:
+            places.append(Place(job=record.job, placement=placement))
+    return Plan(places=tuple(places))
+
+
+def _place(
+    record: JobRecord,
+    contract: Contract,
+    rooms: Sequence[Room],
+) -> tuple[PlacedPart, ...]:
+    seen = [room for room in rooms if room.rack not in contract.hidden_racks]
+    for group in _adjacent_groups(record.spec.adjacency, seen):
+        counts = _spread(record.spec, group)
+        if counts:
+            return number_parts(counts)
+    return ()
+
+
+def _adjacent_groups(
+    adjacency: Adjacency,
+    rooms: Sequence[Room],
+) -> Iterator[list[Room]]:
+    """Yield the sets of workers that a gang may use together."""
+    by_load = sorted(rooms, key=_least_loaded_first)
+    if adjacency is Adjacency.DOMAIN:
+        yield by_load
+    elif adjacency is Adjacency.WORKER:
+        yield from ([room] for room in by_load)
+    else:
+        racks: dict[RackId, list[Room]] = defaultdict(list)
+        for room in by_load:
+            racks[room.rack].append(room)
+        yield from racks.values()
+
+
+def _least_loaded_first(room: Room) -> tuple[int, int, WorkerId]:
+    return -room.accelerators, -room.cores, room.worker
+
+
+def _spread(
+    spec: JobSpec,
+    group: Sequence[Room],
+) -> list[tuple[WorkerId, int]]:
+    """Take room for the whole gang in ``group``, or for nothing."""
+    takes: list[tuple[Room, int]] = []
+    wanted = spec.tasks
+    for room in group:
+        count = min(wanted, room.fits(spec))
+        if count:
+            takes.append((room, count))
+            wanted -= count
+    if wanted:
+        return []
+    counts = []
+    for chosen, tasks in takes:
+        chosen.take(spec, tasks)
+        counts.append((chosen.worker, tasks))
+    return counts
--- /dev/null
+++ b/tests/test_naive.py
@@ -0,0 +1,69 @@
+import pytest
+
+from bulrushcove import naive
+from bulrushcove.states import Adjacency
+from tests.cluster_builders import contract, job, snapshot, worker
+
+
+def placed(plan):
+    return {
+        place.job: [(part.worker, part.parts) for part in place.placement]
+        for place in plan.places
+    }
+
+
+def test_jobs_start_in_order_on_the_least_loaded_worker():
+    plan = naive.plan(
+        snapshot(
+            workers=[worker('w1', free=4), worker('w2', free=8)],
+            queued=[job('a', accelerators=6), job('b', accelerators=3)],
+        )
+    )
+    assert placed(plan) == {'a': [('w2', (0,))], 'b': [('w1', (0,))]}
+
+
+@pytest.mark.parametrize(
+    ('adjacency', 'starts'),
+    [
+        (Adjacency.WORKER, False),
+        (Adjacency.RACK, False),
+        (Adjacency.DOMAIN, True),
+    ],
+)
+def test_a_gang_starts_whole_and_adjacent_or_not_at_all(adjacency, starts):
+    plan = naive.plan(
+        snapshot(
+            workers=[
+                worker('w1', rack='r1', free=4),
+                worker('w2', rack='r2', free=8),
+            ],
+            queued=[job('gang', tasks=12, adjacency=adjacency)],
+        )
+    )
+    assert bool(plan.places) is starts
+    spread = [part for place in plan.places for part in place.placement]
+    parts = [number for part in spread for number in part.parts]
+    assert parts == list(range(12 * starts))
+
+
+@pytest.mark.parametrize(
+    'limits', [{'cores': 33}, {'memory_mb': 65537}, {'accelerators': 9}]
+)
+def test_a_task_that_exceeds_the_worker_waits(limits):
+    assert not naive.plan(
+        snapshot(workers=[worker('w1')], queued=[job('big', **limits)])
+    ).places
+
+
+@pytest.mark.parametrize(
+    ('room', 'agreed'),
+    [
+        (worker('w1', usable=False), contract()),
+        (worker('w1', rack='r1'), contract(hidden_racks=('r1',))),
+        (worker('w1'), contract(hidden_domains=('north',))),
+    ],
+)
+def test_unusable_workers_and_hidden_places_stay_empty(room, agreed):
+    assert not naive.plan(
+        snapshot(workers=[room], queued=[job('a')], contracts=[agreed])
+    ).places
