--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -32,7 +32,7 @@
 
 
 async def answer_none(_peer, _frame):
-    return None
+    """Take the frame without an answer."""
 
 
 async def until(condition):
