--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -28,7 +28,7 @@
     keep.setFormatter(make_formatter(LogSettings()))
     log_event(logger, 'job.accepted', job='j1', reason='två\nrader = 2')
     (line,) = written
-    assert 'event=job.accepted job=j1 reason="två\\nrader = 2"' in line
+    assert r'event=job.accepted job=j1 reason="två\nrader = 2"' in line
     assert '\n' not in line
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,7 +6,7 @@
 
 
 def view(control, epoch, age_ms=0):
-    return DomainView(DOMAIN, VmId(control), epoch, *[0] * 8, age_ms=age_ms)
+    return DomainView(DOMAIN, VmId(control), epoch, *range(8), age_ms=age_ms)
 
 
 def heartbeat(vm, *views):
