--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,20 +7,23 @@
 from bulrushcove.settings import LogSettings
 
 
-@pytest.fixture
-def lines(request):
-    written = []
+class Keep(logging.Handler):
+    def __init__(self):
+        super().__init__()
+        self.written = []
+
+    def emit(self, record):
+        self.written.append(self.format(record))
 
-    class Keep(logging.Handler):
-        def emit(self, record):
-            written.append(self.format(record))
 
+@pytest.fixture
+def lines():
     keep = Keep()
     logger = logging.getLogger('test.logs')
     logger.handlers = [keep]
     logger.setLevel(logging.INFO)
     logger.propagate = False
-    return logger, keep, written
+    return logger, keep, keep.written
 
 
 def test_an_event_is_one_key_value_line(lines):
