--- /dev/null
+++ b/dev/standins/backend.py
@@ -0,0 +1,152 @@
+"""Stand-in for backend servers; one process hosts several."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from absl import app, flags
+from aiohttp import web
+
+from bulrushcove.clock import MS_PER_S, SystemClock
+from bulrushcove.ids import BackendId, OrganisationId, RequestId
+from dev.history.events import EventLog, RequestStep
+from dev.standins import standin_flags
+from dev.standins.answers import answer_body
+from dev.standins.backend_state import (
+    SLOTS,
+    BackendDescription,
+    BackendState,
+    Refusal,
+    parse_work,
+)
+from dev.standins.faults import FaultSwitch
+from dev.standins.hosting import (
+    HostedServer,
+    json_response,
+    serving,
+    wait_for_signal,
+)
+
+STATE_HEADER = 'X-Backend-State'
+SERVICE_HEADER = 'X-Service-Ms'
+
+
+class StateAnswer(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/state``."""
+
+    backend: BackendId
+    slots: int
+    busy: int
+    leaving: bool
+
+
+def backend_routes(
+    state: BackendState, count_connections: Callable[[], int]
+) -> list[web.RouteDef]:
+    """Return the routes of one backend server."""
+
+    async def run(request: web.Request) -> web.Response:
+        organisation = OrganisationId(request.headers['X-Organisation'])
+        request_id = RequestId(request.headers['X-Request-Id'])
+        state.log(RequestStep.ARRIVE, organisation, request_id)
+        body = await request.read()
+        refusal = state.refusal(count_connections())
+        if refusal is not None:
+            state.log(RequestStep.REFUSE, organisation, request_id)
+            return _refuse(refusal)
+        work = parse_work(body)
+        service_ms = int(request.headers.get(SERVICE_HEADER, work.service_ms))
+        state.busy += 1
+        state.log(RequestStep.RUN, organisation, request_id)
+        try:
+            await asyncio.sleep(service_ms / MS_PER_S)
+        finally:
+            state.busy -= 1
+            state.log(RequestStep.END, organisation, request_id)
+        answer = answer_body(organisation, request_id, body, work.answer_bytes)
+        return web.Response(
+            body=answer,
+            content_type='application/json',
+            headers=_leaving_headers(state),
+        )
+
+    async def get_state(_request: web.Request) -> web.Response:
+        return json_response(
+            StateAnswer(
+                backend=state.description.backend,
+                slots=SLOTS,
+                busy=state.busy,
+                leaving=state.leaving,
+            )
+        )
+
+    return [web.post('/v1/run', run), web.get('/v1/state', get_state)]
+
+
+def leaving_routes(states: list[BackendState]) -> list[web.RouteDef]:
+    """Return the admin route that lets a server leave or stay."""
+    by_name = {str(state.description.backend): state for state in states}
+
+    async def put_leaving(request: web.Request) -> web.Response:
+        state = by_name[request.match_info['server']]
+        state.leaving = msgspec.json.decode(await request.read(), type=bool)
+        return web.Response(status=web.HTTPNoContent.status_code)
+
+    return [web.put('/leaving/{server}', put_leaving)]
+
+
+def _refuse(refusal: Refusal) -> web.Response:
+    return web.Response(
+        status=web.HTTPServiceUnavailable.status_code,
+        headers={STATE_HEADER: refusal.value},
+    )
+
+
+def _leaving_headers(state: BackendState) -> dict[str, str]:
+    if state.leaving:
+        return {STATE_HEADER: Refusal.LEAVING.value}
+    return {}
+
+
+def hosted_backend(state: BackendState) -> HostedServer:
+    """Return the HTTP server of one backend server."""
+    servers: list[HostedServer] = []
+
+    def count_connections() -> int:
+        return servers[0].connections
+
+    routes = backend_routes(state, count_connections)
+    description = state.description
+    servers.append(
+        HostedServer(
+            description.backend, description.port, routes, FaultSwitch()
+        )
+    )
+    return servers[0]
+
+
+async def _run() -> None:
+    descriptions = msgspec.json.decode(
+        Path(standin_flags.HOSTED.value).read_bytes(),
+        type=list[BackendDescription],
+    )
+    log = EventLog(Path(standin_flags.LOG_FILE.value))
+    clock = SystemClock()
+    states = [BackendState(each, clock, log) for each in descriptions]
+    servers = [hosted_backend(state) for state in states]
+    async with serving(
+        servers, standin_flags.ADMIN_PORT.value, leaving_routes(states)
+    ):
+        await wait_for_signal()
+    log.close()
+
+
+def main(_arguments: list[str]) -> None:
+    """Serve until told to stop."""
+    asyncio.run(_run())
+
+
+if __name__ == '__main__':
+    flags.mark_flags_as_required(['hosted', 'log_file'])
+    app.run(main)
--- /dev/null
+++ b/dev/standins/backend_state.py
@@ -0,0 +1,83 @@
+"""State of one backend server: slots and whether it is leaving."""
+
+from enum import Enum, unique
+
+import msgspec
+
+from bulrushcove.clock import Clock
+from bulrushcove.ids import BackendId, DomainName, OrganisationId, RequestId
+from dev.history.events import EventLog, RequestEvent, RequestStep
+
+SLOTS = 8
+MAX_CONNECTIONS = 64
+
+
+class BackendDescription(msgspec.Struct, frozen=True):
+    """One hosted backend server."""
+
+    backend: BackendId
+    domain: DomainName
+    port: int
+
+
+@unique
+class Refusal(Enum):
+    """Why a request was surely not run; sent as X-Backend-State."""
+
+    BUSY = 'busy'
+    LEAVING = 'leaving'
+
+
+class Work(msgspec.Struct, frozen=True):
+    """Fields of a request's body that steer the stand-in."""
+
+    service_ms: int = 0
+    answer_bytes: int = 0
+
+
+class BackendState:
+    """Slots of one server; logs each step of each request."""
+
+    def __init__(
+        self, description: BackendDescription, clock: Clock, log: EventLog
+    ) -> None:
+        """Start with free slots."""
+        self.description = description
+        self.busy = 0
+        self.leaving = False
+        self._clock = clock
+        self._log = log
+
+    def refusal(self, connections: int) -> Refusal | None:
+        """Return why a new request is not run now."""
+        if self.leaving:
+            return Refusal.LEAVING
+        if self.busy >= SLOTS or connections > MAX_CONNECTIONS:
+            return Refusal.BUSY
+        return None
+
+    def log(
+        self,
+        step: RequestStep,
+        organisation: OrganisationId,
+        request: RequestId,
+    ) -> None:
+        """Write one step of a request to the history."""
+        self._log.write(
+            RequestEvent(
+                at_s=self._clock.monotonic_s(),
+                step=step,
+                backend=self.description.backend,
+                domain=self.description.domain,
+                organisation=organisation,
+                request=request,
+            )
+        )
+
+
+def parse_work(body: bytes) -> Work:
+    """Return what ``body`` asks of the stand-in; other bodies ask nothing."""
+    try:
+        return msgspec.json.decode(body, type=Work)
+    except msgspec.DecodeError:
+        return Work()
--- /dev/null
+++ b/dev/standins/kv_messages.py
@@ -0,0 +1,209 @@
+"""Messages of the etcd v3 JSON gateway, as far as the stand-in speaks it.
+
+Zero and empty fields are left out of answers and 64-bit numbers are strings,
+as the gateway does it.
+"""
+
+from enum import Enum, unique
+from typing import Annotated
+
+import msgspec
+
+# Requests may hold numbers as numbers or as strings.
+Int64 = int | Annotated[str, msgspec.Meta(pattern='^-?[0-9]+$')]
+
+# Answers leave out a number that is this very object.
+ZERO = '0'
+
+
+@unique
+class CompareTarget(Enum):
+    """Field that a comparison looks at."""
+
+    VERSION = 'VERSION'
+    CREATE = 'CREATE'
+    MOD = 'MOD'
+    VALUE = 'VALUE'
+    LEASE = 'LEASE'
+
+
+@unique
+class CompareResult(Enum):
+    """Relation that a comparison asks for."""
+
+    EQUAL = 'EQUAL'
+    GREATER = 'GREATER'
+    LESS = 'LESS'
+    NOT_EQUAL = 'NOT_EQUAL'
+
+
+class RangeRequest(msgspec.Struct, frozen=True):
+    """Read of one key or of a range of keys."""
+
+    key: bytes
+    range_end: bytes = b''
+    limit: Int64 = 0
+    min_mod_revision: Int64 = 0
+    keys_only: bool = False
+    count_only: bool = False
+
+
+class PutRequest(msgspec.Struct, frozen=True):
+    """Write of one key."""
+
+    key: bytes
+    value: bytes = b''
+    lease: Int64 = 0
+
+
+class DeleteRangeRequest(msgspec.Struct, frozen=True):
+    """Deletion of one key or of a range of keys."""
+
+    key: bytes
+    range_end: bytes = b''
+
+
+class Compare(msgspec.Struct, frozen=True):
+    """One condition of a transaction."""
+
+    key: bytes
+    target: CompareTarget = CompareTarget.VERSION
+    result: CompareResult = CompareResult.EQUAL
+    version: Int64 = 0
+    create_revision: Int64 = 0
+    mod_revision: Int64 = 0
+    value: bytes = b''
+    lease: Int64 = 0
+
+
+class Operation(msgspec.Struct, frozen=True):
+    """One step of a transaction; exactly one field is set."""
+
+    request_range: RangeRequest | None = None
+    request_put: PutRequest | None = None
+    request_delete_range: DeleteRangeRequest | None = None
+
+
+class TxnRequest(msgspec.Struct, frozen=True):
+    """Transaction: all of ``success`` or all of ``failure``."""
+
+    compare: tuple[Compare, ...] = ()
+    success: tuple[Operation, ...] = ()
+    failure: tuple[Operation, ...] = ()
+
+
+class LeaseGrantRequest(msgspec.Struct, frozen=True):
+    """Creation of a lease."""
+
+    ttl: Int64 = msgspec.field(name='TTL')
+
+
+class LeaseRequest(msgspec.Struct, frozen=True):
+    """Renewal or end of a lease."""
+
+    lease: Int64 = msgspec.field(name='ID')
+
+
+class WatchCreateRequest(msgspec.Struct, frozen=True):
+    """Range to watch, from ``start_revision`` on when it is set."""
+
+    key: bytes
+    range_end: bytes = b''
+    start_revision: Int64 = 0
+
+
+class WatchRequest(msgspec.Struct, frozen=True):
+    """First message of a watch."""
+
+    create_request: WatchCreateRequest
+
+
+class Header(msgspec.Struct, frozen=True):
+    """Header of each answer."""
+
+    revision: str
+
+
+class KeyValueAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A key with its value."""
+
+    key: bytes
+    create_revision: str = ZERO
+    mod_revision: str = ZERO
+    version: str = ZERO
+    value: bytes = b''
+    lease: str = ZERO
+
+
+class RangeAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer to a read."""
+
+    header: Header
+    kvs: tuple[KeyValueAnswer, ...] = ()
+    more: bool = False
+    count: str = ZERO
+
+
+class PutAnswer(msgspec.Struct, frozen=True):
+    """Answer to a write."""
+
+    header: Header
+
+
+class DeleteRangeAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer to a deletion."""
+
+    header: Header
+    deleted: str = ZERO
+
+
+class OperationAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer to one step of a transaction."""
+
+    response_range: RangeAnswer | None = None
+    response_put: PutAnswer | None = None
+    response_delete_range: DeleteRangeAnswer | None = None
+
+
+class TxnAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer to a transaction."""
+
+    header: Header
+    succeeded: bool = False
+    responses: tuple[OperationAnswer, ...] = ()
+
+
+class LeaseAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Answer to the creation or renewal of a lease."""
+
+    header: Header
+    lease: str = msgspec.field(name='ID', default=ZERO)
+    ttl: str = msgspec.field(name='TTL', default=ZERO)
+
+
+class WatchEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One change seen by a watch."""
+
+    kv: KeyValueAnswer
+    type: str = 'PUT'
+
+
+class WatchAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One message of a watch."""
+
+    header: Header
+    created: bool = False
+    events: tuple[WatchEvent, ...] = ()
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """Answer to a request that failed; ``code`` is the gRPC status."""
+
+    error: str
+    code: int
+    message: str
+
+
+def int64(number: int) -> str:
+    """Return ``number`` as the gateway shows it; zero is left out."""
+    return str(number) if number else ZERO
--- /dev/null
+++ b/dev/standins/vm_list.py
@@ -0,0 +1,93 @@
+"""Stand-in for the platform's lagging list of VMs.
+
+One process may serve several views of the list, one for each failure domain.
+"""
+
+import asyncio
+from collections import deque
+from pathlib import Path
+
+import msgspec
+from absl import app, flags
+from aiohttp import web
+
+from bulrushcove.clock import Clock, SystemClock
+from bulrushcove.vm_list import VmList
+from dev.standins import standin_flags
+from dev.standins.faults import FaultSwitch
+from dev.standins.hosting import (
+    HostedServer,
+    json_response,
+    serving,
+    wait_for_signal,
+)
+
+LAG_S = flags.DEFINE_float('lag_s', 0, 'Age of the list that is served.')
+
+
+class View(msgspec.Struct, frozen=True):
+    """One hosted list, named after the failure domain that reads it."""
+
+    name: str
+    port: int
+    vm_list: VmList
+
+
+class LaggingList:
+    """List that shows each change only after the lag."""
+
+    def __init__(self, vm_list: VmList, lag_s: float, clock: Clock) -> None:
+        """Show ``vm_list`` from now on."""
+        self._clock = clock
+        self._lag_s = lag_s
+        self._shown = vm_list
+        self._coming: deque[tuple[float, VmList]] = deque()
+
+    def replace(self, vm_list: VmList) -> None:
+        """Show ``vm_list`` after the lag."""
+        shown_from_s = self._clock.monotonic_s() + self._lag_s
+        self._coming.append((shown_from_s, vm_list))
+
+    def current(self) -> VmList:
+        """Return the list as it is served now."""
+        now_s = self._clock.monotonic_s()
+        while self._coming and self._coming[0][0] <= now_s:
+            self._shown = self._coming.popleft()[1]
+        return self._shown
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that serve and change the list."""
+
+        async def get_vms(_request: web.Request) -> web.Response:
+            return json_response(self.current())
+
+        async def put_vms(request: web.Request) -> web.Response:
+            body = await request.read()
+            self.replace(msgspec.json.decode(body, type=VmList))
+            return web.Response(status=web.HTTPNoContent.status_code)
+
+        return [web.get('/vms', get_vms), web.put('/vms', put_vms)]
+
+
+def _hosted(view: View) -> HostedServer:
+    lagging = LaggingList(view.vm_list, LAG_S.value, SystemClock())
+    return HostedServer(view.name, view.port, lagging.routes(), FaultSwitch())
+
+
+async def _run() -> None:
+    views = msgspec.json.decode(
+        Path(standin_flags.HOSTED.value).read_bytes(), type=list[View]
+    )
+    servers = [_hosted(view) for view in views]
+    async with serving(servers, standin_flags.ADMIN_PORT.value):
+        await wait_for_signal()
+
+
+def main(_arguments: list[str]) -> None:
+    """Serve until told to stop."""
+    asyncio.run(_run())
+
+
+if __name__ == '__main__':
+    flags.mark_flag_as_required('hosted')
+    app.run(main)
--- /dev/null
+++ b/tests/test_standin_backend.py
@@ -0,0 +1,102 @@
+import asyncio
+
+import aiohttp
+import msgspec
+import pytest
+
+from bulrushcove.clock import ManualClock, SystemClock
+from bulrushcove.vm_list import VmEntry, VmList
+from dev.history.events import EventLog, RequestStep, read_events
+from dev.standins.answers import answer_body
+from dev.standins.backend import hosted_backend
+from dev.standins.backend_state import BackendDescription, BackendState
+from dev.standins.vm_list import LaggingList
+from tests.standin_tools import unused_port
+
+HEADERS = {'X-Organisation': 'planta', 'X-Request-Id': 'r1'}
+
+
+class Bench:
+    """One backend server on a free port."""
+
+    def __init__(self, path):
+        description = BackendDescription(
+            backend='backend-1', domain='Guichón', port=unused_port()
+        )
+        self.path = path
+        self.state = BackendState(description, SystemClock(), EventLog(path))
+        self.server = hosted_backend(self.state)
+        self.url = f'http://127.0.0.1:{description.port}/v1/run'
+
+    async def post(self, session, body=b'{}', request='r1'):
+        headers = {'X-Organisation': 'planta', 'X-Request-Id': request}
+        async with session.post(self.url, data=body, headers=headers) as answer:
+            state = answer.headers.get('X-Backend-State')
+            return answer.status, await answer.read(), state
+
+
+@pytest.fixture
+async def bench(tmp_path):
+    fixture = Bench(tmp_path / 'backend.jsonl')
+    await fixture.server.start()
+    yield fixture
+    await fixture.server.stop()
+
+
+async def test_answer_can_be_computed_by_the_caller(bench):
+    body = b'{"answer_bytes": 1000}'
+    async with aiohttp.ClientSession() as session:
+        status, answer, _ = await bench.post(session, body)
+    assert status == 200
+    assert answer == answer_body('planta', 'r1', body, 1000)
+    assert len(answer) > 1000
+    assert answer != answer_body('planta', 'r2', body, 1000)
+    steps = [event.step for event in read_events([bench.path])]
+    assert steps == [RequestStep.ARRIVE, RequestStep.RUN, RequestStep.END]
+
+
+async def test_ninth_request_at_once_is_refused(bench):
+    body = msgspec.json.encode({'service_ms': 300})
+    async with aiohttp.ClientSession() as session:
+        answers = await asyncio.gather(
+            *[bench.post(session, body, f'r{number}') for number in range(9)]
+        )
+    statuses = sorted(status for status, _, _ in answers)
+    assert statuses.count(200) == 8
+    assert statuses[8:] == [503]
+    assert 'busy' in {state for _, _, state in answers}
+    runs = [
+        event
+        for event in read_events([bench.path])
+        if event.step is RequestStep.RUN
+    ]
+    assert len(runs) == 8
+
+
+async def test_leaving_server_refuses_and_finishes_what_it_has(bench):
+    body = msgspec.json.encode({'service_ms': 300})
+    async with aiohttp.ClientSession() as session:
+        running = asyncio.create_task(bench.post(session, body))
+        await asyncio.sleep(0.1)
+        bench.state.leaving = True
+        refused = await bench.post(session, body, 'r2')
+        assert refused == (503, b'', 'leaving')
+        status, _, state = await running
+    assert (status, state) == (200, 'leaving')
+
+
+def test_vm_list_lags():
+    clock = ManualClock()
+    entry = VmEntry(
+        vm='vm-1',
+        role='entry',
+        domain='Guichón',
+        address='127.0.0.1',
+        port=1,
+    )
+    lagging = LaggingList(VmList(vms=()), 10, clock)
+    lagging.replace(VmList(vms=(entry,)))
+    clock.advance(9.9)
+    assert lagging.current().vms == ()
+    clock.advance(0.2)
+    assert lagging.current().vms == (entry,)
