--- a/src/bulrushcove/messages.py
+++ b/src/bulrushcove/messages.py
@@ -74,6 +74,10 @@
     configuration: Configuration | None
 
 
+class VmListRequest(msgspec.Struct, frozen=True):
+    """Asks for the newest ``VmList`` that the peer has read."""
+
+
 class VmStatus(msgspec.Struct, frozen=True):
     """One entry VM as a control sees it; part of ``ClusterView``."""
 
--- a/src/bulrushcove/peer_links.py
+++ b/src/bulrushcove/peer_links.py
@@ -2,7 +2,7 @@
 
 from mode import Service
 
-from .ids import VmId
+from .ids import DomainName, VmId
 from .messages import Hello
 from .states import VmRole
 from .streams import FrameHandler, StreamClient
@@ -60,3 +60,20 @@
 
     def _is_peer(self, entry: VmEntry) -> bool:
         return entry.role is VmRole.ENTRY and entry.vm != self._hello.vm
+
+
+def seed_entries(addresses: tuple[str, ...]) -> tuple[VmEntry, ...]:
+    """Return entries for peers known by ``host:port`` alone."""
+    return tuple(_seed_entry(address) for address in addresses)
+
+
+def _seed_entry(address: str) -> VmEntry:
+    host, _colon, port = address.rpartition(':')
+    return VmEntry(
+        vm=VmId(address),
+        role=VmRole.ENTRY,
+        domain=DomainName(''),
+        address=host.strip('[]'),
+        port=0,
+        control_port=int(port),
+    )
--- a/src/bulrushcove/peers.py
+++ b/src/bulrushcove/peers.py
@@ -23,15 +23,16 @@
     Heartbeat,
     Hello,
     JobNotice,
+    VmListRequest,
     VmStatus,
     parse_message,
 )
-from .peer_links import PeerLinks
+from .peer_links import PeerLinks, seed_entries
 from .permit import PermitBook
 from .settings import Settings
 from .states import VmRole
 from .streams import StreamClient, StreamServer
-from .vm_list import VmEntry
+from .vm_list import VmEntry, VmList
 from .vm_list_poll import VmListPoll
 from .wire import Frame
 
@@ -60,7 +61,7 @@
         super().__init__()
         self.leaving = False
         # Set by the application before the start.
-        self.on_notice: NoticeHandler | None = None
+        self.on_notice: NoticeHandler = _ignore_notice
         self.platform_reachable: Callable[[], bool] = bool
         self._settings = settings
         self._clock = clock
@@ -115,7 +116,7 @@
             notice.domain,
             self._clock.monotonic_s(),
         )
-        if control == self._hello.vm and self.on_notice is not None:
+        if control == self._hello.vm:
             await self.on_notice(notice)
             return
         client = self._links.get(control) if control else None
@@ -129,6 +130,8 @@
         """Start to listen."""
         await self.add_runtime_dependency(self._server)
         await self.add_runtime_dependency(self._links)
+        seeds = seed_entries(self._settings.control.peer_addresses)
+        await self._links.follow(seeds)
         await self.add_runtime_dependency(self._vm_list)
 
     @Service.task
@@ -142,14 +145,11 @@
             await self.sleep(interval_s)
 
     async def _beat_all(self, timeout_s: float) -> None:
-        clients = [client for _entry, client in self._clients.values()]
-        await asyncio.gather(
-            *(
-                self._beat_one(client, timeout_s)
-                for client in clients
-                if client.is_connected
-            )
-        )
+        beats = [
+            self._beat_one(client, timeout_s)
+            for client in self._links.connected()
+        ]
+        await asyncio.gather(*beats)
 
     async def _beat_one(self, client: StreamClient, timeout_s: float) -> None:
         asked_at_s = self._clock.monotonic_s()
@@ -170,6 +170,9 @@
         answer: Heartbeat,
         timeout_s: float,
     ) -> None:
+        if not self.vms:
+            listed = await client.ask(VmListRequest(), VmList, timeout_s)
+            await self._vm_list.adopt_first(listed)
         held = self._holder.current.revision
         if answer.revision <= held:
             return
@@ -188,7 +191,7 @@
 
     async def _on_frame(
         self,
-        _peer: Hello,
+        peer: Hello,
         frame: Frame,
     ) -> msgspec.Struct | None:
         if frame.kind == Heartbeat.__name__:
@@ -198,14 +201,17 @@
         if frame.kind == ConfigurationRequest.__name__:
             request = parse_message(ConfigurationRequest, frame.fields)
             return _configuration_push(self._holder, request.newer_than)
+        if frame.kind == VmListRequest.__name__:
+            return VmList(self.vms)
         if frame.kind == JobNotice.__name__:
-            await self._relay_notice(parse_message(JobNotice, frame.fields))
+            notice = parse_message(JobNotice, frame.fields)
+            await self._take_notice(peer, notice)
             return Acknowledged()
         raise WireError(f'unknown frame kind {frame.kind!r}')
 
-    async def _relay_notice(self, notice: JobNotice) -> None:
+    async def _take_notice(self, peer: Hello, notice: JobNotice) -> None:
         try:
-            await self.notify_job(notice)
+            await self._pass_on(peer, notice)
         except PeerUnreachableError as exc:
             log_event(
                 logger,
@@ -215,6 +221,14 @@
                 error=exc,
             )
 
+    async def _pass_on(self, peer: Hello, notice: JobNotice) -> None:
+        if peer.role == ENTRY_ROLE:
+            await self.notify_job(notice)
+        else:
+            # A peer took this control for the active one: relaying further
+            # could go round in circles.
+            await self.on_notice(notice)
+
     def _heartbeat(self) -> Heartbeat:
         now_s = self._clock.monotonic_s()
         return Heartbeat(
@@ -253,3 +267,7 @@
     if holder.current.revision <= newer_than:
         return ConfigurationPush(configuration=None)
     return ConfigurationPush(configuration=holder.current)
+
+
+async def _ignore_notice(_notice: JobNotice) -> None:
+    """Take no notice; the job is found by the next scan."""
--- a/src/bulrushcove/settings.py
+++ b/src/bulrushcove/settings.py
@@ -39,6 +39,13 @@
     str,
     msgspec.Meta(pattern=r'^[0-9a-fA-F.:]+$', description='an IP number'),
 ]
+HostPort = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r'^[0-9a-fA-F.:\[\]]+:[0-9]+$',
+        description='an IP number and a port, as 10.0.0.1:7001',
+    ),
+]
 Url = Annotated[
     str,
     msgspec.Meta(pattern='^https?://', description='an http or https URL'),
@@ -91,6 +98,8 @@
     stream_port: Port
     # Health, readiness and metrics.
     http_port: Port
+    # Controls to ask while the VM list has never been read.
+    peer_addresses: tuple[HostPort, ...] = ()
     poll_ms: Milliseconds = 1000
     heartbeat_ms: Milliseconds = 1000
     peer_silence_ms: Milliseconds = 3500
--- a/src/bulrushcove/vm_list_poll.py
+++ b/src/bulrushcove/vm_list_poll.py
@@ -35,6 +35,11 @@
         self._session = session
         self._on_vms = on_vms
 
+    async def adopt_first(self, listed: VmList) -> None:
+        """Take a peer's list while none was ever read here."""
+        if listed.vms and not self.vms:
+            await self._take(listed)
+
     @Service.task
     async def _poll_for_ever(self) -> None:
         interval_s = self._settings.vm_list_poll_ms / MS_PER_S
@@ -56,5 +61,8 @@
                 error=f'{type(exc).__name__}: {exc}',
             )
             return
+        await self._take(listed)
+
+    async def _take(self, listed: VmList) -> None:
         self.vms = listed.vms
         await self._on_vms(listed.vms)
