--- a/src/bulrushcove/configuration.py
+++ b/src/bulrushcove/configuration.py
@@ -1,13 +1,38 @@
 """The operators' configuration: contracts and states of failure domains."""
 
+from enum import Enum, unique
+
 import msgspec
 
 from .contract import Contract
 from .ids import DomainName, OperationId, OrganisationId, Revision
 from .states import DomainState
 
-# Operations remembered in the configuration, to answer after a lost answer.
-MAX_KEPT_OPERATIONS = 128
+# Changes remembered in the configuration: they tell after a lost answer
+# whether a write took effect, and show operators who race what came between.
+MAX_KEPT_CHANGES = 128
+
+
+@unique
+class Subject(Enum):
+    """What a change of the configuration is about."""
+
+    CONTRACT = 'contract'
+    DOMAIN = 'domain'
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One accepted change, as other operators see it."""
+
+    revision: Revision
+    operation: OperationId
+    subject: Subject
+    # Organisation or domain.
+    name: str
+    # Plain words, one difference each.
+    differences: tuple[str, ...] = ()
+    operator: str = ''
+    unix_ms: int = 0
 
 
 class Configuration(msgspec.Struct, frozen=True):
@@ -17,7 +42,7 @@
     contracts: dict[OrganisationId, Contract]
     domains: dict[DomainName, DomainState]
     # Latest last.
-    operations: tuple[OperationId, ...] = ()
+    changes: tuple[Change, ...] = ()
 
 
 def empty_configuration() -> Configuration:
--- a/src/bulrushcove/exceptions.py
+++ b/src/bulrushcove/exceptions.py
@@ -36,13 +36,25 @@
 
 
 class ConfigurationError(BulrushcoveError):
-    """A change of the configuration was refused."""
+    """A change of the configuration was refused.
+
+    ``details`` holds one line for each thing that speaks against it.
+    """
+
+    def __init__(self, message: str, *, details: tuple[str, ...] = ()) -> None:
+        """Keep the message and its details."""
+        super().__init__(message)
+        self.details = details
 
 
 class ConfigurationConflictError(ConfigurationError):
     """Another operator changed the same thing in between."""
 
 
+class GuaranteeBrokenError(ConfigurationError):
+    """The change would break guarantees; the details name them."""
+
+
 class SettingsError(BulrushcoveError):
     """One key of the settings file is wrong."""
 
--- /dev/null
+++ b/src/bulrushcove/operators.py
@@ -0,0 +1,258 @@
+"""What operators do: change contracts, take failure domains out and in."""
+
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from functools import partial
+
+import msgspec
+
+from .clock import Clock
+from .configuration import Change, Configuration, Subject
+from .configuration_changes import (
+    apply_contract,
+    changes_since,
+    find_operation,
+    remove_contract,
+    same_content,
+    set_domain,
+)
+from .configuration_store import ConfigurationStore, StoredConfiguration
+from .contract import Contract
+from .exceptions import (
+    ConfigurationConflictError,
+    GuaranteeBrokenError,
+)
+from .ids import DomainName, OperationId, OrganisationId, Revision
+from .states import DomainState
+from .worker_api import WorkerDescription
+
+# Other operators' changes of other things that a write may meet in a row.
+MAX_TRIES = 20
+
+GuaranteeCheck = Callable[
+    [
+        Mapping[OrganisationId, Contract],
+        Sequence[WorkerDescription],
+        Mapping[DomainName, DomainState],
+    ],
+    Sequence[str],
+]
+Workers = Callable[[], Awaitable[Sequence[WorkerDescription]]]
+MakeChange = Callable[..., Configuration]
+
+
+class ChangeOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How an operator wants a change made."""
+
+    # The same operation id is applied once, however often it is sent.
+    operation: OperationId
+    operator: str = ''
+    # Refuse when the thing changed after this revision; None: after the
+    # revision that the write is first based on.
+    based_on: Revision | None = None
+    dry_run: bool = False
+    # Take a domain out although that breaks guarantees.
+    force: bool = False
+
+
+class ChangeAnswer(msgspec.Struct, frozen=True):
+    """What became of a change."""
+
+    # False after a dry run and when everything was so already.
+    changed: bool
+    # Revision that holds the change.
+    revision: Revision
+    operation: OperationId
+    differences: tuple[str, ...] = ()
+    # Guarantees that the change breaks, or would break.
+    broken_guarantees: tuple[str, ...] = ()
+
+
+class _Wish(msgspec.Struct, frozen=True):
+    subject: Subject
+    name: str
+    make: MakeChange
+    # Whether an operator may force it against guarantees.
+    forcible: bool = False
+
+
+class Operators:
+    """Makes the operators' changes; "accepted" means known to be stored."""
+
+    def __init__(
+        self,
+        configurations: ConfigurationStore,
+        *,
+        clock: Clock,
+        held: Callable[[], Configuration],
+        check: GuaranteeCheck,
+        workers: Workers,
+    ) -> None:
+        """Work on ``configurations``.
+
+        ``held`` gives the configuration in force in this process, ``workers``
+        the workers that ``check`` packs the guarantees into.
+        """
+        self._configurations = configurations
+        self._clock = clock
+        self._held = held
+        self._check = check
+        self._workers = workers
+
+    async def current(self) -> Configuration:
+        """Return the newest configuration; raises ``StoreUnavailableError``."""
+        return (await self._load()).configuration
+
+    async def apply_contract(
+        self,
+        contract: Contract,
+        order: ChangeOrder,
+    ) -> ChangeAnswer:
+        """Create or replace a contract."""
+        make = partial(apply_contract, contract=contract)
+        wish = _Wish(Subject.CONTRACT, contract.organisation, make)
+        return await self._change(wish, order)
+
+    async def remove_contract(
+        self,
+        organisation: OrganisationId,
+        order: ChangeOrder,
+    ) -> ChangeAnswer:
+        """Remove a contract."""
+        make = partial(remove_contract, organisation=organisation)
+        wish = _Wish(Subject.CONTRACT, organisation, make)
+        return await self._change(wish, order)
+
+    async def set_domain(
+        self,
+        domain: DomainName,
+        state: DomainState,
+        order: ChangeOrder,
+    ) -> ChangeAnswer:
+        """Take a failure domain out of service or bring it back."""
+        make = partial(set_domain, domain=domain, state=state)
+        wish = _Wish(Subject.DOMAIN, domain, make, forcible=True)
+        return await self._change(wish, order)
+
+    async def _change(self, wish: _Wish, order: ChangeOrder) -> ChangeAnswer:
+        stored = await self._load()
+        based_on = order.based_on
+        if based_on is None:
+            based_on = stored.configuration.revision
+        for _ in range(MAX_TRIES):
+            done = find_operation(stored.configuration, order.operation)
+            if done is not None:
+                return _accepted(wish, done)
+            _check_conflict(wish, stored.configuration, based_on)
+            following = self._make(wish, order, stored.configuration)
+            broken = await self._newly_broken(stored.configuration, following)
+            if order.dry_run or same_content(
+                stored.configuration,
+                following,
+            ):
+                return _unchanged(
+                    order, stored.configuration, following, broken
+                )
+            _check_guarantees(wish, order, broken)
+            stored = await self._configurations.swap(stored, following)
+        raise ConfigurationConflictError(
+            f'{wish.subject.value} {wish.name!r}: other changes came first '
+            f'{MAX_TRIES} times in a row',
+        )
+
+    async def _load(self) -> StoredConfiguration:
+        held = self._held()
+        stored = await self._configurations.load()
+        if stored.configuration.revision >= held.revision:
+            return stored
+        # The store lost changes that are in force: build on those.
+        return StoredConfiguration(held, stored.mod_revision)
+
+    def _make(
+        self,
+        wish: _Wish,
+        order: ChangeOrder,
+        configuration: Configuration,
+    ) -> Configuration:
+        return wish.make(
+            configuration,
+            operation=order.operation,
+            operator=order.operator,
+            unix_ms=self._clock.unix_ms(),
+        )
+
+    async def _newly_broken(
+        self,
+        before: Configuration,
+        after: Configuration,
+    ) -> tuple[str, ...]:
+        workers = await self._workers()
+        known = self._check(before.contracts, workers, before.domains)
+        found = self._check(after.contracts, workers, after.domains)
+        return tuple(problem for problem in found if problem not in known)
+
+
+def describe_change(change: Change) -> str:
+    """Return a change in plain words, for another operator."""
+    differences = '; '.join(change.differences)
+    return (
+        f'revision {change.revision} by {change.operator or "an operator"}: '
+        f'{change.subject.value} {change.name!r}: {differences}'
+    )
+
+
+def _accepted(wish: _Wish, done: Change) -> ChangeAnswer:
+    if (done.subject, done.name) != (wish.subject, wish.name):
+        raise ConfigurationConflictError(
+            f'operation {done.operation!r} was used for another change',
+            details=(describe_change(done),),
+        )
+    return ChangeAnswer(
+        changed=True,
+        revision=done.revision,
+        operation=done.operation,
+        differences=done.differences,
+    )
+
+
+def _unchanged(
+    order: ChangeOrder,
+    configuration: Configuration,
+    following: Configuration,
+    broken: tuple[str, ...],
+) -> ChangeAnswer:
+    return ChangeAnswer(
+        changed=False,
+        revision=configuration.revision,
+        operation=order.operation,
+        differences=following.changes[-1].differences,
+        broken_guarantees=broken,
+    )
+
+
+def _check_conflict(
+    wish: _Wish,
+    configuration: Configuration,
+    based_on: Revision,
+) -> None:
+    changes = changes_since(configuration, based_on, wish.subject, wish.name)
+    if changes:
+        raise ConfigurationConflictError(
+            f'{wish.subject.value} {wish.name!r} was changed by another '
+            f'operator after revision {based_on}',
+            details=tuple(describe_change(change) for change in changes),
+        )
+
+
+def _check_guarantees(
+    wish: _Wish,
+    order: ChangeOrder,
+    broken: tuple[str, ...],
+) -> None:
+    if not broken or (wish.forcible and order.force):
+        return
+    hint = '; force it to do so all the same' if wish.forcible else ''
+    raise GuaranteeBrokenError(
+        f'{wish.subject.value} {wish.name!r}: the change would break '
+        f'{len(broken)} guarantees{hint}',
+        details=broken,
+    )
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,167 @@
+from functools import partial
+
+import pytest
+
+from bulrushcove.clock import ManualClock
+from bulrushcove.configuration import empty_configuration
+from bulrushcove.configuration_store import ConfigurationStore
+from bulrushcove.contract import Contract, JobLimits
+from bulrushcove.exceptions import (
+    ConfigurationConflictError,
+    GuaranteeBrokenError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from bulrushcove.operators import ChangeOrder, Operators
+from bulrushcove.states import DomainState
+from tests.fake_store import FakeStore
+
+MILL = Contract(organisation='Molino Ñandú', token_sha256=())
+
+
+async def no_workers():
+    return ()
+
+
+async def no_sleep(_seconds):
+    """Return at once."""
+
+
+def check_domains_left(contracts, _workers, domains):
+    """Every contract needs a domain that is in."""
+    if DomainState.IN in domains.values():
+        return []
+    return [f'{organisation}: no domain left' for organisation in contracts]
+
+
+def make_operators(store, held=empty_configuration):
+    return Operators(
+        ConfigurationStore(store, no_sleep),
+        clock=ManualClock(),
+        held=held,
+        check=check_domains_left,
+        workers=no_workers,
+    )
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+async def operators(store):
+    operators = make_operators(store)
+    await operators.set_domain('Luleå', DomainState.IN, ChangeOrder('first'))
+    return operators
+
+
+async def test_a_change_is_accepted_with_its_revision(operators):
+    answer = await operators.apply_contract(MILL, ChangeOrder('op'))
+    assert (answer.changed, answer.revision) == (True, 2)
+    assert (await operators.current()).contracts == {'Molino Ñandú': MILL}
+
+
+async def test_the_same_operation_is_applied_once(operators):
+    first = await operators.apply_contract(MILL, ChangeOrder('op'))
+    await operators.remove_contract('Molino Ñandú', ChangeOrder('op-2'))
+    assert await operators.apply_contract(MILL, ChangeOrder('op')) == first
+    assert (await operators.current()).contracts == {}
+    with pytest.raises(ConfigurationConflictError, match='another change'):
+        await operators.set_domain('Luleå', DomainState.OUT, ChangeOrder('op'))
+
+
+@pytest.mark.parametrize('fault', ['lose_answers', 'lose_writes'])
+async def test_a_lost_answer_is_read_back(store, operators, fault):
+    setattr(store, fault, 2)
+    answer = await operators.apply_contract(MILL, ChangeOrder('op'))
+    assert (answer.changed, answer.revision) == (True, 2)
+    assert (await operators.current()).revision == 2
+
+
+async def test_an_answer_that_stays_lost_is_unknown(store, operators):
+    store.lose_writes = 100
+    with pytest.raises(StoreOutcomeUnknownError, match='revision 2'):
+        await operators.apply_contract(MILL, ChangeOrder('op'))
+
+
+async def test_an_outage_refuses_without_effect(store, operators):
+    store.down = True
+    with pytest.raises(StoreUnavailableError):
+        await operators.apply_contract(MILL, ChangeOrder('op'))
+    store.down = False
+    assert (await operators.current()).revision == 1
+
+
+async def test_a_race_for_another_thing_is_retried(store, operators):
+    order = ChangeOrder('race')
+    store.before_write = partial(
+        operators.set_domain, 'Visby', DomainState.IN, order
+    )
+    answer = await operators.apply_contract(MILL, ChangeOrder('op'))
+    assert answer.revision == 3
+    assert len((await operators.current()).domains) == 2
+
+
+async def test_a_race_for_the_same_thing_shows_the_other_change(
+    store, operators
+):
+    other = Contract('Molino Ñandú', (), jobs=JobLimits(max_queued=3))
+    order = ChangeOrder('race', operator='ana')
+    store.before_write = partial(operators.apply_contract, other, order)
+    with pytest.raises(ConfigurationConflictError) as caught:
+        await operators.apply_contract(MILL, ChangeOrder('op'))
+    assert caught.value.details == (
+        "revision 2 by ana: contract 'Molino Ñandú': created",
+    )
+    assert (await operators.current()).contracts['Molino Ñandú'] == other
+
+
+async def test_a_change_based_on_an_older_revision_conflicts(operators):
+    await operators.apply_contract(MILL, ChangeOrder('op'))
+    with pytest.raises(ConfigurationConflictError, match='after revision 1'):
+        await operators.apply_contract(MILL, ChangeOrder('op-2', based_on=1))
+
+
+async def test_a_broken_guarantee_is_named_and_can_be_forced(operators):
+    await operators.apply_contract(MILL, ChangeOrder('op'))
+    take_out = partial(operators.set_domain, 'Luleå', DomainState.OUT)
+    preview = await take_out(ChangeOrder('op-2', dry_run=True))
+    assert preview.broken_guarantees == ('Molino Ñandú: no domain left',)
+    assert not preview.changed
+    with pytest.raises(GuaranteeBrokenError, match='force') as caught:
+        await take_out(ChangeOrder('op-2'))
+    assert caught.value.details == preview.broken_guarantees
+    assert (await take_out(ChangeOrder('op-2', force=True))).changed
+
+
+async def test_a_guarantee_broken_before_does_not_block(operators):
+    await operators.apply_contract(MILL, ChangeOrder('op'))
+    out = ChangeOrder('op-2', force=True)
+    await operators.set_domain('Luleå', DomainState.OUT, out)
+    lower = Contract('Molino Ñandú', (), jobs=JobLimits(max_queued=3))
+    answer = await operators.apply_contract(lower, ChangeOrder('op-3'))
+    assert answer.revision == 4
+
+
+async def test_a_contract_that_breaks_guarantees_cannot_be_forced(store):
+    operators = make_operators(store)
+    order = ChangeOrder('op', force=True)
+    with pytest.raises(GuaranteeBrokenError):
+        await operators.apply_contract(MILL, order)
+
+
+async def test_no_change_is_written_when_it_is_so_already(operators):
+    order = ChangeOrder('again')
+    answer = await operators.set_domain('Luleå', DomainState.IN, order)
+    assert (answer.changed, answer.revision) == (False, 1)
+
+
+async def test_a_store_that_lost_changes_is_built_up_from_the_held(operators):
+    await operators.apply_contract(MILL, ChangeOrder('op'))
+    held = await operators.current()
+    emptied = make_operators(FakeStore(), lambda: held)
+    order = ChangeOrder('op-2')
+    answer = await emptied.set_domain('Visby', DomainState.IN, order)
+    assert answer.revision == 3
+    assert (await emptied.current()).contracts == {'Molino Ñandú': MILL}
