Packing check of contracts: exact on small sizes, bounded and safe on large

A contract that cannot be honoured has to be refused when applied. Ways weighed: greedy best fit alone (misses packings: the control test shows 5,4,4,3,2,2 into 10+10), an exact search alone (no bound on time), both: greedy first, then a depth-first search that skips like positions and stops after a limit, never saying fits without a packing in hand. Against trying everything (1500 derandomized cases of up to 4 blocks, 3 racks, 2 domains): no difference, no search cut short.

--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,194 @@
+from itertools import product
+
+import pytest
+from hypothesis import event, given, settings, target
+from hypothesis import strategies as st
+
+from bulrushcove.block_packing import Block, new_rack, pack, pack_greedily
+from bulrushcove.contract import GuaranteedShape
+from bulrushcove.packing import check_guarantees
+from bulrushcove.states import Adjacency, DomainState
+from tests.cluster_builders import contract, describe
+
+WORKER, RACK, DOMAIN = Adjacency.WORKER, Adjacency.RACK, Adjacency.DOMAIN
+
+
+def workers_of(sizes, domain='north'):
+    """Return workers from a list of racks, each a list of sizes."""
+    return [
+        describe(f'{domain}-{rack}-{nth}', f'{domain}-{rack}', domain, size)
+        for rack, rack_sizes in enumerate(sizes)
+        for nth, size in enumerate(rack_sizes)
+    ]
+
+
+def shape(accelerators, adjacency=DOMAIN, domain=None, count=1):
+    return GuaranteedShape(accelerators, adjacency, domain, count)
+
+
+@pytest.mark.parametrize(
+    ('shapes', 'fits'),
+    [
+        ([shape(8, WORKER, count=4)], True),
+        ([shape(8, WORKER, count=5)], False),
+        ([shape(16, RACK, count=2)], True),
+        ([shape(17, RACK)], False),
+        ([shape(32)], True),
+        ([shape(33)], False),
+        ([shape(5, WORKER, count=4), shape(6, RACK, count=2)], True),
+        ([shape(5, WORKER, count=4), shape(4, WORKER)], False),
+        ([shape(1, domain='south')], False),
+    ],
+)
+def test_shapes_pack_into_two_racks_of_two_workers(shapes, fits):
+    workers = workers_of([[8, 8], [8, 8]])
+    problems = check_guarantees([contract(guaranteed=shapes)], workers, {})
+    assert bool(problems) is not fits
+
+
+def test_the_answer_names_organisation_shape_and_domain():
+    problems = check_guarantees(
+        [contract('mill', [shape(9, WORKER, 'north')])],
+        workers_of([[8, 8]]),
+        {},
+    )
+    assert problems == [
+        'organisation mill: 1 of 1 shapes of 9 accelerators on one worker '
+        'in domain north do not fit'
+    ]
+
+
+def test_guarantees_hold_after_the_loss_of_the_spare():
+    workers = workers_of([[8]], 'north') + workers_of([[8]], 'south')
+    agreed = contract(guaranteed=[shape(8, WORKER)], spare_domain='south')
+    other = contract('shop', [shape(8, WORKER)])
+    assert not check_guarantees([agreed], workers, {})
+    problems = check_guarantees([agreed, other], workers, {})
+    assert len(problems) == 1
+    assert 'after the loss of domain south' in problems[0]
+
+
+def test_a_domain_out_of_service_serves_no_guarantee():
+    workers = workers_of([[8]], 'north') + workers_of([[8]], 'south')
+    agreed = contract(guaranteed=[shape(8, WORKER, count=2)])
+    out = {'south': DomainState.OUT}
+    assert not check_guarantees([agreed], workers, {})
+    assert check_guarantees([agreed], workers, out)
+
+
+@pytest.mark.parametrize(
+    'hidden', [{'hidden_domains': ('north',)}, {'hidden_racks': ('north-0',)}]
+)
+def test_hidden_places_serve_no_guarantee(hidden):
+    agreed = contract(guaranteed=[shape(8, WORKER)], **hidden)
+    assert check_guarantees([agreed], workers_of([[8]]), {})
+
+
+def test_many_organisations_pack_at_once():
+    workers = workers_of(((8,) * 8,) * 90)
+    agreed = [
+        contract(
+            f'org-{nth}',
+            [shape(8, WORKER, count=2), shape(32, RACK), shape(15)],
+        )
+        for nth in range(86)
+    ]
+    assert not check_guarantees(agreed, workers, {})
+
+
+blocks_strategy = st.lists(
+    st.tuples(
+        st.integers(1, 6),
+        st.sampled_from(Adjacency),
+        st.frozensets(st.integers(0, 2), min_size=1),
+    ),
+    min_size=1,
+    max_size=4,
+)
+racks_strategy = st.lists(
+    st.tuples(
+        st.sampled_from(['north', 'south']),
+        st.lists(st.integers(0, 4), min_size=1, max_size=2),
+    ),
+    min_size=3,
+    max_size=3,
+)
+
+
+def exhaustive_packs(blocks, racks):
+    """Try every worker, rack or domain for every block, one by one."""
+    workers = [
+        (rack.rack, rack.domain, index, worker, left)
+        for index, rack in enumerate(racks)
+        for left, worker in rack.workers
+    ]
+    choices = []
+    for block in blocks:
+        seen = [each for each in workers if each[2] in block.racks]
+        groups = {
+            WORKER: {(each,) for each in seen},
+            RACK: {
+                tuple(each for each in seen if each[0] == rack)
+                for rack in sorted({each[0] for each in seen})
+            },
+            DOMAIN: {
+                tuple(each for each in seen if each[1] == domain)
+                for domain in sorted({each[1] for each in seen})
+            },
+        }
+        choices.append(sorted(groups[block.adjacency]))
+    sizes = [block.accelerators for block in blocks]
+    return any(_units_fit(sizes, choice) for choice in product(*choices))
+
+
+def _units_fit(sizes, groups):
+    """Hall's condition over every subset of blocks, each in its workers."""
+    subsets = product([False, True], repeat=len(sizes))
+    for chosen in subsets:
+        picked = [nth for nth, is_in in enumerate(chosen) if is_in]
+        wanted = sum(sizes[nth] for nth in picked)
+        union = {each for nth in picked for each in groups[nth]}
+        if wanted > sum(each[4] for each in union):
+            return False
+    return True
+
+
+def built(raw_blocks, raw_racks):
+    racks = [
+        new_rack(f'r{nth}', domain, sizes)
+        for nth, (domain, sizes) in enumerate(raw_racks)
+    ]
+    return [Block(*raw) for raw in raw_blocks], racks
+
+
+@settings(derandomize=True, max_examples=1500, deadline=None)
+@given(blocks_strategy, racks_strategy)
+def test_the_search_agrees_with_trying_everything(raw_blocks, raw_racks):
+    blocks, racks = built(raw_blocks, raw_racks)
+    packing = pack(blocks, racks)
+    expected = exhaustive_packs(blocks, racks)
+    event(f'packs={expected}')
+    target(sum(block.accelerators for block in blocks))
+    assert not packing.cut_short
+    assert packing.is_whole is expected
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(blocks_strategy, racks_strategy, st.integers(0, 6))
+def test_a_search_cut_short_never_says_fits_wrongly(raw, raw_racks, limit):
+    blocks, racks = built(raw, raw_racks)
+    packing = pack(blocks, racks, limit)
+    if packing.is_whole:
+        assert exhaustive_packs(blocks, racks)
+
+
+def test_greedy_packing_alone_misses_some():
+    """Control: the search is needed, and the check would see it missing."""
+    raw_racks = [('north', [10, 10])]
+    raw_blocks = [
+        (size, WORKER, frozenset((0,))) for size in (5, 4, 4, 3, 2, 2)
+    ]
+    blocks, racks = built(raw_blocks, raw_racks)
+    assert exhaustive_packs(blocks, racks)
+    assert not pack_greedily(blocks, racks).is_whole
+    assert pack(blocks, racks).is_whole
