--- a/src/bulrushcove/peers.py
+++ b/src/bulrushcove/peers.py
@@ -210,8 +210,10 @@
         raise WireError(f'unknown frame kind {frame.kind!r}')
 
     async def _take_notice(self, peer: Hello, notice: JobNotice) -> None:
+        # A control that relayed further could send it round in circles.
+        take = self.notify_job if peer.role == ENTRY_ROLE else self.on_notice
         try:
-            await self._pass_on(peer, notice)
+            await take(notice)
         except PeerUnreachableError as exc:
             log_event(
                 logger,
@@ -221,14 +223,6 @@
                 error=exc,
             )
 
-    async def _pass_on(self, peer: Hello, notice: JobNotice) -> None:
-        if peer.role == ENTRY_ROLE:
-            await self.notify_job(notice)
-        else:
-            # A peer took this control for the active one: relaying further
-            # could go round in circles.
-            await self.on_notice(notice)
-
     def _heartbeat(self) -> Heartbeat:
         now_s = self._clock.monotonic_s()
         return Heartbeat(
