Cluster types: cover of an attempt, reservations and observed run times

Additive fields with defaults for the scheduler. A cover names the guaranteed shape that an unborrowed attempt uses: derived anew each pass it could shift when another gang ends, and a pinned shape would no longer pack. Reservations are handed from one plan to the next pass, so that a region that drains is not changed on each pass; losing them at a take-over costs time only.

--- a/src/bulrushcove/cluster.py
+++ b/src/bulrushcove/cluster.py
@@ -35,6 +35,24 @@
     stopping: bool = False
 
 
+class Reservation(msgspec.Struct, frozen=True):
+    """Room that is kept for a large job until it can start whole."""
+
+    job: JobId
+    placement: tuple[PlacedPart, ...]
+    since_s: float
+    # When the room is expected to be free.
+    expected_s: float
+
+
+class ObservedRuns(msgspec.Struct, frozen=True):
+    """Latest run times of one kind of job of one organisation."""
+
+    organisation: OrganisationId
+    kind: str
+    runs_s: tuple[float, ...]
+
+
 class DomainSnapshot(msgspec.Struct, frozen=True):
     """Everything a scheduling pass looks at."""
 
@@ -46,6 +64,9 @@
     # In the order of acceptance.
     queued: tuple[JobRecord, ...]
     contracts: dict[OrganisationId, Contract]
+    observed: tuple[ObservedRuns, ...] = ()
+    # As the previous plan gave them.
+    reservations: tuple[Reservation, ...] = ()
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -54,6 +75,8 @@
     job: JobId
     placement: tuple[PlacedPart, ...]
     borrowed: bool = False
+    # Kept in the attempt: the guaranteed shape that the gang uses.
+    cover: str = ''
 
 
 class Reclaim(msgspec.Struct, frozen=True):
@@ -86,3 +109,5 @@
     reclaims: tuple[Reclaim, ...] = ()
     set_aside: tuple[SetAside, ...] = ()
     waits: tuple[Wait, ...] = ()
+    # To be handed to the next pass.
+    reservations: tuple[Reservation, ...] = ()
--- a/src/bulrushcove/job.py
+++ b/src/bulrushcove/job.py
@@ -60,6 +60,8 @@
     placement: tuple[PlacedPart, ...]
     # Beyond the guarantee of the organisation: may be reclaimed.
     borrowed: bool = False
+    # The guaranteed shape that the attempt uses, when it is not borrowed.
+    cover: str = ''
 
 
 class JobRecord(msgspec.Struct, frozen=True):
