Launcher: stand-ins and entry VMs as processes, links between domains

Failure tests and the demo need real processes that can be killed, stopped and cut off. Domains share one loopback address, so a cut is made by a relay in each direction whose ports stand in the VM list that the domain sees; packet filters would need rights that a newcomer's machine does not give.

--- /dev/null
+++ b/dev/launch/processes.py
@@ -0,0 +1,115 @@
+"""Processes started by the launcher; each is ended by its own pid."""
+
+import ctypes
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+import psutil
+
+BYTES_PER_MB = 1024 * 1024
+STOP_TIMEOUT_S = 5
+PR_SET_PDEATHSIG = 1
+
+
+class ProcessDiedError(Exception):
+    """A started process ended by itself."""
+
+
+class Started(msgspec.Struct):
+    """A started process and the file with its standard error."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    errors_path: Path
+
+
+class Processes:
+    """All processes of one launch, by name."""
+
+    def __init__(self, directory: Path) -> None:
+        """Write the output of the processes below ``directory``."""
+        self._directory = directory
+        self._started: dict[str, Started] = {}
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start ``python -m module`` under ``name``."""
+        errors_path = self._directory / f'{name}.log'
+        with errors_path.open('ab') as errors:
+            process = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                start_new_session=True,
+                preexec_fn=_end_with_parent,
+            )
+        self._started[name] = Started(name, process, errors_path)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self._started[name].process.send_signal(number)
+
+    def wait(self, name: str, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for one process to end; returns its exit status."""
+        return self._started[name].process.wait(timeout_s)
+
+    def names(self) -> list[str]:
+        """Return the names of the processes that still run."""
+        return [
+            started.name
+            for started in self._started.values()
+            if started.process.poll() is None
+        ]
+
+    def pids(self) -> list[int]:
+        """Return the pids of all processes that were started."""
+        return [started.process.pid for started in self._started.values()]
+
+    def check(self, names: Sequence[str]) -> None:
+        """Raise ``ProcessDiedError`` when one of ``names`` has ended."""
+        for name in names:
+            started = self._started[name]
+            status = started.process.poll()
+            if status is not None:
+                log_end = started.errors_path.read_text()[-2000:]
+                raise ProcessDiedError(f'{name}: status {status}\n{log_end}')
+
+    def resident_mb(self, name: str) -> float:
+        """Return the resident memory of one process in MB."""
+        pid = self._started[name].process.pid
+        return psutil.Process(pid).memory_info().rss / BYTES_PER_MB
+
+    def cpu_s(self, name: str) -> float:
+        """Return the processor seconds that one process has used."""
+        pid = self._started[name].process.pid
+        times = psutil.Process(pid).cpu_times()
+        return times.user + times.system
+
+    def end(self) -> None:
+        """End every process, with SIGKILL where it does not stop."""
+        living = [self._started[name] for name in self.names()]
+        for started in living:
+            # A stopped process must wake to see the other signal.
+            started.process.send_signal(signal.SIGCONT)
+            started.process.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_TIMEOUT_S
+        for waited in living:
+            _wait_or_kill(waited.process, end_s)
+
+
+def _wait_or_kill(process: subprocess.Popen[bytes], end_s: float) -> None:
+    try:
+        process.wait(max(end_s - time.monotonic(), 0))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def _end_with_parent() -> None:
+    """Have the kernel end the new process when its parent dies."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
--- /dev/null
+++ b/dev/launcher.py
@@ -0,0 +1,231 @@
+"""Starts stand-ins and entry VMs as processes of this machine.
+
+Every process is ended by its pid when the context ends, also after an
+exception or Ctrl-C.
+"""
+
+import signal
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import msgspec
+
+from bulrushcove.ids import DomainName, VmId
+from bulrushcove.settings import PlatformSettings
+from dev.history.events import Event, read_events
+from dev.launch.http import answers, get_bytes, put_json, wait_until
+from dev.launch.ports import HOST, choose_ports
+from dev.launch.processes import Processes
+from dev.launch.settings_file import format_settings, make_settings
+from dev.launch.standin_start import START_TIMEOUT_S, StandinStart
+from dev.launch.topology import (
+    DomainPlan,
+    DomainSize,
+    EntryVm,
+    Topology,
+    count_ports,
+    plan_links,
+    plan_topology,
+    ports_seen_from,
+)
+from dev.standins.faults import Faults
+from dev.standins.links import Cut, Link
+
+FULL_SIZE = (
+    DomainSize(DomainName('Fray Bentos'), 'fray-bentos', 3, 8, 8),
+    DomainSize(DomainName('Guichón'), 'guichon', 2, 8, 8),
+    DomainSize(DomainName('Centenario'), 'centenario', 2, 8, 8),
+)
+SMALL_SIZE = (
+    DomainSize(DomainName('Fray Bentos'), 'fray-bentos', 1, 2, 2),
+    DomainSize(DomainName('Guichón'), 'guichon', 1, 2, 2),
+    DomainSize(DomainName('Centenario'), 'centenario', 1, 2, 2),
+)
+
+
+class LaunchOptions(msgspec.Struct, frozen=True):
+    """What to launch."""
+
+    sizes: tuple[DomainSize, ...] = FULL_SIZE
+    vm_list_lag_s: float = 0
+    # Relay what crosses domains, so that it can be cut.
+    with_links: bool = False
+    control_changes: dict[str, int] = msgspec.field(default_factory=dict)
+    entry_changes: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+class PlatformStats(msgspec.Struct, frozen=True):
+    """Calls that the platform has counted."""
+
+    calls: dict[str, int]
+    waiting_watches: int
+
+
+class Cluster:
+    """A launched cluster: its processes, faults and history."""
+
+    def __init__(
+        self,
+        options: LaunchOptions,
+        directory: Path,
+    ) -> None:
+        """Plan the cluster; ``start`` starts it."""
+        self.options = options
+        self.processes = Processes(directory)
+        topology, links = _choose_topology(options)
+        self.topology = topology
+        self.links = links
+        self._directory = directory
+        self._admin_ports = _admin_ports(self.topology)
+
+    @property
+    def entry_vms(self) -> list[EntryVm]:
+        """Return all entry VMs."""
+        return self.topology.entry_vms
+
+    def start(self) -> None:
+        """Start the stand-ins, then the entry VMs, and wait for all."""
+        self.start_standins()
+        for vm in self.entry_vms:
+            self.start_vm(vm.vm)
+        for waited in self.entry_vms:
+            self.wait_for_vm(waited)
+
+    def start_standins(self) -> None:
+        """Start everything but the entry VMs."""
+        StandinStart(
+            processes=self.processes,
+            directory=self._directory,
+            topology=self.topology,
+            links=self.links,
+            vm_list_lag_s=self.options.vm_list_lag_s,
+        ).start()
+
+    def start_vm(self, name: VmId) -> None:
+        """Start the control and the entry process of one VM."""
+        vm = self.find_vm(name)
+        settings = make_settings(
+            vm,
+            self.platform_settings(vm.domain),
+            self.options.control_changes,
+            self.options.entry_changes,
+        )
+        path = self._directory / f'{vm.vm}.toml'
+        path.write_text(format_settings(settings), encoding='utf-8')
+        flag = f'--settings={path}'
+        self.processes.start(control_name(vm.vm), 'bulrushcove.control', flag)
+        self.processes.start(entry_name(vm.vm), 'bulrushcove.entry', flag)
+
+    def wait_for_vm(self, vm: EntryVm) -> None:
+        """Wait until both processes of a VM answer health checks."""
+        names = (control_name(vm.vm), entry_name(vm.vm))
+
+        def is_healthy() -> bool:
+            self.processes.check(names)
+            ports = (vm.entry_port, vm.control_http_port)
+            return all(answers(port, '/healthz') for port in ports)
+
+        wait_until(is_healthy, f'{vm.vm} is not healthy', START_TIMEOUT_S)
+
+    def find_vm(self, name: VmId) -> EntryVm:
+        """Return the entry VM called ``name``."""
+        return next(vm for vm in self.entry_vms if vm.vm == name)
+
+    def find_domain(self, domain: DomainName) -> DomainPlan:
+        """Return what is in one failure domain."""
+        return next(
+            plan for plan in self.topology.domains if plan.size.domain == domain
+        )
+
+    def kill(self, process_name: str) -> None:
+        """End one process with SIGKILL."""
+        self.processes.signal(process_name, signal.SIGKILL)
+        self.processes.wait(process_name)
+
+    def put_faults(self, server: str, faults: Faults) -> None:
+        """Switch the faults of one hosted server."""
+        put_json(self._admin_ports[server], f'/faults/{server}', faults)
+
+    def put_leaving(self, backend: str, *, leaving: bool) -> None:
+        """Let a backend server say that it is leaving."""
+        put_json(self._admin_ports[backend], f'/leaving/{backend}', leaving)
+
+    def cut(self, one: str, other: str, *, cut: bool = True) -> None:
+        """Cut or mend the links between two places."""
+        places = Cut(places=(one, other), cut=cut)
+        put_json(self.topology.links_admin_port, '/cut', places)
+
+    def platform_stats(self) -> PlatformStats:
+        """Return the calls that the platform has counted."""
+        port = self.topology.platform_admin_port
+        return msgspec.json.decode(
+            get_bytes(port, '/stats'), type=PlatformStats
+        )
+
+    def events(self) -> list[Event]:
+        """Return what workers and backend servers have logged."""
+        return read_events(self._directory.glob('*.jsonl'))
+
+    def platform_settings(self, domain: DomainName) -> PlatformSettings:
+        """Return where the VMs of ``domain`` find the platform."""
+        plan = self.find_domain(domain)
+        ports = ports_seen_from(domain, self.links)
+        store_port = self.topology.platform_port
+        list_port = plan.vm_list_port
+        return PlatformSettings(
+            store_url=f'http://{HOST}:{ports.get(store_port, store_port)}',
+            vm_list_url=f'http://{HOST}:{ports.get(list_port, list_port)}/vms',
+        )
+
+
+def control_name(vm: VmId) -> str:
+    """Return the process name of a VM's control."""
+    return f'{vm}.control'
+
+
+def entry_name(vm: VmId) -> str:
+    """Return the process name of a VM's entry."""
+    return f'{vm}.entry'
+
+
+@contextmanager
+def planned(options: LaunchOptions) -> Iterator[Cluster]:
+    """Plan a cluster and end all that was started of it afterwards."""
+    with tempfile.TemporaryDirectory(prefix='bulrushcove-') as name:
+        cluster = Cluster(options, Path(name))
+        try:
+            yield cluster
+        finally:
+            cluster.processes.end()
+
+
+@contextmanager
+def launched(options: LaunchOptions) -> Iterator[Cluster]:
+    """Start a whole cluster and end it afterwards."""
+    with planned(options) as cluster:
+        cluster.start()
+        yield cluster
+
+
+def _choose_topology(
+    options: LaunchOptions,
+) -> tuple[Topology, tuple[Link, ...]]:
+    count = count_ports(options.sizes)
+    if not options.with_links:
+        return plan_topology(options.sizes, iter(choose_ports(count))), ()
+    # At most one link from each domain to each port.
+    ports = iter(choose_ports(count * (1 + len(options.sizes))))
+    topology = plan_topology(options.sizes, ports)
+    return topology, plan_links(topology, ports)
+
+
+def _admin_ports(topology: Topology) -> dict[str, int]:
+    ports = {'platform': topology.platform_admin_port}
+    for plan in topology.domains:
+        for hosted in plan.workers:
+            ports[hosted.description.worker] = plan.worker_admin_port
+        for backend in plan.backends:
+            ports[backend.backend] = plan.backend_admin_port
+    return ports
--- /dev/null
+++ b/dev/standins/links.py
@@ -0,0 +1,132 @@
+"""Stand-in for the network between failure domains: relays of TCP.
+
+A cut link keeps its connections open and lets no byte through; what was sent
+meanwhile arrives when the link is whole again, as with real retransmission.
+"""
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+from absl import app, flags
+from aiohttp import web
+
+from bulrushcove.clock import MS_PER_S
+from dev.standins import standin_flags
+from dev.standins.hosting import HOST, serving, wait_for_signal
+
+CHUNK_BYTES = 65_536
+
+
+class Link(msgspec.Struct, frozen=True):
+    """Port of ``source`` that leads to a port of ``target``."""
+
+    source: str
+    target: str
+    port: int
+    target_port: int
+
+
+class Cut(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """State of all links between two places, in both directions."""
+
+    places: tuple[str, str]
+    cut: bool = True
+    # One-way delay of each chunk of bytes.
+    delay_ms: int = 0
+
+
+class Relay:
+    """Carries the connections of one link."""
+
+    def __init__(self, link: Link) -> None:
+        """Start whole and without delay."""
+        self.link = link
+        self.delay_ms = 0
+        self._whole = asyncio.Event()
+        self._whole.set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def apply(self, cut: Cut) -> None:
+        """Cut the link or make it whole."""
+        self.delay_ms = cut.delay_ms
+        if cut.cut:
+            self._whole.clear()
+        else:
+            self._whole.set()
+
+    async def carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Carry one connection until an end closes it."""
+        await self._whole.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                HOST, self.link.target_port
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._pump(reader, far_writer))
+            group.create_task(self._pump(far_reader, writer))
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._copy(reader, writer)
+        except OSError:
+            writer.transport.abort()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while True:
+            chunk = await reader.read(CHUNK_BYTES)
+            await asyncio.sleep(self.delay_ms / MS_PER_S)
+            await self._whole.wait()
+            if not chunk:
+                writer.close()
+                return
+            writer.write(chunk)
+            await writer.drain()
+
+
+def cut_routes(relays: list[Relay]) -> list[web.RouteDef]:
+    """Return the admin route that cuts links."""
+
+    async def put_cut(request: web.Request) -> web.Response:
+        cut = msgspec.json.decode(await request.read(), type=Cut)
+        for relay in relays:
+            if {relay.link.source, relay.link.target} == set(cut.places):
+                relay.apply(cut)
+        return web.Response(status=web.HTTPNoContent.status_code)
+
+    return [web.put('/cut', put_cut)]
+
+
+async def _run() -> None:
+    links = msgspec.json.decode(
+        Path(standin_flags.HOSTED.value).read_bytes(), type=list[Link]
+    )
+    relays = [Relay(link) for link in links]
+    listeners = [
+        await asyncio.start_server(relay.carry, HOST, relay.link.port)
+        for relay in relays
+    ]
+    routes = cut_routes(relays)
+    async with serving([], standin_flags.ADMIN_PORT.value, routes):
+        await wait_for_signal()
+    for listener in listeners:
+        listener.close()
+
+
+def main(_arguments: list[str]) -> None:
+    """Carry connections until told to stop."""
+    asyncio.run(_run())
+
+
+if __name__ == '__main__':
+    flags.mark_flag_as_required('hosted')
+    app.run(main)
--- /dev/null
+++ b/tests/test_launcher.py
@@ -0,0 +1,91 @@
+import signal
+import tomllib
+
+import psutil
+import pytest
+from msgspec import json
+
+from bulrushcove.settings import check_settings
+from bulrushcove.vm_list import VmList
+from dev.launch.http import get_bytes
+from dev.launch.ports import choose_ports
+from dev.launch.settings_file import format_settings, make_settings
+from dev.launcher import SMALL_SIZE, Cluster, LaunchOptions, planned
+from dev.standins.faults import Faults
+
+OPTIONS = LaunchOptions(sizes=SMALL_SIZE, with_links=True)
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    with planned(OPTIONS) as planned_cluster:
+        planned_cluster.start_standins()
+        yield planned_cluster
+
+
+def vms_seen_by(cluster, number):
+    port = cluster.topology.domains[number].vm_list_port
+    return json.decode(get_bytes(port, '/vms'), type=VmList).vms
+
+
+def test_ports_differ():
+    assert len(set(choose_ports(100))) == 100
+
+
+def test_settings_file_is_valid(tmp_path):
+    cluster = Cluster(OPTIONS, tmp_path)
+    vm = cluster.entry_vms[0]
+    settings = make_settings(
+        vm, cluster.platform_settings(vm.domain), {'poll_ms': 500}, {}
+    )
+    document = tomllib.loads(format_settings(settings))
+    assert check_settings(document) == settings
+    assert settings.control.poll_ms == 500
+
+
+def test_domain_sees_others_through_links(cluster):
+    own = cluster.topology.domains[0]
+    seen = {entry.vm: entry for entry in vms_seen_by(cluster, 0)}
+    other = cluster.topology.domains[1].workers[0]
+    assert seen[own.workers[0].description.worker].port == own.workers[0].port
+    assert seen[other.description.worker].port != other.port
+    port = seen[other.description.worker].port
+    description = json.decode(get_bytes(port, '/v1/description'))
+    assert description['worker'] == other.description.worker
+
+
+def test_cut_lets_nothing_through_until_it_is_mended(cluster):
+    one, other, third = (plan.size.domain for plan in cluster.topology.domains)
+    seen = {entry.vm: entry.port for entry in vms_seen_by(cluster, 0)}
+    ports = [
+        seen[plan.backends[0].backend] for plan in cluster.topology.domains[1:]
+    ]
+    cluster.cut(one, other)
+    with pytest.raises(TimeoutError):
+        get_bytes(ports[0], '/v1/state')
+    assert get_bytes(ports[1], '/v1/state')
+    cluster.cut(one, other, cut=False)
+    assert get_bytes(ports[0], '/v1/state')
+    assert third != other
+
+
+def test_faults_are_switched_per_server(cluster):
+    first, second = cluster.topology.domains[0].backends
+    cluster.put_faults(first.backend, Faults(down=True))
+    with pytest.raises(OSError, match='refused'):
+        get_bytes(first.port, '/v1/state')
+    assert get_bytes(second.port, '/v1/state')
+    cluster.put_faults(first.backend, Faults())
+    assert get_bytes(first.port, '/v1/state')
+
+
+def test_every_process_is_ended_after_an_exception():
+    pids = []
+    with pytest.raises(KeyboardInterrupt):
+        with planned(LaunchOptions(sizes=SMALL_SIZE[:1])) as cluster:
+            cluster.start_standins()
+            pids = cluster.processes.pids()
+            cluster.processes.signal('platform', signal.SIGSTOP)
+            raise KeyboardInterrupt
+    assert len(pids) == 4
+    assert not any(psutil.pid_exists(pid) for pid in pids)
