Attempts of gangs as a state machine without I/O

Need: a gang runs whole or not at all, also over control changes. Weighed one round in lockstep over all workers against a round per worker: in lockstep one silent worker holds up every start by its timeout, so the core makes requests a worker at a time and the service may run them independently. A start of a job that is not idempotent is recorded by itself, right before it is sent, so that a control that dies between recording the attempt and starting it costs no unknown outcome.

--- /dev/null
+++ b/src/bulrushcove/attempts.py
@@ -0,0 +1,224 @@
+"""State machine of one attempt to run a gang, without input or output.
+
+Inputs are workers' answers, their silences and the time; ``instructions``
+holds the outputs. Times are monotonic seconds.
+"""
+
+from .gang import GangAttempt, HeldParts, Phase, StopCause, Timing, stop
+from .ids import WorkerId
+from .job import Attempt, JobRecord
+from .states import TaskState
+from .worker_api import TaskReport
+
+# How long a gang that gives way may take to write its checkpoints.
+CHECKPOINT_WAIT_S = 3.0
+
+
+def begin(
+    record: JobRecord, attempt: Attempt, now_s: float, timing: Timing
+) -> GangAttempt:
+    """Return an attempt that was just recorded; nothing was sent yet."""
+    gang = _new(record, attempt, now_s, Phase.RESERVING)
+    gang.start_by_s = now_s + timing.reservation_s
+    return gang
+
+
+def adopt(
+    record: JobRecord, attempt: Attempt, now_s: float, timing: Timing
+) -> GangAttempt:
+    """Return an attempt found in a record; any part of it may run."""
+    gang = _new(record, attempt, now_s, Phase.ADOPTING)
+    gang.never_started = not (record.spec.idempotent or attempt.start_recorded)
+    for held in gang.held.values():
+        held.reserve_sent = True
+        held.may_run_until_s = now_s + timing.longest_lease_s
+    return gang
+
+
+def _new(
+    record: JobRecord, attempt: Attempt, now_s: float, phase: Phase
+) -> GangAttempt:
+    held = {
+        placed.worker: HeldParts(placed.parts) for placed in attempt.placement
+    }
+    return GangAttempt(record, attempt, phase, held, now_s)
+
+
+def observe(
+    gang: GangAttempt,
+    worker: WorkerId,
+    sent_s: float,
+    reports: dict[int, TaskReport],
+    refusal: str = '',
+) -> None:
+    """Take in an answer to a request sent at ``sent_s``.
+
+    ``reports`` are the worker's reports on this attempt by part; a part
+    that the worker does not know any more does not run there.
+    """
+    held = gang.held[worker]
+    held.seen_s = sent_s
+    held.silent = False
+    if not held.reserve_sent:
+        return
+    # A finished report stays known, also when the worker has lost it.
+    held.reports = _finished(held.reports) | {
+        part: reports[part] for part in held.parts if part in reports
+    }
+    gang.checkpoints.update(
+        (part, report.checkpoint)
+        for part, report in held.reports.items()
+        if report.checkpoint
+    )
+    held.gone = not any(
+        report.state in {TaskState.RESERVED, TaskState.RUNNING}
+        for report in held.reports.values()
+    )
+    if refusal:
+        stop(gang, StopCause.REFUSED, f'{worker}: {refusal}')
+        return
+    _check_reports(gang, worker, held)
+
+
+def _finished(reports: dict[int, TaskReport]) -> dict[int, TaskReport]:
+    return {
+        part: report
+        for part, report in reports.items()
+        if report.state is TaskState.FINISHED
+    }
+
+
+def _check_reports(
+    gang: GangAttempt, worker: WorkerId, held: HeldParts
+) -> None:
+    for part in held.parts:
+        report = held.reports.get(part)
+        if report is None or report.state is TaskState.STOPPED:
+            stop(gang, StopCause.LOST, f'part {part} on {worker}')
+        elif report.state is TaskState.FAILED:
+            stop(
+                gang,
+                StopCause.TASK_FAILED,
+                f'part {part} on {worker}: {report.result}',
+            )
+
+
+def miss(
+    gang: GangAttempt, worker: WorkerId, now_s: float, timing: Timing
+) -> None:
+    """Take in that a request to ``worker`` got no answer by ``now_s``.
+
+    Its effect may have come at any time until now.
+    """
+    held = gang.held[worker]
+    held.silent = True
+    if held.may_run_until_s and not held.gone:
+        held.may_run_until_s = max(
+            held.may_run_until_s, now_s + timing.longest_lease_s
+        )
+    if gang.phase is Phase.RESERVING and held.reserve_sent:
+        stop(gang, StopCause.SILENT, f'{worker} while reserving')
+
+
+def save_and_stop(gang: GangAttempt, cause: StopCause, now_s: float) -> None:
+    """Checkpoint a running attempt, then stop it; others stop at once."""
+    if gang.phase is Phase.RUNNING:
+        gang.phase = Phase.SAVING
+        gang.save_cause = cause
+        gang.save_by_s = now_s + CHECKPOINT_WAIT_S
+        for held in gang.held.values():
+            held.save_from_ms = {
+                part: report.run_ms for part, report in held.reports.items()
+            }
+    elif gang.phase is not Phase.SAVING:
+        stop(gang, cause)
+
+
+def advance(
+    gang: GangAttempt, now_s: float, timing: Timing, *, may_start: bool
+) -> None:
+    """Move on to the next phase where the reports or the time allow."""
+    if gang.phase is Phase.ADOPTING:
+        _advance_adopting(gang)
+    elif gang.phase is Phase.RESERVING:
+        _advance_reserving(gang, now_s, may_start=may_start)
+    elif gang.phase is Phase.STARTING:
+        _advance_starting(gang, now_s)
+    elif gang.phase is Phase.SAVING:
+        _advance_saving(gang, now_s)
+    if gang.phase is not Phase.STOPPING:
+        _check_silence(gang, now_s, timing)
+
+
+def _advance_adopting(gang: GangAttempt) -> None:
+    if any(held.seen_s is None for held in gang.held.values()):
+        return
+    if gang.all_parts_in(TaskState.RUNNING, TaskState.FINISHED):
+        gang.phase = Phase.RUNNING
+    else:
+        # Every worker is fenced by now: no earlier start can still arrive.
+        gang.never_started = gang.all_parts_in(TaskState.RESERVED)
+        stop(gang, StopCause.LOST, 'not all parts run at the take-over')
+
+
+def needs_start_record(gang: GangAttempt) -> bool:
+    """Return whether the start has to be recorded before it is sent."""
+    return (
+        gang.phase is Phase.RESERVING
+        and not gang.record.spec.idempotent
+        and not gang.attempt.start_recorded
+        and gang.all_parts_in(TaskState.RESERVED)
+    )
+
+
+def _advance_reserving(
+    gang: GangAttempt, now_s: float, *, may_start: bool
+) -> None:
+    if now_s >= gang.start_by_s:
+        stop(gang, StopCause.LATE)
+        return
+    if not gang.all_parts_in(TaskState.RESERVED) or needs_start_record(gang):
+        return
+    if may_start:
+        gang.phase = Phase.STARTING
+    else:
+        stop(gang, StopCause.NO_PERMIT)
+
+
+def _advance_starting(gang: GangAttempt, now_s: float) -> None:
+    if gang.all_parts_in(TaskState.RUNNING, TaskState.FINISHED):
+        gang.phase = Phase.RUNNING
+    elif now_s >= gang.start_by_s:
+        stop(gang, StopCause.LATE)
+
+
+def _advance_saving(gang: GangAttempt, now_s: float) -> None:
+    saved = all(
+        report.state is TaskState.FINISHED
+        or report.checkpoint_run_ms >= max(1, held.save_from_ms[part])
+        for held in gang.held.values()
+        for part, report in held.reports.items()
+    )
+    if saved or now_s >= gang.save_by_s:
+        stop(gang, gang.save_cause)
+
+
+def _check_silence(gang: GangAttempt, now_s: float, timing: Timing) -> None:
+    for worker, held in gang.held.items():
+        seen_s = gang.began_s
+        if held.seen_s is not None:
+            seen_s = held.seen_s
+        finished = held.all_in(TaskState.FINISHED)
+        if held.silent and not finished and now_s - seen_s > timing.lease_s:
+            stop(gang, StopCause.SILENT, str(worker))
+
+
+def has_ended(gang: GangAttempt, now_s: float) -> bool:
+    """Return whether surely no part runs any more."""
+    return gang.finished or (
+        gang.phase is Phase.STOPPING
+        and all(
+            held.gone or (held.silent and now_s > held.may_run_until_s)
+            for held in gang.held.values()
+        )
+    )
--- /dev/null
+++ b/src/bulrushcove/domain_core.py
@@ -0,0 +1,142 @@
+"""State of one failure domain at its active control, without I/O.
+
+Holds the open job records and ties them to the attempts that run them. It
+says which records to change; the service round it writes them and tells how
+that went.
+"""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from .attempts import adopt, begin, has_ended, needs_start_record
+from .gang import GangAttempt, Phase, StopCause
+from .gang_table import GangTable
+from .ids import DomainName, JobId
+from .job import JobRecord
+from .job_store import StoredJob
+from .outcomes import closing_record
+from .states import JobState
+
+_HOLDING = frozenset((JobState.STARTING, JobState.RUNNING))
+
+
+class RecordChange(msgspec.Struct, frozen=True):
+    """A write that is wanted: ``record`` in place of ``stored``."""
+
+    stored: StoredJob
+    record: JobRecord
+
+
+class DomainCore:
+    """Open jobs of one domain, with the attempts in ``table``."""
+
+    def __init__(self, domain: DomainName, table: GangTable) -> None:
+        """Start without any record."""
+        self.domain = domain
+        self.table = table
+        self.jobs: dict[JobId, StoredJob] = {}
+
+    def refresh(self, stored: StoredJob) -> None:
+        """Take in a record as read or written."""
+        record = stored.record
+        known = self.jobs.get(record.job)
+        if known is not None and known.mod_revision > stored.mod_revision:
+            return
+        if record.state.is_final or record.domain != self.domain:
+            self.jobs.pop(record.job, None)
+            return
+        self.jobs[record.job] = stored
+        gang = self._gang_of(record)
+        if gang is not None and record.current is not None:
+            gang.record = record
+            gang.attempt = record.current
+
+    def begin(self, stored: StoredJob, now_s: float) -> None:
+        """Begin the attempt that ``stored`` has just recorded."""
+        self.refresh(stored)
+        attempt = stored.record.current
+        if attempt is None or attempt.attempt in self.table.gangs:
+            return
+        gang = begin(stored.record, attempt, now_s, self.table.timing)
+        self.table.add(gang)
+
+    def adopt_recorded(self, now_s: float) -> None:
+        """Adopt the attempts of records that are not followed yet."""
+        for stored in self.jobs.values():
+            record = stored.record
+            attempt = record.current
+            if record.state not in _HOLDING or attempt is None:
+                continue
+            if attempt.attempt not in self.table.gangs:
+                self.table.add(
+                    adopt(record, attempt, now_s, self.table.timing),
+                )
+
+    def advance(self, now_s: float, *, may_start: bool) -> None:
+        """Move every attempt on; leave those that have ended."""
+        for gang in tuple(self.table.gangs.values()):
+            if not self._owns_record(gang):
+                self.table.stop(gang, StopCause.ORPHANED)
+            elif gang.record.cancel_requested:
+                self.table.stop(gang, StopCause.CANCELLED)
+            self.table.advance(gang, now_s, may_start=may_start)
+            if has_ended(gang, now_s) and not self._owns_record(gang):
+                self.table.remove(gang)
+
+    def changes(self, now_s: float, now_unix_ms: int) -> list[RecordChange]:
+        """Return the writes that are wanted now."""
+        records = [
+            *self._wanted_of_gangs(now_s, now_unix_ms),
+            *self._cancelled(now_unix_ms),
+        ]
+        return [
+            RecordChange(self.jobs[record.job], record) for record in records
+        ]
+
+    def _wanted_of_gangs(
+        self, now_s: float, now_unix_ms: int
+    ) -> Iterator[JobRecord]:
+        for gang in self.table.gangs.values():
+            if not self._owns_record(gang):
+                continue
+            if has_ended(gang, now_s):
+                yield closing_record(gang, now_unix_ms)
+            elif needs_start_record(gang):
+                yield _with_start_recorded(gang.record)
+            elif _has_started(gang):
+                yield msgspec.structs.replace(
+                    gang.record, state=JobState.RUNNING
+                )
+
+    def _cancelled(self, now_unix_ms: int) -> Iterator[JobRecord]:
+        for stored in self.jobs.values():
+            record = stored.record
+            if record.state is JobState.QUEUED and record.cancel_requested:
+                yield msgspec.structs.replace(
+                    record,
+                    state=JobState.CANCELLED,
+                    ended_unix_ms=now_unix_ms,
+                )
+
+    def _owns_record(self, gang: GangAttempt) -> bool:
+        stored = self.jobs.get(gang.record.job)
+        return stored is not None and self._gang_of(stored.record) is gang
+
+    def _gang_of(self, record: JobRecord) -> GangAttempt | None:
+        if record.current is None or record.state not in _HOLDING:
+            return None
+        return self.table.gangs.get(record.current.attempt)
+
+
+def _has_started(gang: GangAttempt) -> bool:
+    return (
+        gang.phase is Phase.RUNNING and gang.record.state is JobState.STARTING
+    )
+
+
+def _with_start_recorded(record: JobRecord) -> JobRecord:
+    if record.current is None:
+        return record
+    attempt = msgspec.structs.replace(record.current, start_recorded=True)
+    return msgspec.structs.replace(record, current=attempt)
--- /dev/null
+++ b/src/bulrushcove/gang.py
@@ -0,0 +1,133 @@
+"""State of one attempt to run a gang; times are monotonic seconds."""
+
+from enum import Enum, unique
+
+import msgspec
+
+from .ids import AttemptId, WorkerId
+from .job import Attempt, JobRecord
+from .states import TaskState
+from .worker_api import TaskReport
+
+# Bound on how much slower than ours a worker's clock may run.
+MAX_CLOCK_DRIFT = 0.01
+# Longest delay between a lease's end and the worker's stop of its tasks.
+LEASE_CHECK_S = 1.0
+
+
+@unique
+class Phase(Enum):
+    """Where an attempt stands in its life."""
+
+    # Taken over from an earlier control; not every worker has reported.
+    ADOPTING = 'adopting'
+    RESERVING = 'reserving'
+    STARTING = 'starting'
+    RUNNING = 'running'
+    # Asked for a checkpoint, to be stopped after it.
+    SAVING = 'saving'
+    STOPPING = 'stopping'
+
+
+@unique
+class StopCause(Enum):
+    """Why an attempt is stopped."""
+
+    REFUSED = 'a worker refused a part'
+    LOST = 'a part was lost'
+    SILENT = 'a worker fell silent'
+    TASK_FAILED = 'a task failed'
+    LATE = 'not all parts were reserved and started in time'
+    NO_PERMIT = 'no start permit'
+    CANCELLED = 'cancelled by its organisation'
+    RECLAIMED = 'room reclaimed for a guarantee'
+    DRAINED = 'failure domain taken out of service'
+    ORPHANED = 'the record names another attempt'
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Durations that the state machine goes by, in seconds."""
+
+    lease_s: float
+    reservation_s: float
+
+    @property
+    def longest_lease_s(self) -> float:
+        """Return the time after which a lease has surely lapsed."""
+        return self.lease_s * (1 + MAX_CLOCK_DRIFT) + LEASE_CHECK_S
+
+    @property
+    def renewal_silence_s(self) -> float:
+        """Return the age of a report above which nothing is renewed."""
+        return self.lease_s / 2
+
+
+class HeldParts(msgspec.Struct):
+    """What is known of an attempt's parts on one worker."""
+
+    parts: tuple[int, ...]
+    reports: dict[int, TaskReport] = msgspec.field(default_factory=dict)
+    # When the last answered request was sent; None: never answered.
+    seen_s: float | None = None
+    # The parts surely do not run after this time unless renewed.
+    may_run_until_s: float = 0.0
+    # The last request got no answer.
+    silent: bool = False
+    reserve_sent: bool = False
+    # Run time of each part when a checkpoint was asked for.
+    save_from_ms: dict[int, int] = msgspec.field(default_factory=dict)
+    # No part runs or holds room here any more.
+    gone: bool = False
+
+    def all_in(self, *states: TaskState) -> bool:
+        """Return whether every part was last reported in one of states."""
+        return len(self.reports) == len(self.parts) and all(
+            report.state in states for report in self.reports.values()
+        )
+
+
+class GangAttempt(msgspec.Struct):
+    """An attempt with everything that is known of its parts."""
+
+    record: JobRecord
+    attempt: Attempt
+    phase: Phase
+    held: dict[WorkerId, HeldParts]
+    began_s: float
+    # Starts are sent until then; the reservations lapse later.
+    start_by_s: float = 0.0
+    cause: StopCause | None = None
+    detail: str = ''
+    # Surely no part has begun to run.
+    never_started: bool = True
+    # Newest checkpoint of each part, kept when its worker is lost.
+    checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
+    # Why it is stopped once it has saved, and by when it has to have.
+    save_by_s: float = 0.0
+    save_cause: StopCause = StopCause.RECLAIMED
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """Return the id of the attempt."""
+        return self.attempt.attempt
+
+    def all_parts_in(self, *states: TaskState) -> bool:
+        """Return whether every part on every worker is in one of states."""
+        return all(held.all_in(*states) for held in self.held.values())
+
+    @property
+    def finished(self) -> bool:
+        """Return whether every part has finished."""
+        return self.all_parts_in(TaskState.FINISHED)
+
+
+def stop(gang: GangAttempt, cause: StopCause, detail: str = '') -> None:
+    """Stop every part; the first cause stays."""
+    if gang.phase is Phase.STOPPING:
+        return
+    gang.phase = Phase.STOPPING
+    gang.cause = cause
+    gang.detail = detail
+    for held in gang.held.values():
+        if not held.reserve_sent:
+            held.gone = True
--- a/src/bulrushcove/job.py
+++ b/src/bulrushcove/job.py
@@ -60,6 +60,9 @@
     placement: tuple[PlacedPart, ...]
     # Beyond the guarantee of the organisation: may be reclaimed.
     borrowed: bool = False
+    # Set before the first start of a job that is not idempotent: while it
+    # is not set, no part of the attempt can have run.
+    start_recorded: bool = False
 
 
 class JobRecord(msgspec.Struct, frozen=True):
@@ -75,6 +78,8 @@
     # Digest of the submitted spec: the same id with another spec is refused.
     spec_sha256: str = ''
     attempts: int = 0
+    # Attempts that ended because a task failed by itself.
+    failures: int = 0
     current: Attempt | None = None
     # One result per task, in task order, once the job has succeeded.
     results: tuple[str, ...] = ()
--- /dev/null
+++ b/src/bulrushcove/outcomes.py
@@ -0,0 +1,91 @@
+"""What the record of a job says next, once its attempt has ended."""
+
+import itertools
+
+import msgspec
+
+from .gang import GangAttempt, StopCause
+from .job import JobRecord
+from .states import JobState
+
+# An idempotent job whose tasks fail by themselves is tried this often.
+MAX_FAILURES = 3
+
+
+def closing_record(gang: GangAttempt, now_unix_ms: int) -> JobRecord:
+    """Return the record after ``gang`` has ended.
+
+    A job that is not idempotent goes back to the queue only when surely no
+    part of the attempt has begun to run.
+    """
+    if gang.finished:
+        return _end(gang, JobState.SUCCEEDED, now_unix_ms, _results(gang))
+    if gang.record.cancel_requested:
+        return _end(gang, JobState.CANCELLED, now_unix_ms)
+    if gang.cause is StopCause.TASK_FAILED:
+        return _after_failure(gang, now_unix_ms)
+    if gang.record.spec.idempotent or gang.never_started:
+        return _requeue(gang)
+    return _end(gang, JobState.UNKNOWN, now_unix_ms)
+
+
+def _after_failure(gang: GangAttempt, now_unix_ms: int) -> JobRecord:
+    failures = gang.record.failures + 1
+    if gang.record.spec.idempotent and failures < MAX_FAILURES:
+        return msgspec.structs.replace(_requeue(gang), failures=failures)
+    ended = _end(gang, JobState.FAILED, now_unix_ms)
+    return msgspec.structs.replace(ended, failures=failures)
+
+
+def _end(
+    gang: GangAttempt,
+    state: JobState,
+    now_unix_ms: int,
+    results: tuple[str, ...] = (),
+) -> JobRecord:
+    return msgspec.structs.replace(
+        gang.record,
+        state=state,
+        results=results,
+        reason=_reason(gang),
+        ended_unix_ms=now_unix_ms,
+        checkpoints=(),
+    )
+
+
+def _requeue(gang: GangAttempt) -> JobRecord:
+    return msgspec.structs.replace(
+        gang.record,
+        state=JobState.QUEUED,
+        current=None,
+        reason=_reason(gang),
+        checkpoints=_checkpoints(gang),
+    )
+
+
+def _reason(gang: GangAttempt) -> str:
+    if gang.cause is None or gang.finished:
+        return ''
+    if gang.detail:
+        return f'{gang.cause.value}: {gang.detail}'
+    return gang.cause.value
+
+
+def _results(gang: GangAttempt) -> tuple[str, ...]:
+    results = list(itertools.repeat('', gang.record.spec.tasks))
+    for held in gang.held.values():
+        for part, report in held.reports.items():
+            results[part] = report.result
+    return tuple(results)
+
+
+def _checkpoints(gang: GangAttempt) -> tuple[str, ...]:
+    """Return the newest checkpoint of each task, older ones kept."""
+    checkpoints = list(itertools.repeat('', gang.record.spec.tasks))
+    for part, checkpoint in enumerate(gang.record.checkpoints):
+        checkpoints[part] = checkpoint
+    for part, checkpoint in gang.checkpoints.items():
+        checkpoints[part] = checkpoint
+    if any(checkpoints):
+        return tuple(checkpoints)
+    return ()
--- /dev/null
+++ b/src/bulrushcove/sync_requests.py
@@ -0,0 +1,57 @@
+"""Builds the one request of a round to one worker."""
+
+from .clock import MS_PER_S
+from .gang import Timing
+from .ids import AttemptId, Epoch, VmId
+from .instructions import Instructions
+from .worker_api import SyncRequest, TaskReservation
+from .worker_sight import WorkerSight
+
+
+class RequestBuilder:
+    """Collects the instructions for all attempts on one worker."""
+
+    def __init__(self) -> None:
+        """Start without any instruction."""
+        self._reserve: list[TaskReservation] = []
+        self._start: list[AttemptId] = []
+        self._renew: list[AttemptId] = []
+        self._checkpoint: list[AttemptId] = []
+        self._stop: list[AttemptId] = []
+        self._forget: list[AttemptId] = []
+
+    def add(self, attempt: AttemptId, told: Instructions) -> None:
+        """Add what the worker is told about ``attempt``."""
+        self._reserve.extend(told.reserve)
+        for wanted, listed in (
+            (told.start, self._start),
+            (told.renew, self._renew),
+            (told.checkpoint, self._checkpoint),
+            (told.stop, self._stop),
+        ):
+            if wanted:
+                listed.append(attempt)
+
+    def add_clean_up(self, sight: WorkerSight) -> None:
+        """Add the attempts that are of no use to anyone any more."""
+        self._forget.extend(sight.forget)
+        for attempt in sight.useless:
+            if sight.holds(attempt):
+                self._stop.append(attempt)
+            else:
+                self._forget.append(attempt)
+
+    def build(self, epoch: Epoch, control: VmId, timing: Timing) -> SyncRequest:
+        """Return the request."""
+        return SyncRequest(
+            epoch=epoch,
+            control=control,
+            lease_ms=int(timing.lease_s * MS_PER_S),
+            reservation_ms=int(timing.reservation_s * MS_PER_S),
+            reserve=tuple(self._reserve),
+            start=tuple(self._start),
+            renew=tuple(self._renew),
+            checkpoint=tuple(self._checkpoint),
+            stop=tuple(self._stop),
+            forget=tuple(self._forget),
+        )
