--- a/src/bulrushcove/attempts.py
+++ b/src/bulrushcove/attempts.py
@@ -74,7 +74,9 @@
         report.state in {TaskState.RESERVED, TaskState.RUNNING}
         for report in held.reports.values()
     )
-    if refusal:
+    # A start that is sent again after a lost answer may be refused.
+    began = held.all_in(TaskState.RUNNING, TaskState.FINISHED)
+    if refusal and not began:
         stop(gang, StopCause.REFUSED, f'{worker}: {refusal}')
         return
     _check_reports(gang, worker, held)
--- /dev/null
+++ b/src/bulrushcove/campaigns.py
@@ -0,0 +1,160 @@
+"""Runs the controllers of the domains that this VM is elected for."""
+
+import asyncio
+import logging
+
+from mode import Service
+
+from .clock import MS_PER_S
+from .domain_controller import DomainController, Surroundings
+from .election import Election, Tenure
+from .exceptions import StoreError
+from .ids import DomainName
+from .logs import log_event
+from .messages import JobNotice
+
+logger = logging.getLogger(__name__)
+
+# Own domains are looked at this often in a lease, others of them seldom.
+LOCAL_POLLS_PER_LEASE = 12
+REMOTE_POLLS_PER_LEASE = 2
+RENEWALS_PER_LEASE = 3
+
+
+class Campaigns(Service):
+    """Campaigns for domains without a control, own one first."""
+
+    def __init__(
+        self, own_domain: DomainName, election: Election, around: Surroundings
+    ) -> None:
+        """Campaign once started; VMs of ``own_domain`` go first there."""
+        super().__init__()
+        self.controllers: dict[DomainName, DomainController] = {}
+        self._own_domain = own_domain
+        self._election = election
+        self._around = around
+        self._clock = around.clock
+        self._lease_s = around.settings.control_lease_ms / MS_PER_S
+        self._absent_since_s: dict[DomainName, float] = {}
+
+    async def notice(self, notice: JobNotice) -> None:
+        """Pass ``notice`` to the controller of its domain, if it runs here."""
+        controller = self.controllers.get(notice.domain)
+        if controller is not None:
+            controller.notice()
+
+    async def hand_over(self) -> None:
+        """Stop all controllers and let others take over at once."""
+        for domain in tuple(self.controllers):
+            controller = self.controllers.pop(domain)
+            await controller.stop()
+            await self._election.resign(controller.tenure)
+
+    async def on_stop(self) -> None:
+        """Hand over what is still held."""
+        await self.hand_over()
+
+    @Service.task
+    async def _campaign_locally(self) -> None:
+        interval_s = self._lease_s / LOCAL_POLLS_PER_LEASE
+        while not self.should_stop:
+            await self._end_fenced()
+            await self._campaign(self._own_domain)
+            await self.sleep(interval_s)
+
+    @Service.task
+    async def _campaign_remotely(self) -> None:
+        interval_s = self._lease_s / REMOTE_POLLS_PER_LEASE
+        while not self.should_stop:
+            await self.sleep(interval_s)
+            for domain in self._remote_domains():
+                await self._campaign(domain)
+
+    @Service.task
+    async def _renew(self) -> None:
+        while not self.should_stop:
+            await asyncio.gather(
+                *(
+                    self._renew_one(controller.tenure)
+                    for controller in self.controllers.values()
+                )
+            )
+            await self.sleep(self._lease_s / RENEWALS_PER_LEASE)
+
+    async def _renew_one(self, tenure: Tenure) -> None:
+        if tenure.over:
+            return
+        try:
+            await self._election.renew(tenure)
+        except StoreError:
+            return
+        if tenure.over:
+            log_event(
+                logger,
+                'control.lease_lapsed',
+                level=logging.WARNING,
+                domain=tenure.domain,
+                epoch=tenure.epoch,
+            )
+
+    async def _campaign(self, domain: DomainName) -> None:
+        controller = self.controllers.get(domain)
+        if controller is not None and not controller.tenure.over:
+            return
+        try:
+            tenure = await self._try(domain)
+        except StoreError as exc:
+            log_event(
+                logger,
+                'election.failed',
+                level=logging.DEBUG,
+                domain=domain,
+                error=exc,
+            )
+            return
+        if tenure is not None:
+            await self._begin(tenure)
+
+    async def _try(self, domain: DomainName) -> Tenure | None:
+        if await self._election.holder(domain) is not None:
+            self._absent_since_s.pop(domain, None)
+            return None
+        now_s = self._clock.monotonic_s()
+        since_s = self._absent_since_s.setdefault(domain, now_s)
+        takeover_s = self._around.settings.remote_takeover_ms / MS_PER_S
+        if domain != self._own_domain and now_s - since_s < takeover_s:
+            return None
+        return await self._election.campaign(domain)
+
+    async def _begin(self, tenure: Tenure) -> None:
+        log_event(
+            logger,
+            'control.active',
+            domain=tenure.domain,
+            epoch=tenure.epoch,
+        )
+        earlier = self.controllers.pop(tenure.domain, None)
+        if earlier is not None:
+            await earlier.stop()
+        controller = DomainController(tenure, self._around)
+        self.controllers[tenure.domain] = controller
+        await self.add_runtime_dependency(controller)
+
+    async def _end_fenced(self) -> None:
+        for domain, controller in tuple(self.controllers.items()):
+            if controller.is_fenced:
+                log_event(
+                    logger,
+                    'control.fenced',
+                    domain=domain,
+                    epoch=controller.tenure.epoch,
+                    by_epoch=controller.table.fenced_by,
+                )
+                self.controllers.pop(domain)
+                await controller.stop()
+                await self._election.resign(controller.tenure)
+
+    def _remote_domains(self) -> list[DomainName]:
+        listed = {vm.domain for vm in self._around.vms()}
+        listed.update(self._around.holder.current.domains)
+        return sorted(listed - {self._own_domain})
--- /dev/null
+++ b/src/bulrushcove/control.py
@@ -0,0 +1,162 @@
+"""The control daemon: one a VM, active for the domains it is elected for."""
+
+import uuid
+
+from aiohttp import ClientSession, web
+from mode import Service
+
+from . import naive
+from .campaigns import Campaigns
+from .clock import SystemClock
+from .configuration_holder import ConfigurationHolder
+from .configuration_poll import ConfigurationPoll
+from .control_metrics import ControlMetrics
+from .domain_controller import Surroundings
+from .election import Election
+from .ids import IncarnationId
+from .job_store import JobStore
+from .messages import Hello
+from .metrics import add_metrics_route, new_metrics
+from .peers import CONTROL_ROLE, Peers
+from .permit import PermitBook
+from .program import run_program
+from .settings import Settings
+from .store_etcd import EtcdStore
+from .worker_client import WorkerClient
+
+HEALTH_PATH = '/healthz'
+READY_PATH = '/readyz'
+
+
+class ControlApplication(Service):
+    """Owns every service of the daemon and their clean-up."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Serve the VM that ``settings`` describe, once started."""
+        super().__init__()
+        self._settings = settings
+        self._clock = SystemClock()
+        self._holder = ConfigurationHolder()
+        self._permits = PermitBook()
+        self._hello = Hello(
+            vm=settings.vm.id,
+            domain=settings.vm.domain,
+            role=CONTROL_ROLE,
+            incarnation=IncarnationId(uuid.uuid4().hex),
+        )
+        self._metrics = new_metrics()
+        self._sessions: list[ClientSession] = []
+        self._runner: web.AppRunner | None = None
+        self._peers: Peers | None = None
+        self._campaigns: Campaigns | None = None
+
+    async def on_start(self) -> None:
+        """Start the services, those that others need first."""
+        store = EtcdStore(self._open_session(), self._settings.platform)
+        poll = ConfigurationPoll(
+            store,
+            self._clock,
+            self._settings.control.poll_ms,
+            self._holder,
+            self._permits,
+        )
+        peers = Peers(
+            self._settings,
+            self._clock,
+            self._open_session(),
+            self._hello,
+            self._holder,
+            self._permits,
+        )
+        client = WorkerClient(
+            self._open_session(),
+            self._settings.control.worker_timeout_ms,
+        )
+        campaigns = self._make_campaigns(store, peers, client)
+        peers.on_notice = campaigns.notice
+        peers.platform_reachable = lambda: poll.platform_reachable
+        self._peers = peers
+        self._campaigns = campaigns
+        await self._serve_http()
+        await poll.poll()
+        for service in (
+            poll,
+            peers,
+            campaigns,
+            ControlMetrics(self._metrics, store, client, campaigns),
+        ):
+            await self.add_runtime_dependency(service)
+
+    async def on_stop(self) -> None:
+        """Hand over first, so that another control takes over at once."""
+        if self._peers is not None:
+            self._peers.leaving = True
+        if self._campaigns is not None:
+            await self._campaigns.hand_over()
+
+    async def on_shutdown(self) -> None:
+        """Close what the services used."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+        for session in self._sessions:
+            await session.close()
+
+    def _open_session(self) -> ClientSession:
+        session = ClientSession()
+        self._sessions.append(session)
+        return session
+
+    def _make_campaigns(
+        self, store: EtcdStore, peers: Peers, client: WorkerClient
+    ) -> Campaigns:
+        control = self._settings.control
+        election = Election(
+            store,
+            self._clock,
+            self._hello.vm,
+            self._hello.incarnation,
+            control.control_lease_ms,
+        )
+        around = Surroundings(
+            vm=self._hello.vm,
+            settings=control,
+            clock=self._clock,
+            jobs=JobStore(store),
+            client=client,
+            holder=self._holder,
+            permits=self._permits,
+            vms=lambda: peers.vms,
+            publish=peers.publish,
+            plan=naive.plan,
+        )
+        return Campaigns(self._hello.domain, election, around)
+
+    async def _serve_http(self) -> None:
+        application = web.Application()
+        application.router.add_get(HEALTH_PATH, _answer_health)
+        application.router.add_get(READY_PATH, self._answer_ready)
+        add_metrics_route(application.router, self._metrics)
+        self._runner = web.AppRunner(application, access_log=None)
+        await self._runner.setup()
+        control = self._settings.control
+        site = web.TCPSite(self._runner, control.host, control.http_port)
+        await site.start()
+
+    async def _answer_ready(self, _request: web.Request) -> web.Response:
+        revision = self._holder.current.revision
+        if revision:
+            return web.Response(text=f'revision {revision}\n')
+        raise web.HTTPServiceUnavailable(text='no configuration is known\n')
+
+
+async def _answer_health(_request: web.Request) -> web.Response:
+    return web.Response(text='ok\n')
+
+
+def main() -> None:
+    """Run the daemon."""
+    run_program(ControlApplication, 'bulrushcove-control')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/bulrushcove/control_metrics.py
@@ -0,0 +1,73 @@
+"""Metrics of a control: its own cost and the domains it is active for."""
+
+from collections.abc import Iterable
+
+from mode import Service
+
+from .campaigns import Campaigns
+from .ids import DomainName
+from .job_store import StoredJob
+from .metrics import Metrics
+from .process_cost import cpu_s, resident_bytes
+from .states import JobState
+from .store_etcd import EtcdStore
+from .worker_client import WorkerClient
+
+UPDATE_S = 1.0
+
+
+class ControlMetrics(Service):
+    """Brings the gauges up to date once a second."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        store: EtcdStore,
+        client: WorkerClient,
+        campaigns: Campaigns,
+    ) -> None:
+        """Register the gauges in ``metrics``."""
+        super().__init__()
+        self._store = store
+        self._client = client
+        self._campaigns = campaigns
+        self._cpu_seconds = metrics.gauge(
+            'bulrushcove_cpu_seconds', 'Processor time used so far.'
+        )
+        self._resident_bytes = metrics.gauge(
+            'bulrushcove_resident_bytes', 'Resident memory of the process.'
+        )
+        self._platform_calls = metrics.gauge(
+            'bulrushcove_platform_calls_total', 'Calls to the store so far.'
+        )
+        self._worker_bytes = metrics.gauge(
+            'bulrushcove_worker_bytes_total',
+            'Bytes of bodies exchanged with workers, by direction.',
+        )
+        self._jobs = metrics.gauge(
+            'bulrushcove_open_jobs_total', 'Open jobs by domain and state.'
+        )
+
+    @Service.task
+    async def _update_for_ever(self) -> None:
+        while not self.should_stop:
+            self._update()
+            await self.sleep(UPDATE_S)
+
+    def _update(self) -> None:
+        self._cpu_seconds.set({}, cpu_s())
+        self._resident_bytes.set({}, resident_bytes())
+        self._platform_calls.set({}, self._store.calls)
+        self._worker_bytes.set({'direction': 'out'}, self._client.sent_bytes)
+        self._worker_bytes.set({'direction': 'in'}, self._client.received_bytes)
+        for domain, controller in self._campaigns.controllers.items():
+            self._count_jobs(domain, controller.core.jobs.values())
+
+    def _count_jobs(
+        self, domain: DomainName, jobs: Iterable[StoredJob]
+    ) -> None:
+        states = [stored.record.state for stored in jobs]
+        for state in JobState:
+            if not state.is_final:
+                labels = {'domain': domain, 'state': state.value}
+                self._jobs.set(labels, states.count(state))
--- a/src/bulrushcove/domain_core.py
+++ b/src/bulrushcove/domain_core.py
@@ -10,10 +10,11 @@
 import msgspec
 
 from .attempts import adopt, begin, has_ended, needs_start_record
+from .cluster import Place, SetAside
 from .gang import GangAttempt, Phase, StopCause
 from .gang_table import GangTable
-from .ids import DomainName, JobId
-from .job import JobRecord
+from .ids import AttemptId, DomainName, JobId
+from .job import Attempt, JobRecord
 from .job_store import StoredJob
 from .outcomes import closing_record
 from .states import JobState
@@ -52,6 +53,10 @@
             gang.record = record
             gang.attempt = record.current
 
+    def drop(self, job: JobId) -> None:
+        """Give up a record that is gone."""
+        self.jobs.pop(job, None)
+
     def begin(self, stored: StoredJob, now_s: float) -> None:
         """Begin the attempt that ``stored`` has just recorded."""
         self.refresh(stored)
@@ -94,6 +99,37 @@
             RecordChange(self.jobs[record.job], record) for record in records
         ]
 
+    def place(self, place: Place) -> RecordChange:
+        """Return the write that records a new attempt."""
+        stored = self.jobs[place.job]
+        number = stored.record.attempts + 1
+        epoch = self.table.epoch
+        attempt = Attempt(
+            attempt=AttemptId(f'{place.job}.{number}.{epoch}'),
+            epoch=epoch,
+            placement=place.placement,
+            borrowed=place.borrowed,
+        )
+        record = msgspec.structs.replace(
+            stored.record,
+            state=JobState.STARTING,
+            attempts=number,
+            current=attempt,
+            reason='',
+        )
+        return RecordChange(stored, record)
+
+    def set_aside(self, aside: SetAside, now_unix_ms: int) -> RecordChange:
+        """Return the write that ends a job which cannot run."""
+        stored = self.jobs[aside.job]
+        record = msgspec.structs.replace(
+            stored.record,
+            state=JobState.UNRUNNABLE,
+            reason=aside.reason,
+            ended_unix_ms=now_unix_ms,
+        )
+        return RecordChange(stored, record)
+
     def _wanted_of_gangs(
         self, now_s: float, now_unix_ms: int
     ) -> Iterator[JobRecord]:
--- a/src/bulrushcove/domain_snapshot.py
+++ b/src/bulrushcove/domain_snapshot.py
@@ -49,6 +49,22 @@
     return tuple(waiting)
 
 
+def is_usable(sight: WorkerSight) -> bool:
+    """Return whether something new may be placed on the worker."""
+    answered = sight.seen_s is not None and not sight.silent
+    return answered and not sight.leaving
+
+
+def free_accelerators(core: DomainCore) -> int:
+    """Return the accelerators that are free on usable workers."""
+    taken = _take_all(core)
+    return sum(
+        sight.description.accelerators - taken[worker].accelerators
+        for worker, sight in core.table.workers.items()
+        if is_usable(sight)
+    )
+
+
 class _Taken:
     def __init__(self) -> None:
         self.accelerators = 0
@@ -95,13 +111,12 @@
 
 def _room(sight: WorkerSight, taken: _Taken) -> WorkerRoom:
     description = sight.description
-    answered = sight.seen_s is not None and not sight.silent
     return WorkerRoom(
         description=description,
         free_accelerators=description.accelerators - taken.accelerators,
         free_cores=description.cores - taken.cores,
         free_memory_mb=description.memory_mb - taken.memory_mb,
-        usable=answered and not sight.leaving,
+        usable=is_usable(sight),
     )
 
 
--- a/src/bulrushcove/gang.py
+++ b/src/bulrushcove/gang.py
@@ -79,6 +79,11 @@
     # No part runs or holds room here any more.
     gone: bool = False
 
+    @property
+    def states(self) -> dict[int, TaskState]:
+        """Return the last reported state of each part."""
+        return {part: report.state for part, report in self.reports.items()}
+
     def all_in(self, *states: TaskState) -> bool:
         """Return whether every part was last reported in one of states."""
         return len(self.reports) == len(self.parts) and all(
--- a/src/bulrushcove/gang_table.py
+++ b/src/bulrushcove/gang_table.py
@@ -24,6 +24,8 @@
         self.urgent: set[WorkerId] = set()
         # Higher epoch that a worker told; None while not fenced.
         self.fenced_by: Epoch | None = None
+        # An attempt moved on since this was last set back.
+        self.has_news = False
         self._control = control
         self._by_worker: dict[WorkerId, set[AttemptId]] = defaultdict(set)
 
@@ -147,10 +149,15 @@
         if sight.seen_s is None:
             return
         phase = gang.phase
+        worker = sight.description.worker
+        before = gang.held[worker].states
         reports = sight.reports.get(gang.attempt_id, {})
-        observe(gang, sight.description.worker, sight.seen_s, reports, refusal)
+        observe(gang, worker, sight.seen_s, reports, refusal)
         self._note_phase(gang, phase)
+        if before != gang.held[worker].states:
+            self.has_news = True
 
     def _note_phase(self, gang: GangAttempt, before: Phase) -> None:
         if gang.phase is not before:
             self.urgent.update(gang.held)
+            self.has_news = True
--- /dev/null
+++ b/src/bulrushcove/record_sync.py
@@ -0,0 +1,104 @@
+"""Keeps the open records of a domain's core in step with the store."""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+
+from .clock import Clock
+from .domain_core import DomainCore, RecordChange
+from .exceptions import StoreError
+from .job_store import JobChangedError, JobStore, StoredJob
+from .logs import log_event
+
+logger = logging.getLogger(__name__)
+
+# Writes to the store that one pass has under way together.
+MAX_WRITES = 16
+
+
+class RecordSync:
+    """Scans and writes records; one pass never does both at once."""
+
+    def __init__(self, core: DomainCore, jobs: JobStore, clock: Clock) -> None:
+        """Work for ``core``."""
+        self.scan_due = True
+        self._core = core
+        self._jobs = jobs
+        self._clock = clock
+        self._scanned_at_s = 0.0
+        self._scanned_revision = 0
+        self._writes = asyncio.Semaphore(MAX_WRITES)
+
+    @property
+    def has_scanned(self) -> bool:
+        """Return whether all records were read once."""
+        return self._scanned_revision > 0
+
+    async def scan(self, interval_s: float) -> None:
+        """Read what changed, when due or ``interval_s`` after the last."""
+        began_s = self._clock.monotonic_s()
+        if not self.scan_due and began_s < self._scanned_at_s + interval_s:
+            return
+        self.scan_due = False
+        self._scanned_at_s = began_s
+        try:
+            scan = await self._jobs.scan(self._scanned_revision)
+        except StoreError as exc:
+            self._log_error('jobs.not_scanned', exc)
+            return
+        self._scanned_revision = scan.store_revision
+        for stored in scan.jobs:
+            self._core.refresh(stored)
+        self._core.adopt_recorded(self._clock.monotonic_s())
+        self._core.table.judge_strangers(began_s)
+
+    async def commit(self, changes: Iterable[RecordChange]) -> None:
+        """Write all ``changes``; those that fail are wanted again later."""
+        await asyncio.gather(*(self.write(change) for change in changes))
+
+    async def write(self, change: RecordChange) -> StoredJob | None:
+        """Write one change; None when it surely or perhaps failed."""
+        async with self._writes:
+            try:
+                stored = await self._jobs.replace(change.stored, change.record)
+            except JobChangedError as exc:
+                self._take_conflict(change, exc)
+                return None
+            except StoreError as exc:
+                self._log_error('job.not_written', exc)
+                return None
+        self._core.refresh(stored)
+        _log_change(change)
+        return stored
+
+    def _take_conflict(
+        self, change: RecordChange, exc: JobChangedError
+    ) -> None:
+        self.scan_due = True
+        if exc.stored is None:
+            self._core.drop(change.record.job)
+        else:
+            self._core.refresh(exc.stored)
+
+    def _log_error(self, event: str, exc: StoreError) -> None:
+        log_event(
+            logger,
+            event,
+            level=logging.WARNING,
+            domain=self._core.domain,
+            error=exc,
+        )
+
+
+def _log_change(change: RecordChange) -> None:
+    record = change.record
+    if record.state is change.stored.record.state:
+        return
+    log_event(
+        logger,
+        f'job.{record.state.value}',
+        job=record.job,
+        organisation=record.organisation,
+        attempts=record.attempts,
+        reason=record.reason or None,
+    )
--- /dev/null
+++ b/src/bulrushcove/worker_rounds.py
@@ -0,0 +1,153 @@
+"""Rounds of messages with every worker of a domain, each at its own pace."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from mode import Service
+
+from .clock import MS_PER_S, Clock
+from .exceptions import WorkerError
+from .gang_table import GangTable
+from .ids import DomainName, WorkerId
+from .logs import log_event
+from .settings import ControlSettings
+from .states import VmRole, VmState
+from .vm_list import VmEntry
+from .worker_client import WorkerClient
+
+logger = logging.getLogger(__name__)
+
+FOLLOW_S = 0.5
+# Share of the interval by which rounds may come early.
+ROUND_SPREAD = 0.1
+
+
+class WorkerRounds(Service):
+    """One loop a worker; a silent worker holds up no other."""
+
+    def __init__(
+        self,
+        domain: DomainName,
+        table: GangTable,
+        client: WorkerClient,
+        clock: Clock,
+        settings: ControlSettings,
+    ) -> None:
+        """Exchange what ``table`` wants to say and hears."""
+        super().__init__()
+        # Set by the owner before the start.
+        self.vms: Callable[[], tuple[VmEntry, ...]] = tuple
+        self.may_start: Callable[[], bool] = bool
+        self.on_news: Callable[[], None] = _ignore
+        self._domain = domain
+        self._table = table
+        self._client = client
+        self._clock = clock
+        self._interval_s = settings.worker_round_ms / MS_PER_S
+        self._wake: dict[WorkerId, asyncio.Event] = {}
+        self._tried: dict[WorkerId, asyncio.Event] = {}
+
+    async def try_all(self) -> None:
+        """Return once every listed worker was tried once."""
+        self._follow_listed()
+        for tried in tuple(self._tried.values()):
+            await tried.wait()
+
+    @property
+    def knows_all(self) -> bool:
+        """Return whether every listed worker has answered once."""
+        listed = self._listed()
+        return bool(listed) and listed.keys() <= self._table.workers.keys()
+
+    def wake_urgent(self) -> None:
+        """Begin a round at once with each worker that has to hear."""
+        for worker in self._table.urgent:
+            wake = self._wake.get(worker)
+            if wake is not None:
+                wake.set()
+
+    @Service.task
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            self._follow_listed()
+            await self.sleep(FOLLOW_S)
+
+    def _listed(self) -> dict[WorkerId, VmEntry]:
+        return {
+            WorkerId(vm.vm): vm
+            for vm in self.vms()
+            if vm.role is VmRole.WORKER and vm.domain == self._domain
+        }
+
+    def _follow_listed(self) -> None:
+        for worker in self._listed():
+            if worker not in self._wake:
+                self._wake[worker] = asyncio.Event()
+                self._tried[worker] = asyncio.Event()
+                self.add_future(self._serve(worker))
+
+    async def _serve(self, worker: WorkerId) -> None:
+        while not self.should_stop:
+            vm = self._listed().get(worker)
+            if vm is None:
+                break
+            await self._round(worker, vm)
+            self._tried[worker].set()
+            await self._wait(worker)
+        self._table.drop_worker(worker, self._clock.monotonic_s())
+        self._wake.pop(worker)
+        self._tried.pop(worker).set()
+
+    async def _round(self, worker: WorkerId, vm: VmEntry) -> None:
+        table = self._table
+        try:
+            if worker not in table.workers:
+                table.see_worker(await self._client.describe(vm))
+            await self._exchange(worker, vm)
+        except WorkerError as exc:
+            self._miss(worker, exc)
+        sight = table.workers.get(worker)
+        if sight is not None:
+            sight.leaving = vm.state is VmState.LEAVING
+        self.wake_urgent()
+        if table.has_news:
+            table.has_news = False
+            self.on_news()
+
+    async def _exchange(self, worker: WorkerId, vm: VmEntry) -> None:
+        sent_s = self._clock.monotonic_s()
+        request = self._table.request(
+            worker, sent_s, may_start=self.may_start()
+        )
+        answer = await self._client.sync(vm, request)
+        self._table.answered(worker, request, sent_s, answer)
+
+    def _miss(self, worker: WorkerId, exc: WorkerError) -> None:
+        sight = self._table.workers.get(worker)
+        if sight is None or not sight.silent:
+            log_event(
+                logger,
+                'worker.silent',
+                level=logging.WARNING,
+                worker=worker,
+                error=exc,
+            )
+        self._table.missed(worker, self._clock.monotonic_s())
+
+    async def _wait(self, worker: WorkerId) -> None:
+        wake = self._wake[worker]
+        # Spreads the rounds of workers that were first seen together.
+        interval_s = self._interval_s * random.uniform(1 - ROUND_SPREAD, 1)
+        if worker not in self._table.urgent:
+            try:
+                async with asyncio.timeout(interval_s):
+                    await wake.wait()
+            except TimeoutError:
+                return
+        wake.clear()
+
+
+def _ignore() -> None:
+    """Stand in for an owner that wants no news."""
