Entry daemon: requests to a backend server and back, jobs through the job store

A read of every record per waiting caller against one scan a round for all waiters (JobWatch): the scan costs one call a round whatever the waiters. Answers up to 256 KiB are read whole before a byte is passed on, so a cut one is still unknown or repeatable; longer ones stream and a cut closes the caller's connection.

--- /dev/null
+++ b/src/bulrushcove/backend_client.py
@@ -0,0 +1,217 @@
+"""Sends requests to backend servers and tells what became of each.
+
+Every way to fail is one of: surely not run (never sent, refused, busy,
+leaving), unknown (bytes may have left and no whole answer came) and cut
+(an answer that broke off after a part was passed on).
+"""
+
+import contextlib
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+from multidict import CIMultiDict
+
+from .exceptions import BackendError
+from .ids import BackendId
+from .routing import Server
+
+STATE_HEADER = 'X-Backend-State'
+RUN_PATH = '/v1/run'
+STATE_PATH = '/v1/state'
+BUSY = 'busy'
+LEAVING = 'leaving'
+OK = 200
+SERVICE_UNAVAILABLE = 503
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+# Shorter than servers keep idle connections, so that few are found closed.
+IDLE_CONNECTION_S = 10.0
+# Answers up to this size are read whole before any byte is passed on.
+WHOLE_ANSWER_BYTES = 262_144
+CHUNKED = 'chunked'
+PASSED_HEADERS = ('Content-Type', 'Content-Encoding', 'Content-Language')
+
+
+class BackendNotRunError(BackendError):
+    """The request surely did not run on the server."""
+
+    def __init__(self, backend: BackendId, reason: str) -> None:
+        """Name the server and why it did not run the request."""
+        super().__init__(f'backend server {backend!r}: {reason}')
+        self.reason = reason
+
+
+class BackendUnknownError(BackendError):
+    """Bytes may have reached the server and no whole answer came."""
+
+
+class BackendCutError(BackendError):
+    """The answer broke off after its first part was passed on."""
+
+
+class BackendAnswer(NamedTuple):
+    """An answer; ``rest`` is None when ``body`` is the whole of it."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+    rest: AsyncIterator[bytes] | None
+    length: int | None
+    state: str
+
+
+class BackendState(msgspec.Struct, frozen=True):
+    """Answer of a backend server to a probe."""
+
+    backend: BackendId
+    slots: int
+    busy: int
+    leaving: bool
+
+
+_state_decoder = msgspec.json.Decoder(BackendState)
+
+
+class BackendClient:
+    """HTTP towards backend servers."""
+
+    def __init__(self) -> None:
+        """Open the sessions; needs a running loop."""
+        self._session = _new_session(
+            aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+        )
+        self._fresh_session = _new_session(
+            aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+        await self._fresh_session.close()
+
+    async def send(
+        self,
+        server: Server,
+        headers: CIMultiDict[str],
+        body: bytes | AsyncIterator[bytes],
+        *,
+        fresh: bool = False,
+    ) -> BackendAnswer:
+        """Run one request on ``server`` and return its answer.
+
+        ``fresh`` asks for a connection of its own. Raises
+        ``BackendNotRunError`` or ``BackendUnknownError``.
+        """
+        session = self._fresh_session if fresh else self._session
+        try:
+            response = await session.post(
+                f'{server.url}{RUN_PATH}', headers=headers, data=body
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as exc:
+            raise BackendNotRunError(server.backend, 'not reached') from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise BackendUnknownError(
+                f'backend server {server.backend!r}: {exc!r}'
+            ) from exc
+        state = response.headers.get(STATE_HEADER, '')
+        if response.status == SERVICE_UNAVAILABLE and state:
+            await _drain(response)
+            raise BackendNotRunError(server.backend, state)
+        return await _read_answer(server.backend, response, state)
+
+    async def probe(self, server: Server) -> BackendState:
+        """Ask ``server`` for its state over a fresh connection.
+
+        Raises ``BackendError`` when it does not answer.
+        """
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        try:
+            async with self._fresh_session.get(
+                f'{server.url}{STATE_PATH}', timeout=timeout
+            ) as response:
+                return _state_decoder.decode(await response.read())
+        except (aiohttp.ClientError, OSError, msgspec.MsgspecError) as exc:
+            raise BackendError(
+                f'backend server {server.backend!r}: probe: {exc!r}'
+            ) from exc
+
+
+def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    )
+
+
+async def _drain(response: aiohttp.ClientResponse) -> None:
+    """Read the small rest of a refusal, so that its connection is kept."""
+    with contextlib.suppress(aiohttp.ClientError, OSError):
+        await response.read()
+
+
+async def _read_answer(
+    backend: BackendId,
+    response: aiohttp.ClientResponse,
+    state: str,
+) -> BackendAnswer:
+    length = response.content_length
+    chunked = response.headers.get('Transfer-Encoding', '').lower() == CHUNKED
+    if length is None and not chunked:
+        response.close()
+        # Its end could not be told from a cut.
+        raise BackendUnknownError(
+            f'backend server {backend!r}: answer without a length'
+        )
+    headers = CIMultiDict(
+        (name, response.headers[name])
+        for name in PASSED_HEADERS
+        if name in response.headers
+    )
+    try:
+        body, ended = await _read_first(response)
+    except (aiohttp.ClientError, OSError) as exc:
+        response.close()
+        raise BackendUnknownError(
+            f'backend server {backend!r}: answer was cut: {exc!r}'
+        ) from exc
+    rest = None if ended else _read_rest(backend, response)
+    return BackendAnswer(response.status, headers, body, rest, length, state)
+
+
+async def _read_first(response: aiohttp.ClientResponse) -> tuple[bytes, bool]:
+    """Return the first bytes of the answer and whether they are all."""
+    length = response.content_length
+    if length is not None and length <= WHOLE_ANSWER_BYTES:
+        return await response.read(), True
+    parts: list[bytes] = []
+    size = 0
+    while size <= WHOLE_ANSWER_BYTES:
+        part = await response.content.readany()
+        if not part:
+            return b''.join(parts), True
+        parts.append(part)
+        size += len(part)
+    return b''.join(parts), False
+
+
+async def _read_rest(
+    backend: BackendId,
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[bytes]:
+    try:
+        async for part in response.content.iter_any():
+            yield part
+    except (aiohttp.ClientError, OSError) as exc:
+        raise BackendCutError(
+            f'backend server {backend!r}: answer was cut: {exc!r}'
+        ) from exc
+    finally:
+        response.close()
--- /dev/null
+++ b/src/bulrushcove/body.py
@@ -0,0 +1,57 @@
+"""Reads the body of a caller's request within the limits."""
+
+from collections.abc import AsyncIterator
+
+from aiohttp import web
+
+from .exceptions import RefusedError
+from .settings import EntrySettings
+
+CONTENT_TOO_LARGE = 413
+
+
+async def read_body(
+    request: web.Request,
+    settings: EntrySettings,
+) -> bytes | AsyncIterator[bytes]:
+    """Return the body: whole when it is kept for another try, else a stream.
+
+    Raises ``RefusedError`` (413) for a body over the limit, and for one over
+    ``retry_body_bytes`` that does not declare its length.
+    """
+    length = request.content_length
+    if length is not None and length > settings.max_body_bytes:
+        raise _too_large('max_body_bytes', settings.max_body_bytes)
+    if length is not None and length > settings.retry_body_bytes:
+        return request.content.iter_any()
+    return await read_whole(request, settings.retry_body_bytes)
+
+
+async def read_whole(request: web.Request, limit: int) -> bytes:
+    """Return the whole body; raises ``RefusedError`` (413) over ``limit``."""
+    content = request.content
+    if content.is_eof():
+        first = content.read_nowait()
+        _check_size(len(first), limit)
+        return first
+    parts: list[bytes] = []
+    size = 0
+    async for part in content.iter_any():
+        parts.append(part)
+        size += len(part)
+        _check_size(size, limit)
+    return b''.join(parts)
+
+
+def _check_size(size: int, limit: int) -> None:
+    if size > limit:
+        raise _too_large('body without a declared length', limit)
+
+
+def _too_large(field: str, limit: int) -> RefusedError:
+    return RefusedError(
+        CONTENT_TOO_LARGE,
+        f'the body is over the limit of {limit} bytes',
+        field=field,
+        limit=f'{limit} bytes',
+    )
--- /dev/null
+++ b/src/bulrushcove/entry.py
@@ -0,0 +1,153 @@
+"""The entry daemon: HTTP for callers and operators."""
+
+import asyncio
+import random
+import uuid
+
+from aiohttp import ClientSession
+from mode import Service
+
+from .admission import Admission
+from .authentication import TokenIndex
+from .backend_client import BackendClient
+from .backend_watch import BackendWatch
+from .caller_routes import (
+    CallerContext,
+    add_caller_routes,
+    new_caller_metrics,
+)
+from .clock import MS_PER_S, Clock, SystemClock
+from .control_link import ControlLink
+from .http_server import HttpServer
+from .ids import IncarnationId
+from .job_routes import JobContext, add_job_routes
+from .job_store import JobStore
+from .job_watch import JobWatch
+from .messages import Hello
+from .metrics import new_metrics
+from .program import run_program
+from .request_path import RequestPath
+from .routing import Router
+from .settings import Settings
+from .store_etcd import EtcdStore
+
+NAME = 'bulrushcove-entry'
+ROLE = 'entry'
+
+
+class EntryApplication(Service):
+    """Owns every part of the daemon and takes them down in order."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Prepare the parts; nothing is opened before the start."""
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._router = Router(settings.vm.domain, rng)
+        self._link = ControlLink(settings, new_hello(settings))
+        self._metrics = new_metrics()
+
+    async def on_start(self) -> None:
+        """Open the parts; the port for callers comes last."""
+        self._client = BackendClient()
+        self._platform = ClientSession()
+        store = EtcdStore(self._platform, self._settings.platform)
+        self._jobs = JobStore(store)
+        self._watch = JobWatch(self._jobs)
+        self._path = RequestPath(
+            Admission(), self._router, self._client, self._clock
+        )
+        await self.add_runtime_dependency(self._link)
+        await self.add_runtime_dependency(self._watch)
+        await self.add_runtime_dependency(self._backend_watch())
+        entry = self._settings.entry
+        self._server = HttpServer(self._metrics, self._why_not_ready)
+        self._add_routes()
+        await self._server.open(entry.host, entry.port)
+
+    async def on_stop(self) -> None:
+        """Leave the balancer, finish what is in progress, close the port."""
+        entry = self._settings.entry
+        self._server.health.leaving = True
+        await asyncio.sleep(entry.balancer_interval_ms / MS_PER_S)
+        await self._server.close(entry.stop_timeout_ms / MS_PER_S)
+
+    async def on_shutdown(self) -> None:
+        """Close the sessions, once nothing uses them."""
+        await self._client.close()
+        await self._platform.close()
+
+    def _add_routes(self) -> None:
+        tokens = TokenIndex()
+        router = self._server.router
+        add_caller_routes(router, self._caller_context(tokens))
+        add_job_routes(router, self._job_context(tokens))
+
+    def _caller_context(self, tokens: TokenIndex) -> CallerContext:
+        answered, completion = new_caller_metrics(self._metrics)
+        return CallerContext(
+            settings=self._settings.entry,
+            configuration=lambda: self._link.configuration,
+            tokens=tokens,
+            path=self._path,
+            clock=self._clock,
+            answered=answered,
+            completion=completion,
+        )
+
+    def _job_context(self, tokens: TokenIndex) -> JobContext:
+        return JobContext(
+            settings=self._settings.entry,
+            domain=self._settings.vm.domain,
+            configuration=lambda: self._link.configuration,
+            tokens=tokens,
+            jobs=self._jobs,
+            watch=self._watch,
+            control=self._link,
+            clock=self._clock,
+        )
+
+    def _backend_watch(self) -> BackendWatch:
+        return BackendWatch(
+            self._router,
+            self._client,
+            self._path,
+            lambda: self._link.view.vms if self._link.view else (),
+            self._clock,
+        )
+
+    def _why_not_ready(self) -> str:
+        if not self._link.configuration.revision:
+            return 'no configuration was received yet'
+        if not self._router.servers:
+            return 'no backend server is known yet'
+        return ''
+
+
+def new_hello(settings: Settings) -> Hello:
+    """Return the greeting of this run of the process."""
+    return Hello(
+        vm=settings.vm.id,
+        domain=settings.vm.domain,
+        role=ROLE,
+        incarnation=IncarnationId(uuid.uuid4().hex),
+    )
+
+
+def make_entry(settings: Settings) -> EntryApplication:
+    """Return the daemon on the machine's clock."""
+    return EntryApplication(settings, SystemClock(), random.Random())
+
+
+def main() -> None:
+    """Run the daemon until a signal stops it."""
+    run_program(make_entry, NAME)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/bulrushcove/health.py
@@ -0,0 +1,81 @@
+"""Health of the process and readiness for the balancer."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+from .refusals import json_response
+
+HEALTH_PATH = '/healthz'
+READY_PATH = '/readyz'
+UNAVAILABLE = 503
+
+
+class HealthAnswer(msgspec.Struct, frozen=True):
+    """Body of both routes; ``reason`` is empty when all is well."""
+
+    ok: bool
+    reason: str = ''
+
+
+class Health:
+    """Whether the process is leaving, and how many requests it serves."""
+
+    def __init__(self) -> None:
+        """Start as a process that stays."""
+        self.leaving = False
+        self.in_progress = 0
+        self._idle = asyncio.Event()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self.in_progress:
+            self._idle.clear()
+            await self._idle.wait()
+
+    def watch(self, application: web.Application) -> None:
+        """Count the requests in progress of ``application``."""
+
+        @web.middleware
+        async def count(
+            request: web.Request, handler: Handler
+        ) -> web.StreamResponse:
+            self.in_progress += 1
+            try:
+                return await handler(request)
+            finally:
+                self.in_progress -= 1
+                self._idle.set()
+
+        async def retire(
+            _request: web.Request, response: web.StreamResponse
+        ) -> None:
+            if self.leaving:
+                # The caller's next request then goes to another VM.
+                response.force_close()
+
+        application.middlewares.append(count)
+        application.on_response_prepare.append(retire)
+
+
+def add_health_routes(
+    router: web.UrlDispatcher,
+    health: Health,
+    why_not_ready: Callable[[], str],
+) -> None:
+    """Serve ``/healthz`` and ``/readyz``."""
+
+    async def get_health(_request: web.Request) -> web.Response:
+        return json_response(HealthAnswer(ok=True))
+
+    async def get_readiness(_request: web.Request) -> web.Response:
+        reason = 'leaving' if health.leaving else why_not_ready()
+        if reason:
+            return json_response(HealthAnswer(False, reason), UNAVAILABLE)
+        return json_response(HealthAnswer(ok=True))
+
+    router.add_get(HEALTH_PATH, get_health)
+    router.add_get(READY_PATH, get_readiness)
--- /dev/null
+++ b/src/bulrushcove/job_domain.py
@@ -0,0 +1,108 @@
+"""Choice of the failure domain whose control owns a new job."""
+
+from collections.abc import Iterable
+
+from .configuration import Configuration
+from .contract import Contract
+from .exceptions import RefusedError
+from .ids import DomainName
+from .job import JobSpec
+from .messages import DomainView
+from .states import Adjacency, DomainState
+
+UNPROCESSABLE = 422
+UNAVAILABLE = 503
+
+
+def choose_domain(
+    spec: JobSpec,
+    contract: Contract,
+    configuration: Configuration,
+    views: Iterable[DomainView],
+    own: DomainName,
+) -> DomainName:
+    """Return the domain in service that the job waits least in.
+
+    A domain that no control reports may hold anything. Raises
+    ``RefusedError`` for a gang larger than any domain can hold, and when no
+    domain is in service.
+    """
+    reported = {view.domain: view for view in views}
+    visible = _visible_domains(contract, configuration)
+    in_service = [
+        domain
+        for domain in visible
+        if configuration.domains[domain] is DomainState.IN
+    ]
+    fitting = [
+        domain for domain in visible if _can_hold(reported.get(domain), spec)
+    ]
+    if visible and not fitting:
+        raise _too_large(spec, reported)
+    candidates = [domain for domain in fitting if domain in in_service]
+    if not candidates:
+        raise RefusedError(
+            UNAVAILABLE,
+            'no failure domain that can hold the job is in service',
+        )
+    return min(
+        candidates,
+        key=lambda domain: _wait_rank(reported.get(domain), spec, domain, own),
+    )
+
+
+def _visible_domains(
+    contract: Contract,
+    configuration: Configuration,
+) -> list[DomainName]:
+    return sorted(
+        domain
+        for domain in configuration.domains
+        if domain not in contract.hidden_domains
+    )
+
+
+def _can_hold(view: DomainView | None, spec: JobSpec) -> bool:
+    if view is None:
+        return True
+    if spec.accelerators_per_task > view.largest_worker:
+        return False
+    return spec.accelerators <= _room_by_adjacency(view, spec.adjacency)
+
+
+def _room_by_adjacency(view: DomainView, adjacency: Adjacency) -> int:
+    if adjacency is Adjacency.WORKER:
+        return view.largest_worker
+    if adjacency is Adjacency.RACK:
+        return view.largest_rack
+    return view.total_accelerators
+
+
+def _too_large(
+    spec: JobSpec,
+    reported: dict[DomainName, DomainView],
+) -> RefusedError:
+    most = max(
+        _room_by_adjacency(view, spec.adjacency) for view in reported.values()
+    )
+    worker = max(view.largest_worker for view in reported.values())
+    return RefusedError(
+        UNPROCESSABLE,
+        f'{spec.tasks} tasks of {spec.accelerators_per_task} accelerators on '
+        f'one {spec.adjacency.value} are more than any domain can hold',
+        field='spec.tasks',
+        limit=f'{most} accelerators, {worker} on one worker',
+    )
+
+
+def _wait_rank(
+    view: DomainView | None,
+    spec: JobSpec,
+    domain: DomainName,
+    own: DomainName,
+) -> tuple[bool, int, bool, str]:
+    """Order: has room now, shortest queue, own domain, name."""
+    if view is None:
+        return (True, 0, domain != own, domain)
+    has_room = view.free_accelerators >= spec.accelerators
+    return (not has_room, view.queued_jobs, domain != own, domain)
--- /dev/null
+++ b/src/bulrushcove/job_routes.py
@@ -0,0 +1,292 @@
+"""HTTP routes for callers' jobs."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+import msgspec
+from aiohttp import web
+
+from .authentication import TokenIndex
+from .body import read_whole
+from .clock import MS_PER_S, Clock
+from .configuration import Configuration
+from .contract import Contract
+from .exceptions import (
+    PeerUnreachableError,
+    RefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from .ids import DomainName
+from .job import JobRecord
+from .job_domain import choose_domain
+from .job_messages import (
+    JobSubmission,
+    caller_job_id,
+    job_answer,
+    parse_submission,
+    stored_job_id,
+)
+from .job_store import JobChangedError, JobExistsError, JobStore, StoredJob
+from .job_watch import JobWatch
+from .messages import ClusterView, JobNotice
+from .refusals import json_response, malformed, refusal_response
+from .request_head import checked_id
+from .settings import EntrySettings
+from .states import JobState, Outcome
+from .tracing import (
+    TRACEPARENT,
+    current_trace_id,
+    current_traceparent,
+    span,
+)
+
+JOBS_PATH = '/v1/jobs'
+CREATED = 201
+NOT_FOUND = 404
+CONFLICT = 409
+UNAVAILABLE = 503
+MAX_CANCEL_TRIES = 8
+JobHandler = Callable[[web.Request, Contract], Awaitable[web.Response]]
+
+
+class ControlNotices(Protocol):
+    """The part of the link to this VM's control that jobs use."""
+
+    view: ClusterView | None
+
+    async def notify_job(self, notice: JobNotice) -> None:
+        """Tell the owner of the job's domain; raises when unreachable."""
+
+
+class JobContext(NamedTuple):
+    """Collaborators of the routes."""
+
+    settings: EntrySettings
+    domain: DomainName
+    configuration: Callable[[], Configuration]
+    tokens: TokenIndex
+    jobs: JobStore
+    watch: JobWatch
+    control: ControlNotices
+    clock: Clock
+
+
+def add_job_routes(router: web.UrlDispatcher, context: JobContext) -> None:
+    """Serve ``/v1/jobs``."""
+
+    def route(
+        handle: Callable[..., Awaitable[web.Response]],
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def handler(request: web.Request) -> web.Response:
+            return await _guarded(context, request, handle)
+
+        return handler
+
+    one = f'{JOBS_PATH}/{{job}}'
+    router.add_post(JOBS_PATH, route(_submit))
+    router.add_get(JOBS_PATH, route(_list))
+    router.add_get(one, route(_state))
+    router.add_get(f'{one}/result', route(_result))
+    router.add_post(f'{one}/cancel', route(_cancel))
+    router.add_post(f'{one}/acknowledge', route(_acknowledge))
+
+
+async def _guarded(
+    context: JobContext,
+    request: web.Request,
+    handle: Callable[..., Awaitable[web.Response]],
+) -> web.Response:
+    parent = request.headers.get(TRACEPARENT, '')
+    with span('entry.job', traceparent=parent):
+        try:
+            return await _translated(context, request, handle)
+        except RefusedError as exc:
+            return refusal_response(exc, current_trace_id())
+
+
+async def _translated(
+    context: JobContext,
+    request: web.Request,
+    handle: Callable[..., Awaitable[web.Response]],
+) -> web.Response:
+    contract = context.tokens.find(
+        context.configuration(), request.headers.get('Authorization', '')
+    )
+    try:
+        return await handle(context, request, contract)
+    except StoreUnavailableError as exc:
+        raise RefusedError(UNAVAILABLE, f'platform: {exc}') from exc
+    except StoreOutcomeUnknownError as exc:
+        raise RefusedError(
+            UNAVAILABLE, f'platform: {exc}', outcome=Outcome.UNKNOWN
+        ) from exc
+
+
+async def _submit(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    body = await read_whole(request, context.settings.retry_body_bytes)
+    record = _new_record(context, contract, parse_submission(body))
+    try:
+        stored = await context.jobs.create(record)
+    except JobExistsError as exc:
+        return _answer_duplicate(record, exc.stored.record)
+    await _notify(context, stored.record)
+    return json_response(job_answer(stored.record), CREATED)
+
+
+def _new_record(
+    context: JobContext,
+    contract: Contract,
+    submission: JobSubmission,
+) -> JobRecord:
+    spec = submission.spec
+    view = context.control.view
+    return JobRecord(
+        job=stored_job_id(contract.organisation, submission.job),
+        organisation=contract.organisation,
+        spec=spec,
+        state=JobState.QUEUED,
+        domain=choose_domain(
+            spec,
+            contract,
+            context.configuration(),
+            view.domains if view else (),
+            context.domain,
+        ),
+        accepted_unix_ms=context.clock.unix_ms(),
+        spec_sha256=hashlib.sha256(msgspec.json.encode(spec)).hexdigest(),
+        traceparent=current_traceparent(),
+    )
+
+
+def _answer_duplicate(wanted: JobRecord, found: JobRecord) -> web.Response:
+    if found.spec_sha256 == wanted.spec_sha256:
+        return json_response(job_answer(found))
+    raise RefusedError(
+        CONFLICT,
+        f'job {caller_job_id(found)!r} exists with another spec',
+        field='job',
+        limit='one spec for each id',
+    )
+
+
+async def _list(
+    context: JobContext,
+    _request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    scan = await context.jobs.scan()
+    return json_response(
+        [
+            job_answer(stored.record)
+            for stored in scan.jobs
+            if stored.record.organisation == contract.organisation
+        ]
+    )
+
+
+async def _state(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    stored = await _load(context, request, contract)
+    return json_response(job_answer(stored.record))
+
+
+async def _result(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    wait_ms = _wait_ms(request, context.settings.max_deadline_ms)
+    stored = await _load(context, request, contract)
+    record = stored.record
+    if wait_ms and not record.state.is_final:
+        record = await context.watch.wait(stored, wait_ms / MS_PER_S)
+    return json_response(job_answer(record, with_results=True))
+
+
+async def _cancel(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    for _ in range(MAX_CANCEL_TRIES):
+        stored = await _load(context, request, contract)
+        record = stored.record
+        if record.state.is_final or record.cancel_requested:
+            return json_response(job_answer(record))
+        wanted = msgspec.structs.replace(record, cancel_requested=True)
+        try:
+            stored = await context.jobs.replace(stored, wanted)
+        except JobChangedError:
+            continue
+        await _notify(context, stored.record)
+        return json_response(job_answer(stored.record))
+    raise RefusedError(
+        CONFLICT, 'the job keeps changing; ask again', outcome=Outcome.UNKNOWN
+    )
+
+
+async def _acknowledge(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    stored = await _load(context, request, contract)
+    if not stored.record.state.is_final:
+        raise RefusedError(
+            CONFLICT,
+            f'the job is {stored.record.state.value}, its result is not final',
+            outcome=Outcome.UNKNOWN,
+            field='job',
+        )
+    try:
+        await context.jobs.delete(stored)
+    except JobChangedError as exc:
+        if exc.stored is not None:
+            raise RefusedError(
+                CONFLICT, str(exc), outcome=Outcome.UNKNOWN
+            ) from exc
+    return json_response(job_answer(stored.record))
+
+
+async def _load(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> StoredJob:
+    """Return the job; another organisation's is not found either."""
+    caller_id = checked_id('job', request.match_info['job'])
+    job = stored_job_id(contract.organisation, caller_id)
+    stored = await context.jobs.load(job)
+    if stored is None:
+        raise RefusedError(
+            NOT_FOUND,
+            f'job {caller_id!r} is not known',
+            outcome=Outcome.UNKNOWN,
+            field='job',
+        )
+    return stored
+
+
+async def _notify(context: JobContext, record: JobRecord) -> None:
+    """Tell the owner now; without it the owner finds the record later."""
+    notice = JobNotice(record.job, record.domain, record.traceparent)
+    try:
+        await context.control.notify_job(notice)
+    except PeerUnreachableError:
+        return
+
+
+def _wait_ms(request: web.Request, most: int) -> int:
+    found = request.query.get('wait_ms', '0')
+    if found.isascii() and found.isdigit() and int(found) <= most:
+        return int(found)
+    raise malformed('wait_ms', f'{found!r} is no time', f'0 to {most} ms')
--- /dev/null
+++ b/src/bulrushcove/request_head.py
@@ -0,0 +1,92 @@
+"""Headers of a caller's request, parsed into typed fields."""
+
+import re
+from collections.abc import Mapping
+
+import msgspec
+
+from .clock import MS_PER_S
+from .contract import Contract
+from .ids import RequestId
+from .refusals import malformed
+from .settings import EntrySettings
+from .states import Urgency
+
+REQUEST_HEADER = 'X-Bulrushcove-Request'
+IDEMPOTENT_HEADER = 'X-Bulrushcove-Idempotent'
+DEADLINE_HEADER = 'X-Bulrushcove-Deadline-Ms'
+URGENCY_HEADER = 'X-Bulrushcove-Urgency'
+ID_FORM = '1 to 128 of A-Z a-z 0-9 . _ : -'
+_id_pattern = re.compile('[A-Za-z0-9._:-]{1,128}')
+_booleans: Mapping[str, bool] = {'true': True, 'false': False}
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """What a caller says of its request; ``deadline_s`` is monotonic."""
+
+    contract: Contract
+    request: RequestId
+    idempotent: bool
+    urgency: Urgency
+    deadline_s: float
+
+
+def parse_head(
+    headers: Mapping[str, str],
+    contract: Contract,
+    settings: EntrySettings,
+    now_s: float,
+) -> RequestHead:
+    """Return the head of a request; raises ``RefusedError`` (400).
+
+    A request that does not say whether it is idempotent is not.
+    """
+    return RequestHead(
+        contract=contract,
+        request=RequestId(
+            checked_id(REQUEST_HEADER, headers.get(REQUEST_HEADER, ''))
+        ),
+        idempotent=_idempotent(headers.get(IDEMPOTENT_HEADER, 'false')),
+        urgency=_urgency(headers.get(URGENCY_HEADER, Urgency.NORMAL.value)),
+        deadline_s=now_s + _deadline_ms(headers, settings) / MS_PER_S,
+    )
+
+
+def checked_id(field: str, found: str) -> str:
+    """Return ``found`` when it has the form of an id."""
+    if _id_pattern.fullmatch(found):
+        return found
+    raise malformed(field, f'{field} is not a valid id', ID_FORM)
+
+
+def _idempotent(found: str) -> bool:
+    idempotent = _booleans.get(found)
+    if idempotent is None:
+        raise malformed(
+            IDEMPOTENT_HEADER, f'{found!r} is not a boolean', 'true or false'
+        )
+    return idempotent
+
+
+def _urgency(found: str) -> Urgency:
+    try:
+        return Urgency(found)
+    except ValueError as exc:
+        raise malformed(
+            URGENCY_HEADER, f'{found!r} is not an urgency', 'urgent or normal'
+        ) from exc
+
+
+def _deadline_ms(headers: Mapping[str, str], settings: EntrySettings) -> int:
+    found = headers.get(DEADLINE_HEADER)
+    if found is None:
+        return settings.default_deadline_ms
+    if found.isascii() and found.isdigit():
+        deadline_ms = int(found)
+        if 0 < deadline_ms <= settings.max_deadline_ms:
+            return deadline_ms
+    raise malformed(
+        DEADLINE_HEADER,
+        f'deadline of {found!r} ms is not positive or over the limit',
+        f'1 to {settings.max_deadline_ms} ms',
+    )
--- /dev/null
+++ b/tests/entry_fakes.py
@@ -0,0 +1,180 @@
+"""A tiny backend server and an entry's caller routes, for tests."""
+
+import asyncio
+import random
+
+from aiohttp import web
+
+from bulrushcove.admission import Admission
+from bulrushcove.authentication import TokenIndex, token_digest
+from bulrushcove.backend_client import BackendClient
+from bulrushcove.caller_routes import (
+    CallerContext,
+    add_caller_routes,
+    new_caller_metrics,
+)
+from bulrushcove.clock import SystemClock
+from bulrushcove.configuration import Configuration
+from bulrushcove.contract import Contract, RequestLimits
+from bulrushcove.metrics import new_metrics
+from bulrushcove.request_path import RequestPath
+from bulrushcove.routing import Router
+from bulrushcove.settings import EntrySettings
+from bulrushcove.states import DomainState, VmRole
+from bulrushcove.vm_list import VmEntry
+
+TOKENS = {'litoral': 'Bearer pulp', 'parlstugan': 'Bearer pearls'}
+SETTINGS = EntrySettings(
+    port=0,
+    max_body_bytes=1_000_000,
+    retry_body_bytes=10_000,
+    max_deadline_ms=60_000,
+)
+
+
+class FakeBackend:
+    """Answers ``POST /v1/run``; behaviour set by the test."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.ran: list[str] = []
+        self.heads: list[dict[str, str]] = []
+        self.probes = 0
+        self.leaving = False
+        self.port = 0
+        self.behave = echo
+
+    def application(self) -> web.Application:
+        application = web.Application(client_max_size=10_000_000)
+        application.router.add_post('/v1/run', self.run)
+        application.router.add_get('/v1/state', self.state)
+        return application
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        self.heads.append(dict(request.headers))
+        return await self.behave(self, request)
+
+    async def state(self, _request: web.Request) -> web.Response:
+        self.probes += 1
+        return web.json_response(
+            {
+                'backend': self.name,
+                'slots': 8,
+                'busy': 0,
+                'leaving': self.leaving,
+            }
+        )
+
+
+async def echo(backend: FakeBackend, request: web.Request) -> web.Response:
+    body = await request.read()
+    backend.ran.append(request.headers['X-Request-Id'])
+    return web.Response(body=b'answer to ' + body)
+
+
+async def busy(_backend: FakeBackend, _request: web.Request) -> web.Response:
+    return web.Response(status=503, headers={'X-Backend-State': 'busy'})
+
+
+async def leaving(_backend: FakeBackend, _request: web.Request) -> web.Response:
+    return web.Response(status=503, headers={'X-Backend-State': 'leaving'})
+
+
+async def die_after_reading(
+    backend: FakeBackend, request: web.Request
+) -> web.Response:
+    await request.read()
+    backend.ran.append(request.headers['X-Request-Id'])
+    request.transport.abort()
+    return web.Response()
+
+
+async def silent(backend: FakeBackend, request: web.Request) -> web.Response:
+    await request.read()
+    backend.ran.append(request.headers['X-Request-Id'])
+    await asyncio.sleep(3600)
+    return web.Response()
+
+
+async def cut(backend: FakeBackend, request: web.Request) -> web.Response:
+    await request.read()
+    backend.ran.append(request.headers['X-Request-Id'])
+    response = web.StreamResponse()
+    response.content_length = 2_000_000
+    await response.prepare(request)
+    await response.write(b'x' * 1_000_000)
+    request.transport.close()
+    return response
+
+
+def contract_of(organisation: str, **limits: int) -> Contract:
+    return Contract(
+        organisation=organisation,
+        token_sha256=(token_digest(TOKENS[organisation]),),
+        requests=RequestLimits(**limits),
+    )
+
+
+def configuration_of(*contracts: Contract) -> Configuration:
+    return Configuration(
+        revision=1,
+        contracts={one.organisation: one for one in contracts},
+        domains={'north': DomainState.IN},
+    )
+
+
+def backend_vm(backend: FakeBackend, domain: str = 'north') -> VmEntry:
+    return VmEntry(
+        vm=backend.name,
+        role=VmRole.BACKEND,
+        domain=domain,
+        address='127.0.0.1',
+        port=backend.port,
+    )
+
+
+class EntryBench:
+    """One entry's request path in front of fake backend servers."""
+
+    def __init__(self, *backends: FakeBackend, **limits: int) -> None:
+        self.router = Router('north', random.Random(1))
+        self.router.update([backend_vm(one) for one in backends])
+        self.client = BackendClient()
+        self.path = RequestPath(
+            Admission(), self.router, self.client, SystemClock()
+        )
+        self.configuration = configuration_of(
+            contract_of('litoral', **limits), contract_of('parlstugan')
+        )
+
+    def application(self) -> web.Application:
+        application = web.Application()
+        answered, completion = new_caller_metrics(new_metrics())
+        context = CallerContext(
+            settings=SETTINGS,
+            configuration=lambda: self.configuration,
+            tokens=TokenIndex(),
+            path=self.path,
+            clock=SystemClock(),
+            answered=answered,
+            completion=completion,
+        )
+        add_caller_routes(application.router, context)
+
+        async def close(_application: web.Application) -> None:
+            await self.client.close()
+
+        application.on_cleanup.append(close)
+        return application
+
+
+def head(request: str = 'r1', **more: str) -> dict[str, str]:
+    headers = {
+        'Authorization': TOKENS['litoral'],
+        'X-Bulrushcove-Request': request,
+        'X-Bulrushcove-Idempotent': 'true',
+    }
+    headers.update(
+        (name.replace('_', '-'), found) for name, found in more.items()
+    )
+    return headers
--- /dev/null
+++ b/tests/test_job_routes.py
@@ -0,0 +1,206 @@
+import asyncio
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from bulrushcove.authentication import TokenIndex
+from bulrushcove.clock import SystemClock
+from bulrushcove.exceptions import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from bulrushcove.job_routes import JobContext, add_job_routes
+from bulrushcove.job_store import JobStore
+from bulrushcove.job_watch import JobWatch
+from bulrushcove.messages import ClusterView, DomainView
+from bulrushcove.states import JobState
+from tests.entry_fakes import (
+    SETTINGS,
+    TOKENS,
+    configuration_of,
+    contract_of,
+)
+from tests.fake_store import FakeStore
+
+URL = '/v1/jobs'
+LITORAL = {'Authorization': TOKENS['litoral']}
+PARLSTUGAN = {'Authorization': TOKENS['parlstugan']}
+SPEC = {'kind': 'boiler', 'tasks': 4, 'accelerators_per_task': 2}
+
+
+class FakeControl:
+    def __init__(self):
+        self.notices = []
+        self.view = ClusterView(
+            vm_statuses=(),
+            domains=(north_view(),),
+            vms=(),
+            platform_reachable=True,
+            permit_age_ms={},
+        )
+
+    async def notify_job(self, notice):
+        self.notices.append(notice)
+
+
+def north_view():
+    return DomainView(
+        domain='north',
+        control='e1',
+        epoch=1,
+        workers=8,
+        usable_workers=8,
+        free_accelerators=64,
+        total_accelerators=64,
+        largest_rack=64,
+        largest_worker=8,
+        queued_jobs=0,
+        running_jobs=0,
+    )
+
+
+@pytest.fixture
+async def bench(aiohttp_client):
+    store = FakeStore()
+    jobs = JobStore(store)
+    watch = JobWatch(jobs)
+    control = FakeControl()
+    configuration = configuration_of(
+        contract_of('litoral'), contract_of('parlstugan')
+    )
+    application = web.Application()
+    context = JobContext(
+        settings=SETTINGS,
+        domain='north',
+        configuration=lambda: configuration,
+        tokens=TokenIndex(),
+        jobs=jobs,
+        watch=watch,
+        control=control,
+        clock=SystemClock(),
+    )
+    add_job_routes(application.router, context)
+    client = await aiohttp_client(application)
+    client.store = store
+    client.jobs = jobs
+    client.control = control
+    await watch.start()
+    yield client
+    await watch.stop()
+
+
+async def submit(client, job='j1', headers=LITORAL, **changes):
+    return await client.post(
+        URL, json={'job': job, 'spec': SPEC | changes}, headers=headers
+    )
+
+
+async def finish(client, job, state=JobState.SUCCEEDED):
+    stored = await client.jobs.load(job)
+    ended = msgspec.structs.replace(
+        stored.record, state=state, results=('done',)
+    )
+    await client.jobs.replace(stored, ended)
+
+
+async def test_submitted_job_is_durable_and_its_owner_told(bench):
+    answer = await submit(bench)
+    assert answer.status == 201
+    assert (await answer.json())['state'] == 'queued'
+    stored = await bench.jobs.load('litoral/j1')
+    assert stored.record.domain == 'north'
+    assert [notice.job for notice in bench.control.notices] == ['litoral/j1']
+
+
+async def test_same_submission_again_is_one_job(bench):
+    await submit(bench)
+    again = await submit(bench)
+    other = await submit(bench, tasks=3)
+    assert (again.status, other.status) == (200, 409)
+    assert (await other.json())['field'] == 'job'
+
+
+async def test_organisations_share_no_job_ids(bench):
+    await submit(bench)
+    assert (await bench.get(f'{URL}/j1', headers=PARLSTUGAN)).status == 404
+    assert (await submit(bench, headers=PARLSTUGAN, tasks=2)).status == 201
+    listed = await bench.get(URL, headers=PARLSTUGAN)
+    assert len(await listed.json()) == 1
+
+
+async def test_wait_for_the_result_and_acknowledge(bench):
+    await submit(bench)
+    early = await bench.post(f'{URL}/j1/acknowledge', headers=LITORAL)
+    assert early.status == 409
+    waiting = asyncio.create_task(
+        bench.get(f'{URL}/j1/result?wait_ms=5000', headers=LITORAL)
+    )
+    await asyncio.sleep(0.05)
+    await finish(bench, 'litoral/j1')
+    body = await (await waiting).json()
+    assert (body['state'], body['results']) == ('succeeded', ['done'])
+    assert (
+        await bench.post(f'{URL}/j1/acknowledge', headers=LITORAL)
+    ).status == 200
+    assert (await bench.get(f'{URL}/j1', headers=LITORAL)).status == 404
+
+
+async def test_wait_ends_without_a_result(bench):
+    await submit(bench)
+    answer = await bench.get(f'{URL}/j1/result?wait_ms=50', headers=LITORAL)
+    assert (await answer.json())['state'] == 'queued'
+
+
+async def test_cancel_is_asked_for_once(bench):
+    await submit(bench)
+    for _ in range(2):
+        answer = await bench.post(f'{URL}/j1/cancel', headers=LITORAL)
+        assert (await answer.json())['cancel_requested']
+    assert len(bench.control.notices) == 2
+
+
+@pytest.mark.parametrize(
+    ('body', 'status', 'field'),
+    [
+        ({'job': 'j 1', 'spec': SPEC}, 400, 'job'),
+        ({'job': 'j1', 'spec': SPEC, 'more': 1}, 400, 'more'),
+        ({'job': 'j1', 'spec': SPEC | {'gpu': 1}}, 400, 'spec.gpu'),
+        ({'job': 'j1', 'spec': SPEC | {'tasks': 65}}, 400, 'spec.tasks'),
+        ({'job': 'j1', 'spec': SPEC | {'tasks': 33}}, 422, 'spec.tasks'),
+        (
+            {'job': 'j1', 'spec': SPEC | {'accelerators_per_task': 9}},
+            422,
+            'spec.tasks',
+        ),
+        (
+            {'job': 'j1', 'spec': SPEC | {'tasks': 5, 'adjacency': 'worker'}},
+            422,
+            'spec.tasks',
+        ),
+    ],
+)
+async def test_bad_submission_leaves_nothing(bench, body, status, field):
+    answer = await bench.post(URL, json=body, headers=LITORAL)
+    refusal = await answer.json()
+    assert (answer.status, refusal['field']) == (status, field)
+    assert (refusal['outcome'], refusal['limit'] != '') == ('not-run', True)
+    assert await (await bench.get(URL, headers=LITORAL)).json() == []
+
+
+@pytest.mark.parametrize(
+    ('error', 'outcome'),
+    [
+        (StoreUnavailableError, 'not-run'),
+        (StoreOutcomeUnknownError, 'unknown'),
+    ],
+)
+async def test_platform_outage_is_told_truly(bench, error, outcome):
+    async def fails(*_arguments, **_options):
+        raise error('no answer')
+
+    bench.store.write = fails
+    bench.store.read = fails
+    answer = await submit(bench)
+    assert answer.status == 503
+    assert (await answer.json())['outcome'] == outcome
