Operators' HTTP routes on an entry VM

Contracts, domains, status, jobs, explain and workers under /v1/operator, with a constant-time check of the operator token and typed errors: 409 another's change, 422 refused, 503 surely not done, 504 unknown. Operators never see payloads or results.

--- /dev/null
+++ b/src/bulrushcove/job_explanation.py
@@ -0,0 +1,121 @@
+"""Explains in plain words why a job waits, runs or has ended."""
+
+from collections.abc import Iterator
+
+from .configuration import Configuration
+from .contract import Contract
+from .ids import DomainName
+from .job import JobRecord
+from .messages import ClusterView, DomainView
+from .states import DomainState, JobState
+
+
+def explain(
+    record: JobRecord,
+    configuration: Configuration,
+    view: ClusterView | None,
+) -> tuple[str, ...]:
+    """Return sentences on the job, the latest news first."""
+    return (
+        *_state_lines(record),
+        *_waiting_lines(record, configuration, view),
+        *_contract_lines(record, configuration),
+    )
+
+
+def _state_lines(record: JobRecord) -> Iterator[str]:
+    spec = record.spec
+    yield (
+        f'Job {record.job!r} of {record.organisation!r} is '
+        f'{record.state.value} in domain {record.domain!r}: {spec.tasks} tasks '
+        f'with {spec.accelerators_per_task} accelerators each, within one '
+        f'{spec.adjacency.value}, {spec.urgency.value}.'
+    )
+    if record.reason:
+        yield f'Reason: {record.reason}.'
+    if record.cancel_requested and not record.state.is_final:
+        yield 'Its cancellation was asked for and is under way.'
+    if record.current is not None:
+        yield from _placement_lines(record)
+    if record.attempts > 1:
+        yield f'This is attempt {record.attempts}.'
+    if record.state is JobState.UNKNOWN:
+        yield (
+            'It is not idempotent and its attempt may have run, so it is '
+            'never started again.'
+        )
+
+
+def _placement_lines(record: JobRecord) -> Iterator[str]:
+    current = record.current
+    if current is None:
+        return
+    placed = ', '.join(
+        f'{part.worker} ({len(part.parts)} tasks)' for part in current.placement
+    )
+    yield f'Attempt {current.attempt!r} was placed on {placed}.'
+    if current.borrowed:
+        yield (
+            'It runs beyond the guarantee of its organisation, on borrowed '
+            'accelerators, and may be stopped to reclaim them.'
+        )
+    else:
+        yield 'It runs within the guarantee of its organisation.'
+
+
+def _waiting_lines(
+    record: JobRecord,
+    configuration: Configuration,
+    view: ClusterView | None,
+) -> Iterator[str]:
+    if record.state is not JobState.QUEUED:
+        return
+    domain = record.domain
+    if configuration.domains.get(domain) is not DomainState.IN:
+        yield f'It waits because domain {domain!r} is not in service.'
+    if view is None:
+        yield 'This VM has no link to its control and cannot tell more.'
+        return
+    if domain not in view.permit_age_ms:
+        yield f'No task starts in {domain!r}: there is no start permit.'
+    yield _capacity_line(record, _find_view(view, domain))
+
+
+def _capacity_line(record: JobRecord, reported: DomainView | None) -> str:
+    if reported is None:
+        return f'No active control reports on domain {record.domain!r}.'
+    wanted = record.spec.accelerators
+    return (
+        f'It needs {wanted} accelerators; domain {record.domain!r} has '
+        f'{reported.free_accelerators} of {reported.total_accelerators} free, '
+        f'and {reported.queued_jobs} jobs queued.'
+    )
+
+
+def _find_view(view: ClusterView, domain: DomainName) -> DomainView | None:
+    for reported in view.domains:
+        if reported.domain == domain:
+            return reported
+    return None
+
+
+def _contract_lines(
+    record: JobRecord,
+    configuration: Configuration,
+) -> Iterator[str]:
+    contract = configuration.contracts.get(record.organisation)
+    if contract is None:
+        yield f'Organisation {record.organisation!r} has no contract now.'
+        return
+    yield (
+        f'Its contract guarantees {_guaranteed(contract)} accelerators and '
+        f'lets it borrow {contract.jobs.max_borrowed_accelerators} more.'
+    )
+    if record.domain in contract.hidden_domains:
+        yield f'Its contract hides domain {record.domain!r} from it.'
+
+
+def _guaranteed(contract: Contract) -> int:
+    return sum(
+        shape.accelerators * shape.count for shape in contract.guaranteed
+    )
--- /dev/null
+++ b/src/bulrushcove/operator_answers.py
@@ -0,0 +1,146 @@
+"""Authentication, checked bodies and typed errors of the operators' API."""
+
+import asyncio
+import hashlib
+import hmac
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+import msgspec
+from aiohttp import web
+
+from .exceptions import (
+    BulrushcoveError,
+    ConfigurationConflictError,
+    ConfigurationError,
+    RefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from .operator_api import ErrorAnswer
+from .states import Outcome
+from .tracing import TRACEPARENT, current_trace_id, span
+
+HTTP_BAD_REQUEST = 400
+HTTP_UNAUTHORIZED = 401
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_TOO_LARGE = 413
+HTTP_UNPROCESSABLE = 422
+HTTP_UNAVAILABLE = 503
+HTTP_TIMEOUT = 504
+
+MAX_OPERATOR_BODY_BYTES = 1_048_576
+BEARER = 'Bearer '
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Answering = Callable[[web.Request], Awaitable[msgspec.Struct]]
+BodyType = TypeVar('BodyType', bound=msgspec.Struct)
+
+# Most specific first.
+STATUSES = (
+    (ConfigurationConflictError, HTTP_CONFLICT, Outcome.NOT_RUN),
+    (ConfigurationError, HTTP_UNPROCESSABLE, Outcome.NOT_RUN),
+    (StoreUnavailableError, HTTP_UNAVAILABLE, Outcome.NOT_RUN),
+    (StoreOutcomeUnknownError, HTTP_TIMEOUT, Outcome.UNKNOWN),
+)
+
+
+def operator_handler(
+    answering: Answering,
+    token_sha256: Iterable[str],
+) -> Handler:
+    """Return a handler that answers operators with what ``answering`` gives.
+
+    It checks the operator's token and turns errors into typed answers.
+    """
+    allowed = tuple(token_sha256)
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        traceparent = request.headers.get(TRACEPARENT, '')
+        with span('entry.operator', traceparent=traceparent):
+            try:
+                return await _answer(request, answering, allowed)
+            except BulrushcoveError as exc:
+                return _error_response(exc)
+
+    return handle
+
+
+async def read_body(
+    request: web.Request,
+    body_type: type[BodyType],
+) -> BodyType:
+    """Return the request's body as a message of ``body_type``.
+
+    Raises ``RefusedError`` when it is too large or does not fit.
+    """
+    try:
+        body = await request.content.readexactly(MAX_OPERATOR_BODY_BYTES + 1)
+    except asyncio.IncompleteReadError as exc:
+        # The usual case: the body ends before the limit.
+        body = exc.partial
+    if len(body) > MAX_OPERATOR_BODY_BYTES:
+        raise RefusedError(
+            HTTP_TOO_LARGE,
+            f'body is over the limit of {MAX_OPERATOR_BODY_BYTES} bytes',
+            field='body',
+            limit=f'{MAX_OPERATOR_BODY_BYTES} bytes',
+        )
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise RefusedError(
+            HTTP_BAD_REQUEST,
+            f'body is not a {body_type.__name__}: {exc}',
+            field='body',
+        ) from exc
+
+
+async def _answer(
+    request: web.Request,
+    answering: Answering,
+    allowed: tuple[str, ...],
+) -> web.Response:
+    _check_token(request, allowed)
+    return _json_response(await answering(request), web.HTTPOk.status_code)
+
+
+def _check_token(request: web.Request, allowed: tuple[str, ...]) -> None:
+    header = request.headers.get('Authorization', '')
+    token = header.removeprefix(BEARER)
+    digest = hashlib.sha256(token.encode(errors='replace')).hexdigest()
+    # Every hash is compared, so that the time tells nothing.
+    matches = [hmac.compare_digest(digest, known) for known in allowed]
+    if not header.startswith(BEARER) or not any(matches):
+        raise RefusedError(HTTP_UNAUTHORIZED, 'no valid operator token')
+
+
+def _error_response(error: BulrushcoveError) -> web.Response:
+    if isinstance(error, RefusedError):
+        answer = ErrorAnswer(
+            outcome=error.outcome,
+            message=str(error),
+            field=error.field,
+            limit=error.limit,
+            trace=current_trace_id(),
+        )
+        return _json_response(answer, error.status)
+    for error_type, status, outcome in STATUSES:
+        if isinstance(error, error_type):
+            answer = ErrorAnswer(
+                outcome=outcome,
+                message=str(error),
+                trace=current_trace_id(),
+                details=getattr(error, 'details', ()),
+            )
+            return _json_response(answer, status)
+    raise error
+
+
+def _json_response(answer: msgspec.Struct, status: int) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(answer),
+        status=status,
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/bulrushcove/operator_job_routes.py
@@ -0,0 +1,99 @@
+"""Operators' HTTP routes for jobs and workers."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from .exceptions import RefusedError
+from .ids import JobId
+from .job_explanation import explain
+from .messages import ClusterView
+from .names import unknown_name
+from .operator_answers import HTTP_BAD_REQUEST
+from .operator_api import Explanation, JobList, JobSummary, WorkerList
+from .operator_jobs import OperatorJobs, summarize
+from .operator_status import build_workers
+from .operators import Operators
+from .states import JobState
+
+DEFAULT_JOB_LIMIT = 200
+MAX_JOB_LIMIT = 10_000
+
+View = Callable[[], ClusterView | None]
+
+
+class JobRoutes:
+    """Answers operators about jobs and workers."""
+
+    def __init__(
+        self,
+        operators: Operators,
+        view: View,
+        jobs: OperatorJobs,
+    ) -> None:
+        """Read from these; ``view`` is the control's last news."""
+        self._operators = operators
+        self._view = view
+        self._jobs = jobs
+
+    async def workers(self, _request: web.Request) -> WorkerList:
+        """Return the workers that answer."""
+        workers = await self._operators.workers()
+        return build_workers(workers, self._operators.held)
+
+    async def list_jobs(self, request: web.Request) -> JobList:
+        """Return the newest jobs that match the query."""
+        state = _job_state(request.query.get('state', ''))
+        organisation = request.query.get('organisation', '')
+        limit = _limit(request.query.get('limit', str(DEFAULT_JOB_LIMIT)))
+        found = [
+            summarize(record)
+            for record in await self._jobs.all_jobs()
+            if state in {None, record.state}
+            and organisation in {'', record.organisation}
+        ]
+        left_out = max(0, len(found) - limit)
+        return JobList(jobs=tuple(found[left_out:]), left_out=left_out)
+
+    async def show(self, request: web.Request) -> JobSummary:
+        """Return one job."""
+        return summarize(await self._jobs.load(_job(request)))
+
+    async def explain(self, request: web.Request) -> Explanation:
+        """Return why one job is where it is."""
+        record = await self._jobs.load(_job(request))
+        lines = explain(record, self._operators.held, self._view())
+        return Explanation(job=record.job, lines=lines)
+
+    async def cancel(self, request: web.Request) -> JobSummary:
+        """Ask for the cancellation of one job."""
+        return summarize(await self._jobs.cancel(_job(request)))
+
+
+def _job(request: web.Request) -> JobId:
+    return JobId(request.match_info['job'])
+
+
+def _job_state(text: str) -> JobState | None:
+    if not text:
+        return None
+    try:
+        return JobState(text)
+    except ValueError as exc:
+        known = [state.value for state in JobState]
+        raise RefusedError(
+            HTTP_BAD_REQUEST,
+            unknown_name('job state', text, known),
+            field='state',
+        ) from exc
+
+
+def _limit(text: str) -> int:
+    if text.isdecimal() and 0 < int(text) <= MAX_JOB_LIMIT:
+        return int(text)
+    raise RefusedError(
+        HTTP_BAD_REQUEST,
+        f'limit: found {text!r}, allowed: 1 to {MAX_JOB_LIMIT}',
+        field='limit',
+        limit=str(MAX_JOB_LIMIT),
+    )
--- /dev/null
+++ b/src/bulrushcove/operator_jobs.py
@@ -0,0 +1,111 @@
+"""Jobs as operators see them: summaries without payloads and results."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from .exceptions import PeerUnreachableError, RefusedError
+from .ids import DomainName, JobId
+from .job import JobRecord
+from .job_store import JobChangedError, JobStore, StoredJob
+from .messages import JobNotice
+from .operator_api import JobSummary
+from .tracing import current_traceparent
+
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+MAX_CANCEL_TRIES = 5
+
+NotifyJob = Callable[[JobNotice], Awaitable[object]]
+
+
+class OperatorJobs:
+    """Reads all jobs and cancels one; store errors pass through."""
+
+    def __init__(self, jobs: JobStore, notify: NotifyJob) -> None:
+        """Work on ``jobs``; ``notify`` tells the domain's active control."""
+        self._jobs = jobs
+        self._notify = notify
+
+    async def all_jobs(self) -> tuple[JobRecord, ...]:
+        """Return every record that is kept, oldest first."""
+        scan = await self._jobs.scan()
+        records = [stored.record for stored in scan.jobs]
+        records.sort(key=lambda record: (record.accepted_unix_ms, record.job))
+        return tuple(records)
+
+    async def in_domain(self, domain: DomainName) -> tuple[JobId, ...]:
+        """Return the jobs that wait or run in ``domain``."""
+        return tuple(
+            record.job
+            for record in await self.all_jobs()
+            if record.domain == domain and not record.state.is_final
+        )
+
+    async def load(self, job: JobId) -> JobRecord:
+        """Return one record; raises ``RefusedError`` without it."""
+        return (await self._load(job)).record
+
+    async def cancel(self, job: JobId) -> JobRecord:
+        """Ask for the cancellation of a job; a job that has ended stays so.
+
+        Raises ``RefusedError`` when the job is not known or keeps changing.
+        """
+        for _ in range(MAX_CANCEL_TRIES):
+            stored = await self._load(job)
+            record = stored.record
+            if record.state.is_final or record.cancel_requested:
+                return record
+            try:
+                record = await self._request_cancel(stored)
+            except JobChangedError:
+                continue
+            return record
+        raise RefusedError(
+            HTTP_CONFLICT,
+            f'job {job!r} changed {MAX_CANCEL_TRIES} times in a row',
+        )
+
+    async def _request_cancel(self, stored: StoredJob) -> JobRecord:
+        record = msgspec.structs.replace(stored.record, cancel_requested=True)
+        await self._jobs.replace(stored, record)
+        notice = JobNotice(record.job, record.domain, current_traceparent())
+        try:
+            await self._notify(notice)
+        except PeerUnreachableError:
+            # The control finds the flag by its next scan.
+            return record
+        return record
+
+    async def _load(self, job: JobId) -> StoredJob:
+        stored = await self._jobs.load(job)
+        if stored is None:
+            raise RefusedError(HTTP_NOT_FOUND, f'unknown job {job!r}')
+        return stored
+
+
+def summarize(record: JobRecord) -> JobSummary:
+    """Return what operators see of ``record``."""
+    spec = record.spec
+    current = record.current
+    placement = current.placement if current else ()
+    return JobSummary(
+        job=record.job,
+        organisation=record.organisation,
+        kind=spec.kind,
+        state=record.state,
+        domain=record.domain,
+        tasks=spec.tasks,
+        accelerators=spec.accelerators,
+        adjacency=spec.adjacency,
+        urgency=spec.urgency,
+        idempotent=spec.idempotent,
+        accepted_unix_ms=record.accepted_unix_ms,
+        ended_unix_ms=record.ended_unix_ms,
+        attempts=record.attempts,
+        attempt=current.attempt if current else None,
+        workers=tuple(part.worker for part in placement),
+        borrowed=bool(current and current.borrowed),
+        cancel_requested=record.cancel_requested,
+        reason=record.reason,
+    )
--- /dev/null
+++ b/src/bulrushcove/operator_routes.py
@@ -0,0 +1,156 @@
+"""HTTP routes for operators on an entry VM, under ``/v1/operator``."""
+
+from collections.abc import Iterable
+
+import msgspec
+from aiohttp import web
+
+from .configuration import Configuration
+from .exceptions import (
+    ConfigurationError,
+    RefusedError,
+    StoreUnavailableError,
+)
+from .ids import DomainName, JobId, OrganisationId
+from .names import unknown_name
+from .operator_answers import (
+    HTTP_BAD_REQUEST,
+    operator_handler,
+    read_body,
+)
+from .operator_api import (
+    CONTRACTS_PATH,
+    DOMAINS_PATH,
+    JOBS_PATH,
+    STATUS_PATH,
+    WORKERS_PATH,
+    ChangeAnswer,
+    ChangeOrder,
+    ConfigurationAnswer,
+    ContractChange,
+    DomainChange,
+    StatusAnswer,
+)
+from .operator_job_routes import JobRoutes, View
+from .operator_jobs import OperatorJobs
+from .operator_status import build_status, known_domains
+from .operators import Operators
+from .states import DomainState
+
+
+def add_operator_routes(
+    router: web.UrlDispatcher,
+    operators: Operators,
+    view: View,
+    *,
+    jobs: OperatorJobs,
+    token_sha256: Iterable[str],
+) -> None:
+    """Serve operators whose token's SHA-256 is in ``token_sha256``.
+
+    ``view`` gives what the control on this VM last told the entry.
+    """
+    tokens = tuple(token_sha256)
+    configuration = _ConfigurationRoutes(operators, view, jobs)
+    work = JobRoutes(operators, view, jobs)
+    contract_path = f'{CONTRACTS_PATH}/{{organisation}}'
+    job_path = f'{JOBS_PATH}/{{job}}'
+    for method, path, answering in (
+        ('GET', CONTRACTS_PATH, configuration.show),
+        ('GET', DOMAINS_PATH, configuration.show),
+        ('PUT', contract_path, configuration.apply_contract),
+        ('DELETE', contract_path, configuration.remove_contract),
+        ('PUT', f'{DOMAINS_PATH}/{{domain}}', configuration.set_domain),
+        ('GET', STATUS_PATH, configuration.status),
+        ('GET', WORKERS_PATH, work.workers),
+        ('GET', JOBS_PATH, work.list_jobs),
+        ('GET', job_path, work.show),
+        ('GET', f'{job_path}/explain', work.explain),
+        ('POST', f'{job_path}/cancel', work.cancel),
+    ):
+        handler = operator_handler(answering, tokens)
+        router.add_route(method, path, handler)
+
+
+class _ConfigurationRoutes:
+    def __init__(
+        self,
+        operators: Operators,
+        view: View,
+        jobs: OperatorJobs,
+    ) -> None:
+        self._operators = operators
+        self._view = view
+        self._jobs = jobs
+
+    async def show(self, _request: web.Request) -> ConfigurationAnswer:
+        try:
+            configuration = await self._operators.current()
+        except StoreUnavailableError:
+            return _show(self._operators.held, stored=False)
+        return _show(configuration, stored=True)
+
+    async def apply_contract(self, request: web.Request) -> ChangeAnswer:
+        change = await read_body(request, ContractChange)
+        organisation = request.match_info['organisation']
+        if change.contract.organisation != organisation:
+            raise RefusedError(
+                HTTP_BAD_REQUEST,
+                f'contract of {change.contract.organisation!r} sent as the '
+                f'contract of {organisation!r}',
+                field='contract.organisation',
+            )
+        return await self._operators.apply_contract(
+            change.contract,
+            change.order,
+        )
+
+    async def remove_contract(self, request: web.Request) -> ChangeAnswer:
+        order = await read_body(request, ChangeOrder)
+        organisation = OrganisationId(request.match_info['organisation'])
+        return await self._operators.remove_contract(organisation, order)
+
+    async def set_domain(self, request: web.Request) -> ChangeAnswer:
+        change = await read_body(request, DomainChange)
+        domain = DomainName(request.match_info['domain'])
+        await self._check_domain(domain, change.order)
+        answer = await self._operators.set_domain(
+            domain,
+            change.state,
+            change.order,
+        )
+        if change.state is DomainState.IN:
+            return answer
+        return msgspec.structs.replace(
+            answer,
+            affected_jobs=await self._affected_jobs(domain),
+        )
+
+    async def status(self, _request: web.Request) -> StatusAnswer:
+        return build_status(self._operators.held, self._view())
+
+    async def _check_domain(
+        self,
+        domain: DomainName,
+        order: ChangeOrder,
+    ) -> None:
+        known = known_domains(await self._operators.current(), self._view())
+        if domain not in known and not order.force:
+            raise ConfigurationError(unknown_name('domain', domain, known))
+
+    async def _affected_jobs(self, domain: DomainName) -> tuple[JobId, ...]:
+        try:
+            return await self._jobs.in_domain(domain)
+        except StoreUnavailableError:
+            # The change itself is accepted and must be answered so.
+            return ()
+
+
+def _show(configuration: Configuration, *, stored: bool) -> ConfigurationAnswer:
+    return ConfigurationAnswer(
+        revision=configuration.revision,
+        stored=stored,
+        contracts=configuration.contracts,
+        domains=configuration.domains,
+        changes=configuration.changes,
+    )
--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -21,7 +21,8 @@
     ConfigurationConflictError,
     GuaranteeBrokenError,
 )
-from .ids import DomainName, OperationId, OrganisationId, Revision
+from .ids import DomainName, OrganisationId, Revision
+from .operator_api import ChangeAnswer, ChangeOrder
 from .states import DomainState
 from .worker_api import WorkerDescription
 
@@ -40,33 +41,6 @@
 MakeChange = Callable[..., Configuration]
 
 
-class ChangeOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How an operator wants a change made."""
-
-    # The same operation id is applied once, however often it is sent.
-    operation: OperationId
-    operator: str = ''
-    # Refuse when the thing changed after this revision; None: after the
-    # revision that the write is first based on.
-    based_on: Revision | None = None
-    dry_run: bool = False
-    # Take a domain out although that breaks guarantees.
-    force: bool = False
-
-
-class ChangeAnswer(msgspec.Struct, frozen=True):
-    """What became of a change."""
-
-    # False after a dry run and when everything was so already.
-    changed: bool
-    # Revision that holds the change.
-    revision: Revision
-    operation: OperationId
-    differences: tuple[str, ...] = ()
-    # Guarantees that the change breaks, or would break.
-    broken_guarantees: tuple[str, ...] = ()
-
-
 class _Wish(msgspec.Struct, frozen=True):
     subject: Subject
     name: str
@@ -98,6 +72,15 @@
         self._check = check
         self._workers = workers
 
+    @property
+    def held(self) -> Configuration:
+        """Return the configuration in force in this process."""
+        return self._held()
+
+    async def workers(self) -> Sequence[WorkerDescription]:
+        """Return the workers that answer."""
+        return await self._workers()
+
     async def current(self) -> Configuration:
         """Return the newest configuration; raises ``StoreUnavailableError``."""
         return (await self._load()).configuration
--- /dev/null
+++ b/tests/operator_app.py
@@ -0,0 +1,83 @@
+"""Entry VM's operator routes over a fake store, for tests."""
+
+from aiohttp import web
+
+from bulrushcove.clock import ManualClock
+from bulrushcove.configuration import empty_configuration
+from bulrushcove.configuration_store import ConfigurationStore
+from bulrushcove.job_store import JobStore
+from bulrushcove.messages import ClusterView, VmStatus
+from bulrushcove.operator_jobs import OperatorJobs
+from bulrushcove.operator_routes import add_operator_routes
+from bulrushcove.operators import Operators
+from bulrushcove.states import DomainState
+from bulrushcove.vm_list import VmEntry
+from bulrushcove.worker_api import WorkerDescription
+from tests.fake_store import FakeStore
+
+TOKEN = 'operator-token'
+TOKEN_SHA256 = (
+    '0850123315d21ab90f4f7236408a52ef6dbd6a02a6550e5c10dc73f4d993680e'
+)
+
+
+async def no_sleep(_seconds):
+    """Return at once."""
+
+
+def check_domains_left(contracts, _workers, domains):
+    """Every contract needs a domain that is in."""
+    if DomainState.IN in domains.values():
+        return []
+    return [f'{organisation}: no domain left' for organisation in contracts]
+
+
+class OperatorApp:
+    """The state that tests change: store, held configuration and view."""
+
+    def __init__(self, store: FakeStore | None = None) -> None:
+        self.store = store or FakeStore()
+        self.held = empty_configuration()
+        self.vm_revisions = {'entry-1': 0, 'entry-2': 0}
+        self.notices = []
+        self.jobs = JobStore(self.store)
+        self.operators = Operators(
+            ConfigurationStore(self.store, no_sleep),
+            clock=ManualClock(),
+            held=lambda: self.held,
+            check=check_domains_left,
+            workers=self._workers,
+        )
+
+    def view(self) -> ClusterView:
+        entries = [
+            VmEntry(vm, 'entry', 'Luleå', '127.0.0.1', 1)
+            for vm in self.vm_revisions
+        ]
+        return ClusterView(
+            vm_statuses=tuple(
+                VmStatus(vm, 'Luleå', revision, reachable=True)
+                for vm, revision in self.vm_revisions.items()
+            ),
+            domains=(),
+            vms=tuple(entries),
+            platform_reachable=True,
+            permit_age_ms={'Luleå': 300},
+        )
+
+    def make(self) -> web.Application:
+        app = web.Application()
+        add_operator_routes(
+            app.router,
+            self.operators,
+            self.view,
+            jobs=OperatorJobs(self.jobs, self._notify),
+            token_sha256=[TOKEN_SHA256],
+        )
+        return app
+
+    async def _workers(self):
+        return [WorkerDescription('worker-1', 'Luleå', 'rack-å', 8, 32, 65536)]
+
+    async def _notify(self, notice):
+        self.notices.append(notice)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,9 +2,6 @@
 
 import pytest
 
-from bulrushcove.clock import ManualClock
-from bulrushcove.configuration import empty_configuration
-from bulrushcove.configuration_store import ConfigurationStore
 from bulrushcove.contract import Contract, JobLimits
 from bulrushcove.exceptions import (
     ConfigurationConflictError,
@@ -12,36 +9,18 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from bulrushcove.operators import ChangeOrder, Operators
+from bulrushcove.operator_api import ChangeOrder
 from bulrushcove.states import DomainState
 from tests.fake_store import FakeStore
+from tests.operator_app import OperatorApp
 
 MILL = Contract(organisation='Molino Ñandú', token_sha256=())
 
 
-async def no_workers():
-    return ()
-
-
-async def no_sleep(_seconds):
-    """Return at once."""
-
-
-def check_domains_left(contracts, _workers, domains):
-    """Every contract needs a domain that is in."""
-    if DomainState.IN in domains.values():
-        return []
-    return [f'{organisation}: no domain left' for organisation in contracts]
-
-
-def make_operators(store, held=empty_configuration):
-    return Operators(
-        ConfigurationStore(store, no_sleep),
-        clock=ManualClock(),
-        held=held,
-        check=check_domains_left,
-        workers=no_workers,
-    )
+def make_operators(store, held=None):
+    app = OperatorApp(store)
+    app.held = held or app.held
+    return app.operators
 
 
 @pytest.fixture
@@ -160,7 +139,7 @@
 async def test_a_store_that_lost_changes_is_built_up_from_the_held(operators):
     await operators.apply_contract(MILL, ChangeOrder('op'))
     held = await operators.current()
-    emptied = make_operators(FakeStore(), lambda: held)
+    emptied = make_operators(FakeStore(), held)
     order = ChangeOrder('op-2')
     answer = await emptied.set_domain('Visby', DomainState.IN, order)
     assert answer.revision == 3
