--- a/src/bulrushcove/contract.py
+++ b/src/bulrushcove/contract.py
@@ -10,10 +10,27 @@
 from .ids import DomainName, OrganisationId, RackId
 from .states import Adjacency
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
-PositiveCount = Annotated[int, msgspec.Meta(ge=1)]
-Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
-Sha256Hex = Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+MAX_PERCENT = 100
+
+Count = Annotated[
+    int,
+    msgspec.Meta(ge=0, description='a whole number, 0 or more'),
+]
+PositiveCount = Annotated[
+    int,
+    msgspec.Meta(ge=1, description='a whole number, 1 or more'),
+]
+Percent = Annotated[
+    int,
+    msgspec.Meta(ge=0, le=MAX_PERCENT, description=f'0 to {MAX_PERCENT}'),
+]
+Sha256Hex = Annotated[
+    str,
+    msgspec.Meta(
+        pattern='^[0-9a-f]{64}$',
+        description='64 lower-case hexadecimal digits',
+    ),
+]
 
 
 class GuaranteedShape(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/bulrushcove/settings.py
+++ b/src/bulrushcove/settings.py
@@ -1,14 +1,12 @@
 """Settings of the daemons: one TOML file, checked as a whole at start."""
 
-import tomllib
-from collections.abc import Iterator
 from pathlib import Path
-from typing import Annotated, Any, Literal, get_type_hints
+from typing import Annotated, Any, Literal
 
 import msgspec
 
-from .exceptions import SettingsError
 from .ids import DomainName, VmId
+from .toml_document import check_document, load_document
 
 MAX_PORT = 65535
 MAX_DURATION_MS = 86_400_000
@@ -152,75 +150,9 @@
 
     Raises an exception group of ``SettingsError``, one for each wrong key.
     """
-    try:
-        document = tomllib.loads(path.read_text(encoding='utf-8'))
-    except (OSError, ValueError) as exc:
-        error = SettingsError(str(path), str(exc), 'a TOML file')
-        raise _group([error]) from exc
-    return check_settings(document)
+    return check_settings(load_document(path))
 
 
 def check_settings(document: dict[str, Any]) -> Settings:
     """Return the settings in ``document``; raises as ``load_settings``."""
-    errors = list(_unknown_keys('', Settings, document))
-    for section, section_type in get_type_hints(Settings).items():
-        table = document.get(section, {})
-        errors.extend(_section_errors(section, section_type, table))
-    if errors:
-        raise _group(errors)
-    return msgspec.convert(document, Settings)
-
-
-def _group(errors: list[SettingsError]) -> ExceptionGroup[SettingsError]:
-    return ExceptionGroup('settings are wrong', errors)
-
-
-def _section_errors(
-    section: str,
-    section_type: type[msgspec.Struct],
-    table: Any,
-) -> Iterator[SettingsError]:
-    if not isinstance(table, dict):
-        yield SettingsError(section, table, 'a table')
-        return
-    yield from _unknown_keys(f'{section}.', section_type, table)
-    hints = get_type_hints(section_type, include_extras=True)
-    for field in msgspec.structs.fields(section_type):
-        key = f'{section}.{field.name}'
-        found = table.get(field.name, msgspec.UNSET)
-        if found is not msgspec.UNSET:
-            yield from _field_errors(key, found, hints[field.name])
-        elif field.required:
-            yield SettingsError(key, None, describe_type(hints[field.name]))
-
-
-def _field_errors(
-    key: str,
-    found: Any,
-    hint: Any,
-) -> Iterator[SettingsError]:
-    try:
-        msgspec.convert(found, hint)
-    except msgspec.ValidationError:
-        yield SettingsError(key, found, describe_type(hint))
-
-
-def _unknown_keys(
-    prefix: str,
-    section_type: type[msgspec.Struct],
-    table: dict[str, Any],
-) -> Iterator[SettingsError]:
-    known = [field.name for field in msgspec.structs.fields(section_type)]
-    allowed = ', '.join(known)
-    for key, found in table.items():
-        if key not in known:
-            yield SettingsError(f'{prefix}{key}', found, allowed)
-
-
-def describe_type(hint: Any) -> str:
-    """Return in words what a field with type ``hint`` allows."""
-    for meta in getattr(hint, '__metadata__', ()):
-        if meta.description:
-            return str(meta.description)
-    base = getattr(hint, '__supertype__', hint)
-    return getattr(base, '__name__', str(base))
+    return check_document(document, Settings)
