--- a/src/bulrushcove/toml_document.py
+++ b/src/bulrushcove/toml_document.py
@@ -105,15 +105,15 @@
         return
     hints = field_types(struct_type)
     allowed = ', '.join(hints)
-    for key in table.keys() - hints.keys():
-        yield SettingsError(f'{prefix}{key}', table[key], allowed)
+    for unknown in table.keys() - hints.keys():
+        yield SettingsError(f'{prefix}{unknown}', table[unknown], allowed)
     for field in msgspec.structs.fields(struct_type):
         key = f'{prefix}{field.name}'
-        hint = hints[field.name]
-        if field.name in table:
-            yield from _field_errors(key, table[field.name], hint)
+        found = table.get(field.name, msgspec.UNSET)
+        if found is not msgspec.UNSET:
+            yield from _field_errors(key, found, hints[field.name])
         elif field.required:
-            yield from _missing_errors(key, hint)
+            yield from _missing_errors(key, hints[field.name])
 
 
 def _missing_errors(key: str, hint: Any) -> Iterator[SettingsError]:
