--- /dev/null
+++ b/dev/history/kept_jobs.py
@@ -0,0 +1,27 @@
+"""Check: an accepted job ends, and its result comes once and complete."""
+
+from collections.abc import Iterator
+
+from bulrushcove.states import JobState
+from dev.history.records import CallerJob, History
+
+
+def find_lost_jobs(history: History) -> list[str]:
+    """Return each accepted job without an end or with a wrong result."""
+    return [
+        violation
+        for job in history.caller_jobs
+        if job.accepted
+        for violation in _check_job(job)
+    ]
+
+
+def _check_job(job: CallerJob) -> Iterator[str]:
+    name = f'job {job.job} of {job.organisation}'
+    if job.state is None or not job.state.is_final:
+        yield f'{name} was accepted and has not ended: {job.state}'
+    elif job.state is JobState.SUCCEEDED:
+        if job.results != job.expected_results:
+            yield f'{name} succeeded with the result {job.results}'
+    elif job.state is JobState.CANCELLED and not job.cancelled:
+        yield f'{name} was cancelled by nobody'
--- /dev/null
+++ b/dev/history/planned_stop.py
@@ -0,0 +1,16 @@
+"""Check: a planned stop cuts no request in progress."""
+
+from dev.history.records import History
+
+
+def find_cut_requests(history: History) -> list[str]:
+    """Return each request in progress at a stop that got no answer."""
+    return [
+        f'request {request.request} of {request.organisation} was in'
+        f' progress when {stop.vm} was stopped and got no whole answer'
+        for stop in history.stops
+        for request in history.caller_requests
+        if request.vm == stop.vm
+        and request.sent_s <= stop.at_s <= request.ended_s
+        and request.status is None
+    ]
--- /dev/null
+++ b/dev/history/reclaim.py
@@ -0,0 +1,27 @@
+"""Check: a guaranteed shape can always be reclaimed."""
+
+from dev.history.bounds import RECLAIM_S
+from dev.history.records import CallerJob, History
+from dev.history.runs import PartRun, part_runs
+
+
+def find_late_reclaims(history: History) -> list[str]:
+    """Return each guaranteed job that did not start whole in time."""
+    runs = part_runs(history.tasks)
+    return [
+        f'job {job.job} of {job.organisation} is guaranteed and did not'
+        f' start whole within {RECLAIM_S} s'
+        for job in history.caller_jobs
+        if job.guaranteed and not _started_in_time(job, runs)
+    ]
+
+
+def _started_in_time(job: CallerJob, runs: list[PartRun]) -> bool:
+    parts = {
+        run.part
+        for run in runs
+        if run.start.job == job.job
+        and run.start.organisation == job.organisation
+        and run.start_s <= job.sent_s + RECLAIM_S
+    }
+    return len(parts) == job.tasks
--- /dev/null
+++ b/dev/history/take_out.py
@@ -0,0 +1,47 @@
+"""Check: no task starts in a failure domain that was taken out."""
+
+from bulrushcove.ids import DomainName
+from bulrushcove.states import DomainState
+from dev.history.bounds import START_AFTER_TAKE_OUT_S
+from dev.history.events import TaskEvent, TaskStep
+from dev.history.records import History
+
+
+def find_starts_in_domains_out(history: History) -> list[str]:
+    """Return each start too late after the acceptance of a take-out."""
+    return [
+        f'job {event.job} started in {event.domain} more than'
+        f' {START_AFTER_TAKE_OUT_S} s after it was taken out'
+        for event in history.tasks
+        if event.step is TaskStep.START and _is_forbidden(event, history)
+    ]
+
+
+def _is_forbidden(event: TaskEvent, history: History) -> bool:
+    return any(
+        begin_s < event.at_s < end_s
+        for begin_s, end_s in _forbidden_times(event.domain, history)
+    )
+
+
+def _forbidden_times(
+    domain: DomainName, history: History
+) -> list[tuple[float, float]]:
+    changes = [
+        change for change in history.domain_changes if change.domain == domain
+    ]
+    return [
+        (
+            change.accepted_s + START_AFTER_TAKE_OUT_S,
+            min(
+                (
+                    later.sent_s
+                    for later in changes[number:]
+                    if later.state is DomainState.IN
+                ),
+                default=float('inf'),
+            ),
+        )
+        for number, change in enumerate(changes)
+        if change.state is DomainState.OUT
+    ]
