--- a/src/bulrushcove/job.py
+++ b/src/bulrushcove/job.py
@@ -62,6 +62,9 @@
     borrowed: bool = False
     # The guaranteed shape that the attempt uses, when it is not borrowed.
     cover: str = ''
+    # Set before the first start of a job that is not idempotent: while it
+    # is not set, no part of the attempt can have run.
+    start_recorded: bool = False
 
 
 class JobRecord(msgspec.Struct, frozen=True):
@@ -77,6 +80,8 @@
     # Digest of the submitted spec: the same id with another spec is refused.
     spec_sha256: str = ''
     attempts: int = 0
+    # Attempts that ended because a task failed by itself.
+    failures: int = 0
     current: Attempt | None = None
     # One result per task, in task order, once the job has succeeded.
     results: tuple[str, ...] = ()
