--- a/dev/history/kept_jobs.py
+++ b/dev/history/kept_jobs.py
@@ -23,5 +23,17 @@
     elif job.state is JobState.SUCCEEDED:
         if job.results != job.expected_results:
             yield f'{name} succeeded with the result {job.results}'
-    elif job.state is JobState.CANCELLED and not job.cancelled:
-        yield f'{name} was cancelled by nobody'
+    elif not _may_end_so(job):
+        yield f'{name} ended as {job.state.value}'
+
+
+def _may_end_so(job: CallerJob) -> bool:
+    """Return whether the job may end without a result as it did."""
+    allowed = {
+        JobState.CANCELLED: job.cancelled,
+        # An attempt of unknown outcome may be repeated when idempotent.
+        JobState.UNKNOWN: not job.idempotent,
+        JobState.FAILED: job.may_fail,
+        JobState.UNRUNNABLE: job.may_fail,
+    }
+    return job.state is not None and allowed[job.state]
--- a/dev/history/records.py
+++ b/dev/history/records.py
@@ -56,6 +56,8 @@
     # Its shape was guaranteed and not in use when it was sent.
     guaranteed: bool = False
     cancelled: bool = False
+    # It asks for a failure, or for more than there is.
+    may_fail: bool = False
 
 
 class DomainChange(msgspec.Struct, frozen=True):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -197,6 +197,11 @@
     ('accepted jobs are kept', with_job(state=None)),
     ('accepted jobs are kept', with_job(results=('a',))),
     ('accepted jobs are kept', with_job(state=JobState.CANCELLED)),
+    ('accepted jobs are kept', with_job(state=JobState.FAILED)),
+    (
+        'accepted jobs are kept',
+        with_job(state=JobState.UNKNOWN, idempotent=True),
+    ),
 ]
 
 
@@ -218,6 +223,8 @@
     [
         # A caller's cancellation is an end.
         with_job(state=JobState.CANCELLED, cancelled=True),
+        with_job(state=JobState.UNKNOWN),
+        with_job(state=JobState.FAILED, may_fail=True),
         # A refused job has no result.
         with_job(**REFUSED, guaranteed=False) | {'tasks': ()},
         # A retry of an idempotent request may run again.
