--- a/src/bulrushcove/job.py
+++ b/src/bulrushcove/job.py
@@ -63,6 +63,8 @@
     # Set before the first start of a job that is not idempotent: while it
     # is not set, no part of the attempt can have run.
     start_recorded: bool = False
+    # The guaranteed shape that the attempt uses, when it is not borrowed.
+    cover: str = ''
 
 
 class JobRecord(msgspec.Struct, frozen=True):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -100,14 +100,6 @@
         for server in (*servers, *workers):
             await server.stop()
 
-    async def _configure(self):
-        contract = Contract(organisation='tea', token_sha256=())
-        configuration = Configuration(
-            1, {'tea': contract}, {DOMAIN: DomainState.IN}
-        )
-        value = encode_configuration(configuration)
-        await self.store.write(Write(CONFIGURATION_KEY, value, 0))
-
     @asynccontextmanager
     async def control(self, vm):
         settings = self.settings(vm)
@@ -146,6 +138,14 @@
         events = read_events([self.path])
         return [(event.attempt, event.part, event.step) for event in events]
 
+    async def _configure(self):
+        contract = Contract(organisation='tea', token_sha256=())
+        configuration = Configuration(
+            1, {'tea': contract}, {DOMAIN: DomainState.IN}
+        )
+        value = encode_configuration(configuration)
+        await self.store.write(Write(CONFIGURATION_KEY, value, 0))
+
 
 def describe(name):
     return WorkerDescription(name, DOMAIN, 'r1', 8, 32, 65_536)
