--- a/src/bulrushcove/control.py
+++ b/src/bulrushcove/control.py
@@ -1,7 +1,5 @@
 """The control daemon: one a VM, active for the domains it is elected for."""
 
-import uuid
-
 from aiohttp import ClientSession, web
 from mode import Service
 
@@ -13,11 +11,10 @@
 from .control_metrics import ControlMetrics
 from .domain_controller import Surroundings
 from .election import Election
-from .ids import IncarnationId
+from .hello import CONTROL_ROLE, new_hello
 from .job_store import JobStore
-from .messages import Hello
 from .metrics import add_metrics_route, new_metrics
-from .peers import CONTROL_ROLE, Peers
+from .peers import Peers
 from .permit import PermitBook
 from .program import run_program
 from .settings import Settings
@@ -38,12 +35,7 @@
         self._clock = SystemClock()
         self._holder = ConfigurationHolder()
         self._permits = PermitBook()
-        self._hello = Hello(
-            vm=settings.vm.id,
-            domain=settings.vm.domain,
-            role=CONTROL_ROLE,
-            incarnation=IncarnationId(uuid.uuid4().hex),
-        )
+        self._hello = new_hello(settings.vm, CONTROL_ROLE)
         self._metrics = new_metrics()
         self._sessions: list[ClientSession] = []
         self._runner: web.AppRunner | None = None
--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import uuid
 
 from aiohttp import ClientSession
 from mode import Service
@@ -18,12 +17,12 @@
 )
 from .clock import MS_PER_S, Clock, SystemClock
 from .control_link import ControlLink
+from .entry_operators import EntryOperators
+from .hello import ENTRY_ROLE, new_hello
 from .http_server import HttpServer
-from .ids import IncarnationId
 from .job_routes import JobContext, add_job_routes
 from .job_store import JobStore
 from .job_watch import JobWatch
-from .messages import Hello
 from .metrics import new_metrics
 from .program import run_program
 from .request_path import RequestPath
@@ -32,7 +31,6 @@
 from .store_etcd import EtcdStore
 
 NAME = 'bulrushcove-entry'
-ROLE = 'entry'
 
 
 class EntryApplication(Service):
@@ -49,7 +47,7 @@
         self._settings = settings
         self._clock = clock
         self._router = Router(settings.vm.domain, rng)
-        self._link = ControlLink(settings, new_hello(settings))
+        self._link = ControlLink(settings, new_hello(settings.vm, ENTRY_ROLE))
         self._metrics = new_metrics()
 
     async def on_start(self) -> None:
@@ -58,6 +56,13 @@
         self._platform = ClientSession()
         store = EtcdStore(self._platform, self._settings.platform)
         self._jobs = JobStore(store)
+        self._operators = EntryOperators(
+            self._settings,
+            store,
+            self._link,
+            self._platform,
+            self._clock,
+        )
         self._watch = JobWatch(self._jobs)
         self._path = RequestPath(
             Admission(), self._router, self._client, self._clock
@@ -87,6 +92,7 @@
         router = self._server.router
         add_caller_routes(router, self._caller_context(tokens))
         add_job_routes(router, self._job_context(tokens))
+        self._operators.add_routes(router)
 
     def _caller_context(self, tokens: TokenIndex) -> CallerContext:
         answered, completion = new_caller_metrics(self._metrics)
@@ -129,16 +135,6 @@
         return ''
 
 
-def new_hello(settings: Settings) -> Hello:
-    """Return the greeting of this run of the process."""
-    return Hello(
-        vm=settings.vm.id,
-        domain=settings.vm.domain,
-        role=ROLE,
-        incarnation=IncarnationId(uuid.uuid4().hex),
-    )
-
-
 def make_entry(settings: Settings) -> EntryApplication:
     """Return the daemon on the machine's clock."""
     return EntryApplication(settings, SystemClock(), random.Random())
--- a/src/bulrushcove/job_store.py
+++ b/src/bulrushcove/job_store.py
@@ -98,11 +98,7 @@
             return await self._read_back(record, encoded)
         if answer.written:
             return StoredJob(record, answer.store_revision)
-        current = _first(answer.current)
-        if current is not None and current.record == record:
-            # An earlier try of ours, whose answer was lost.
-            return current
-        raise JobChangedError(record.job, current)
+        raise JobChangedError(record.job, _first(answer.current))
 
     async def _read_back(self, record: JobRecord, encoded: bytes) -> StoredJob:
         scan = await self._store.read(_key(record.job))
--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Any
 
+import mode
 from pythonjsonlogger.json import JsonFormatter
 
 from .settings import LogSettings
@@ -33,6 +34,8 @@
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(settings.level.upper())
+    # What the service library says of each start and stop is for debugging.
+    mode.Service.mundane_level = 'debug'
     # Its access line would repeat the request events.
     logging.getLogger('aiohttp.access').setLevel(logging.WARNING)
 
--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -1,6 +1,6 @@
 """What operators do: change contracts, take failure domains out and in."""
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from functools import partial
 
 import msgspec
@@ -31,7 +31,7 @@
 
 GuaranteeCheck = Callable[
     [
-        Mapping[OrganisationId, Contract],
+        Iterable[Contract],
         Sequence[WorkerDescription],
         Mapping[DomainName, DomainState],
     ],
@@ -169,8 +169,16 @@
         after: Configuration,
     ) -> tuple[str, ...]:
         workers = await self._workers()
-        known = self._check(before.contracts, workers, before.domains)
-        found = self._check(after.contracts, workers, after.domains)
+        known = self._check(
+            before.contracts.values(),
+            workers,
+            before.domains,
+        )
+        found = self._check(
+            after.contracts.values(),
+            workers,
+            after.domains,
+        )
         return tuple(problem for problem in found if problem not in known)
 
 
--- a/src/bulrushcove/peers.py
+++ b/src/bulrushcove/peers.py
@@ -12,6 +12,7 @@
 from .clock import MS_PER_S, Clock
 from .configuration_holder import ConfigurationHolder
 from .exceptions import PeerUnreachableError, WireError
+from .hello import ENTRY_ROLE
 from .logs import log_event
 from .membership import Membership
 from .messages import (
@@ -36,8 +37,6 @@
 from .vm_list_poll import VmListPoll
 from .wire import Frame
 
-ENTRY_ROLE = 'entry'
-CONTROL_ROLE = 'control'
 NOTICE_TIMEOUT_S = 1.0
 
 NoticeHandler = Callable[[JobNotice], Awaitable[None]]
