At most once: claims in the platform's store, kept answers, silence and retry rules

Ways weighed in docs/DESIGN.md: minted ids, batched claims, partitions; built the batched claims. Sender split from the request path: tries, second try over a fresh connection after a silence (idempotent only), retry budget per group.

Seen failing with the mechanism off: with claims always granted, a retry on a second entry after die_after_reading runs twice (ran == ['r1', 'r1']); test_control_without_claims_runs_twice keeps showing it. test_queue_limit_of_the_contract now compares the set of ids that ran: an idempotent silent request may go again, the refused ones still must not run.

--- a/src/bulrushcove/admission.py
+++ b/src/bulrushcove/admission.py
@@ -15,7 +15,6 @@
 from .contract import Contract
 from .exceptions import RefusedError
 from .ids import OrganisationId
-from .states import Urgency
 
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
@@ -30,19 +29,21 @@
 class Place(Enum):
     """Where an admitted request stands."""
 
+    NEW = 'new'
+    ARRIVED = 'arrived'
     QUEUED = 'queued'
     IN_PROGRESS = 'in progress'
     GONE = 'gone'
 
 
 class Ticket(msgspec.Struct, eq=False):
-    """One admitted request; ``granted`` is called when it may be sent."""
+    """One request; ``granted`` is called when its wait for room ends."""
 
     organisation: OrganisationId
     urgent: bool
     deadline_s: float
-    granted: Callable[[bool], None]
-    place: Place = Place.QUEUED
+    granted: Callable[[], None]
+    place: Place = Place.NEW
 
 
 class _Tenant(msgspec.Struct, eq=False):
@@ -50,6 +51,7 @@
 
     share: int = 1
     urgent_share: int = 1
+    arriving: int = 0
     in_progress: int = 0
     urgent_in_progress: int = 0
     urgent: deque[Ticket] = msgspec.field(default_factory=deque)
@@ -62,6 +64,10 @@
     def queued(self) -> int:
         return len(self.urgent) + len(self.normal)
 
+    @property
+    def waiting(self) -> int:
+        return self.arriving + self.queued
+
 
 def share_of(limit: int, live_entries: int) -> int:
     """Return this VM's share of a limit over all entry VMs, rounded up."""
@@ -78,31 +84,44 @@
         self.in_progress = 0
         self.queued = 0
 
-    def enter(
+    def arrive(
         self,
         contract: Contract,
         live_entries: int,
         now_s: float,
         ticket: Ticket,
     ) -> None:
-        """Queue ``ticket``; raises ``RefusedError`` when it has no chance."""
+        """Count ``ticket``; raises ``RefusedError`` when it has no chance."""
         tenant = self._tenant_of(contract, live_entries)
         limits = contract.requests
         most_queued = share_of(limits.max_queued, live_entries)
-        waiting = tenant.queued - (tenant.share - tenant.in_progress)
-        if waiting >= most_queued:
+        room = tenant.share - tenant.in_progress
+        if tenant.waiting - room >= most_queued:
             raise RefusedError(
                 TOO_MANY_REQUESTS,
                 f'the queue of {contract.organisation} is full',
                 field='requests.max_queued',
                 limit=f'{limits.max_queued} over {live_entries} entry VMs',
             )
-        self._check_deadline(tenant, ticket, now_s)
+        _check_deadline(tenant, ticket, now_s)
+        tenant.arriving += 1
+        ticket.place = Place.ARRIVED
+
+    def queue(self, ticket: Ticket) -> None:
+        """Let an arrived ``ticket`` wait for room."""
+        tenant = self._tenants[ticket.organisation]
         if not tenant.queued:
             tenant.virtual = max(tenant.virtual, self._virtual)
+        tenant.arriving -= 1
         queue = tenant.urgent if ticket.urgent else tenant.normal
         queue.append(ticket)
         self.queued += 1
+        ticket.place = Place.QUEUED
+
+    def service_s(self, organisation: OrganisationId) -> float:
+        """Return the observed mean service time; 0: none was observed."""
+        tenant = self._tenants.get(organisation)
+        return tenant.service_s if tenant else 0.0
 
     def grant(self, now_s: float) -> Ticket | None:
         """Move the next ticket to in progress; None: none may go.
@@ -118,12 +137,14 @@
             if now_s + least_s < ticket.deadline_s or not tenant.in_progress:
                 return self._start(tenant, ticket)
             ticket.place = Place.GONE
-            ticket.granted(False)
+            ticket.granted()
 
     def leave(self, ticket: Ticket, service_s: float | None = None) -> None:
         """Take ``ticket`` out; ``service_s`` is its observed service time."""
         tenant = self._tenants[ticket.organisation]
-        if ticket.place is Place.QUEUED:
+        if ticket.place is Place.ARRIVED:
+            tenant.arriving -= 1
+        elif ticket.place is Place.QUEUED:
             queue = tenant.urgent if ticket.urgent else tenant.normal
             queue.remove(ticket)
             self.queued -= 1
@@ -141,16 +162,6 @@
         tenant.urgent_share = -(-urgent // PERCENT)
         return tenant
 
-    def _check_deadline(
-        self, tenant: _Tenant, ticket: Ticket, now_s: float
-    ) -> None:
-        if not tenant.queued:
-            return
-        ahead = len(tenant.urgent) if ticket.urgent else tenant.queued
-        rounds = ahead / tenant.share + 1
-        if now_s + rounds * tenant.service_s > ticket.deadline_s:
-            raise too_late()
-
     def _next_tenant(self) -> _Tenant | None:
         open_tenants = [
             tenant
@@ -172,7 +183,7 @@
         tenant.urgent_in_progress += ticket.urgent
         self.in_progress += 1
         ticket.place = Place.IN_PROGRESS
-        ticket.granted(True)
+        ticket.granted()
         return ticket
 
 
@@ -185,19 +196,14 @@
     )
 
 
-def ticket_for(
-    contract: Contract,
-    urgency: Urgency,
-    deadline_s: float,
-    granted: Callable[[bool], None],
-) -> Ticket:
-    """Return a ticket that is not queued yet."""
-    return Ticket(
-        organisation=contract.organisation,
-        urgent=urgency is Urgency.URGENT,
-        deadline_s=deadline_s,
-        granted=granted,
-    )
+def _check_deadline(tenant: _Tenant, ticket: Ticket, now_s: float) -> None:
+    """Refuse what cannot be granted in time behind those that wait."""
+    if not tenant.queued:
+        return
+    ahead = len(tenant.urgent) if ticket.urgent else tenant.queued
+    rounds = ahead / tenant.share + 1
+    if now_s + rounds * tenant.service_s > ticket.deadline_s:
+        raise too_late()
 
 
 def _may_go_first(tenant: _Tenant) -> bool:
--- a/src/bulrushcove/backend_client.py
+++ b/src/bulrushcove/backend_client.py
@@ -6,7 +6,7 @@
 """
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 import aiohttp
@@ -60,6 +60,8 @@
     rest: AsyncIterator[bytes] | None
     length: int | None
     state: str
+    # Gives up the rest.
+    close: Callable[[], None]
 
 
 class BackendState(msgspec.Struct, frozen=True):
@@ -140,6 +142,14 @@
                 f'backend server {server.backend!r}: probe: {exc!r}'
             ) from exc
 
+    async def is_alive(self, server: Server) -> bool:
+        """Return whether ``server`` answers a probe."""
+        try:
+            await self.probe(server)
+        except BackendError:
+            return False
+        return True
+
 
 def _new_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
@@ -183,7 +193,15 @@
             f'backend server {backend!r}: answer was cut: {exc!r}'
         ) from exc
     rest = None if ended else _read_rest(backend, response)
-    return BackendAnswer(response.status, headers, body, rest, length, state)
+    return BackendAnswer(
+        status=response.status,
+        headers=headers,
+        body=body,
+        rest=rest,
+        length=length,
+        state=state,
+        close=response.close,
+    )
 
 
 async def _read_first(response: aiohttp.ClientResponse) -> tuple[bytes, bool]:
--- a/src/bulrushcove/caller_routes.py
+++ b/src/bulrushcove/caller_routes.py
@@ -17,7 +17,7 @@
 from .metrics import Metrics
 from .refusals import outcome_headers, refusal_response
 from .request_head import parse_head
-from .request_path import OCTETS, RequestPath, Work
+from .request_path import RequestPath
 from .settings import EntrySettings
 from .states import Outcome
 from .tracing import (
@@ -26,6 +26,7 @@
     current_traceparent,
     span,
 )
+from .work import OCTETS, Work
 
 REQUESTS_PATH = '/v1/requests'
 logger = logging.getLogger(__name__)
--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -7,10 +7,8 @@
 from aiohttp import ClientSession
 from mode import Service
 
-from .admission import Admission
 from .authentication import TokenIndex
 from .backend_client import BackendClient
-from .backend_watch import BackendWatch
 from .caller_routes import (
     CallerContext,
     add_caller_routes,
@@ -26,9 +24,10 @@
 from .messages import Hello
 from .metrics import new_metrics
 from .program import run_program
-from .request_path import RequestPath
+from .request_parts import RequestParts, new_request_parts
 from .routing import Router
 from .settings import Settings
+from .store import Store
 from .store_etcd import EtcdStore
 
 NAME = 'bulrushcove-entry'
@@ -49,7 +48,8 @@
         self._settings = settings
         self._clock = clock
         self._router = Router(settings.vm.domain, rng)
-        self._link = ControlLink(settings, new_hello(settings))
+        self._hello = new_hello(settings)
+        self._link = ControlLink(settings, self._hello)
         self._metrics = new_metrics()
 
     async def on_start(self) -> None:
@@ -59,12 +59,10 @@
         store = EtcdStore(self._platform, self._settings.platform)
         self._jobs = JobStore(store)
         self._watch = JobWatch(self._jobs)
-        self._path = RequestPath(
-            Admission(), self._router, self._client, self._clock
-        )
-        await self.add_runtime_dependency(self._link)
-        await self.add_runtime_dependency(self._watch)
-        await self.add_runtime_dependency(self._backend_watch())
+        parts = self._request_parts(store)
+        self._path = parts.path
+        for part in (self._link, parts.claims, parts.watch, self._watch):
+            await self.add_runtime_dependency(part)
         entry = self._settings.entry
         self._server = HttpServer(self._metrics, self._why_not_ready)
         self._add_routes()
@@ -112,11 +110,13 @@
             clock=self._clock,
         )
 
-    def _backend_watch(self) -> BackendWatch:
-        return BackendWatch(
+    def _request_parts(self, store: Store) -> RequestParts:
+        return new_request_parts(
+            self._settings,
+            self._hello.incarnation,
             self._router,
             self._client,
-            self._path,
+            store,
             lambda: self._link.view.vms if self._link.view else (),
             self._clock,
         )
--- /dev/null
+++ b/tests/test_claim_writer.py
@@ -0,0 +1,140 @@
+import asyncio
+
+import pytest
+
+from bulrushcove.claim_writer import ClaimWriter, HeldClaim
+from bulrushcove.claims import (
+    Claim,
+    ClaimValue,
+    Verdict,
+    claim_key,
+    claim_writes,
+    decide,
+)
+from bulrushcove.clock import SystemClock
+from bulrushcove.exceptions import StoreUnavailableError
+from bulrushcove.store import StoredValue, WriteAnswer
+from tests.fake_store import FakeStore
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+async def writers(store):
+    made = [
+        ClaimWriter(store, vm, f'{vm}-1', 3_600_000, lambda: 1, SystemClock())
+        for vm in ('e1', 'e2')
+    ]
+    for writer in made:
+        await writer.start()
+    yield made
+    for writer in made:
+        await writer.stop()
+
+
+def _value(number=1, body='aa'):
+    return ClaimValue('e1', 'e1-1', number, body)
+
+
+@pytest.mark.parametrize(
+    ('stands', 'verdict'),
+    [
+        (None, Verdict.AGAIN),
+        (_value(), Verdict.GRANTED),
+        (_value(number=2), Verdict.TAKEN),
+        (_value(number=2, body='bb'), Verdict.TAKEN_WITH_OTHER_BODY),
+        (_value(number=2, body=''), Verdict.TAKEN),
+    ],
+)
+def test_decision_when_the_batch_was_not_written(stands, verdict):
+    claim = Claim(claim_key('litoral', 'r1'), _value())
+    current = ()
+    if stands is not None:
+        written = claim_writes([Claim(claim.key, stands)], 1)[0]
+        current = (StoredValue(claim.key, written.value, 5),)
+    decided = decide([claim], WriteAnswer(False, 9, current))
+    assert decided[0].verdict is verdict
+
+
+async def test_many_claims_share_transactions(writers, store):
+    decisions = await asyncio.gather(
+        *(writers[0].claim(f'k{number}', 'aa') for number in range(120))
+    )
+    assert {one.verdict for one in decisions} == {Verdict.GRANTED}
+    # One lease, and two batches of at most 64.
+    assert store.calls == 3
+
+
+async def test_one_taken_claim_does_not_fail_its_batch(writers):
+    await writers[1].claim('k3', 'aa')
+    decisions = await asyncio.gather(
+        *(writers[0].claim(f'k{number}', 'aa') for number in range(6))
+    )
+    taken = [one.claim.key for one in decisions if one.verdict is Verdict.TAKEN]
+    assert taken == ['k3']
+    assert len({one.claim.key for one in decisions}) == 6
+
+
+@pytest.mark.parametrize('fault', ['lose_answers', 'lose_writes'])
+async def test_lost_answer_is_read_back(writers, store, fault):
+    await writers[0].claim('first', 'aa')
+    setattr(store, fault, 1)
+    decision = await writers[0].claim('k1', 'aa')
+    assert decision.verdict is Verdict.GRANTED
+    other = await writers[1].claim('k1', 'aa')
+    assert other.verdict is Verdict.TAKEN
+
+
+async def test_outage_gives_no_claim_and_leaves_none(writers, store):
+    store.down = True
+    with pytest.raises(StoreUnavailableError):
+        await writers[0].claim('k1', 'aa')
+    store.down = False
+    decision = await writers[1].claim('k1', 'aa')
+    assert decision.verdict is Verdict.GRANTED
+
+
+async def test_released_claim_can_be_taken_by_another(writers, store):
+    decision = await writers[0].claim('k1', 'aa')
+    writers[0].release(HeldClaim(decision.claim, decision.mod_revision))
+    await _gone(store, 'k1')
+    assert (await writers[1].claim('k1', 'aa')).verdict is Verdict.GRANTED
+
+
+async def test_claim_taken_up_again_is_not_released(writers, store):
+    decision = await writers[0].claim('k1', 'aa')
+    writers[0].release(HeldClaim(decision.claim, decision.mod_revision))
+    again = await writers[0].claim('k1', 'aa')
+    assert again.verdict is Verdict.GRANTED
+    await asyncio.sleep(0.1)
+    assert (await writers[1].claim('k1', 'aa')).verdict is Verdict.TAKEN
+
+
+@pytest.mark.parametrize('fault', ['lose_answers', 'lose_writes'])
+async def test_release_with_a_lost_answer(writers, store, fault):
+    decision = await writers[0].claim('k1', 'aa')
+    setattr(store, fault, 1)
+    writers[0].release(HeldClaim(decision.claim, decision.mod_revision))
+    await _gone(store, 'k1')
+    assert (await writers[0].claim('k1', 'aa')).verdict is Verdict.GRANTED
+    assert (await writers[1].claim('k1', 'aa')).verdict is Verdict.TAKEN
+
+
+async def test_claim_nobody_waits_for_is_given_back(writers, store):
+    store.delay_s = 0.05
+    waiting = asyncio.create_task(writers[0].claim('k1', 'aa'))
+    await asyncio.sleep(0.02)
+    waiting.cancel()
+    await asyncio.sleep(0.15)
+    store.delay_s = 0
+    await _gone(store, 'k1')
+    assert (await writers[1].claim('k1', 'aa')).verdict is Verdict.GRANTED
+
+
+async def _gone(store, key):
+    async with asyncio.timeout(2):
+        while key in store.values:
+            await asyncio.sleep(0.01)
