--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -23,6 +23,7 @@
 from .job_watch import JobWatch
 from .messages import Hello
 from .metrics import new_metrics
+from .operator_parts import mount_operators
 from .program import run_program
 from .request_parts import RequestParts, new_request_parts
 from .routing import Router
@@ -65,7 +66,7 @@
             await self.add_runtime_dependency(part)
         entry = self._settings.entry
         self._server = HttpServer(self._metrics, self._why_not_ready)
-        self._add_routes()
+        self._add_routes(store)
         await self._server.open(entry.host, entry.port)
 
     async def on_stop(self) -> None:
@@ -80,9 +81,17 @@
         await self._client.close()
         await self._platform.close()
 
-    def _add_routes(self) -> None:
+    def _add_routes(self, store: Store) -> None:
         tokens = TokenIndex()
         router = self._server.router
+        mount_operators(
+            router,
+            self._settings,
+            store,
+            self._link,
+            self._platform,
+            self._clock,
+        )
         add_caller_routes(router, self._caller_context(tokens))
         add_job_routes(router, self._job_context(tokens))
 
