--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -24,7 +24,7 @@
 from bulrushcove.routing import Router
 from bulrushcove.sender import Sender
 from bulrushcove.settings import EntrySettings
-from bulrushcove.states import DomainState, VmRole
+from bulrushcove.states import DomainState, VmRole, VmState
 from bulrushcove.vm_list import VmEntry
 from tests.fake_store import FakeStore
 
@@ -128,13 +128,16 @@
     )
 
 
-def backend_vm(backend: FakeBackend, domain: str = 'north') -> VmEntry:
+def backend_vm(
+    backend: FakeBackend, domain: str = 'north', state: str = 'live'
+) -> VmEntry:
     return VmEntry(
         vm=backend.name,
         role=VmRole.BACKEND,
         domain=domain,
         address='127.0.0.1',
         port=backend.port,
+        state=VmState(state),
     )
 
 
