--- /dev/null
+++ b/dev/measure_shares.py
@@ -0,0 +1,274 @@
+"""Compares ways to share the slots of backend servers without talking.
+
+Seven request paths of the product run in one loop against 24 servers kept as
+counters; only the HTTP between them is replaced by sleeps.
+"""
+
+import asyncio
+import heapq
+import random
+import statistics
+import time
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from absl import app, flags
+from multidict import CIMultiDict
+
+from bulrushcove.admission import Admission
+from bulrushcove.backend_client import (
+    BUSY,
+    BackendAnswer,
+    BackendNotRunError,
+)
+from bulrushcove.clock import SystemClock
+from bulrushcove.contract import Contract, RequestLimits
+from bulrushcove.exceptions import RefusedError
+from bulrushcove.request_head import RequestHead
+from bulrushcove.request_path import RequestPath
+from bulrushcove.routing import FIRST_PAUSE_S, Router, Server
+from bulrushcove.sender import Sender
+from bulrushcove.states import Urgency, VmRole
+from bulrushcove.vm_list import VmEntry
+from bulrushcove.work import Work
+
+DOMAINS = ('north', 'west', 'south')
+SERVERS = 24
+SLOTS = 8
+MEAN_SERVICE_S = 0.2
+NEAR_RTT_S = 0.002
+FAR_RTT_S = 0.06
+DEADLINE_S = 5.0
+BURST = 60
+
+_SECONDS = flags.DEFINE_integer('seconds', 6, 'Seconds of arrivals a case.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of arrivals and service times.')
+_ENTRIES = flags.DEFINE_list('entries', ['7'], 'Numbers of entry VMs.')
+
+
+class Backends:
+    """Busy slots of all servers, and the busy answers given."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Start with every slot free."""
+        self.busy: dict[str, int] = {}
+        self.refusals = 0
+        self.far = 0
+        self.rng = rng
+
+
+class SlotClient:
+    """Stands in for the HTTP client of one entry VM."""
+
+    def __init__(self, backends: Backends, domain: str) -> None:
+        """Send from an entry VM of ``domain``."""
+        self._backends = backends
+        self._domain = domain
+
+    async def send(
+        self, server: Server, _headers: object, body: bytes, **_options: object
+    ) -> BackendAnswer:
+        """Wait as the network and the server would."""
+        backends = self._backends
+        near = server.domain == self._domain
+        backends.far += not near
+        rtt_s = NEAR_RTT_S if near else FAR_RTT_S
+        await asyncio.sleep(rtt_s / 2)
+        if backends.busy.get(server.backend, 0) >= SLOTS:
+            backends.refusals += 1
+            await asyncio.sleep(rtt_s / 2)
+            raise BackendNotRunError(server.backend, BUSY)
+        backends.busy[server.backend] = backends.busy.get(server.backend, 0) + 1
+        try:
+            await asyncio.sleep(float(body))
+        finally:
+            backends.busy[server.backend] -= 1
+        await asyncio.sleep(rtt_s / 2)
+        return BackendAnswer(200, CIMultiDict(), b'', None, 0, '', _nothing)
+
+    async def is_alive(self, _server: Server) -> bool:
+        """Answer every probe."""
+        return True
+
+
+class SharesRouter(Router):
+    """The share only: no slot is borrowed or given up."""
+
+    def note_served(self, server: Server) -> None:
+        """Take no more."""
+
+    def note_busy(self, server: Server, now_s: float) -> None:
+        """Leave the server alone for a moment."""
+        server.busy_until_s = now_s + FIRST_PAUSE_S
+
+
+class OpenRouter(SharesRouter):
+    """Every slot may be tried at any time."""
+
+    def _start_limit(self, _domain: str) -> float:
+        return SLOTS
+
+
+class NoOnce:
+    """Every request is idempotent here."""
+
+    def check_body(self, work: Work) -> None:
+        """Accept every body."""
+
+
+class Outcome(NamedTuple):
+    """One request's end; no time when it was refused."""
+
+    completion_s: float | None
+
+
+def make_paths(
+    router: type[Router], entries: int, backends: Backends
+) -> list[RequestPath]:
+    """Return one request path for each entry VM."""
+    vms = _vm_list(entries)
+    return [
+        _make_path(vm, vms, router, backends)
+        for vm in vms
+        if vm.role is VmRole.ENTRY
+    ]
+
+
+def _make_path(
+    vm: VmEntry,
+    vms: list[VmEntry],
+    router_type: type[Router],
+    backends: Backends,
+) -> RequestPath:
+    router = router_type(vm.domain, random.Random(vm.port))
+    router.update(vms)
+    clock = SystemClock()
+    admission = Admission()
+    client = SlotClient(backends, vm.domain)
+    sender = Sender(router, client, admission.service_s, clock)
+    return RequestPath(admission, router, NoOnce(), sender, clock)
+
+
+def _vm_list(entries: int) -> list[VmEntry]:
+    kinds = [(VmRole.ENTRY, entries), (VmRole.BACKEND, SERVERS)]
+    return [
+        VmEntry(
+            vm=f'{role.value}{number}',
+            role=role,
+            domain=DOMAINS[number % len(DOMAINS)],
+            address='127.0.0.1',
+            port=number,
+        )
+        for role, count in kinds
+        for number in range(count)
+    ]
+
+
+def arrivals(load: float, seconds: int, rng: random.Random) -> Iterator[float]:
+    """Yield arrival times: half steady, half in bursts."""
+    per_s = load * SERVERS * SLOTS / MEAN_SERVICE_S
+    steady = int(per_s * seconds / 2)
+    times = [rng.uniform(0, seconds) for _ in range(steady)]
+    for _ in range(steady // BURST):
+        start_s = rng.uniform(0, seconds)
+        times.extend(start_s + rng.uniform(0, 0.05) for _ in range(BURST))
+    heapq.heapify(times)
+    while times:
+        yield heapq.heappop(times)
+
+
+async def run_case(
+    router: type[Router], load: float, entries: int
+) -> tuple[list[Outcome], Backends]:
+    """Offer the load to the request paths and return every end."""
+    rng = random.Random(_SEED.value)
+    backends = Backends(rng)
+    paths = make_paths(router, entries, backends)
+    ticking = asyncio.create_task(_tick(paths))
+    started_s = time.monotonic()
+    tasks = []
+    for arrival_s in arrivals(load, _SECONDS.value, rng):
+        wait_s = started_s + arrival_s - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        service_s = min(2.0, rng.expovariate(1 / MEAN_SERVICE_S))
+        path = rng.choice(paths)
+        tasks.append(asyncio.create_task(_one(path, service_s)))
+    outcomes = await asyncio.gather(*tasks)
+    ticking.cancel()
+    return outcomes, backends
+
+
+async def _tick(paths: list[RequestPath]) -> None:
+    while True:
+        await asyncio.sleep(0.02)
+        for path in paths:
+            path.dispatch()
+
+
+async def _one(path: RequestPath, service_s: float) -> Outcome:
+    started_s = time.monotonic()
+    head = RequestHead(
+        contract=CONTRACT,
+        request='r',
+        idempotent=True,
+        urgency=Urgency.NORMAL,
+        deadline_s=started_s + DEADLINE_S,
+    )
+    work = Work(head, str(service_s).encode(), _wanted)
+    try:
+        async with path.serve(work):
+            return Outcome(time.monotonic() - started_s)
+    except RefusedError:
+        return Outcome(None)
+
+
+def _wanted() -> bool:
+    return True
+
+
+def _nothing() -> None:
+    """Nothing to close."""
+
+
+CONTRACT = Contract(
+    organisation='litoral',
+    token_sha256=(),
+    requests=RequestLimits(max_in_progress=10_000, max_queued=10_000),
+)
+POLICIES = (
+    ('shares only', SharesRouter),
+    ('two choices + busy', OpenRouter),
+    ('adapted shares', Router),
+)
+
+
+def report(name: str, outcomes: list[Outcome], backends: Backends) -> str:
+    """Return one line of the table."""
+    times = sorted(
+        one.completion_s for one in outcomes if one.completion_s is not None
+    )
+    refused = len(outcomes) - len(times)
+    p99 = times[int(len(times) * 0.99)]
+    tried = len(times) + backends.refusals
+    return (
+        f'  {name:20} p50 {statistics.median(times) * 1000:6.0f} ms  '
+        f'p99 {p99 * 1000:6.0f} ms  served {len(times):6}  '
+        f'refused {refused:5}  busy/request '
+        f'{backends.refusals / len(outcomes):5.2f}  '
+        f'far {backends.far / max(1, tried):4.2f}'
+    )
+
+
+def main(_arguments: list[str]) -> None:
+    """Print a table of all policies and loads."""
+    for entries in map(int, _ENTRIES.value):
+        for load in (0.5, 0.9, 1.2):
+            print(f'{entries} entry VMs, load {load:.0%}')
+            for name, router in POLICIES:
+                ends = asyncio.run(run_case(router, load, entries))
+                print(report(name, *ends), flush=True)
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/src/bulrushcove/request_path.py
+++ b/src/bulrushcove/request_path.py
@@ -61,7 +61,8 @@
     def dispatch(self) -> None:
         """Grant room to as many waiting requests as may be sent now."""
         now_s = self._clock.monotonic_s()
-        while self._admission.in_progress < self._router.capacity():
+        capacity = self._router.capacity(now_s)
+        while self._admission.in_progress < capacity:
             if self._admission.grant(now_s) is None:
                 return
 
--- a/src/bulrushcove/routing.py
+++ b/src/bulrushcove/routing.py
@@ -2,6 +2,11 @@
 
 Near servers first, then the less loaded of two drawn at random. A server is
 left out while any sign says that it is leaving or gone.
+
+Entry VMs share the slots of a server without talking: each starts at its
+share of the servers of its own domain and at one slot of the others, takes
+more while that goes well, and less after a busy answer. A server that keeps
+saying busy is left alone for longer each time.
 """
 
 import random
@@ -15,8 +20,12 @@
 
 MAX_CONNECTIONS = 64
 SLOTS = 8
-# A server that said busy is left out for so long.
-BUSY_PAUSE_S = 0.02
+# A server that said busy is left out for so long, doubled each time.
+FIRST_PAUSE_S = 0.02
+LAST_PAUSE_S = 0.64
+GROWTH = 1.0
+SHRINK = 0.8
+LEAST_LIMIT = 1.0
 CHOICES = 2
 NONE_AVOIDED: frozenset[BackendId] = frozenset()
 
@@ -34,6 +43,9 @@
     unreachable: bool = False
     silent: bool = False
     busy_until_s: float = 0.0
+    pause_s: float = FIRST_PAUSE_S
+    # Requests that this VM may have on it, adapted to what it answers.
+    limit: float = LEAST_LIMIT
     # Last time that any byte came from it.
     heard_s: float = 0.0
 
@@ -57,19 +69,36 @@
         self._random = rng
         self.servers: dict[BackendId, Server] = {}
         self.live_entries = 1
+        self._near_entries = 1
 
     def update(self, vms: Iterable[VmEntry]) -> None:
         """Take over the VM list; what was learnt of a server is kept."""
         listed: dict[BackendId, Server] = {}
-        entries = 0
+        entries = [
+            vm.domain
+            for vm in vms
+            if vm.role is VmRole.ENTRY and vm.state is VmState.LIVE
+        ]
+        self.live_entries = max(1, len(entries))
+        self._near_entries = entries.count(self._domain)
         for vm in vms:
             if vm.role is VmRole.BACKEND:
                 server = self._server_of(vm)
                 listed[server.backend] = server
-            elif vm.role is VmRole.ENTRY:
-                entries += vm.state is VmState.LIVE
         self.servers = listed
-        self.live_entries = max(1, entries)
+
+    def note_served(self, server: Server) -> None:
+        """Take more of ``server`` when what it may have was used up."""
+        server.pause_s = FIRST_PAUSE_S
+        if server.in_progress >= int(server.limit):
+            more = server.limit + GROWTH / server.limit
+            server.limit = min(more, self.per_server_limit())
+
+    def note_busy(self, server: Server, now_s: float) -> None:
+        """Take less of ``server`` and leave it alone for a while."""
+        server.limit = max(LEAST_LIMIT, server.limit * SHRINK)
+        server.busy_until_s = now_s + server.pause_s
+        server.pause_s = min(LAST_PAUSE_S, server.pause_s * 2)
 
     def pick(
         self,
@@ -80,12 +109,11 @@
 
         Servers in ``avoid`` are taken only when no other has room.
         """
-        most = self.per_server_limit()
         near: list[Server] = []
         far: list[Server] = []
         avoided: list[Server] = []
         for server in self.servers.values():
-            if not _has_room(server, now_s, most):
+            if not _has_room(server, now_s):
                 continue
             if server.backend in avoid:
                 avoided.append(server)
@@ -104,17 +132,31 @@
         connections = MAX_CONNECTIONS // self.live_entries - 1
         return max(1, min(SLOTS, connections))
 
-    def capacity(self) -> int:
-        """Return how many requests may be in progress at once."""
-        usable = sum(server.usable for server in self.servers.values())
-        return usable * self.per_server_limit()
+    def capacity(self, now_s: float) -> int:
+        """Return how many requests may be in progress now."""
+        return sum(
+            _capacity_of(server, now_s)
+            for server in self.servers.values()
+            if server.usable
+        )
+
+    def _start_limit(self, domain: DomainName) -> float:
+        if domain != self._domain:
+            return LEAST_LIMIT
+        share = SLOTS / max(1, self._near_entries)
+        return max(LEAST_LIMIT, min(share, self.per_server_limit()))
 
     def _server_of(self, vm: VmEntry) -> Server:
         backend = BackendId(vm.vm)
         url = f'http://{vm.address}:{vm.port}'
         server = self.servers.get(backend)
         if server is None or server.url != url:
-            server = Server(backend=backend, domain=vm.domain, url=url)
+            server = Server(
+                backend=backend,
+                domain=vm.domain,
+                url=url,
+                limit=self._start_limit(vm.domain),
+            )
         server.listed_leaving = vm.state is VmState.LEAVING
         return server
 
@@ -124,13 +166,19 @@
         return min(servers, key=_load, default=None)
 
 
-def _has_room(server: Server, now_s: float, most: int) -> bool:
+def _has_room(server: Server, now_s: float) -> bool:
     return (
-        server.usable
-        and server.in_progress < most
-        and server.busy_until_s <= now_s
+        server.busy_until_s <= now_s
+        and server.in_progress < int(server.limit)
+        and server.usable
     )
 
 
+def _capacity_of(server: Server, now_s: float) -> int:
+    if server.busy_until_s > now_s:
+        return server.in_progress
+    return max(server.in_progress, int(server.limit))
+
+
 def _load(server: Server) -> int:
     return server.in_progress
--- a/src/bulrushcove/sender.py
+++ b/src/bulrushcove/sender.py
@@ -15,7 +15,7 @@
 from .clock import Clock
 from .ids import DomainName, OrganisationId
 from .retry_budget import RetryBudget
-from .routing import BUSY_PAUSE_S, Router, Server
+from .routing import Router, Server
 from .silence import SecondTry, silence_limit_s
 from .work import (
     GATEWAY_TIMEOUT,
@@ -177,13 +177,14 @@
 
     def _note_answer(self, server: Server, answer: BackendAnswer) -> None:
         server.heard_s = self._clock.monotonic_s()
+        self._router.note_served(server)
         if answer.state == LEAVING:
             server.said_leaving = True
 
     def _note_refusal(self, server: Server, reason: str) -> None:
         now_s = self._clock.monotonic_s()
         if reason == BUSY:
-            server.busy_until_s = now_s + BUSY_PAUSE_S
+            self._router.note_busy(server, now_s)
             server.heard_s = now_s
         elif reason == LEAVING:
             server.said_leaving = True
