Failure domain out: gangs give way whole, waiting jobs move, trickle on return

Need: no starts in a domain taken out, work kept by checkpoint, no stampede when it returns. Jobs are moved by the owner of the record by CAS, one write each.

--- a/src/bulrushcove/campaigns.py
+++ b/src/bulrushcove/campaigns.py
@@ -6,12 +6,13 @@
 from mode import Service
 
 from .clock import MS_PER_S
-from .domain_controller import DomainController, Surroundings
+from .domain_controller import DomainController
 from .election import Election, Tenure
 from .exceptions import StoreError
 from .ids import DomainName
 from .logs import log_event
 from .messages import JobNotice
+from .surroundings import Surroundings
 
 logger = logging.getLogger(__name__)
 
--- a/src/bulrushcove/control.py
+++ b/src/bulrushcove/control.py
@@ -11,7 +11,6 @@
 from .configuration_holder import ConfigurationHolder
 from .configuration_poll import ConfigurationPoll
 from .control_metrics import ControlMetrics
-from .domain_controller import Surroundings
 from .election import Election
 from .ids import IncarnationId
 from .job_store import JobStore
@@ -22,6 +21,7 @@
 from .program import run_program
 from .settings import Settings
 from .store_etcd import EtcdStore
+from .surroundings import Surroundings
 from .worker_client import WorkerClient
 
 HEALTH_PATH = '/healthz'
@@ -126,7 +126,9 @@
             holder=self._holder,
             permits=self._permits,
             vms=lambda: peers.vms,
+            views=peers.domain_views,
             publish=peers.publish,
+            notify=peers.notify_job,
             plan=naive.plan,
         )
         return Campaigns(self._hello.domain, election, around)
--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -2,28 +2,23 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 
-import msgspec
 from mode import Service
 
-from .clock import MS_PER_S, Clock
-from .cluster import DomainSnapshot, Place, Plan
-from .configuration_holder import ConfigurationHolder
-from .domain_core import DomainCore
-from .domain_snapshot import take_snapshot
+from .clock import MS_PER_S
+from .cluster import Place, Plan
+from .departures import Departures
+from .domain_core import DomainCore, RecordChange
 from .domain_view import make_view
 from .election import Tenure
+from .exceptions import PeerUnreachableError
 from .gang import StopCause, Timing
 from .gang_table import GangTable
-from .ids import AttemptId, JobId, VmId
-from .job_store import JobStore
-from .messages import DomainView
-from .permit import PermitBook
+from .ids import AttemptId
+from .messages import JobNotice
 from .record_sync import RecordSync
-from .settings import ControlSettings
-from .vm_list import VmEntry
-from .worker_client import WorkerClient
+from .scheduling import Scheduling
+from .surroundings import Surroundings
 from .worker_rounds import WorkerRounds
 
 logger = logging.getLogger(__name__)
@@ -32,21 +27,6 @@
 PASS_GAP_S = 0.02
 
 
-class Surroundings(msgspec.Struct, frozen=True):
-    """What a controller works with; shared by those of one process."""
-
-    vm: VmId
-    settings: ControlSettings
-    clock: Clock
-    jobs: JobStore
-    client: WorkerClient
-    holder: ConfigurationHolder
-    permits: PermitBook
-    vms: Callable[[], tuple[VmEntry, ...]]
-    publish: Callable[[DomainView], None]
-    plan: Callable[[DomainSnapshot], Plan]
-
-
 class DomainController(Service):
     """Adopts what runs in the domain, then places and follows its jobs."""
 
@@ -64,13 +44,14 @@
             ),
         )
         self.core = DomainCore(tenure.domain, self.table)
-        # Why jobs wait, for operators.
-        self.waits: dict[JobId, str] = {}
+        self.scheduling = Scheduling(self.core, around.clock, around.plan)
+        self._departures = Departures(self.core)
         self._around = around
         self._clock = around.clock
         self._round_s = settings.worker_round_ms / MS_PER_S
         self._news = asyncio.Event()
         self._records = RecordSync(self.core, around.jobs, self._clock)
+        self._records.on_written = self.scheduling.learn
         self._rounds = WorkerRounds(
             tenure.domain, self.table, around.client, self._clock, settings
         )
@@ -131,6 +112,10 @@
         self._advance()
         if self._records.has_scanned and self.may_start():
             await self._schedule()
+        if self._records.has_scanned and self.tenure.holds(
+            self._clock.monotonic_s(),
+        ):
+            await self._let_go()
         self._rounds.wake_urgent()
         self._around.publish(make_view(self.core, self._around.vm))
 
@@ -140,21 +125,34 @@
         self._rounds.wake_urgent()
 
     async def _schedule(self) -> None:
-        plan = self._around.plan(
-            take_snapshot(
-                self.core,
-                self._around.holder.current.contracts,
-                self._clock.monotonic_s(),
-                self._clock.unix_ms(),
-            ),
-        )
-        self.waits = {wait.job: wait.reason for wait in plan.waits}
+        plan = self.scheduling.plan(self._around.holder.current)
+        # A worker that was never seen might be able to run them.
         if self._rounds.knows_all:
             await self._set_aside(plan)
         for reclaim in plan.reclaims:
             self._give_way(reclaim.attempt, StopCause.RECLAIMED)
         await asyncio.gather(*(self._place(place) for place in plan.places))
 
+    async def _let_go(self) -> None:
+        now_s = self._clock.monotonic_s()
+        configuration = self._around.holder.current
+        self._departures.drain(configuration, now_s)
+        moves = self._departures.moves(
+            configuration, self._around.views(), now_s
+        )
+        await asyncio.gather(*(self._move(move) for move in moves))
+
+    async def _move(self, move: RecordChange) -> None:
+        written = await self._records.write(move)
+        if written is None:
+            return
+        notice = JobNotice(move.record.job, move.record.domain)
+        try:
+            await self._around.notify(notice)
+        except PeerUnreachableError:
+            # The next scan of the job's new domain finds it.
+            return
+
     async def _set_aside(self, plan: Plan) -> None:
         now_unix_ms = self._clock.unix_ms()
         await self._records.commit(
--- a/src/bulrushcove/domain_core.py
+++ b/src/bulrushcove/domain_core.py
@@ -11,6 +11,7 @@
 
 from .attempts import adopt, begin, has_ended, needs_start_record
 from .cluster import Place, SetAside
+from .domain_moves import Move
 from .gang import GangAttempt, Phase, StopCause
 from .gang_table import GangTable
 from .ids import AttemptId, DomainName, JobId
@@ -109,6 +110,7 @@
             epoch=epoch,
             placement=place.placement,
             borrowed=place.borrowed,
+            cover=place.cover,
         )
         record = msgspec.structs.replace(
             stored.record,
@@ -119,6 +121,16 @@
         )
         return RecordChange(stored, record)
 
+    def move(self, move: Move) -> RecordChange:
+        """Return the write that gives a waiting job to another domain."""
+        stored = self.jobs[move.job]
+        record = msgspec.structs.replace(
+            stored.record,
+            domain=move.domain,
+            reason=f'moved from failure domain {self.domain}',
+        )
+        return RecordChange(stored, record)
+
     def set_aside(self, aside: SetAside, now_unix_ms: int) -> RecordChange:
         """Return the write that ends a job which cannot run."""
         stored = self.jobs[aside.job]
--- /dev/null
+++ b/src/bulrushcove/observed_runs.py
@@ -0,0 +1,37 @@
+"""Run times seen of each kind of job, for plans that declared ones mislead."""
+
+from collections import OrderedDict, deque
+
+from .cluster import ObservedRuns
+from .ids import OrganisationId
+
+RUNS_PER_KIND = 20
+MAX_KINDS = 1000
+
+
+class RunTimes:
+    """Latest run times by organisation and kind, the oldest kind dropped."""
+
+    def __init__(self) -> None:
+        """Start without any run."""
+        self._runs_s: OrderedDict[tuple[OrganisationId, str], deque[float]] = (
+            OrderedDict()
+        )
+
+    def add(
+        self, organisation: OrganisationId, kind: str, run_s: float
+    ) -> None:
+        """Take in the run time of a job that has succeeded."""
+        key = (organisation, kind)
+        runs_s = self._runs_s.setdefault(key, deque(maxlen=RUNS_PER_KIND))
+        runs_s.append(run_s)
+        self._runs_s.move_to_end(key)
+        if len(self._runs_s) > MAX_KINDS:
+            self._runs_s.popitem(last=False)
+
+    def observed(self) -> tuple[ObservedRuns, ...]:
+        """Return what a scheduling pass looks at."""
+        return tuple(
+            ObservedRuns(organisation, kind, tuple(runs_s))
+            for (organisation, kind), runs_s in self._runs_s.items()
+        )
--- a/src/bulrushcove/record_sync.py
+++ b/src/bulrushcove/record_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from .clock import Clock
 from .domain_core import DomainCore, RecordChange
@@ -22,6 +22,8 @@
     def __init__(self, core: DomainCore, jobs: JobStore, clock: Clock) -> None:
         """Work for ``core``."""
         self.scan_due = True
+        # Told of each write that took effect; set by the owner.
+        self.on_written: Callable[[RecordChange], None] = _ignore
         self._core = core
         self._jobs = jobs
         self._clock = clock
@@ -68,6 +70,7 @@
                 self._log_error('job.not_written', exc)
                 return None
         self._core.refresh(stored)
+        self.on_written(change)
         _log_change(change)
         return stored
 
@@ -90,15 +93,21 @@
         )
 
 
+def _ignore(_change: RecordChange) -> None:
+    """Stand in for an owner that wants to hear of no write."""
+
+
 def _log_change(change: RecordChange) -> None:
     record = change.record
-    if record.state is change.stored.record.state:
+    earlier = change.stored.record
+    if record.state is earlier.state and record.domain == earlier.domain:
         return
     log_event(
         logger,
         f'job.{record.state.value}',
         job=record.job,
         organisation=record.organisation,
+        domain=record.domain,
         attempts=record.attempts,
         reason=record.reason or None,
     )
--- /dev/null
+++ b/src/bulrushcove/surroundings.py
@@ -0,0 +1,33 @@
+"""Collaborators that the controllers of one process share."""
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from .clock import Clock
+from .configuration_holder import ConfigurationHolder
+from .ids import VmId
+from .job_store import JobStore
+from .messages import DomainView, JobNotice
+from .permit import PermitBook
+from .scheduling import Planner
+from .settings import ControlSettings
+from .vm_list import VmEntry
+from .worker_client import WorkerClient
+
+
+class Surroundings(msgspec.Struct, frozen=True):
+    """What a controller works with."""
+
+    vm: VmId
+    settings: ControlSettings
+    clock: Clock
+    jobs: JobStore
+    client: WorkerClient
+    holder: ConfigurationHolder
+    permits: PermitBook
+    vms: Callable[[], tuple[VmEntry, ...]]
+    views: Callable[[], tuple[DomainView, ...]]
+    publish: Callable[[DomainView], None]
+    notify: Callable[[JobNotice], Awaitable[None]]
+    plan: Planner
