--- /dev/null
+++ b/dev/history/kept_jobs.py
@@ -0,0 +1,39 @@
+"""Check: an accepted job ends, and its result comes once and complete."""
+
+from collections.abc import Iterator
+
+from bulrushcove.states import JobState
+from dev.history.records import CallerJob, History
+
+
+def find_lost_jobs(history: History) -> list[str]:
+    """Return each accepted job without an end or with a wrong result."""
+    return [
+        violation
+        for job in history.caller_jobs
+        if job.accepted
+        for violation in _check_job(job)
+    ]
+
+
+def _check_job(job: CallerJob) -> Iterator[str]:
+    name = f'job {job.job} of {job.organisation}'
+    if job.state is None or not job.state.is_final:
+        yield f'{name} was accepted and has not ended: {job.state}'
+    elif job.state is JobState.SUCCEEDED:
+        if job.results != job.expected_results:
+            yield f'{name} succeeded with the result {job.results}'
+    elif not _may_end_so(job):
+        yield f'{name} ended as {job.state.value}'
+
+
+def _may_end_so(job: CallerJob) -> bool:
+    """Return whether the job may end without a result as it did."""
+    allowed = {
+        JobState.CANCELLED: job.cancelled,
+        # An attempt of unknown outcome may be repeated when idempotent.
+        JobState.UNKNOWN: not job.idempotent,
+        JobState.FAILED: job.may_fail,
+        JobState.UNRUNNABLE: job.may_fail,
+    }
+    return job.state is not None and allowed[job.state]
