--- a/src/bulrushcove/control.py
+++ b/src/bulrushcove/control.py
@@ -9,7 +9,6 @@
 from .configuration_holder import ConfigurationHolder
 from .configuration_poll import ConfigurationPoll
 from .control_metrics import ControlMetrics
-from .domain_controller import Surroundings
 from .election import Election
 from .hello import CONTROL_ROLE, new_hello
 from .job_store import JobStore
@@ -19,6 +18,7 @@
 from .program import run_program
 from .settings import Settings
 from .store_etcd import EtcdStore
+from .surroundings import Surroundings
 from .worker_client import WorkerClient
 
 HEALTH_PATH = '/healthz'
@@ -118,7 +118,9 @@
             holder=self._holder,
             permits=self._permits,
             vms=lambda: peers.vms,
+            views=peers.domain_views,
             publish=peers.publish,
+            notify=peers.notify_job,
             plan=naive.plan,
         )
         return Campaigns(self._hello.domain, election, around)
