Scheduler: guarantees by cover, reclaim, best fit, reservations, set aside

Guarantees: each guaranteed shape is a cover that an unborrowed gang uses and lies in. Ways weighed: deriving the use anew each pass (a gang that ends could shift another to a cover that does not pack where it runs), and a full packing search per placement (too slow). Chosen: covers named in the attempt, kept layout, checked in place, repacked only on conflict.

Reclaim stops whole borrowed gangs at the least loss and holds their room; reservations name workers, so a wrong run time cannot let small work in for ever: what overstays is stopped once it alone is in the way. plan_in_steps yields after each job so that a service can let its loop run.

--- /dev/null
+++ b/src/bulrushcove/covered_start.py
@@ -0,0 +1,81 @@
+"""Starts jobs within the guarantee of their organisation."""
+
+from collections.abc import Iterable, Iterator
+
+from .covers import Cover
+from .job import JobRecord
+from .pass_state import PassState
+from .placement import best_spread, fits_of, narrower
+from .reclaim import find_reclaims
+from .rooms import Counts
+
+# Ways to make room that are checked against the guarantees of others.
+MAX_RECLAIM_TRIES = 8
+
+
+def start_covered(state: PassState, record: JobRecord) -> bool:
+    """Place the job in free room that its guarantee may use."""
+    if state.wish(record) in state.misfits:
+        return False
+    spec = record.spec
+    free = fits_of(spec, state.rooms.free, state.visible(record))
+    if sum(free.values()) < spec.tasks:
+        return False
+    for cover in _covers(state, record):
+        for counts in _covered_spreads(state, record, cover, free):
+            if state.guarantees.admits(cover, spec, counts):
+                state.place(record, counts, cover)
+                return True
+    return False
+
+
+def reclaim_for_cover(state: PassState, record: JobRecord) -> bool:
+    """Stop borrowed work so that the job can use its guarantee."""
+    return any(
+        _reclaim_into(state, record, cover) for cover in _covers(state, record)
+    )
+
+
+def _covered_spreads(
+    state: PassState,
+    record: JobRecord,
+    cover: Cover,
+    free: dict[int, int],
+) -> Iterator[Counts]:
+    """Yield the best place beside the other covers, then the best of all."""
+    spec = record.spec
+    allowed = state.guarantees.allowed(cover, list(free))
+    near = narrower(spec.adjacency, cover.adjacency)
+    most = fits_of(spec, state.guarantees.unreserved(cover), allowed)
+    beside = {index: min(free[index], most[index]) for index in most}
+    everywhere = {index: free[index] for index in allowed}
+    for fits in (beside, everywhere):
+        counts = best_spread(spec, state.rooms, fits, near)
+        if counts:
+            yield counts
+
+
+def _reclaim_into(state: PassState, record: JobRecord, cover: Cover) -> bool:
+    spec = record.spec
+    guarantees = state.guarantees
+    allowed = guarantees.allowed(cover, state.visible(record))
+    near = narrower(spec.adjacency, cover.adjacency)
+    for ceiling in (guarantees.unreserved(cover), guarantees.firm_rooms()):
+        ways = find_reclaims(
+            spec, state.rooms, state.borrowed, allowed, near, ceiling
+        )
+        for way in ways[:MAX_RECLAIM_TRIES]:
+            counts = best_spread(spec, state.rooms, way.fits, near)
+            if guarantees.admits(cover, spec, counts):
+                state.await_victims(record, counts, way.victims)
+                return True
+    return False
+
+
+def _covers(state: PassState, record: JobRecord) -> Iterable[Cover]:
+    """Return unlike covers for the job, the best match first."""
+    found: dict[tuple[object, ...], Cover] = {}
+    for cover in state.guarantees.covers(record.organisation, record.spec):
+        bound = (cover.rack, cover.worker, cover.spot is None)
+        found.setdefault((cover.adjacency, cover.rest, *bound), cover)
+    return found.values()
--- /dev/null
+++ b/src/bulrushcove/pass_state.py
@@ -0,0 +1,150 @@
+"""Decisions of one scheduling pass so far, and the room that is left."""
+
+from collections.abc import Iterable
+
+from .cluster import (
+    DomainSnapshot,
+    Place,
+    Plan,
+    Reclaim,
+    Reservation,
+    RunningGang,
+    SetAside,
+    Wait,
+)
+from .contract import Contract
+from .covers import Cover
+from .guarantees import Guarantees
+from .ids import JobId
+from .job import JobRecord
+from .job_queue import Usage
+from .placement import visible
+from .reclaim import Borrowed
+from .rooms import Counts, Rooms
+from .run_times import RunTimes
+
+
+class PassState:
+    """What the steps of a pass read and change."""
+
+    def __init__(self, snapshot: DomainSnapshot) -> None:
+        """Start a pass over ``snapshot``."""
+        self.snapshot = snapshot
+        self.rooms = Rooms(snapshot.workers)
+        self.guarantees = Guarantees(snapshot, self.rooms)
+        self.usage = Usage(
+            snapshot,
+            {name: self.guarantees.total(name) for name in snapshot.contracts},
+        )
+        self.run_times = RunTimes(snapshot.observed)
+        self.borrowed = Borrowed(snapshot.running, self.rooms)
+        # Wishes that found no free room in this pass.
+        self.misfits: set[tuple[object, ...]] = set()
+        self.reservations: dict[JobId, tuple[JobRecord, Reservation]] = {}
+        self._places: dict[JobId, Place] = {}
+        self._reclaims: list[Reclaim] = []
+        self._set_aside: list[SetAside] = []
+        self._waits: dict[JobId, str] = {}
+        # Jobs that hold room until their victims have ended.
+        self._awaiting: set[JobId] = set()
+
+    def contract(self, record: JobRecord) -> Contract:
+        """Return the contract that the job runs under."""
+        return self.snapshot.contracts[record.organisation]
+
+    def visible(self, record: JobRecord) -> list[int]:
+        """Return the workers that the job may run on."""
+        return visible(self.rooms, self.contract(record))
+
+    def wish(self, record: JobRecord) -> tuple[object, ...]:
+        """Return what decides whether free room serves the job."""
+        spec = record.spec
+        room = (
+            spec.accelerators_per_task,
+            spec.cores_per_task,
+            spec.memory_mb_per_task,
+        )
+        hidden = self.contract(record).hidden_racks
+        return spec.tasks, room, spec.adjacency, hidden
+
+    def may_borrow(self, record: JobRecord) -> bool:
+        """Return whether the contract lets the job be borrowed work."""
+        limit = self.contract(record).jobs.max_borrowed_accelerators
+        held = self.usage.borrowed(record.organisation)
+        return held + record.spec.accelerators <= limit
+
+    def is_open(self, record: JobRecord) -> bool:
+        """Return whether nothing was decided for the job yet."""
+        return (
+            record.job not in self._places and record.job not in self._awaiting
+        )
+
+    def place(
+        self, record: JobRecord, counts: Counts, cover: Cover | None
+    ) -> None:
+        """Start the job; without a cover it is borrowed."""
+        self.rooms.take(record.spec, counts)
+        self.usage.add(record, borrowed=cover is None)
+        self._places[record.job] = Place(
+            job=record.job,
+            placement=self.rooms.placement_of(counts),
+            borrowed=cover is None,
+            cover=cover.name if cover else '',
+        )
+
+    def await_victims(
+        self,
+        record: JobRecord,
+        counts: Counts,
+        victims: Iterable[RunningGang],
+    ) -> None:
+        """Stop ``victims`` and hold their room for the job."""
+        reason = f'room is wanted by organisation {record.organisation}'
+        self.reclaim(record, victims, reason)
+        self.rooms.take(record.spec, counts)
+        self._awaiting.add(record.job)
+        self.wait(record, 'waits for reclaimed accelerators')
+
+    def reclaim(
+        self,
+        record: JobRecord,
+        victims: Iterable[RunningGang],
+        reason: str,
+    ) -> None:
+        """Stop those of ``victims`` that are not being stopped already."""
+        for victim in victims:
+            if not self.borrowed.is_stopping(victim):
+                self.borrowed.stop(victim)
+                self._reclaims.append(
+                    Reclaim(victim.attempt, record.job, reason)
+                )
+
+    def hold(self, record: JobRecord, kept: Reservation) -> None:
+        """Keep the room of a reservation from jobs that come later."""
+        self.reservations[record.job] = (record, kept)
+        counts = self.rooms.counts_of(kept.placement)
+        self.rooms.take(record.spec, counts)
+        self.wait(record, 'waits for the room reserved for it')
+
+    def set_aside(self, record: JobRecord, reason: str) -> None:
+        """Decide that the job can never run here."""
+        self._set_aside.append(SetAside(record.job, reason))
+
+    def wait(self, record: JobRecord, reason: str) -> None:
+        """Note why the job waits, unless it is placed after all."""
+        self._waits[record.job] = reason
+
+    def result(self) -> Plan:
+        """Return the plan."""
+        waits = [
+            Wait(job, reason)
+            for job, reason in self._waits.items()
+            if job not in self._places
+        ]
+        return Plan(
+            places=tuple(self._places.values()),
+            reclaims=tuple(self._reclaims),
+            set_aside=tuple(self._set_aside),
+            waits=tuple(waits),
+            reservations=tuple(kept for _, kept in self.reservations.values()),
+        )
--- /dev/null
+++ b/src/bulrushcove/reclaim.py
@@ -0,0 +1,174 @@
+"""Chooses borrowed gangs to stop so that wanted work can start whole."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from .cluster import RunningGang
+from .ids import AttemptId
+from .job import JobSpec
+from .placement import fits_of, groups
+from .rooms import Room, Rooms
+from .states import Adjacency, Urgency
+
+# Stopping and starting again costs this much besides unsaved work.
+RESTART_S = 1.0
+
+
+class Reclaimed(msgspec.Struct):
+    """Room for one gang, and the gangs to stop for it."""
+
+    # Workers of the group, with what fits once the victims have ended.
+    fits: dict[int, int]
+    victims: list[RunningGang]
+    cost: float
+
+
+class Borrowed:
+    """Borrowed gangs of a domain, by worker, with what a stop loses."""
+
+    def __init__(self, running: Iterable[RunningGang], rooms: Rooms) -> None:
+        """Index the borrowed ones of ``running``."""
+        self._rooms = rooms
+        self._on_worker: dict[int, list[RunningGang]] = defaultdict(list)
+        self._stopping: set[AttemptId] = set()
+        for borrower in running:
+            if borrower.borrowed:
+                self._add(borrower)
+
+    def stop(self, victim: RunningGang) -> None:
+        """Note that ``victim`` is being stopped."""
+        self._stopping.add(victim.attempt)
+
+    def is_stopping(self, gang: RunningGang) -> bool:
+        """Return whether the gang's room comes back without a new stop."""
+        return gang.stopping or gang.attempt in self._stopping
+
+    def cost(self, gang: RunningGang) -> float:
+        """Return the accelerator-seconds that a stop throws away."""
+        if self.is_stopping(gang):
+            return 0
+        weight = max(gang.record.spec.accelerators, 1)
+        return (gang.unsaved_s + RESTART_S) * weight
+
+    def on_workers(
+        self, indices: Iterable[int], *, spare_urgent: bool
+    ) -> list[RunningGang]:
+        """Return the gangs there that may be stopped, cheapest room first."""
+        found = {}
+        for index in indices:
+            for candidate in self._on_worker.get(index, ()):
+                found[candidate.attempt] = candidate
+        gangs = [
+            gang
+            for gang in found.values()
+            if self.is_stopping(gang) or not (spare_urgent and _is_urgent(gang))
+        ]
+        return sorted(gangs, key=self._order)
+
+    def _add(self, gang: RunningGang) -> None:
+        for index, _ in self._rooms.counts_of(gang.placement):
+            self._on_worker[index].append(gang)
+
+    def _order(self, gang: RunningGang) -> tuple[bool, float, AttemptId]:
+        weight = max(gang.record.spec.accelerators, 1)
+        return _is_urgent(gang), self.cost(gang) / weight, gang.attempt
+
+
+def find_reclaims(
+    spec: JobSpec,
+    rooms: Rooms,
+    borrowed: Borrowed,
+    indices: Sequence[int],
+    adjacency: Adjacency,
+    ceiling: Sequence[Room] | None = None,
+) -> list[Reclaimed]:
+    """Return ways to make room for the gang, the least loss first.
+
+    ``ceiling`` limits what the gang may take of each worker: the room less
+    unborrowed work and less what others are guaranteed. Without one the gang
+    is borrowed itself and stops no urgent work.
+    """
+    most = None if ceiling is None else fits_of(spec, ceiling, indices)
+    ways = []
+    for group in groups(rooms, indices, adjacency):
+        if most is not None and _most_in(group, most) < spec.tasks:
+            continue
+        way = _reclaim_in(spec, rooms, borrowed, group, most)
+        if way is not None:
+            ways.append(way)
+    return sorted(ways, key=lambda way: (way.cost, len(way.victims)))
+
+
+def _most_in(group: Sequence[int], most: dict[int, int]) -> int:
+    return sum(most.get(index, 0) for index in group)
+
+
+def _reclaim_in(
+    spec: JobSpec,
+    rooms: Rooms,
+    borrowed: Borrowed,
+    group: Sequence[int],
+    most: dict[int, int] | None,
+) -> Reclaimed | None:
+    """Stop the cheapest gangs of the group until the gang fits, then fewer."""
+    gangs = borrowed.on_workers(group, spare_urgent=most is None)
+    state = _GroupRoom(spec, rooms, group, most)
+    victims: list[RunningGang] = []
+    for cheapest in gangs:
+        if state.total >= spec.tasks:
+            break
+        state.give(cheapest, 1)
+        victims.append(cheapest)
+    if state.total < spec.tasks:
+        return None
+    for victim in sorted(victims, key=borrowed.cost, reverse=True):
+        state.give(victim, -1)
+        if state.total >= spec.tasks:
+            victims.remove(victim)
+        else:
+            state.give(victim, 1)
+    return Reclaimed(
+        fits=state.fits,
+        victims=[gang for gang in victims if not borrowed.is_stopping(gang)],
+        cost=sum(borrowed.cost(gang) for gang in victims),
+    )
+
+
+class _GroupRoom:
+    """Tasks that fit on the workers of one group as gangs are stopped."""
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        rooms: Rooms,
+        group: Sequence[int],
+        most: dict[int, int] | None,
+    ) -> None:
+        self._spec = spec
+        self._rooms = rooms
+        self._most = most
+        self._room = {index: rooms.free[index].copy() for index in group}
+        self.fits = {index: self._fit(index) for index in group}
+        self.total = sum(self.fits.values())
+
+    def give(self, gang: RunningGang, sign: int) -> None:
+        """Give back a gang's room; -1 takes it again."""
+        for index, tasks in self._rooms.counts_of(gang.placement):
+            room = self._room.get(index)
+            if room is not None:
+                room.take(gang.record.spec, -sign * tasks)
+                self.total -= self.fits[index]
+                self.fits[index] = self._fit(index)
+                self.total += self.fits[index]
+
+    def _fit(self, index: int) -> int:
+        fitting = self._room[index].fits(self._spec)
+        if self._most is None:
+            return fitting
+        return min(fitting, self._most.get(index, 0))
+
+
+def _is_urgent(gang: RunningGang) -> bool:
+    return gang.record.spec.urgency is Urgency.URGENT
--- a/src/bulrushcove/rooms.py
+++ b/src/bulrushcove/rooms.py
@@ -1,11 +1,18 @@
 """Free room of workers while one scheduling pass places work on them."""
 
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
 import msgspec
 
 from .cluster import WorkerRoom
 from .contract import Contract
 from .ids import DomainName, RackId, WorkerId
 from .job import JobSpec, PlacedPart
+from .worker_api import WorkerDescription
+
+# Tasks on each worker, by the worker's index.
+Counts = list[tuple[int, int]]
 
 
 class Room(msgspec.Struct):
@@ -19,12 +26,9 @@
 
     def fits(self, spec: JobSpec) -> int:
         """Return how many more tasks of ``spec`` this worker can take."""
-        count = min(
-            self.cores // spec.cores_per_task
-            if spec.cores_per_task
-            else spec.tasks,
-            self.memory_mb // spec.memory_mb_per_task,
-        )
+        count = self.memory_mb // spec.memory_mb_per_task
+        if spec.cores_per_task:
+            count = min(count, self.cores // spec.cores_per_task)
         if spec.accelerators_per_task:
             count = min(count, self.accelerators // spec.accelerators_per_task)
         return max(count, 0)
@@ -35,6 +39,16 @@
         self.cores -= tasks * spec.cores_per_task
         self.memory_mb -= tasks * spec.memory_mb_per_task
 
+    def copy(self) -> 'Room':
+        """Return a copy that changes on its own."""
+        return Room(
+            self.worker,
+            self.rack,
+            self.accelerators,
+            self.cores,
+            self.memory_mb,
+        )
+
 
 def open_room(worker: WorkerRoom) -> Room:
     """Return the room that ``worker`` has left."""
@@ -47,6 +61,61 @@
     )
 
 
+def empty_room(worker: WorkerDescription) -> Room:
+    """Return the room of ``worker`` when nothing runs on it."""
+    return Room(
+        worker=worker.worker,
+        rack=worker.rack,
+        accelerators=worker.accelerators,
+        cores=worker.cores,
+        memory_mb=worker.memory_mb,
+    )
+
+
+class Rooms:
+    """Usable workers of a domain, by index, during one pass."""
+
+    def __init__(self, workers: Iterable[WorkerRoom]) -> None:
+        """Open the rooms of the usable ones of ``workers``."""
+        usable = [worker for worker in workers if worker.usable]
+        self.workers = [worker.description for worker in usable]
+        # Really free, less what is held for jobs that wait for room.
+        self.free = [open_room(worker) for worker in usable]
+        self.index = {
+            worker.worker: index for index, worker in enumerate(self.workers)
+        }
+        self.racks: dict[RackId, list[int]] = defaultdict(list)
+        self.free_in_rack: dict[RackId, int] = defaultdict(int)
+        for index, room in enumerate(self.free):
+            self.racks[room.rack].append(index)
+            self.free_in_rack[room.rack] += room.accelerators
+
+    def take(self, spec: JobSpec, counts: Counts) -> None:
+        """Take room for a gang; what a hold takes may go below zero."""
+        for index, tasks in counts:
+            room = self.free[index]
+            room.take(spec, tasks)
+            self.free_in_rack[room.rack] -= tasks * spec.accelerators_per_task
+
+    def counts_of(self, placement: Sequence[PlacedPart]) -> Counts:
+        """Return a placement by index, without workers that are unusable."""
+        return [
+            (self.index[part.worker], len(part.parts))
+            for part in placement
+            if part.worker in self.index
+        ]
+
+    def placement_of(self, counts: Counts) -> tuple[PlacedPart, ...]:
+        """Return the placement of a gang over ``counts``."""
+        return number_parts(
+            [
+                (self.workers[index].worker, tasks)
+                for index, tasks in counts
+                if tasks
+            ]
+        )
+
+
 def may_see_domain(contract: Contract, domain: DomainName) -> bool:
     """Return whether the organisation's work may run in ``domain``."""
     return domain not in contract.hidden_domains
--- /dev/null
+++ b/src/bulrushcove/run_times.py
@@ -0,0 +1,89 @@
+"""Run times expected from what was observed, not from what was declared."""
+
+from bisect import bisect_right
+from collections import defaultdict, deque
+from collections.abc import Iterable
+
+from .clock import MS_PER_S
+from .cluster import ObservedRuns
+from .ids import OrganisationId
+from .job import JobRecord
+
+KEPT_RUNS = 32
+MAX_KINDS = 512
+# Fewer observations than this do not bound a run time.
+MIN_RUNS = 5
+# Declared run times are off by up to this factor, both ways.
+DECLARED_FACTOR = 10
+# A run may exceed the longest observed one by this factor.
+LONGEST_FACTOR = 1.5
+
+Kind = tuple[OrganisationId, str]
+
+
+class RunHistory:
+    """Latest run times by organisation and kind; kept by a control."""
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._runs: dict[Kind, deque[float]] = {}
+
+    def note(self, record: JobRecord, run_s: float) -> None:
+        """Add the run time of a job that succeeded."""
+        kind = (record.organisation, record.spec.kind)
+        runs = self._runs.pop(kind, None) or deque(maxlen=KEPT_RUNS)
+        runs.append(run_s)
+        # Latest last, so that the kind not seen for longest is dropped.
+        self._runs[kind] = runs
+        if len(self._runs) > MAX_KINDS:
+            self._runs.pop(next(iter(self._runs)))
+
+    def observed(self) -> tuple[ObservedRuns, ...]:
+        """Return the observations for a snapshot."""
+        return tuple(
+            ObservedRuns(organisation, kind, tuple(runs))
+            for (organisation, kind), runs in self._runs.items()
+        )
+
+
+class RunTimes:
+    """Expected run times in seconds during one pass."""
+
+    def __init__(self, observed: Iterable[ObservedRuns]) -> None:
+        """Expect what was ``observed``, and declared times without it."""
+        self._runs: dict[Kind, list[float]] = defaultdict(list)
+        for each in observed:
+            self._runs[each.organisation, each.kind] = sorted(each.runs_s)
+
+    def likely_s(self, record: JobRecord) -> float:
+        """Return the median run time of the job's kind."""
+        runs = self._runs_of(record)
+        if runs:
+            return runs[len(runs) // 2]
+        return record.spec.declared_run_ms / MS_PER_S
+
+    def longest_s(self, record: JobRecord) -> float:
+        """Return a run time that the job hardly exceeds."""
+        runs = self._runs_of(record)
+        if len(runs) >= MIN_RUNS:
+            return runs[-1] * LONGEST_FACTOR
+        declared_s = record.spec.declared_run_ms / MS_PER_S
+        return max(declared_s * DECLARED_FACTOR, *runs, 0)
+
+    def remaining_s(self, record: JobRecord, elapsed_s: float) -> float:
+        """Return how much longer a job likely runs after ``elapsed_s``.
+
+        That is the median over the observed runs that took longer; a job
+        that has outrun them all is expected to double its time.
+        """
+        runs = self._runs_of(record)
+        longer = runs[bisect_right(runs, elapsed_s) :]
+        if longer:
+            return longer[len(longer) // 2] - elapsed_s
+        declared_s = record.spec.declared_run_ms / MS_PER_S
+        if not runs and declared_s > elapsed_s:
+            return declared_s - elapsed_s
+        return elapsed_s
+
+    def _runs_of(self, record: JobRecord) -> list[float]:
+        return self._runs.get((record.organisation, record.spec.kind), [])
--- /dev/null
+++ b/src/bulrushcove/scheduler.py
@@ -0,0 +1,102 @@
+"""One scheduling pass over a domain: guarantees first, then what fits."""
+
+from collections.abc import Generator, Iterable
+
+from .borrowed_start import (
+    fill_gap,
+    hold_reservations,
+    reclaim_for_urgent,
+    start_borrowed,
+)
+from .cluster import DomainSnapshot, Plan
+from .covered_start import reclaim_for_cover, start_covered
+from .job import JobRecord
+from .job_queue import by_age, fair_order, is_urgent
+from .pass_state import PassState
+from .runnable import why_never
+
+Steps = Generator[None, None, Plan]
+
+
+def plan(snapshot: DomainSnapshot) -> Plan:
+    """Decide what starts, what is stopped for it and what waits."""
+    steps = plan_in_steps(snapshot)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return done.value
+
+
+def plan_in_steps(snapshot: DomainSnapshot) -> Steps:
+    """Decide as ``plan`` does, and yield after each job.
+
+    A service lets other work of its loop run between the steps.
+    """
+    state = PassState(snapshot)
+    yield
+    waiting = _runnable(state)
+    normal = [record for record in waiting if not is_urgent(record)]
+    for urgent in by_age(record for record in waiting if is_urgent(record)):
+        _try_urgent(state, urgent)
+        yield
+    for covered in _in_fair_order(state, normal):
+        _try_covered(state, covered)
+        yield
+    rest = [record for record in normal if state.is_open(record)]
+    hold_reservations(state, rest)
+    yield
+    for borrower in _in_fair_order(state, rest):
+        _try_borrowed(state, borrower)
+        yield
+    return state.result()
+
+
+def _runnable(state: PassState) -> list[JobRecord]:
+    """Return the jobs that may ever run here; set the others aside."""
+    why = why_never(state.snapshot)
+    waiting = []
+    for record in state.snapshot.queued:
+        if record.cancel_requested:
+            continue
+        if record.organisation not in state.snapshot.contracts:
+            state.wait(record, 'the organisation has no contract')
+            continue
+        reason = why(record)
+        if reason:
+            state.set_aside(record, reason)
+        else:
+            waiting.append(record)
+    return waiting
+
+
+def _in_fair_order(
+    state: PassState, records: Iterable[JobRecord]
+) -> Iterable[JobRecord]:
+    return fair_order(
+        records, state.usage, state.run_times, state.snapshot.now_unix_ms
+    )
+
+
+def _try_urgent(state: PassState, record: JobRecord) -> None:
+    """Start an urgent job at once, if need be by stopping others."""
+    if start_covered(state, record) or start_borrowed(state, record):
+        return
+    if not reclaim_for_cover(state, record):
+        reclaim_for_urgent(state, record)
+
+
+def _try_covered(state: PassState, record: JobRecord) -> None:
+    """Start a job within the guarantee, if need be by stopping others."""
+    if not state.guarantees.covers(record.organisation, record.spec):
+        return
+    if start_covered(state, record) or start_borrowed(state, record):
+        return
+    reclaim_for_cover(state, record)
+
+
+def _try_borrowed(state: PassState, record: JobRecord) -> None:
+    """Start a job beyond the guarantee where there is room."""
+    if state.is_open(record) and record.job not in state.reservations:
+        if not start_borrowed(state, record):
+            fill_gap(state, record)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,236 @@
+import pytest
+
+from bulrushcove import scheduler
+from bulrushcove.contract import GuaranteedShape, JobLimits
+from bulrushcove.states import Adjacency, Urgency
+from tests.cluster_builders import (
+    NOW_S,
+    contract,
+    gang,
+    job,
+    snapshot,
+    worker,
+)
+
+WORKER, RACK, DOMAIN = Adjacency.WORKER, Adjacency.RACK, Adjacency.DOMAIN
+
+
+def workers_on(plan):
+    return {
+        place.job: {part.worker: len(part.parts) for part in place.placement}
+        for place in plan.places
+    }
+
+
+def shape(accelerators, adjacency=WORKER, count=1):
+    return GuaranteedShape(accelerators, adjacency, None, count)
+
+
+def test_small_work_goes_into_broken_workers():
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=8), worker('w2', free=3)],
+            queued=[job('a', accelerators=2)],
+        )
+    )
+    assert workers_on(plan) == {'a': {'w2': 1}}
+    assert plan.places[0].borrowed
+
+
+def test_work_within_the_guarantee_names_its_cover():
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1')],
+            queued=[job('a', accelerators=8)],
+            contracts=[contract(guaranteed=[shape(8)])],
+        )
+    )
+    (place,) = plan.places
+    assert not place.borrowed
+    assert place.cover == '8/worker/any#1'
+
+
+def full_of_borrowed(unsaved_s):
+    """Return two full workers of single borrowed tasks of another."""
+    return [
+        gang(
+            job(f'{name}-{nth}', 'shop'),
+            {name: 1},
+            borrowed=True,
+            unsaved_s=unsaved_s[name],
+        )
+        for name in ('w1', 'w2')
+        for nth in range(8)
+    ]
+
+
+def test_a_guaranteed_shape_is_reclaimed_whole_at_the_least_loss():
+    full = [worker('w1', free=0), worker('w2', free=0)]
+    running = full_of_borrowed({'w1': 50.0, 'w2': 5.0})
+    agreed = [contract(guaranteed=[shape(8)]), contract('shop')]
+    plan = scheduler.plan(
+        snapshot(
+            workers=full,
+            queued=[job('a', accelerators=8)],
+            running=running,
+            contracts=agreed,
+        )
+    )
+    assert not plan.places
+    assert {each.attempt for each in plan.reclaims} == {
+        each.attempt for each in running if 'w2' in each.job
+    }
+
+
+def test_nothing_is_reclaimed_twice_while_victims_stop():
+    running = [
+        gang(each.record, {'w2': 1}, borrowed=True, stopping=True)
+        for each in full_of_borrowed({'w1': 0.0, 'w2': 0.0})
+        if 'w2' in each.job
+    ]
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=0), worker('w2', free=0)],
+            queued=[job('a', accelerators=8), job('late', 'shop')],
+            running=running,
+            contracts=[contract(guaranteed=[shape(8)]), contract('shop')],
+        )
+    )
+    assert not plan.reclaims
+    assert not plan.places
+
+
+def test_room_of_stopped_victims_is_held_for_the_one_who_asked():
+    """A later small job does not slip into room that comes free first."""
+    stopping = [
+        gang(job(f's{nth}', 'shop'), {'w1': 1}, borrowed=True, stopping=True)
+        for nth in range(4)
+    ]
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=4)],
+            queued=[job('late', 'shop'), job('a', accelerators=8)],
+            running=stopping,
+            contracts=[contract(guaranteed=[shape(8)]), contract('shop')],
+        )
+    )
+    assert not plan.places
+
+
+@pytest.mark.parametrize(('borrowed', 'starts'), [(True, 1), (False, 0)])
+def test_only_borrowed_work_is_reclaimed(borrowed, starts):
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=0)],
+            queued=[job('a', accelerators=8)],
+            running=[gang(job('b', 'shop', 8), {'w1': 1}, borrowed)],
+            contracts=[contract(guaranteed=[shape(8)]), contract('shop')],
+        )
+    )
+    assert len(plan.reclaims) == starts
+
+
+def test_unborrowed_work_leaves_room_for_the_shapes_of_others():
+    """The mill's two halves share a worker, as the shop needs the other."""
+    agreed = [
+        contract(guaranteed=[shape(4), shape(4)]),
+        contract('shop', guaranteed=[shape(8)]),
+    ]
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1'), worker('w2')],
+            queued=[job('a', accelerators=4), job('b', accelerators=4)],
+            contracts=agreed,
+        )
+    )
+    spread = workers_on(plan)
+    assert [place.borrowed for place in plan.places] == [False, False]
+    assert spread['a'] == spread['b']
+
+
+def test_urgent_work_stops_borrowed_normal_work_at_once():
+    running = full_of_borrowed({'w1': 50.0, 'w2': 5.0})
+    agreed = [contract(guaranteed=[shape(8)]), contract('shop')]
+    held = gang(job('own', accelerators=8), {'w3': 1})
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker(name, free=0) for name in ('w1', 'w2', 'w3')],
+            queued=[job('a', urgency=Urgency.URGENT)],
+            running=[*running, held],
+            contracts=agreed,
+        )
+    )
+    (reclaim,) = plan.reclaims
+    assert reclaim.attempt.startswith('w2')
+
+
+def test_jobs_that_can_never_run_are_set_aside_and_hold_nothing_up():
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1')],
+            queued=[
+                job('wide', tasks=9),
+                job('deep', cores=33),
+                job('split', tasks=2, accelerators=5, adjacency=WORKER),
+                job('fine'),
+            ],
+        )
+    )
+    assert {each.job for each in plan.set_aside} == {'wide', 'deep', 'split'}
+    assert workers_on(plan) == {'fine': {'w1': 1}}
+
+
+def test_a_large_job_collects_its_room_behind_small_ones():
+    """Small jobs do not start on the workers that drain for it."""
+    running = [
+        gang(job('short', accelerators=4), {'w1': 1}, True, started_s=NOW_S),
+        gang(job('long', 'shop', 4), {'w2': 1}, True, started_s=NOW_S),
+    ]
+    queued = [
+        job('large', accelerators=8),
+        job('small', accelerators=4, declared_run_ms=600_000),
+        job('small2', accelerators=4, declared_run_ms=600_000),
+    ]
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=4), worker('w2', free=4)],
+            queued=queued,
+            running=running,
+            contracts=[contract(), contract('shop')],
+        )
+    )
+    (kept,) = plan.reservations
+    assert kept.job == 'large'
+    assert len(plan.places) == 1
+    assert kept.placement[0].worker not in workers_on(plan)['small']
+
+
+def test_borrowing_ends_at_the_limit_of_the_contract():
+    limits = JobLimits(max_borrowed_accelerators=2)
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1')],
+            queued=[job(f'j{nth}') for nth in range(4)],
+            contracts=[contract(jobs=limits)],
+        )
+    )
+    assert len(plan.places) == 2
+    assert {each.reason for each in plan.waits} == {
+        'the organisation borrows all that it may'
+    }
+
+
+def test_a_cancellation_wave_leaves_only_the_others_in_one_pass():
+    queued = [job(f'j{nth}') for nth in range(1000)]
+    cancelled = [
+        type(each)(**{**_fields(each), 'cancel_requested': True})
+        for each in queued
+    ]
+    plan = scheduler.plan(
+        snapshot(workers=[worker('w1')], queued=[*cancelled, job('kept')])
+    )
+    assert workers_on(plan) == {'kept': {'w1': 1}}
+
+
+def _fields(record):
+    return {name: getattr(record, name) for name in record.__struct_fields__}
