Contract check takes the mapping that operators hold; unnamed domains serve nothing

The operators' side passes contracts by organisation, and a domain that the configuration does not name is not in service for starts either.

--- a/src/bulrushcove/guarantees.py
+++ b/src/bulrushcove/guarantees.py
@@ -136,4 +136,9 @@
         if gang.borrowed:
             for index, tasks in rooms.counts_of(gang.placement):
                 firm[index].take(gang.record.spec, -tasks)
+    for room, worker in zip(firm, rooms.workers, strict=True):
+        # Parts that have ended were free already.
+        room.accelerators = min(room.accelerators, worker.accelerators)
+        room.cores = min(room.cores, worker.cores)
+        room.memory_mb = min(room.memory_mb, worker.memory_mb)
     return firm
--- a/src/bulrushcove/job_queue.py
+++ b/src/bulrushcove/job_queue.py
@@ -14,7 +14,7 @@
 from .cluster import DomainSnapshot
 from .ids import OrganisationId
 from .job import JobRecord
-from .run_times import RunTimes
+from .run_times import RunTimeEstimates
 from .states import Urgency
 
 SHORTEST_RUN_S = 1.0
@@ -81,7 +81,7 @@
 def fair_order(
     records: Iterable[JobRecord],
     usage: Usage,
-    run_times: RunTimes,
+    run_times: RunTimeEstimates,
     now_unix_ms: int,
 ) -> Iterator[JobRecord]:
     """Yield each job in turn, following ``usage`` as it changes meanwhile."""
--- a/src/bulrushcove/packing.py
+++ b/src/bulrushcove/packing.py
@@ -1,7 +1,7 @@
 """Checks that the guarantees of all contracts can be honoured together."""
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 
 import msgspec
 
@@ -21,7 +21,7 @@
 
 
 def check_guarantees(
-    contracts: Iterable[Contract],
+    contracts: Mapping[OrganisationId, Contract],
     workers: Sequence[WorkerDescription],
     domains: Mapping[DomainName, DomainState],
 ) -> list[str]:
@@ -29,15 +29,15 @@
 
     All guaranteed shapes must pack into the workers of the domains in
     service, and again after the loss of any one domain that a contract names
-    as its spare. A domain that ``domains`` does not name is in service. An
+    as its spare. A domain that ``domains`` does not name serves nothing. An
     answer is empty only when a packing was found; in large and tight cases
     the search is bounded and may miss one.
     """
-    agreed = sorted(contracts, key=lambda contract: contract.organisation)
+    agreed = [contracts[name] for name in sorted(contracts)]
     serving = {
         worker.domain
         for worker in workers
-        if domains.get(worker.domain) is not DomainState.OUT
+        if domains.get(worker.domain) is DomainState.IN
     }
     problems = _packing_problems(agreed, workers, serving, lost=None)
     spares = {contract.spare_domain for contract in agreed} & serving
--- a/src/bulrushcove/pass_state.py
+++ b/src/bulrushcove/pass_state.py
@@ -21,7 +21,7 @@
 from .placement import visible
 from .reclaim import Borrowed
 from .rooms import Counts, Rooms
-from .run_times import RunTimes
+from .run_times import RunTimeEstimates
 
 
 class PassState:
@@ -36,7 +36,7 @@
             snapshot,
             {name: self.guarantees.total(name) for name in snapshot.contracts},
         )
-        self.run_times = RunTimes(snapshot.observed)
+        self.run_times = RunTimeEstimates(snapshot.observed)
         self.borrowed = Borrowed(snapshot.running, self.rooms)
         # Wishes that found no free room in this pass.
         self.misfits: set[tuple[object, ...]] = set()
--- a/src/bulrushcove/reservations.py
+++ b/src/bulrushcove/reservations.py
@@ -11,7 +11,7 @@
 from .job import JobRecord, JobSpec
 from .placement import best_spread, groups
 from .rooms import Room, Rooms
-from .run_times import RunTimes
+from .run_times import RunTimeEstimates
 
 # A running gang and when it is expected to end.
 Ending = tuple[float, RunningGang]
@@ -28,7 +28,7 @@
     rooms: Rooms,
     indices: Sequence[int],
     snapshot: DomainSnapshot,
-    run_times: RunTimes,
+    run_times: RunTimeEstimates,
 ) -> Reservation | None:
     """Return room for the job where it is expected to be free first."""
     ends = _expected_ends(snapshot, rooms, run_times)
@@ -89,7 +89,7 @@
 
 
 def _expected_ends(
-    snapshot: DomainSnapshot, rooms: Rooms, run_times: RunTimes
+    snapshot: DomainSnapshot, rooms: Rooms, run_times: RunTimeEstimates
 ) -> list[Ending]:
     """Return when each running gang likely ends, the first first."""
     ends = []
--- a/src/bulrushcove/run_times.py
+++ b/src/bulrushcove/run_times.py
@@ -1,7 +1,7 @@
 """Run times expected from what was observed, not from what was declared."""
 
 from bisect import bisect_right
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Iterable
 
 from .clock import MS_PER_S
@@ -9,8 +9,6 @@
 from .ids import OrganisationId
 from .job import JobRecord
 
-KEPT_RUNS = 32
-MAX_KINDS = 512
 # Fewer observations than this do not bound a run time.
 MIN_RUNS = 5
 # Declared run times are off by up to this factor, both ways.
@@ -21,32 +19,7 @@
 Kind = tuple[OrganisationId, str]
 
 
-class RunHistory:
-    """Latest run times by organisation and kind; kept by a control."""
-
-    def __init__(self) -> None:
-        """Start without observations."""
-        self._runs: dict[Kind, deque[float]] = {}
-
-    def note(self, record: JobRecord, run_s: float) -> None:
-        """Add the run time of a job that succeeded."""
-        kind = (record.organisation, record.spec.kind)
-        runs = self._runs.pop(kind, None) or deque(maxlen=KEPT_RUNS)
-        runs.append(run_s)
-        # Latest last, so that the kind not seen for longest is dropped.
-        self._runs[kind] = runs
-        if len(self._runs) > MAX_KINDS:
-            self._runs.pop(next(iter(self._runs)))
-
-    def observed(self) -> tuple[ObservedRuns, ...]:
-        """Return the observations for a snapshot."""
-        return tuple(
-            ObservedRuns(organisation, kind, tuple(runs))
-            for (organisation, kind), runs in self._runs.items()
-        )
-
-
-class RunTimes:
+class RunTimeEstimates:
     """Expected run times in seconds during one pass."""
 
     def __init__(self, observed: Iterable[ObservedRuns]) -> None:
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -22,6 +22,12 @@
     ]
 
 
+def problems_of(contracts, workers, domains=None):
+    agreed = {each.organisation: each for each in contracts}
+    states = {each.domain: DomainState.IN for each in workers}
+    return check_guarantees(agreed, workers, {**states, **(domains or {})})
+
+
 def shape(accelerators, adjacency=DOMAIN, domain=None, count=1):
     return GuaranteedShape(accelerators, adjacency, domain, count)
 
@@ -42,15 +48,14 @@
 )
 def test_shapes_pack_into_two_racks_of_two_workers(shapes, fits):
     workers = workers_of([[8, 8], [8, 8]])
-    problems = check_guarantees([contract(guaranteed=shapes)], workers, {})
+    problems = problems_of([contract(guaranteed=shapes)], workers)
     assert bool(problems) is not fits
 
 
 def test_the_answer_names_organisation_shape_and_domain():
-    problems = check_guarantees(
+    problems = problems_of(
         [contract('mill', [shape(9, WORKER, 'north')])],
         workers_of([[8, 8]]),
-        {},
     )
     assert problems == [
         'organisation mill: 1 of 1 shapes of 9 accelerators on one worker '
@@ -62,8 +67,8 @@
     workers = workers_of([[8]], 'north') + workers_of([[8]], 'south')
     agreed = contract(guaranteed=[shape(8, WORKER)], spare_domain='south')
     other = contract('shop', [shape(8, WORKER)])
-    assert not check_guarantees([agreed], workers, {})
-    problems = check_guarantees([agreed, other], workers, {})
+    assert not problems_of([agreed], workers)
+    problems = problems_of([agreed, other], workers)
     assert len(problems) == 1
     assert 'after the loss of domain south' in problems[0]
 
@@ -72,8 +77,8 @@
     workers = workers_of([[8]], 'north') + workers_of([[8]], 'south')
     agreed = contract(guaranteed=[shape(8, WORKER, count=2)])
     out = {'south': DomainState.OUT}
-    assert not check_guarantees([agreed], workers, {})
-    assert check_guarantees([agreed], workers, out)
+    assert not problems_of([agreed], workers)
+    assert problems_of([agreed], workers, out)
 
 
 @pytest.mark.parametrize(
@@ -81,7 +86,7 @@
 )
 def test_hidden_places_serve_no_guarantee(hidden):
     agreed = contract(guaranteed=[shape(8, WORKER)], **hidden)
-    assert check_guarantees([agreed], workers_of([[8]]), {})
+    assert problems_of([agreed], workers_of([[8]]))
 
 
 def test_many_organisations_pack_at_once():
@@ -93,7 +98,7 @@
         )
         for nth in range(86)
     ]
-    assert not check_guarantees(agreed, workers, {})
+    assert not problems_of(agreed, workers)
 
 
 blocks_strategy = st.lists(
