Covers: a job uses its best matching cover before any larger one

A second 3-accelerator wish took part of the 6-accelerator shape when its own cover had no free room; the 6 was then not to be had (found by a longer trial of the same test). Now borrowed room or a reclaim for the matching cover comes first.

--- a/src/bulrushcove/covered_start.py
+++ b/src/bulrushcove/covered_start.py
@@ -1,6 +1,6 @@
 """Starts jobs within the guarantee of their organisation."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from .covers import Cover
 from .job import JobRecord
@@ -8,34 +8,53 @@
 from .placement import best_spread, fits_of, narrower
 from .reclaim import find_reclaims
 from .rooms import Counts
+from .states import Adjacency
 
 # Ways to make room that are checked against the guarantees of others.
 MAX_RECLAIM_TRIES = 8
 
 
 def start_covered(state: PassState, record: JobRecord) -> bool:
-    """Place the job in free room that its guarantee may use."""
+    """Place the job in free room that its best matching cover may use.
+
+    Larger covers stay whole for larger jobs as long as that one serves.
+    """
     if state.wish(record) in state.misfits:
         return False
-    spec = record.spec
-    free = fits_of(spec, state.rooms.free, state.visible(record))
-    if sum(free.values()) < spec.tasks:
+    free = fits_of(record.spec, state.rooms.free, state.visible(record))
+    if sum(free.values()) < record.spec.tasks:
         return False
-    for cover in _covers(state, record):
-        for counts in _covered_spreads(state, record, cover, free):
-            if state.guarantees.admits(cover, spec, counts):
-                state.place(record, counts, cover)
-                return True
-    return False
+    covers = _covers(state, record)
+    return any(
+        _start_in(state, record, cover, free)
+        for cover in covers
+        if _size(cover) == _size(covers[0])
+    )
 
 
 def reclaim_for_cover(state: PassState, record: JobRecord) -> bool:
     """Stop borrowed work so that the job can use its guarantee."""
+    free = fits_of(record.spec, state.rooms.free, state.visible(record))
     return any(
-        _reclaim_into(state, record, cover) for cover in _covers(state, record)
+        _start_in(state, record, cover, free)
+        or _reclaim_into(state, record, cover)
+        for cover in _covers(state, record)
     )
 
 
+def _start_in(
+    state: PassState,
+    record: JobRecord,
+    cover: Cover,
+    free: dict[int, int],
+) -> bool:
+    for counts in _covered_spreads(state, record, cover, free):
+        if state.guarantees.admits(cover, record.spec, counts):
+            state.place(record, counts, cover)
+            return True
+    return False
+
+
 def _covered_spreads(
     state: PassState,
     record: JobRecord,
@@ -66,16 +85,24 @@
         )
         for way in ways[:MAX_RECLAIM_TRIES]:
             counts = best_spread(spec, state.rooms, way.fits, near)
-            if guarantees.admits(cover, spec, counts):
+            if not guarantees.admits(cover, spec, counts):
+                continue
+            if state.rooms.has_free(spec, counts):
+                state.place(record, counts, cover)
+            else:
                 state.await_victims(record, counts, way.victims)
-                return True
+            return True
     return False
 
 
-def _covers(state: PassState, record: JobRecord) -> Iterable[Cover]:
+def _size(cover: Cover) -> tuple[Adjacency, int]:
+    return cover.adjacency, cover.accelerators
+
+
+def _covers(state: PassState, record: JobRecord) -> list[Cover]:
     """Return unlike covers for the job, the best match first."""
     found: dict[tuple[object, ...], Cover] = {}
     for cover in state.guarantees.covers(record.organisation, record.spec):
         bound = (cover.rack, cover.worker, cover.spot is None)
         found.setdefault((cover.adjacency, cover.rest, *bound), cover)
-    return found.values()
+    return list(found.values())
--- a/src/bulrushcove/rooms.py
+++ b/src/bulrushcove/rooms.py
@@ -97,6 +97,12 @@
             room.take(spec, tasks)
             self.free_in_rack[room.rack] -= tasks * spec.accelerators_per_task
 
+    def has_free(self, spec: JobSpec, counts: Counts) -> bool:
+        """Return whether the gang could start on these workers now."""
+        return all(
+            self.free[index].fits(spec) >= tasks for index, tasks in counts
+        )
+
     def counts_of(self, placement: Sequence[PlacedPart]) -> Counts:
         """Return a placement by index, without workers that are unusable."""
         return [
