--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -1,6 +1,6 @@
 """What operators do: change contracts, take failure domains out and in."""
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 
 import msgspec
@@ -31,7 +31,7 @@
 
 GuaranteeCheck = Callable[
     [
-        Iterable[Contract],
+        Mapping[OrganisationId, Contract],
         Sequence[WorkerDescription],
         Mapping[DomainName, DomainState],
     ],
@@ -170,12 +170,12 @@
     ) -> tuple[str, ...]:
         workers = await self._workers()
         known = self._check(
-            before.contracts.values(),
+            before.contracts,
             workers,
             before.domains,
         )
         found = self._check(
-            after.contracts.values(),
+            after.contracts,
             workers,
             after.domains,
         )
