Operators' command line: contract, domain and status verbs

A change goes to the next entry VM after a lost answer with the same operation id; a refusal after a lost answer stays unknown, since the first may still act.

--- /dev/null
+++ b/src/bulrushcove/cli_contract.py
@@ -0,0 +1,189 @@
+"""Verbs on contracts."""
+
+from pathlib import Path
+
+from .cli_client import EntryClient, name_path
+from .cli_errors import CommandRefusedError, CommandUsageError, ExitStatus
+from .cli_output import NOTHING, Table, joined
+from .cli_verbs import Command, Verb, open_client
+from .cli_wait import report_change
+from .configuration_diff import contract_differences
+from .contract import Contract, GuaranteedShape
+from .contract_file import format_contract, load_contract
+from .names import unknown_name
+from .operator_api import (
+    CONTRACTS_PATH,
+    ChangeAnswer,
+    ChangeOrder,
+    ConfigurationAnswer,
+    ContractChange,
+)
+
+LIST_HEADER = (
+    'organisation',
+    'guaranteed (accelerators)',
+    'shapes',
+    'requests at once (max)',
+    'queued jobs (max)',
+    'urgent share (%)',
+    'hidden domains',
+    'spare domain',
+)
+
+
+def make_order(command: Command) -> ChangeOrder:
+    """Return how the flags want a change made."""
+    options = command.options
+    return ChangeOrder(
+        operation=options.operation,
+        operator=options.operator,
+        based_on=options.based_on,
+        dry_run=options.dry_run,
+        force=options.force,
+    )
+
+
+async def fetch_configuration(
+    command: Command,
+    client: EntryClient,
+) -> ConfigurationAnswer:
+    """Return the configuration, with a note when it may be an older one."""
+    configuration = await client.get(CONTRACTS_PATH, ConfigurationAnswer)
+    if not configuration.stored:
+        command.note(
+            'the platform is unreachable: this is revision '
+            f'{configuration.revision}, in force on the VM that was asked',
+        )
+    return configuration
+
+
+async def _apply(command: Command) -> ExitStatus:
+    contract = _read(command.argument)
+    body = ContractChange(order=make_order(command), contract=contract)
+    path = name_path(CONTRACTS_PATH, contract.organisation)
+    async with open_client(command) as client:
+        change = await client.change('PUT', path, ChangeAnswer, body)
+        return await report_change(command, client, change)
+
+
+async def _remove(command: Command) -> ExitStatus:
+    path = name_path(CONTRACTS_PATH, command.argument)
+    order = make_order(command)
+    async with open_client(command) as client:
+        change = await client.change('DELETE', path, ChangeAnswer, order)
+        return await report_change(command, client, change)
+
+
+async def _show(command: Command) -> ExitStatus:
+    async with open_client(command) as client:
+        configuration = await fetch_configuration(command, client)
+    contract = configuration.contracts.get(command.argument)
+    if contract is None:
+        raise CommandRefusedError(
+            unknown_name('contract', command.argument, configuration.contracts),
+        )
+    revision = configuration.revision
+    comment = f'# Revision {revision}: apply with --based_on={revision}.\n'
+    command.show_text(contract, comment + format_contract(contract).rstrip())
+    return ExitStatus.DONE
+
+
+async def _list(command: Command) -> ExitStatus:
+    async with open_client(command) as client:
+        configuration = await fetch_configuration(command, client)
+    names = sorted(configuration.contracts)
+    rows = tuple(_row(configuration.contracts[name]) for name in names)
+    command.show(configuration, Table(LIST_HEADER, rows))
+    return ExitStatus.DONE
+
+
+async def _diff(command: Command) -> ExitStatus:
+    contract = _read(command.argument)
+    async with open_client(command) as client:
+        configuration = await fetch_configuration(command, client)
+    name = contract.organisation
+    stored = configuration.contracts.get(name)
+    differences = contract_differences(stored, contract)
+    change = ChangeAnswer(
+        changed=bool(differences),
+        revision=configuration.revision,
+        operation=command.options.operation,
+        differences=differences,
+    )
+    text = '\n'.join(differences) or 'no difference'
+    command.show_text(change, text)
+    return ExitStatus.DONE
+
+
+def _read(file_name: str) -> Contract:
+    try:
+        return load_contract(Path(file_name))
+    except ExceptionGroup as group:
+        lines = tuple(str(error) for error in group.exceptions)
+        raise CommandUsageError(f'{file_name}: wrong contract', lines) from None
+
+
+def _row(contract: Contract) -> list[object]:
+    guaranteed = contract.guaranteed
+    return [
+        contract.organisation,
+        sum(shape.accelerators * shape.count for shape in guaranteed),
+        joined(_describe_shape(shape) for shape in guaranteed),
+        contract.requests.max_in_progress,
+        contract.jobs.max_queued,
+        contract.urgent_share_percent,
+        joined(contract.hidden_domains),
+        contract.spare_domain or NOTHING,
+    ]
+
+
+def _describe_shape(shape: GuaranteedShape) -> str:
+    place = f' in {shape.domain}' if shape.domain else ''
+    return (
+        f'{shape.count} x {shape.accelerators} within one '
+        f'{shape.adjacency.value}{place}'
+    )
+
+
+VERBS = (
+    Verb(
+        'contract',
+        'apply',
+        ('FILE',),
+        "Create or replace an organisation's contract from a TOML file.",
+        'bulrushcove contract apply celulosa.toml',
+        _apply,
+    ),
+    Verb(
+        'contract',
+        'show',
+        ('ORGANISATION',),
+        'Print a contract as TOML.',
+        'bulrushcove contract show "Pärlbar Söder"',
+        _show,
+    ),
+    Verb(
+        'contract',
+        'list',
+        (),
+        'List the contracts.',
+        'bulrushcove contract list --output=json',
+        _list,
+    ),
+    Verb(
+        'contract',
+        'diff',
+        ('FILE',),
+        'Show what applying a file would change.',
+        'bulrushcove contract diff celulosa.toml',
+        _diff,
+    ),
+    Verb(
+        'contract',
+        'remove',
+        ('ORGANISATION',),
+        "Remove an organisation's contract.",
+        'bulrushcove contract remove "Pärlbar Söder"',
+        _remove,
+    ),
+)
--- /dev/null
+++ b/src/bulrushcove/cli_domain.py
@@ -0,0 +1,188 @@
+"""Verbs on failure domains and the status of the whole system."""
+
+import msgspec
+
+from .cli_client import EntryClient, name_path
+from .cli_contract import fetch_configuration, make_order
+from .cli_errors import ExitStatus
+from .cli_output import Table, format_table, seconds, yes_no
+from .cli_verbs import Command, Verb, open_client
+from .cli_wait import report_change
+from .operator_api import (
+    DOMAINS_PATH,
+    STATUS_PATH,
+    ChangeAnswer,
+    DomainChange,
+    DomainStatus,
+    StatusAnswer,
+)
+from .states import DomainState
+
+DOMAIN_HEADER = (
+    'domain',
+    'state',
+    'active control',
+    'epoch',
+    'permit age (s)',
+    'usable workers',
+    'free accelerators',
+    'accelerators',
+    'queued jobs',
+    'running jobs',
+)
+VM_HEADER = ('VM', 'domain', 'revision in force', 'reachable', 'leaving')
+MAX_SHOWN_JOBS = 20
+
+
+async def _out(command: Command) -> ExitStatus:
+    path = name_path(DOMAINS_PATH, command.argument)
+    order = make_order(command)
+    async with open_client(command) as client:
+        await _preview(command, client, path)
+        if command.options.dry_run:
+            return ExitStatus.DONE
+        body = DomainChange(order, DomainState.OUT)
+        change = await client.change('PUT', path, ChangeAnswer, body)
+        return await report_change(command, client, change)
+
+
+async def _in(command: Command) -> ExitStatus:
+    path = name_path(DOMAINS_PATH, command.argument)
+    body = DomainChange(make_order(command), DomainState.IN)
+    async with open_client(command) as client:
+        change = await client.change('PUT', path, ChangeAnswer, body)
+        return await report_change(command, client, change)
+
+
+async def _preview(command: Command, client: EntryClient, path: str) -> None:
+    """Show which guarantees and jobs taking the domain out touches."""
+    order = msgspec.structs.replace(make_order(command), dry_run=True)
+    body = DomainChange(order, DomainState.OUT)
+    preview = await client.change('PUT', path, ChangeAnswer, body)
+    text = '\n'.join(_describe_effects(command.argument, preview))
+    if command.options.dry_run:
+        command.show_text(preview, text)
+    else:
+        command.note(text)
+
+
+def _describe_effects(domain: str, preview: ChangeAnswer) -> tuple[str, ...]:
+    jobs = preview.affected_jobs
+    lines = [
+        f'taking out {domain!r} breaks {len(preview.broken_guarantees)} '
+        f'guarantees and touches {len(jobs)} jobs',
+    ]
+    lines.extend(f'  {problem}' for problem in preview.broken_guarantees)
+    lines.extend(f'  job {job}' for job in jobs[:MAX_SHOWN_JOBS])
+    if len(jobs) > MAX_SHOWN_JOBS:
+        lines.append(f'  and {len(jobs) - MAX_SHOWN_JOBS} more jobs')
+    return tuple(lines)
+
+
+async def _list(command: Command) -> ExitStatus:
+    async with open_client(command) as client:
+        configuration = await fetch_configuration(command, client)
+        status = await client.get(STATUS_PATH, StatusAnswer)
+    # What was accepted, also while this VM does not have it in force yet.
+    domains = tuple(
+        msgspec.structs.replace(
+            domain,
+            state=configuration.domains.get(domain.domain),
+        )
+        for domain in status.domains
+    )
+    status = msgspec.structs.replace(status, domains=domains)
+    command.show(status, _domain_table(status))
+    return ExitStatus.DONE
+
+
+async def _status(command: Command) -> ExitStatus:
+    async with open_client(command) as client:
+        status = await client.get(STATUS_PATH, StatusAnswer)
+    rows = tuple(
+        (
+            vm.vm,
+            vm.domain,
+            vm.revision,
+            yes_no(vm.reachable),
+            yes_no(vm.leaving),
+        )
+        for vm in status.vms
+    )
+    command.show_text(
+        status,
+        '\n'.join(
+            (
+                f'revision in force on this VM: {status.revision}',
+                f'control on this VM: {yes_no(status.control_linked)}',
+                f'platform reachable: {yes_no(status.platform_reachable)}',
+                '',
+                format_table(Table(VM_HEADER, rows)),
+                '',
+                format_table(_domain_table(status)),
+            )
+        ),
+    )
+    return ExitStatus.DONE
+
+
+def _domain_table(status: StatusAnswer) -> Table:
+    rows = tuple(_domain_row(domain) for domain in status.domains)
+    return Table(DOMAIN_HEADER, rows)
+
+
+def _domain_row(status: DomainStatus) -> list[object]:
+    state = status.state.value if status.state else 'not set'
+    row = [status.domain, state]
+    permit_age = seconds(status.permit_age_ms)
+    view = status.view
+    if view is None:
+        # No active control has reported: only its permit is known.
+        return [*row, None, None, permit_age]
+    return [
+        *row,
+        view.control,
+        view.epoch,
+        permit_age,
+        f'{view.usable_workers} of {view.workers}',
+        view.free_accelerators,
+        view.total_accelerators,
+        view.queued_jobs,
+        view.running_jobs,
+    ]
+
+
+VERBS = (
+    Verb(
+        'domain',
+        'out',
+        ('NAME',),
+        'Take a failure domain out of service: no task starts there any more.',
+        'bulrushcove domain out Guichón --dry_run',
+        _out,
+    ),
+    Verb(
+        'domain',
+        'in',
+        ('NAME',),
+        'Bring a failure domain into service.',
+        'bulrushcove domain in Guichón --wait_seconds=30',
+        _in,
+    ),
+    Verb(
+        'domain',
+        'list',
+        (),
+        'List the failure domains.',
+        'bulrushcove domain list',
+        _list,
+    ),
+    Verb(
+        '',
+        'status',
+        (),
+        'Show VMs, revisions in force, active controls, permits, platform.',
+        'bulrushcove status --entry=http://10.0.0.1:8000',
+        _status,
+    ),
+)
--- /dev/null
+++ b/src/bulrushcove/cli_http.py
@@ -0,0 +1,34 @@
+"""HTTP exchange of the command line with one entry VM."""
+
+import aiohttp
+from yarl import URL
+
+from .cli_client import Exchange, NoAnswerError, NotSentError, Reply
+
+
+def make_exchange(
+    session: aiohttp.ClientSession,
+    token: str,
+    timeout_s: float,
+) -> Exchange:
+    """Return a function that asks one entry VM over ``session``."""
+    headers = {'Authorization': f'Bearer {token}'}
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def ask(entry: str, method: str, path: str, body: bytes) -> Reply:
+        asked = session.request(
+            method,
+            URL(f'{entry}{path}', encoded=True),
+            data=body or None,
+            headers=headers,
+            timeout=timeout,
+        )
+        try:
+            async with asked as response:
+                return Reply(response.status, await response.read())
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as exc:
+            raise NotSentError(f'{entry}: {exc}') from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise NoAnswerError(f'{entry}: no answer: {exc!r}') from exc
+
+    return ask
--- /dev/null
+++ b/src/bulrushcove/cli_output.py
@@ -0,0 +1,75 @@
+"""Prints answers as aligned tables or as JSON."""
+
+from collections.abc import Iterable, Sequence
+from enum import Enum
+from itertools import chain, islice, repeat
+
+import msgspec
+
+COLUMN_GAP = '  '
+NOTHING = '-'
+MS_PER_S = 1000
+JSON_INDENT = 2
+
+
+class Table(msgspec.Struct, frozen=True):
+    """Header with units and one row of cells a thing.
+
+    A row may end early; the rest of its cells is shown as nothing.
+    """
+
+    header: tuple[str, ...]
+    rows: tuple[Sequence[object], ...]
+
+
+def format_table(table: Table) -> str:
+    """Return the lines of ``table``, columns aligned."""
+    columns = len(table.header)
+    rows = [table.header, *(_cells(row, columns) for row in table.rows)]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*rows, strict=True)
+    ]
+    return '\n'.join(_format_row(row, widths) for row in rows)
+
+
+def format_json(answer: object) -> str:
+    """Return ``answer`` as indented JSON."""
+    encoded = msgspec.json.encode(answer)
+    return msgspec.json.format(encoded, indent=JSON_INDENT).decode()
+
+
+def seconds(duration_ms: int | None) -> str:
+    """Return a duration in seconds; a dash for none."""
+    if duration_ms is None:
+        return NOTHING
+    return f'{duration_ms / MS_PER_S:.1f}'
+
+
+def joined(parts: Iterable[object]) -> str:
+    """Return the parts separated by commas; a dash for none."""
+    return ', '.join(str(part) for part in parts) or NOTHING
+
+
+def yes_no(truth: bool) -> str:
+    """Return ``truth`` as a word."""
+    return 'yes' if truth else 'no'
+
+
+def _cells(row: Sequence[object], columns: int) -> tuple[str, ...]:
+    filled = islice(chain(row, repeat(None)), columns)
+    return tuple(_cell(content) for content in filled)
+
+
+def _cell(content: object) -> str:
+    if content is None or content == '':
+        return NOTHING
+    if isinstance(content, Enum):
+        return str(content.value)
+    return str(content)
+
+
+def _format_row(row: Sequence[str], widths: Sequence[int]) -> str:
+    padded = (
+        cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+    )
+    return COLUMN_GAP.join(padded).rstrip()
--- /dev/null
+++ b/src/bulrushcove/cli_verbs.py
@@ -0,0 +1,85 @@
+"""What every verb of the command line is given and returns."""
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import msgspec
+
+from .cli_client import EntryClient
+from .cli_errors import ExitStatus
+from .cli_options import Options
+from .cli_output import Table, format_json, format_table
+
+
+class Command:
+    """One call of the command line: options, arguments and output."""
+
+    def __init__(self, options: Options, arguments: tuple[str, ...]) -> None:
+        """Keep the parsed command line."""
+        self.options = options
+        self.arguments = arguments
+
+    @property
+    def argument(self) -> str:
+        """Return the verb's only argument."""
+        return self.arguments[0]
+
+    def show(self, answer: msgspec.Struct, table: Table) -> None:
+        """Print ``answer`` in the form that was asked for."""
+        self.show_text(answer, format_table(table))
+
+    def show_text(self, answer: msgspec.Struct, text: str) -> None:
+        """Print ``answer`` as JSON, or ``text`` for a reader."""
+        if self.options.output == 'json':
+            text = format_json(answer)
+        print(text)
+
+    def note(self, text: str) -> None:
+        """Tell the reader something beside the answer."""
+        print(text, file=sys.stderr, flush=True)
+
+
+Run = Callable[[Command], Awaitable[ExitStatus]]
+
+
+class Verb(NamedTuple):
+    """One command, such as ``contract apply FILE``."""
+
+    group: str
+    name: str
+    arguments: tuple[str, ...]
+    summary: str
+    example: str
+    run: Run
+
+    @property
+    def usage(self) -> str:
+        """Return the command without flags."""
+        words = (self.group, self.name, *self.arguments)
+        return ' '.join(word for word in words if word)
+
+
+@asynccontextmanager
+async def open_client(command: Command) -> AsyncIterator[EntryClient]:
+    """Open a client to the entry VMs and close it in the end."""
+    # Verbs that ask no entry VM do not pay for the HTTP library.
+    import aiohttp
+
+    from .cli_http import make_exchange
+
+    options = command.options
+    async with aiohttp.ClientSession() as session:
+        exchange = make_exchange(session, options.token, options.timeout_s)
+        yield EntryClient(exchange, options.entries, options.operation)
+
+
+def run_verb(verb: Verb, command: Command) -> ExitStatus:
+    """Run ``verb`` to its end; raises ``CommandError``."""
+    return asyncio.run(_await_verb(verb, command))
+
+
+async def _await_verb(verb: Verb, command: Command) -> ExitStatus:
+    return await verb.run(command)
--- a/src/bulrushcove/operator_api.py
+++ b/src/bulrushcove/operator_api.py
@@ -77,6 +77,8 @@
     revision: Revision
     operation: OperationId
     differences: tuple[str, ...] = ()
+    # The change of the same thing before this one, in words; empty: none.
+    previous: tuple[str, ...] = ()
     # Guarantees that the change breaks, or would break.
     broken_guarantees: tuple[str, ...] = ()
     # Jobs queued or running in a domain that is taken out.
--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -124,7 +124,7 @@
         for _ in range(MAX_TRIES):
             done = find_operation(stored.configuration, order.operation)
             if done is not None:
-                return _accepted(wish, done)
+                return _accepted(wish, done, stored.configuration)
             _check_conflict(wish, stored.configuration, based_on)
             following = self._make(wish, order, stored.configuration)
             broken = await self._newly_broken(stored.configuration, following)
@@ -183,17 +183,28 @@
     )
 
 
-def _accepted(wish: _Wish, done: Change) -> ChangeAnswer:
+def _accepted(
+    wish: _Wish,
+    done: Change,
+    configuration: Configuration,
+) -> ChangeAnswer:
     if (done.subject, done.name) != (wish.subject, wish.name):
         raise ConfigurationConflictError(
             f'operation {done.operation!r} was used for another change',
             details=(describe_change(done),),
         )
+    earlier = [
+        describe_change(change)
+        for change in configuration.changes
+        if (change.subject, change.name) == (done.subject, done.name)
+        and change.revision < done.revision
+    ]
     return ChangeAnswer(
         changed=True,
         revision=done.revision,
         operation=done.operation,
         differences=done.differences,
+        previous=tuple(earlier[-1:]),
     )
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,139 @@
+import asyncio
+import json
+
+import pytest
+
+from bulrushcove.cli import VERBS, main
+from bulrushcove.cli_options import ENTRY_VARIABLE, TOKEN_VARIABLE
+from tests.operator_app import TOKEN, OperatorApp
+
+CONTRACT = 'organisation = "Pärlbar Söder"\ntoken_sha256 = []\n'
+
+
+@pytest.fixture
+def operator_app():
+    return OperatorApp()
+
+
+@pytest.fixture
+async def run(operator_app, aiohttp_server, monkeypatch, capsys):
+    """Return a function that runs a command and gives status and output."""
+    server = await aiohttp_server(operator_app.make())
+    monkeypatch.setenv(ENTRY_VARIABLE, str(server.make_url('')))
+    monkeypatch.setenv(TOKEN_VARIABLE, TOKEN)
+
+    async def run_command(*arguments):
+        status = await asyncio.to_thread(main, arguments)
+        return status, *capsys.readouterr()
+
+    return run_command
+
+
+@pytest.fixture
+def contract_file(tmp_path):
+    path = tmp_path / 'contract.toml'
+    path.write_text(CONTRACT, encoding='utf-8')
+    return str(path)
+
+
+@pytest.fixture
+async def deployed(run, contract_file):
+    """Bring a domain in and apply a contract without waiting."""
+    assert (await run('domain', 'in', 'Luleå', '--wait_seconds=0'))[0] == 0
+    applied = await run('contract', 'apply', contract_file, '--wait_seconds=0')
+    assert applied[0] == 0
+
+
+async def test_a_contract_is_applied_listed_and_shown(run, deployed):
+    status, out, _ = await run('contract', 'list')
+    assert status == 0
+    assert out.splitlines()[1].startswith('Pärlbar Söder  0')
+    status, out, _ = await run('contract', 'show', 'Pärlbar Söder')
+    assert 'organisation = "Pärlbar Söder"' in out
+    status, out, _ = await run('contract', 'list', '--output=json')
+    assert json.loads(out)['revision'] == 2
+
+
+async def test_progress_names_the_vms_that_are_behind(run, operator_app):
+    operator_app.vm_revisions = {'entry-1': 1, 'entry-2': 0}
+    status, out, err = await run('domain', 'in', 'Luleå', '--wait_seconds=0.1')
+    assert status == 3
+    assert 'accepted at revision 1, NOT YET in force' in out
+    assert 'in force on 1 of 2 VMs; waiting for entry-2 (revision 0)' in err
+
+
+async def test_a_change_that_is_in_force_everywhere_is_done(run, operator_app):
+    operator_app.vm_revisions = {'entry-1': 1, 'entry-2': 1}
+    status, out, _ = await run('domain', 'in', 'Luleå')
+    assert status == 0
+    assert 'in force on every VM' in out
+
+
+async def test_taking_a_domain_out_shows_the_effects_first(run, deployed):
+    status, out, _ = await run('domain', 'out', 'Luleå', '--dry_run')
+    assert status == 0
+    assert 'breaks 1 guarantees and touches 0 jobs' in out
+    status, _, err = await run('domain', 'out', 'Luleå')
+    assert status == 1
+    assert 'Pärlbar Söder: no domain left' in err
+    forced = await run('domain', 'out', 'Luleå', '--force', '--wait_seconds=0')
+    assert forced[0] == 0
+    status, out, _ = await run('domain', 'list')
+    assert out.splitlines()[1].split()[:2] == ['Luleå', 'out']
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'status', 'message'),
+    [
+        (['domain', 'in', 'Lulea'], 1, "did you mean 'Luleå'?"),
+        (['contract', 'show', 'Parlbar'], 1, "did you mean 'Pärlbar Söder'?"),
+        (['contract', 'remove', 'x'], 1, 'known: Pärlbar Söder'),
+        (['contract', 'apply', 'absent.toml'], 2, 'absent.toml'),
+        (['contract', 'aply', 'x'], 2, "did you mean 'contract apply'?"),
+        (['contract', 'apply'], 2, 'found 0 arguments, allowed: 1'),
+        (['status', '--ouput=json'], 2, 'output'),
+        (['status', '--output=xml'], 2, 'table|json'),
+        (['status', '--entry=10.0.0.1'], 2, 'an http or https URL'),
+        (['status', '--token_file=/absent'], 2, '/absent'),
+        ([], 2, 'contract apply FILE'),
+    ],
+)
+async def test_errors_name_thing_and_value(
+    run, deployed, arguments, status, message
+):
+    found, _, err = await run(*arguments)
+    assert (found, message in err) == (status, True), err
+
+
+async def test_a_lost_answer_is_told_with_its_operation(run, operator_app):
+    operator_app.store.lose_writes = 100
+    status, _, err = await run('domain', 'in', 'Luleå', '--operation=op-7')
+    assert status == 3
+    assert '--operation=op-7' in err
+
+
+async def test_racing_operators_see_the_other_change(
+    run, deployed, contract_file
+):
+    status, _, err = await run(
+        'contract', 'apply', contract_file, '--based_on=1', '--operator=bo'
+    )
+    assert status == 1
+    assert 'revision 2 by ' in err
+    assert 'created' in err
+
+
+async def test_status_shows_vms_and_domains(run, deployed):
+    status, out, _ = await run('status')
+    assert status == 0
+    assert 'platform reachable: yes' in out
+    assert 'permit age (s)' in out
+
+
+@pytest.mark.parametrize('verb', VERBS, ids=lambda verb: verb.usage)
+def test_each_verb_has_help_with_an_example(verb, capsys):
+    words = [word for word in (verb.group, verb.name) if word]
+    assert main([*words, '--help']) == 0
+    out = capsys.readouterr().out
+    assert verb.example in out
+    assert '--wait_seconds' in out
