--- a/src/bulrushcove/cli.py
+++ b/src/bulrushcove/cli.py
@@ -6,12 +6,17 @@
 
 from absl import flags
 
-from . import cli_contract, cli_domain
+from . import cli_contract, cli_domain, cli_job, cli_settings
 from .cli_errors import CommandError, CommandUsageError, ExitStatus
 from .cli_options import define_flags, read_options
 from .cli_verbs import Command, Verb, run_verb
 
-VERBS = (*cli_contract.VERBS, *cli_domain.VERBS)
+VERBS = (
+    *cli_contract.VERBS,
+    *cli_domain.VERBS,
+    *cli_job.VERBS,
+    *cli_settings.VERBS,
+)
 INTRODUCTION = (
     'bulrushcove: contracts and failure domains of a cluster.\n'
     '\n'
--- /dev/null
+++ b/src/bulrushcove/cli_job.py
@@ -0,0 +1,169 @@
+"""Verbs on jobs and workers."""
+
+from .cli_client import name_path
+from .cli_errors import ExitStatus
+from .cli_output import Table, joined, yes_no
+from .cli_verbs import Command, Verb, open_client
+from .operator_api import (
+    JOBS_PATH,
+    WORKERS_PATH,
+    Explanation,
+    JobList,
+    JobSummary,
+    WorkerList,
+)
+
+JOB_HEADER = (
+    'job',
+    'organisation',
+    'kind',
+    'state',
+    'domain',
+    'tasks',
+    'accelerators',
+    'urgency',
+    'attempts',
+    'reason',
+)
+FIELD_HEADER = ('field', 'value')
+WORKER_HEADER = (
+    'worker',
+    'domain',
+    'domain state',
+    'rack',
+    'accelerators',
+    'cores',
+    'memory (MB)',
+)
+
+
+async def _list(command: Command) -> ExitStatus:
+    options = command.options
+    query = {
+        'organisation': options.organisation,
+        'state': options.state,
+        'limit': str(options.limit),
+    }
+    async with open_client(command) as client:
+        found = await client.get(JOBS_PATH, JobList, query)
+    rows = tuple(_row(job) for job in found.jobs)
+    command.show(found, Table(JOB_HEADER, rows))
+    if found.left_out:
+        command.note(f'{found.left_out} older jobs are left out (--limit)')
+    return ExitStatus.DONE
+
+
+async def _show(command: Command) -> ExitStatus:
+    path = name_path(JOBS_PATH, command.argument)
+    async with open_client(command) as client:
+        job = await client.get(path, JobSummary)
+    command.show(job, _fields(job))
+    return ExitStatus.DONE
+
+
+async def _explain(command: Command) -> ExitStatus:
+    path = name_path(JOBS_PATH, command.argument, 'explain')
+    async with open_client(command) as client:
+        explanation = await client.get(path, Explanation)
+    command.show_text(explanation, '\n'.join(explanation.lines))
+    return ExitStatus.DONE
+
+
+async def _cancel(command: Command) -> ExitStatus:
+    path = name_path(JOBS_PATH, command.argument, 'cancel')
+    async with open_client(command) as client:
+        job = await client.change('POST', path, JobSummary)
+    text = f'job {job.job!r} is {job.state.value}'
+    if not job.state.is_final:
+        text = f'{text}; its cancellation is under way'
+    command.show_text(job, text)
+    return ExitStatus.DONE
+
+
+async def _list_workers(command: Command) -> ExitStatus:
+    async with open_client(command) as client:
+        found = await client.get(WORKERS_PATH, WorkerList)
+    rows = tuple(
+        (
+            worker.worker,
+            worker.domain,
+            worker.domain_state,
+            worker.rack,
+            *(worker.accelerators, worker.cores, worker.memory_mb),
+        )
+        for worker in found.workers
+    )
+    command.show(found, Table(WORKER_HEADER, rows))
+    return ExitStatus.DONE
+
+
+def _row(job: JobSummary) -> list[object]:
+    return [
+        job.job,
+        job.organisation,
+        job.kind,
+        job.state,
+        job.domain,
+        job.tasks,
+        job.accelerators,
+        job.urgency,
+        job.attempts,
+        job.reason,
+    ]
+
+
+def _fields(job: JobSummary) -> Table:
+    fields: dict[str, object] = dict(zip(JOB_HEADER, _row(job), strict=True))
+    fields['adjacency'] = job.adjacency
+    fields['idempotent'] = yes_no(job.idempotent)
+    fields['accepted (ms since 1970)'] = job.accepted_unix_ms
+    fields['ended (ms since 1970)'] = job.ended_unix_ms or None
+    fields['attempt'] = job.attempt
+    fields['workers'] = joined(job.workers)
+    fields['borrowed'] = yes_no(job.borrowed)
+    fields['cancellation asked for'] = yes_no(job.cancel_requested)
+    return Table(FIELD_HEADER, tuple(fields.items()))
+
+
+VERBS = (
+    Verb(
+        'job',
+        'list',
+        (),
+        'List jobs, oldest first.',
+        'bulrushcove job list --state=queued --organisation="Pärlbar Söder"',
+        _list,
+    ),
+    Verb(
+        'job',
+        'show',
+        ('JOB',),
+        'Show one job.',
+        'bulrushcove job show review-17',
+        _show,
+    ),
+    Verb(
+        'job',
+        'explain',
+        ('JOB',),
+        'Say in plain words why a job waits, and where it was placed.',
+        'bulrushcove job explain review-17',
+        _explain,
+    ),
+    Verb(
+        'job',
+        'cancel',
+        ('JOB',),
+        'Ask for the cancellation of a job.',
+        'bulrushcove job cancel review-17',
+        _cancel,
+    ),
+    Verb(
+        'worker',
+        'list',
+        (),
+        'List the workers that answer.',
+        'bulrushcove worker list',
+        _list_workers,
+    ),
+)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,6 +5,8 @@
 
 from bulrushcove.cli import VERBS, main
 from bulrushcove.cli_options import ENTRY_VARIABLE, TOKEN_VARIABLE
+from bulrushcove.job import JobRecord, JobSpec
+from bulrushcove.states import JobState
 from tests.operator_app import TOKEN, OperatorApp
 
 CONTRACT = 'organisation = "Pärlbar Söder"\ntoken_sha256 = []\n'
@@ -130,6 +132,43 @@
     assert 'permit age (s)' in out
 
 
+async def test_jobs_are_listed_shown_explained_and_cancelled(run, operator_app):
+    spec = JobSpec('tally', payload='secret')
+    record = JobRecord('job-1', 'Pärlbar', spec, JobState.QUEUED, 'Luleå', 1)
+    await operator_app.jobs.create(record)
+    for words, message in (
+        (['list', '--state=queued', '--organisation=Pärlbar'], 'Pärlbar'),
+        (['show', 'job-1'], 'idempotent'),
+        (['explain', 'job-1'], "domain 'Luleå' is not in service"),
+        (['cancel', 'job-1'], 'its cancellation is under way'),
+        (['list', '--output=json'], '"cancel_requested": true'),
+    ):
+        status, out, _ = await run('job', *words)
+        assert (status, message in out, 'secret' in out) == (0, True, False)
+    for words, message in (
+        (['show', 'x'], "unknown job 'x'"),
+        (['list', '--state=quued'], "did you mean 'queued'?"),
+    ):
+        status, _, err = await run('job', *words)
+        assert (status, message in err) == (1, True)
+
+
+async def test_workers_are_listed_with_units(run):
+    status, out, _ = await run('worker', 'list')
+    assert status == 0
+    assert 'memory (MB)' in out
+    assert out.splitlines()[1].split()[:2] == ['worker-1', 'Luleå']
+
+
+def test_settings_are_checked_without_a_daemon(tmp_path, capsys):
+    path = tmp_path / 'vm.toml'
+    path.write_text('[vm]\nid = "a"\ndomain = 3\n[logs]\nlevel = "x"\n')
+    assert main(['settings', 'check', str(path)]) == 1
+    err = capsys.readouterr().err
+    assert 'vm.domain: found 3, allowed: a string' in err
+    assert "logs.level: found 'x'" in err
+
+
 @pytest.mark.parametrize('verb', VERBS, ids=lambda verb: verb.usage)
 def test_each_verb_has_help_with_an_example(verb, capsys):
     words = [word for word in (verb.group, verb.name) if word]
