--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -1,6 +1,6 @@
 """What operators do: change contracts, take failure domains out and in."""
 
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from functools import partial
 
 import msgspec
@@ -31,7 +31,7 @@
 
 GuaranteeCheck = Callable[
     [
-        Mapping[OrganisationId, Contract],
+        Iterable[Contract],
         Sequence[WorkerDescription],
         Mapping[DomainName, DomainState],
     ],
@@ -169,10 +169,21 @@
         after: Configuration,
     ) -> tuple[str, ...]:
         workers = await self._workers()
-        known = self._check(before.contracts, workers, before.domains)
-        found = self._check(after.contracts, workers, after.domains)
+        known = self._problems(before, workers)
+        found = self._problems(after, workers)
         return tuple(problem for problem in found if problem not in known)
 
+    def _problems(
+        self,
+        configuration: Configuration,
+        workers: Sequence[WorkerDescription],
+    ) -> Sequence[str]:
+        # No task starts in a domain that operators have not brought in.
+        domains = {worker.domain: DomainState.OUT for worker in workers}
+        domains.update(configuration.domains)
+        contracts = tuple(configuration.contracts.values())
+        return self._check(contracts, workers, domains)
+
 
 def describe_change(change: Change) -> str:
     """Return a change in plain words, for another operator."""
