--- a/src/bulrushcove/settings.py
+++ b/src/bulrushcove/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .contract import Sha256Hex
 from .ids import DomainName, VmId
 from .toml_document import check_document, load_document
 
@@ -85,7 +86,7 @@
     stop_timeout_ms: Milliseconds = 660_000
     answer_retention_ms: Milliseconds = 300_000
     claim_retention_ms: Milliseconds = 86_400_000
-    operator_token_sha256: tuple[str, ...] = ()
+    operator_token_sha256: tuple[Sha256Hex, ...] = ()
 
 
 class ControlSettings(msgspec.Struct, frozen=True, kw_only=True):
