--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -21,7 +21,7 @@
 from .job_store import JobStore
 from .job_watch import JobWatch
 from .metrics import new_metrics
-from .operator_parts import mount_operators
+from .operator_mount import OperatorParts, mount_operators
 from .program import run_program
 from .request_parts import RequestParts, new_request_parts
 from .routing import Router
@@ -83,11 +83,15 @@
         router = self._server.router
         mount_operators(
             router,
-            self._settings,
-            store,
-            self._link,
-            self._platform,
-            self._clock,
+            OperatorParts(
+                store=store,
+                session=self._platform,
+                clock=self._clock,
+                held=lambda: self._link.configuration,
+                view=lambda: self._link.view,
+                notify=self._link.notify_job,
+                token_sha256=self._settings.entry.operator_token_sha256,
+            ),
         )
         add_caller_routes(router, self._caller_context(tokens))
         add_job_routes(router, self._job_context(tokens))
