--- /dev/null
+++ b/dev/demo.py
@@ -0,0 +1,228 @@
+"""Serves seeded requests and jobs through faults and checks the history."""
+
+import asyncio
+import random
+import sys
+import time
+
+import aiohttp
+from absl import app, flags
+
+from bulrushcove.ids import DomainName
+from bulrushcove.states import DomainState
+from dev.history.bounds import REVISION_SPREAD_S
+from dev.history.checker import check_history
+from dev.history.events import RequestEvent, TaskEvent
+from dev.history.records import CallerJob, CallerRequest, History
+from dev.launcher import (
+    Cluster,
+    LaunchOptions,
+    control_name,
+    entry_name,
+    launched,
+)
+from dev.workload import table
+from dev.workload.callers import Callers
+from dev.workload.offer import (
+    OfferedJob,
+    OfferedRequest,
+    offer_jobs,
+    offer_requests,
+)
+from dev.workload.operating import Operating
+from dev.workload.organisations import ORGANISATIONS, SPARE_DOMAIN
+from dev.workload.revision_watch import RevisionWatch
+
+SEED = flags.DEFINE_integer('seed', 1, 'Seed of the work that is offered.')
+REQUESTS = flags.DEFINE_integer('requests', 1000, 'Requests offered.')
+JOBS = flags.DEFINE_integer('jobs', 40, 'Jobs offered.')
+DIRECTORY = flags.DEFINE_string(
+    'directory', '', 'New directory that keeps all logs of the run.'
+)
+
+LOAD_S = 30.0
+JOBS_PERIOD_S = 24.0
+TAKE_OUT_AT_S = 6.0
+BRING_BACK_AT_S = 14.0
+KILL_AT_S = 18.0
+JOBS_END_S = 60.0
+SETTLE_S = 3.0
+READY_TIMEOUT_S = 20.0
+KILLED_DOMAIN = DomainName('Fray Bentos')
+
+
+class Demo:
+    """One run: its callers, operators and what they saw."""
+
+    def __init__(
+        self, cluster: Cluster, session: aiohttp.ClientSession, seed: int
+    ) -> None:
+        """Prepare the run on a launched cluster."""
+        self.cluster = cluster
+        self.operating = Operating(session, cluster.entry_vms)
+        self.watch = RevisionWatch(session, self.operating, cluster.entry_vms)
+        self.callers = Callers(
+            session,
+            {each.organisation: each.token for each in ORGANISATIONS},
+            cluster.entry_vms,
+            random.Random(seed),
+        )
+        self.caller_requests: list[CallerRequest] = []
+        self.caller_jobs: list[CallerJob] = []
+        self._seed = seed
+        self._start_s = 0.0
+
+    async def configure(self) -> None:
+        """Take all domains in and apply the contracts."""
+        await self._wait_until_ready()
+        for plan in self.cluster.topology.domains:
+            await self.operating.set_domain(plan.size.domain, DomainState.IN)
+        for organisation in ORGANISATIONS:
+            await self.operating.apply_contract(organisation.contract)
+        await self.operating.wait_in_force(REVISION_SPREAD_S)
+
+    async def run(self) -> None:
+        """Offer the work while a domain and a control go away."""
+        requests = offer_requests(
+            random.Random(self._seed), REQUESTS.value, LOAD_S
+        )
+        jobs = offer_jobs(random.Random(self._seed), JOBS.value, JOBS_PERIOD_S)
+        watching = asyncio.create_task(self.watch.run())
+        self._start_s = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for request in requests:
+                group.create_task(self._send_request(request))
+            for job in jobs:
+                group.create_task(self._run_job(job))
+            group.create_task(self._disturb())
+        watching.cancel()
+
+    def history(self) -> History:
+        """Return everything that was seen."""
+        events = self.cluster.events()
+        return History(
+            tasks=tuple(
+                event for event in events if isinstance(event, TaskEvent)
+            ),
+            requests=tuple(
+                event for event in events if isinstance(event, RequestEvent)
+            ),
+            caller_requests=tuple(self.caller_requests),
+            caller_jobs=tuple(self.caller_jobs),
+            domain_changes=tuple(self.operating.domain_changes),
+            accepted=tuple(self.operating.accepted),
+            revisions=tuple(self.watch.seen),
+        )
+
+    async def _send_request(self, offered: OfferedRequest) -> None:
+        await self._wait_until(offered.at_s)
+        seen = await self.callers.send_request(offered)
+        self.caller_requests.append(seen)
+
+    async def _run_job(self, offered: OfferedJob) -> None:
+        await self._wait_until(offered.at_s)
+        seen = await self.callers.run_job(offered, self._start_s + JOBS_END_S)
+        self.caller_jobs.append(seen)
+
+    async def _disturb(self) -> None:
+        await self._wait_until(TAKE_OUT_AT_S)
+        await self.operating.set_domain(SPARE_DOMAIN, DomainState.OUT)
+        await self._wait_until(BRING_BACK_AT_S)
+        await self.operating.set_domain(SPARE_DOMAIN, DomainState.IN)
+        await self._wait_until(KILL_AT_S)
+        status = await self.operating.status()
+        for domain in status.domains:
+            if domain.domain == KILLED_DOMAIN and domain.view is not None:
+                self.cluster.kill(control_name(domain.view.control))
+
+    async def _wait_until(self, at_s: float) -> None:
+        await asyncio.sleep(self._start_s + at_s - time.monotonic())
+
+    async def _wait_until_ready(self) -> None:
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end_s:
+            status = await self.operating.status()
+            active = [each for each in status.domains if each.view is not None]
+            if len(active) == len(self.cluster.topology.domains):
+                return
+            await asyncio.sleep(1)
+        raise TimeoutError('no active control in some failure domain')
+
+
+def _memory_mb(cluster: Cluster) -> dict[str, float]:
+    living = set(cluster.processes.names())
+    names = [control_name(vm.vm) for vm in cluster.entry_vms]
+    names.extend(entry_name(vm.vm) for vm in cluster.entry_vms)
+    return {
+        name: cluster.processes.resident_mb(name)
+        for name in names
+        if name in living
+    }
+
+
+def _memory_uses(
+    idle: dict[str, float], end: dict[str, float]
+) -> list[table.MemoryUse]:
+    return [
+        table.MemoryUse(
+            kind=name.rsplit('.', maxsplit=1)[-1],
+            idle_mb=idle_mb,
+            end_mb=end.get(name, 0.0),
+        )
+        for name, idle_mb in idle.items()
+    ]
+
+
+async def run_demo(cluster: Cluster, seed: int) -> list[str]:
+    """Run the demo, print its table and return what is broken."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        demo = Demo(cluster, session, seed)
+        await demo.configure()
+        idle_mb = _memory_mb(cluster)
+        before = cluster.platform_stats().calls
+        start_s = time.monotonic()
+        await demo.run()
+        seconds = time.monotonic() - start_s
+        after = cluster.platform_stats().calls
+        await asyncio.sleep(SETTLE_S)
+    calls = {kind: after[kind] - before.get(kind, 0) for kind in after}
+    history = demo.history()
+    uses = _memory_uses(idle_mb, _memory_mb(cluster))
+    lines = [
+        *table.completion_lines(history),
+        *table.request_lines(history.caller_requests),
+        *table.job_lines(history),
+        *table.platform_lines(calls, seconds),
+        *table.memory_lines(uses),
+    ]
+    print('\n'.join(lines))
+    broken = [
+        f'{name}: {violation}'
+        for name, violations in check_history(history).items()
+        for violation in violations
+    ]
+    return [
+        *broken,
+        *table.lost_requests(history.caller_requests),
+        *table.memory_violations(uses),
+    ]
+
+
+def main(_arguments: list[str]) -> None:
+    """Run the demo; exits with status 1 when anything is broken."""
+    start_s = time.monotonic()
+    with launched(LaunchOptions(directory=DIRECTORY.value)) as cluster:
+        started_s = time.monotonic() - start_s
+        broken = asyncio.run(run_demo(cluster, SEED.value))
+    seconds = time.monotonic() - start_s
+    print(f'seed {SEED.value}: {seconds:.0f} s, {started_s:.0f} s to start')
+    for violation in broken:
+        print(f'BROKEN {violation}')
+    if broken:
+        sys.exit(1)
+    print('history: every check passed')
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/dev/history/records.py
+++ b/dev/history/records.py
@@ -30,6 +30,8 @@
     outcome: Outcome | None = None
     # Whether the body is the one that belongs to this request.
     body_matches: bool = False
+    # Why it was refused.
+    message: str = ''
 
     @property
     def is_served(self) -> bool:
@@ -48,6 +50,7 @@
     accepted: bool
     # Outcome told with a refusal.
     outcome: Outcome | None = None
+    message: str = ''
     # Latest state seen, and when.
     state: JobState | None = None
     ended_s: float = 0.0
--- a/dev/launcher.py
+++ b/dev/launcher.py
@@ -7,7 +7,7 @@
 import signal
 import tempfile
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import AbstractContextManager, contextmanager, nullcontext
 from pathlib import Path
 
 import msgspec
@@ -54,6 +54,8 @@
     with_links: bool = False
     control_changes: dict[str, int] = msgspec.field(default_factory=dict)
     entry_changes: dict[str, int] = msgspec.field(default_factory=dict)
+    # Kept with all logs; empty: a temporary directory.
+    directory: str = ''
 
 
 class PlatformStats(msgspec.Struct, frozen=True):
@@ -193,7 +195,7 @@
 @contextmanager
 def planned(options: LaunchOptions) -> Iterator[Cluster]:
     """Plan a cluster and end all that was started of it afterwards."""
-    with tempfile.TemporaryDirectory(prefix='bulrushcove-') as name:
+    with _open_directory(options) as name:
         cluster = Cluster(options, Path(name))
         try:
             yield cluster
@@ -209,6 +211,13 @@
         yield cluster
 
 
+def _open_directory(options: LaunchOptions) -> AbstractContextManager[str]:
+    if options.directory:
+        Path(options.directory).mkdir(parents=True)
+        return nullcontext(options.directory)
+    return tempfile.TemporaryDirectory(prefix='bulrushcove-')
+
+
 def _choose_topology(
     options: LaunchOptions,
 ) -> tuple[Topology, tuple[Link, ...]]:
--- /dev/null
+++ b/dev/workload/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded work of callers and operators, and what became of it."""
--- /dev/null
+++ b/dev/workload/operating.py
@@ -0,0 +1,135 @@
+"""Operators: change the configuration through an entry VM."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Sequence
+
+import aiohttp
+import msgspec
+from bulrushcove.operator_api import (
+    CONTRACTS_PATH,
+    DOMAINS_PATH,
+    STATUS_PATH,
+    ChangeAnswer,
+    ChangeOrder,
+    ContractChange,
+    StatusAnswer,
+)
+from bulrushcove.operator_api import DomainChange as DomainOrder
+
+from bulrushcove.contract import Contract
+from bulrushcove.ids import DomainName, OperationId
+from bulrushcove.states import DomainState
+from dev.history.records import DomainChange, RevisionAccepted
+from dev.launch.settings_file import OPERATOR_TOKEN
+from dev.launch.topology import EntryVm
+
+CALL_TIMEOUT_S = 10
+OK = 200
+TRIES = 4
+FORCE_PERIOD_S = 0.1
+
+
+class OperatorError(Exception):
+    """No entry VM took an operator's call."""
+
+
+class Operating:
+    """An operator who turns to one entry VM after the other."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, entry_vms: Sequence[EntryVm]
+    ) -> None:
+        """Use ``entry_vms`` in turn."""
+        self.accepted: list[RevisionAccepted] = []
+        self.domain_changes: list[DomainChange] = []
+        self._session = session
+        self._entry_vms = list(entry_vms)
+
+    async def apply_contract(self, contract: Contract) -> ChangeAnswer:
+        """Apply one contract."""
+        change = ContractChange(order=_new_order(), contract=contract)
+        path = f'{CONTRACTS_PATH}/{contract.organisation}'
+        return await self._change(path, change)
+
+    async def set_domain(
+        self, domain: DomainName, state: DomainState, *, force: bool = False
+    ) -> ChangeAnswer:
+        """Take a failure domain out or in."""
+        sent_s = time.monotonic()
+        change = DomainOrder(order=_new_order(force=force), state=state)
+        answer = await self._change(f'{DOMAINS_PATH}/{domain}', change)
+        self.domain_changes.append(
+            DomainChange(
+                domain=domain,
+                state=state,
+                sent_s=sent_s,
+                accepted_s=time.monotonic(),
+            )
+        )
+        return answer
+
+    async def status(self, vm: EntryVm | None = None) -> StatusAnswer:
+        """Return the status as one VM tells it."""
+        vms = [vm] if vm else self._entry_vms
+        body = await self._call('GET', STATUS_PATH, None, vms)
+        return msgspec.json.decode(body, type=StatusAnswer)
+
+    async def wait_in_force(self, timeout_s: float) -> None:
+        """Wait until each entry VM holds the last accepted revision.
+
+        Raises ``OperatorError`` naming the first VM that does not.
+        """
+        wanted = self.accepted[-1].revision
+        end_s = time.monotonic() + timeout_s
+        for vm in self._entry_vms:
+            while (await self.status(vm)).revision < wanted:
+                if time.monotonic() > end_s:
+                    raise OperatorError(f'{vm.vm} is behind {wanted}')
+                await asyncio.sleep(FORCE_PERIOD_S)
+
+    async def _change(self, path: str, change: msgspec.Struct) -> ChangeAnswer:
+        body = await self._call('PUT', path, change, self._entry_vms)
+        answer = msgspec.json.decode(body, type=ChangeAnswer)
+        accepted = RevisionAccepted(
+            revision=answer.revision, accepted_s=time.monotonic()
+        )
+        self.accepted.append(accepted)
+        return answer
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: msgspec.Struct | None,
+        vms: Sequence[EntryVm],
+    ) -> bytes:
+        error = 'no entry VM'
+        for vm in [*vms][:TRIES]:
+            try:
+                return await self._call_one(method, f'{vm.url}{path}', body)
+            except (aiohttp.ClientError, OSError) as exc:
+                error = f'{vm.vm}: {exc!r}'
+        raise OperatorError(f'{method} {path}: {error}')
+
+    async def _call_one(
+        self, method: str, url: str, body: msgspec.Struct | None
+    ) -> bytes:
+        async with self._session.request(
+            method,
+            url,
+            data=msgspec.json.encode(body) if body else None,
+            headers={'Authorization': f'Bearer {OPERATOR_TOKEN}'},
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+        ) as response:
+            answer = await response.read()
+            if response.status != OK:
+                raise OperatorError(f'{method} {url}: {answer.decode()}')
+            return answer
+
+
+def _new_order(*, force: bool = False) -> ChangeOrder:
+    return ChangeOrder(
+        operation=OperationId(uuid.uuid4().hex), operator='demo', force=force
+    )
--- /dev/null
+++ b/dev/workload/table.py
@@ -0,0 +1,152 @@
+"""Short table of a run."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
+
+import msgspec
+
+from bulrushcove.states import JobState, Outcome, Urgency
+from dev.history.events import TaskStep
+from dev.history.records import CallerJob, CallerRequest, History
+
+MS_PER_S = 1000
+PERCENTILES = (50, 99)
+WHOLE_PERCENT = 100
+MAX_REASONS = 5
+BOUNDS_MB = MappingProxyType({'control': 48.0, 'entry': 64.0})
+
+
+class MemoryUse(msgspec.Struct, frozen=True):
+    """Resident memory of one daemon."""
+
+    kind: str
+    idle_mb: float
+    end_mb: float
+
+
+def percentile(numbers: Sequence[float], percent: int) -> float:
+    """Return the nearest-rank percentile; 0 without numbers."""
+    if not numbers:
+        return 0.0
+    rank = -(-len(numbers) * percent // WHOLE_PERCENT)
+    return sorted(numbers)[max(rank, 1) - 1]
+
+
+def completion_lines(history: History) -> list[str]:
+    """Return a line of completion times for each class of work."""
+    times_ms = {
+        urgency.value: _request_times_ms(history.caller_requests, urgency)
+        for urgency in Urgency
+    }
+    times_ms['job'] = [
+        (job.ended_s - job.sent_s) * MS_PER_S
+        for job in history.caller_jobs
+        if job.state is JobState.SUCCEEDED
+    ]
+    lines = ['completion time    count    p50 ms    p99 ms']
+    for name, numbers in times_ms.items():
+        p50, p99 = (percentile(numbers, percent) for percent in PERCENTILES)
+        lines.append(f'  {name:14}{len(numbers):8}{p50:10.1f}{p99:10.1f}')
+    return lines
+
+
+def request_lines(requests: Sequence[CallerRequest]) -> list[str]:
+    """Return what became of the requests."""
+    outcomes = Counter(
+        request.outcome.value if request.outcome else 'lost'
+        for request in requests
+    )
+    return [
+        f'requests {len(requests)}: {_counts(outcomes)}',
+        *_refusal_lines([request.message for request in requests]),
+    ]
+
+
+def job_lines(history: History) -> list[str]:
+    """Return what became of the jobs and how their gangs started."""
+    jobs = history.caller_jobs
+    states = Counter(_job_state(job) for job in jobs)
+    gangs = {job.job for job in jobs if job.tasks > 1}
+    attempts = {
+        event.attempt
+        for event in history.tasks
+        if event.step is TaskStep.START and event.job in gangs
+    }
+    return [
+        f'jobs {len(jobs)}: {_counts(states)}',
+        *_refusal_lines([job.message for job in jobs]),
+        f'gangs {len(gangs)}: {len(attempts)} attempts started',
+    ]
+
+
+def platform_lines(calls: Mapping[str, int], seconds: float) -> list[str]:
+    """Return the calls to the platform a second."""
+    total = sum(calls.values()) / seconds
+    kinds = ', '.join(
+        f'{kind} {count / seconds:.1f}' for kind, count in sorted(calls.items())
+    )
+    return [f'platform calls a second: {total:.1f} ({kinds})']
+
+
+def memory_lines(uses: Iterable[MemoryUse]) -> list[str]:
+    """Return the largest resident memory of each kind of daemon."""
+    lines = ['resident memory    idle MB    end MB    bound MB (idle)']
+    by_kind: dict[str, list[MemoryUse]] = {}
+    for one in uses:
+        by_kind.setdefault(one.kind, []).append(one)
+    for kind, found in by_kind.items():
+        idle_mb = max([use.idle_mb for use in found])
+        end_mb = max([use.end_mb for use in found])
+        bound_mb = BOUNDS_MB[kind]
+        lines.append(
+            f'  {kind:14}{idle_mb:12.1f}{end_mb:10.1f}{bound_mb:12.0f}'
+        )
+    return lines
+
+
+def memory_violations(uses: Iterable[MemoryUse]) -> list[str]:
+    """Return each idle daemon over its bound."""
+    return [
+        f'{use.kind} daemon of {use.idle_mb:.1f} MB, bound'
+        f' {BOUNDS_MB[use.kind]:.0f} MB'
+        for use in uses
+        if use.idle_mb >= BOUNDS_MB[use.kind]
+    ]
+
+
+def lost_requests(requests: Sequence[CallerRequest]) -> list[str]:
+    """Return each request that got no answer at all."""
+    return [
+        f'request {request.request} sent to {request.vm} got no answer'
+        for request in requests
+        if request.status is None
+    ]
+
+
+def _request_times_ms(
+    requests: Sequence[CallerRequest], urgency: Urgency
+) -> list[float]:
+    return [
+        (request.ended_s - request.sent_s) * MS_PER_S
+        for request in requests
+        if request.urgency is urgency and request.outcome is Outcome.RAN
+    ]
+
+
+def _job_state(job: CallerJob) -> str:
+    if job.state is not None:
+        return job.state.value
+    return 'accepted' if job.accepted else 'refused'
+
+
+def _refusal_lines(messages: Sequence[str]) -> list[str]:
+    reasons = Counter(message for message in messages if message)
+    return [
+        f'  {count} refused: {reason}'
+        for reason, count in reasons.most_common(MAX_REASONS)
+    ]
+
+
+def _counts(counter: Counter[str]) -> str:
+    return ', '.join(f'{count} {name}' for name, count in counter.most_common())
