--- a/dev/workload/operating.py
+++ b/dev/workload/operating.py
@@ -7,6 +7,9 @@
 
 import aiohttp
 import msgspec
+
+from bulrushcove.contract import Contract
+from bulrushcove.ids import DomainName, OperationId
 from bulrushcove.operator_api import (
     CONTRACTS_PATH,
     DOMAINS_PATH,
@@ -17,9 +20,6 @@
     StatusAnswer,
 )
 from bulrushcove.operator_api import DomainChange as DomainOrder
-
-from bulrushcove.contract import Contract
-from bulrushcove.ids import DomainName, OperationId
 from bulrushcove.states import DomainState
 from dev.history.records import DomainChange, RevisionAccepted
 from dev.launch.settings_file import OPERATOR_TOKEN
--- /dev/null
+++ b/tests/test_workload.py
@@ -0,0 +1,73 @@
+import random
+
+import pytest
+
+from bulrushcove.states import Outcome
+from dev.history.records import CallerRequest
+from dev.workload import table
+from dev.workload.offer import offer_jobs, offer_requests
+from dev.workload.organisations import ORGANISATIONS
+
+
+def draw(seed):
+    requests = offer_requests(random.Random(seed), 200, 10)
+    jobs = offer_jobs(random.Random(seed), 40, 10)
+    return requests, jobs
+
+
+def test_same_seed_offers_the_same_work():
+    assert draw(1) == draw(1)
+    assert draw(1) != draw(2)
+
+
+@pytest.mark.parametrize('seed', range(1, 6))
+def test_offer_covers_what_the_demo_shows(seed):
+    requests, jobs = draw(seed)
+    assert len({request.organisation for request in requests}) == 4
+    assert {request.idempotent for request in requests} == {True, False}
+    assert max(job.spec.accelerators for job in jobs) == 16
+    assert {job.spec.idempotent for job in jobs} == {True, False}
+    assert all(0 <= job.at_s <= 10 for job in jobs)
+
+
+def test_contracts_name_their_own_tokens():
+    digests = {each.contract.token_sha256 for each in ORGANISATIONS}
+    assert len(digests) == len(ORGANISATIONS)
+
+
+@pytest.mark.parametrize(
+    ('percent', 'expected'), [(50, 50), (99, 99), (100, 100)]
+)
+def test_percentile(percent, expected):
+    numbers = [float(number) for number in range(100, 0, -1)]
+    assert table.percentile(numbers, percent) == expected
+    assert table.percentile([], percent) == 0
+
+
+def test_lost_request_and_memory_over_its_bound_are_told():
+    request = CallerRequest(
+        organisation='planta',
+        request='r1',
+        vm='vm-1',
+        sent_s=0,
+        ended_s=1,
+        idempotent=True,
+    )
+    answered = CallerRequest(
+        organisation='planta',
+        request='r2',
+        vm='vm-1',
+        sent_s=0,
+        ended_s=1,
+        idempotent=True,
+        status=200,
+        outcome=Outcome.RAN,
+    )
+    (lost,) = table.lost_requests([request, answered])
+    assert 'r1' in lost
+    uses = [
+        table.MemoryUse('control', idle_mb=47.9, end_mb=60),
+        table.MemoryUse('entry', idle_mb=64.1, end_mb=60),
+    ]
+    (violation,) = table.memory_violations(uses)
+    assert '64.1' in violation
