--- a/dev/measure_path.py
+++ b/dev/measure_path.py
@@ -5,20 +5,11 @@
 the three are interleaved, so that the machine's load falls on all alike.
 """
 
-import asyncio
-import statistics
-import subprocess
-import sys
-import tempfile
 import time
-from pathlib import Path
 from typing import NamedTuple
 
 import aiohttp
-from absl import app, flags
-
-from bulrushcove.authentication import token_digest
-from dev.launch.ports import HOST, choose_ports
+from absl import flags
 
 BODY = b'{"work": "solids check", "shift": 3}' * 4
 CALLERS = (1, 8, 32)
--- a/dev/workload/callers.py
+++ b/dev/workload/callers.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 import msgspec
+
+from bulrushcove.ids import OrganisationId, VmId
 from bulrushcove.job_messages import JobAnswer, stored_job_id
 from bulrushcove.refusals import OUTCOME_HEADER, RefusalBody
 from bulrushcove.request_head import (
@@ -15,8 +17,6 @@
     REQUEST_HEADER,
     URGENCY_HEADER,
 )
-
-from bulrushcove.ids import OrganisationId, VmId
 from bulrushcove.states import JobState, Outcome
 from dev.history.records import CallerJob, CallerRequest
 from dev.launch.topology import EntryVm
--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -1,6 +1,6 @@
 """What operators do: change contracts, take failure domains out and in."""
 
-from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 
 import msgspec
@@ -31,7 +31,7 @@
 
 GuaranteeCheck = Callable[
     [
-        Iterable[Contract],
+        Mapping[OrganisationId, Contract],
         Sequence[WorkerDescription],
         Mapping[DomainName, DomainState],
     ],
@@ -181,8 +181,7 @@
         # No task starts in a domain that operators have not brought in.
         domains = {worker.domain: DomainState.OUT for worker in workers}
         domains.update(configuration.domains)
-        contracts = tuple(configuration.contracts.values())
-        return self._check(contracts, workers, domains)
+        return self._check(configuration.contracts, workers, domains)
 
 
 def describe_change(change: Change) -> str:
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -47,7 +47,7 @@
     for path in paths:
         contract = load_contract(path)
         configuration = apply_contract(configuration, contract, path.stem)
-    contracts = list(configuration.contracts.values())
+    contracts = configuration.contracts
     assert len(contracts) == 4
     workers = workers_of(domains)
     assert check_guarantees(contracts, workers, configuration.domains) == []
