--- a/src/bulrushcove/cluster.py
+++ b/src/bulrushcove/cluster.py
@@ -17,6 +17,8 @@
     free_memory_mb: int
     # False: silent, failing or leaving; nothing new is placed there.
     usable: bool = True
+    # Usable by one small job only, to learn whether it still fails.
+    probe: bool = False
 
 
 class RunningGang(msgspec.Struct, frozen=True):
--- a/src/bulrushcove/pass_state.py
+++ b/src/bulrushcove/pass_state.py
@@ -16,7 +16,7 @@
 from .covers import Cover
 from .guarantees import Guarantees
 from .ids import JobId
-from .job import JobRecord
+from .job import JobRecord, PlacedPart
 from .job_queue import Usage
 from .placement import visible
 from .reclaim import Borrowed
@@ -84,12 +84,22 @@
     ) -> None:
         """Start the job; without a cover it is borrowed."""
         self.rooms.take(record.spec, counts)
-        self.usage.add(record, borrowed=cover is None)
+        placement = self.rooms.placement_of(counts)
+        self.start(record, placement, cover.name if cover else '')
+
+    def start(
+        self,
+        record: JobRecord,
+        placement: tuple[PlacedPart, ...],
+        cover: str,
+    ) -> None:
+        """Note the start of a job whose room is taken."""
+        self.usage.add(record, borrowed=not cover)
         self._places[record.job] = Place(
             job=record.job,
-            placement=self.rooms.placement_of(counts),
-            borrowed=cover is None,
-            cover=cover.name if cover else '',
+            placement=placement,
+            borrowed=not cover,
+            cover=cover,
         )
 
     def await_victims(
--- /dev/null
+++ b/src/bulrushcove/probes.py
@@ -0,0 +1,42 @@
+"""Tries distrusted workers with one small job each."""
+
+from .cluster import WorkerRoom
+from .job import JobRecord
+from .pass_state import PassState
+from .rooms import number_parts, open_room
+
+
+def place_probes(state: PassState, waiting: list[JobRecord]) -> None:
+    """Start one job on each idle worker that is to be probed.
+
+    A probe may fail, so it is a single idempotent task that has not failed
+    before, and it is borrowed, so that no guarantee depends on it.
+    """
+    candidates = [record for record in waiting if _may_probe(record)]
+    for worker in state.snapshot.workers:
+        if worker.usable and worker.probe and _is_idle(worker):
+            _probe(state, worker, candidates)
+
+
+def _probe(
+    state: PassState, worker: WorkerRoom, candidates: list[JobRecord]
+) -> None:
+    room = open_room(worker)
+    for record in candidates:
+        hidden = state.contract(record).hidden_racks
+        allowed = state.may_borrow(record) and room.rack not in hidden
+        if state.is_open(record) and allowed and room.fits(record.spec):
+            state.start(record, number_parts([(room.worker, 1)]), cover='')
+            return
+
+
+def _may_probe(record: JobRecord) -> bool:
+    return (
+        record.spec.tasks == 1
+        and record.spec.idempotent
+        and record.failures == 0
+    )
+
+
+def _is_idle(worker: WorkerRoom) -> bool:
+    return worker.free_cores == worker.description.cores
--- a/src/bulrushcove/rooms.py
+++ b/src/bulrushcove/rooms.py
@@ -77,7 +77,9 @@
 
     def __init__(self, workers: Iterable[WorkerRoom]) -> None:
         """Open the rooms of the usable ones of ``workers``."""
-        usable = [worker for worker in workers if worker.usable]
+        usable = [
+            worker for worker in workers if worker.usable and not worker.probe
+        ]
         self.workers = [worker.description for worker in usable]
         # Really free, less what is held for jobs that wait for room.
         self.free = [open_room(worker) for worker in usable]
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -13,6 +13,7 @@
 from .job import JobRecord
 from .job_queue import by_age, fair_order, is_urgent
 from .pass_state import PassState
+from .probes import place_probes
 from .runnable import why_never
 
 Steps = Generator[None, None, Plan]
@@ -44,6 +45,7 @@
         _try_covered(state, covered)
         yield
     rest = [record for record in normal if state.is_open(record)]
+    place_probes(state, rest)
     hold_reservations(state, rest)
     yield
     for borrower in _in_fair_order(state, rest):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,4 +1,5 @@
 import pytest
+from msgspec.structs import replace
 
 from bulrushcove import scheduler
 from bulrushcove.contract import GuaranteedShape, JobLimits
@@ -221,16 +222,10 @@
 
 
 def test_a_cancellation_wave_leaves_only_the_others_in_one_pass():
-    queued = [job(f'j{nth}') for nth in range(1000)]
     cancelled = [
-        type(each)(**{**_fields(each), 'cancel_requested': True})
-        for each in queued
+        replace(job(f'j{nth}'), cancel_requested=True) for nth in range(1000)
     ]
     plan = scheduler.plan(
         snapshot(workers=[worker('w1')], queued=[*cancelled, job('kept')])
     )
     assert workers_on(plan) == {'kept': {'w1': 1}}
-
-
-def _fields(record):
-    return {name: getattr(record, name) for name in record.__struct_fields__}
