--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -52,12 +52,12 @@
         self._news = asyncio.Event()
         self._records = RecordSync(self.core, around.jobs, self._clock)
         self._records.on_written = self.scheduling.learn
-        self._rounds = WorkerRounds(
+        self.rounds = WorkerRounds(
             tenure.domain, self.table, around.client, self._clock, settings
         )
-        self._rounds.vms = around.vms
-        self._rounds.may_start = self.may_start
-        self._rounds.on_news = self._news.set
+        self.rounds.vms = around.vms
+        self.rounds.may_start = self.may_start
+        self.rounds.on_news = self._news.set
 
     @property
     def is_fenced(self) -> bool:
@@ -79,17 +79,37 @@
         self._records.scan_due = True
         self._news.set()
 
+    async def run_pass(self) -> None:
+        """Read, decide and write once."""
+        await self._records.scan(self._round_s)
+        self._advance()
+        await self._records.commit(
+            self.core.changes(
+                self._clock.monotonic_s(),
+                self._clock.unix_ms(),
+            ),
+        )
+        self._advance()
+        if self._records.has_scanned and self.may_start():
+            await self._schedule()
+        if self._records.has_scanned and self.tenure.holds(
+            self._clock.monotonic_s(),
+        ):
+            await self._let_go()
+        self.rounds.wake_urgent()
+        self._around.publish(make_view(self.core, self._around.vm))
+
     async def on_start(self) -> None:
         """Start the rounds with the workers."""
-        await self.add_runtime_dependency(self._rounds)
+        await self.add_runtime_dependency(self.rounds)
 
     @Service.task
     async def _work(self) -> None:
         # Fences earlier controls and learns what runs, before anything else.
-        await self._rounds.try_all()
+        await self.rounds.try_all()
         while not self.should_stop and not self.is_fenced:
             self._news.clear()
-            await self._pass()
+            await self.run_pass()
             await self.sleep(PASS_GAP_S)
             await self._wait_for_news()
 
@@ -100,34 +120,15 @@
         except TimeoutError:
             return
 
-    async def _pass(self) -> None:
-        await self._records.scan(self._round_s)
-        self._advance()
-        await self._records.commit(
-            self.core.changes(
-                self._clock.monotonic_s(),
-                self._clock.unix_ms(),
-            ),
-        )
-        self._advance()
-        if self._records.has_scanned and self.may_start():
-            await self._schedule()
-        if self._records.has_scanned and self.tenure.holds(
-            self._clock.monotonic_s(),
-        ):
-            await self._let_go()
-        self._rounds.wake_urgent()
-        self._around.publish(make_view(self.core, self._around.vm))
-
     def _advance(self) -> None:
         now_s = self._clock.monotonic_s()
         self.core.advance(now_s, may_start=self.may_start())
-        self._rounds.wake_urgent()
+        self.rounds.wake_urgent()
 
     async def _schedule(self) -> None:
         plan = self.scheduling.plan(self._around.holder.current)
         # A worker that was never seen might be able to run them.
-        if self._rounds.knows_all:
+        if self.rounds.knows_all:
             await self._set_aside(plan)
         for reclaim in plan.reclaims:
             self._give_way(reclaim.attempt, StopCause.RECLAIMED)
@@ -169,4 +170,4 @@
         written = await self._records.write(change)
         if written is not None:
             self.core.begin(written, self._clock.monotonic_s())
-            self._rounds.wake_urgent()
+            self.rounds.wake_urgent()
--- a/src/bulrushcove/worker_rounds.py
+++ b/src/bulrushcove/worker_rounds.py
@@ -68,6 +68,23 @@
             if wake is not None:
                 wake.set()
 
+    async def run_round(self, worker: WorkerId, vm: VmEntry) -> None:
+        """Exchange one request and its answer with a worker."""
+        table = self._table
+        try:
+            if worker not in table.workers:
+                table.see_worker(await self._client.describe(vm))
+            await self._exchange(worker, vm)
+        except WorkerError as exc:
+            self._miss(worker, exc)
+        sight = table.workers.get(worker)
+        if sight is not None:
+            sight.leaving = vm.state is VmState.LEAVING
+        self.wake_urgent()
+        if table.has_news:
+            table.has_news = False
+            self.on_news()
+
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
@@ -93,29 +110,13 @@
             vm = self._listed().get(worker)
             if vm is None:
                 break
-            await self._round(worker, vm)
+            await self.run_round(worker, vm)
             self._tried[worker].set()
             await self._wait(worker)
         self._table.drop_worker(worker, self._clock.monotonic_s())
         self._wake.pop(worker)
         self._tried.pop(worker).set()
 
-    async def _round(self, worker: WorkerId, vm: VmEntry) -> None:
-        table = self._table
-        try:
-            if worker not in table.workers:
-                table.see_worker(await self._client.describe(vm))
-            await self._exchange(worker, vm)
-        except WorkerError as exc:
-            self._miss(worker, exc)
-        sight = table.workers.get(worker)
-        if sight is not None:
-            sight.leaving = vm.state is VmState.LEAVING
-        self.wake_urgent()
-        if table.has_news:
-            table.has_news = False
-            self.on_news()
-
     async def _exchange(self, worker: WorkerId, vm: VmEntry) -> None:
         sent_s = self._clock.monotonic_s()
         request = self._table.request(
--- /dev/null
+++ b/tests/domain_bench.py
@@ -0,0 +1,488 @@
+"""Controls of one failure domain on a manual clock, with faults.
+
+The controllers, job store, election and permits are the product's; the store,
+the workers and the links between them are fakes in memory.
+"""
+
+import asyncio
+from collections import defaultdict
+from functools import partial
+
+import msgspec
+
+from bulrushcove import naive
+from bulrushcove.clock import ManualClock
+from bulrushcove.configuration import Configuration
+from bulrushcove.configuration_holder import ConfigurationHolder
+from bulrushcove.contract import Contract
+from bulrushcove.domain_controller import DomainController
+from bulrushcove.election import Election
+from bulrushcove.exceptions import (
+    PeerUnreachableError,
+    StoreError,
+    StoreUnavailableError,
+    WorkerError,
+)
+from bulrushcove.job import JobRecord, JobSpec
+from bulrushcove.job_store import JobChangedError, JobStore
+from bulrushcove.permit import PermitBook
+from bulrushcove.settings import ControlSettings
+from bulrushcove.states import DomainState, JobState, VmRole
+from bulrushcove.store import JOBS_PREFIX
+from bulrushcove.surroundings import Surroundings
+from bulrushcove.vm_list import VmEntry
+from bulrushcove.worker_api import WorkerDescription
+from dev.history.bounds import PARTIAL_GANG_S, START_AFTER_TAKE_OUT_S
+from dev.history.events import TaskStep
+from dev.history.gangs import longest_partial_s
+from dev.history.runs import runs_by_attempt
+from dev.standins.worker_tasks import WorkerTasks
+from tests.fake_store import FakeStore
+
+DOMAIN = 'Centenario'
+OTHER_DOMAIN = 'Guichon'
+WORKERS = ('w1', 'w2')
+TICK_S = 0.25
+SETTINGS = ControlSettings(stream_port=0, http_port=0)
+
+
+class HistoryLog:
+    """Takes the events of the workers."""
+
+    def __init__(self):
+        self.events = []
+
+    def write(self, event):
+        self.events.append(event)
+
+
+class RecordingStore(FakeStore):
+    """Keeps every job record that was ever written."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.written = []
+
+    def _put(self, write):
+        super()._put(write)
+        if write.key.startswith(JOBS_PREFIX):
+            record = msgspec.msgpack.decode(write.value, type=JobRecord)
+            self.written.append(record)
+
+
+class KilledError(Exception):
+    """Ends whatever a control was doing when it was killed."""
+
+
+class LinkedStore:
+    """The store as one control reaches it."""
+
+    def __init__(self, control):
+        self.control = control
+        self.cut = False
+
+    def __getattr__(self, name):
+        bench = self.control.bench
+        call = getattr(bench.store, name)
+
+        async def linked(*arguments, **options):
+            await bench.before_step(self.control)
+            if self.cut:
+                raise StoreUnavailableError('cut off')
+            return await call(*arguments, **options)
+
+        return linked
+
+
+class LinkedClient:
+    """The workers as one control reaches them.
+
+    cut: workers that cannot be reached.
+    lose: so many requests take effect and lose their answers.
+    delay: so many requests get no answer and arrive later.
+    """
+
+    def __init__(self, control):
+        self.control = control
+        self.bench = control.bench
+        self.cut = set()
+        self.lose = 0
+        self.delay = 0
+
+    async def describe(self, vm):
+        self._reach(vm)
+        return self.bench.tasks[vm.vm].description
+
+    async def sync(self, vm, request):
+        await self.bench.before_step(self.control)
+        self._reach(vm)
+        if self.delay:
+            self.delay -= 1
+            self.bench.late.append((vm.vm, request))
+            raise WorkerError('no answer')
+        answer = self.bench.deliver(vm.vm, request)
+        if self.lose:
+            self.lose -= 1
+            raise WorkerError('answer lost')
+        return answer
+
+    def _reach(self, vm):
+        if vm.vm in self.cut or vm.vm in self.bench.frozen_workers:
+            raise WorkerError('no answer')
+
+
+class Control:
+    """One control process, driven step by step."""
+
+    def __init__(self, bench, vm):
+        self.bench = bench
+        self.store = LinkedStore(self)
+        self.client = LinkedClient(self)
+        self.holder = ConfigurationHolder()
+        self.permits = PermitBook()
+        self.election = Election(
+            self.store, bench.clock, vm, f'{vm}-1', SETTINGS.control_lease_ms
+        )
+        self.around = Surroundings(
+            vm=vm,
+            settings=SETTINGS,
+            clock=bench.clock,
+            jobs=JobStore(self.store),
+            client=self.client,
+            holder=self.holder,
+            permits=self.permits,
+            vms=lambda: tuple(bench.vms.values()),
+            views=lambda: bench.views,
+            publish=lambda _view: None,
+            notify=_no_peers,
+            plan=naive.plan,
+        )
+        self.controller = None
+        self.runs = True
+        # Whether its polls of the configuration get an answer.
+        self.polls = True
+        self._renewed_s = 0.0
+        self._rounds_s = dict.fromkeys(WORKERS, 0.0)
+
+    def steps(self):
+        """Return what this process would do next, in order."""
+        rounds = [partial(self.round, worker) for worker in WORKERS]
+        return [self.poll, self.elect, *rounds, self.work]
+
+    async def poll(self):
+        """Read the configuration: news, and a proof for the permit."""
+        reachable = not self.store.cut and not self.bench.store.down
+        if self.polls and reachable:
+            self.holder.adopt(self.bench.configuration)
+            now_s = self.bench.clock.monotonic_s()
+            self.permits.prove(self.bench.configuration.revision, now_s)
+
+    async def elect(self):
+        now_s = self.bench.clock.monotonic_s()
+        controller = self.controller
+        if controller is not None and controller.is_fenced:
+            self.controller = None
+            return
+        try:
+            if controller is None or controller.tenure.over:
+                await self._campaign()
+            elif now_s - self._renewed_s >= 2:
+                self._renewed_s = now_s
+                await self.election.renew(controller.tenure)
+        except StoreError:
+            return
+
+    async def round(self, worker):
+        """Exchange one message if it is due or urgent."""
+        if self.controller is None:
+            return
+        now_s = self.bench.clock.monotonic_s()
+        due = now_s - self._rounds_s[worker] >= SETTINGS.worker_round_ms / 1000
+        if due or worker in self.controller.table.urgent:
+            await self._exchange(worker)
+
+    async def work(self):
+        if self.controller is not None and not self.controller.is_fenced:
+            await self.controller.run_pass()
+
+    async def _campaign(self):
+        if await self.election.holder(DOMAIN) is not None:
+            return
+        tenure = await self.election.campaign(DOMAIN)
+        if tenure is None:
+            return
+        self.controller = DomainController(tenure, self.around)
+        for worker in WORKERS:
+            await self._exchange(worker)
+
+    async def _exchange(self, worker):
+        self._rounds_s[worker] = self.bench.clock.monotonic_s()
+        vm = self.bench.vms[worker]
+        await self.controller.rounds.run_round(worker, vm)
+
+
+async def _no_fault(_control):
+    """Let the step be."""
+
+
+async def _no_peers(_notice):
+    raise PeerUnreachableError('no peers here')
+
+
+class Bench:
+    """Two workers, two controls, the store, and the history."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.store = RecordingStore(self.clock)
+        self.history = HistoryLog()
+        self.late = []
+        self.frozen_workers = set()
+        self.views = ()
+        self.out_since_s = None
+        self.tasks = {}
+        for worker in WORKERS:
+            self.restart_worker(worker)
+        self.vms = {
+            worker: VmEntry(worker, VmRole.WORKER, DOMAIN, '127.0.0.1', 1)
+            for worker in WORKERS
+        }
+        # What happens by itself at a time.
+        self.later = []
+        self.configuration = Configuration(
+            1,
+            {'litoral': Contract(organisation='litoral', token_sha256=())},
+            {DOMAIN: DomainState.IN, OTHER_DOMAIN: DomainState.IN},
+        )
+        self.controls = [Control(self, 'vm-1'), Control(self, 'vm-2')]
+        # Awaited before each step of a control and before each message that
+        # it sends; for faults at an exact place.
+        self.before_step = _no_fault
+
+    def close(self):
+        self.loop.close()
+
+    async def freeze(self, control, seconds):
+        """Let the others go on without ``control``."""
+        control.runs = False
+        await self.run_for_async(seconds)
+        control.runs = True
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    def restart_worker(self, worker):
+        """Lose everything that the worker knew and ran."""
+        for task in self._running_tasks(worker):
+            self._log_lapse(task)
+        description = WorkerDescription(worker, DOMAIN, 'r1', 8, 32, 65_536)
+        self.tasks[worker] = WorkerTasks(description, self.clock, self.history)
+
+    def deliver(self, worker, request):
+        return self.tasks[worker].sync(request)
+
+    def deliver_late(self):
+        """Let the requests arrive that were held up on their way."""
+        while self.late:
+            worker, request = self.late.pop(0)
+            self.deliver(worker, request)
+
+    def tick(self):
+        self.run(self._tick())
+
+    def run_for(self, seconds):
+        self.run(self.run_for_async(seconds))
+
+    async def run_for_async(self, seconds):
+        for _ in range(int(seconds / TICK_S)):
+            await self._tick()
+
+    def after(self, seconds, action):
+        """Await ``action`` so much later."""
+        self.later.append((self.clock.monotonic_s() + seconds, action))
+
+    def submit(self, job, **options):
+        self.run(self.submit_async(job, **options))
+
+    async def submit_async(self, job, tasks=2, idempotent=True, run_ms=4000):
+        payload = {'run_ms': run_ms, 'result': f'{job} done'}
+        record = JobRecord(
+            job=job,
+            organisation='litoral',
+            spec=JobSpec(
+                kind='review',
+                tasks=tasks,
+                accelerators_per_task=8,
+                idempotent=idempotent,
+                payload=msgspec.json.encode(payload).decode(),
+            ),
+            state=JobState.QUEUED,
+            domain=DOMAIN,
+            accepted_unix_ms=self.clock.unix_ms(),
+        )
+        await JobStore(self.store).create(record)
+
+    def change(self, job, **fields):
+        """Change the record as an entry would; tell whether it was."""
+        jobs = JobStore(self.store)
+        stored = self.run(jobs.load(job))
+        if stored.record.state.is_final:
+            return False
+        record = msgspec.structs.replace(stored.record, **fields)
+        try:
+            self.run(jobs.replace(stored, record))
+        except JobChangedError:
+            return False
+        return True
+
+    def record(self, job):
+        return self.run(JobStore(self.store).load(job)).record
+
+    def set_domain(self, state):
+        domains = self.configuration.domains | {DOMAIN: state}
+        self.configuration = msgspec.structs.replace(
+            self.configuration,
+            revision=self.configuration.revision + 1,
+            domains=domains,
+        )
+        is_out = state is DomainState.OUT
+        self.out_since_s = self.clock.monotonic_s() if is_out else None
+
+    async def heal(self):
+        """End every fault."""
+        self.frozen_workers.clear()
+        self.store.down = False
+        for control in self.controls:
+            control.runs = True
+            control.polls = True
+            control.store.cut = False
+            control.client.cut.clear()
+
+    def is_settled(self, job):
+        """Return whether the job has ended or belongs to another domain."""
+        record = self.record(job)
+        return record.state.is_final or record.domain != DOMAIN
+
+    def _running_tasks(self, worker):
+        tasks = self.tasks.get(worker)
+        return list(tasks._table.tasks.values()) if tasks else []
+
+    def _log_lapse(self, task):
+        for event in tuple(self.history.events):
+            reserved = task.reservation
+            mine = (event.attempt, event.part) == (
+                reserved.attempt,
+                reserved.part,
+            )
+            if mine and event.step is TaskStep.START:
+                now_s = self.clock.monotonic_s()
+                self.history.write(
+                    msgspec.structs.replace(
+                        event, step=TaskStep.LAPSE, at_s=now_s
+                    ),
+                )
+
+    async def _tick(self):
+        """Let a moment pass and every process act once."""
+        self.clock.advance(TICK_S)
+        now_s = self.clock.monotonic_s()
+        while self.later and self.later[0][0] <= now_s:
+            _, action = self.later.pop(0)
+            await action()
+        for worker, tasks in self.tasks.items():
+            if worker not in self.frozen_workers:
+                tasks.advance()
+        for control in self.controls:
+            try:
+                await self._act(control)
+            except KilledError:
+                control.runs = False
+
+    async def _act(self, control):
+        for step in control.steps():
+            if control.runs:
+                await self.before_step(control)
+                await step()
+
+
+def violations(bench):
+    """Return what the history shows that must never be."""
+    return [
+        *_partial_gangs(bench),
+        *_repeated_runs(bench),
+        *_repeated_ends(bench),
+        *_results_of_parts(bench),
+    ]
+
+
+def starts(bench):
+    return [
+        event for event in bench.history.events if event.step is TaskStep.START
+    ]
+
+
+def late_starts(bench):
+    """Return the starts that came too late after the take-out."""
+    end_s = bench.out_since_s + START_AFTER_TAKE_OUT_S
+    return [event for event in starts(bench) if event.at_s > end_s]
+
+
+def _records(bench):
+    return {record.job: record for record in bench.store.written}
+
+
+def _runs(bench):
+    events = sorted(bench.history.events, key=lambda event: event.at_s)
+    return runs_by_attempt(events)
+
+
+def _partial_gangs(bench):
+    now_s = bench.clock.monotonic_s()
+    for attempt, runs in _runs(bench).items():
+        tasks = _records(bench)[runs[0].start.job].spec.tasks
+        ended = [_with_end(run, now_s) for run in runs]
+        partial_s = longest_partial_s(ended, tasks)
+        if partial_s > PARTIAL_GANG_S:
+            yield f'{attempt} ran partially for {partial_s} s'
+
+
+def _with_end(run, now_s):
+    if run.end is not None:
+        return run
+    end = msgspec.structs.replace(run.start, step=TaskStep.STOP, at_s=now_s)
+    return msgspec.structs.replace(run, end=end)
+
+
+def _repeated_runs(bench):
+    records = _records(bench)
+    attempts = defaultdict(set)
+    for event in starts(bench):
+        attempts[event.job].add(event.attempt)
+    for job, started in attempts.items():
+        if len(started) > 1 and not records[job].spec.idempotent:
+            yield f'{job} is not idempotent and ran {len(started)} times'
+
+
+def _repeated_ends(bench):
+    ended = {}
+    for record in bench.store.written:
+        earlier = ended.get(record.job)
+        if earlier is not None:
+            yield f'{record.job} changed from {earlier} to {record.state}'
+        if record.state.is_final:
+            ended[record.job] = record.state
+
+
+def _results_of_parts(bench):
+    whole = {
+        attempt
+        for attempt, runs in _runs(bench).items()
+        if all(run.is_finished for run in runs)
+    }
+    for record in bench.store.written:
+        if record.state is not JobState.SUCCEEDED:
+            continue
+        expected = (f'{record.job} done',) * record.spec.tasks
+        if record.results != expected or record.current.attempt not in whole:
+            yield f'{record.job} succeeded with {record.results}'
