--- a/tests/operator_app.py
+++ b/tests/operator_app.py
@@ -29,7 +29,7 @@
     """Every contract needs a domain that is in."""
     if DomainState.IN in domains.values():
         return []
-    return [f'{found.organisation}: no domain left' for found in contracts]
+    return [f'{organisation}: no domain left' for organisation in contracts]
 
 
 class OperatorApp:
