Control keeps the tracing SDK out of memory when nothing is exported

Import by import, the SDK and what it pulls in is 2.6 MB of them; a control only passes trace contexts on, which the API does alone.

--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -146,7 +146,7 @@
 
 def main() -> None:
     """Run the daemon until a signal stops it."""
-    run_program(make_entry, NAME)
+    run_program(make_entry, NAME, starts_traces=True)
 
 
 if __name__ == '__main__':
--- a/src/bulrushcove/program.py
+++ b/src/bulrushcove/program.py
@@ -25,9 +25,13 @@
 def run_program(
     make_service: Callable[[Settings], ServiceT],
     name: str,
+    *,
+    starts_traces: bool = False,
 ) -> None:
     """Run the service of daemon ``name`` until a signal stops it.
 
+    A daemon that answers callers ``starts_traces``.
+
     Exits with status 2 when the settings are wrong, after printing a line
     for each error.
     """
@@ -35,7 +39,7 @@
     def main(_arguments: list[str]) -> None:
         settings = _load_or_exit(name)
         setup_logs(settings.logs)
-        setup_tracing(settings.tracing, name)
+        setup_tracing(settings.tracing, name, starts_traces=starts_traces)
         worker = Worker(
             make_service(settings),
             override_logging=False,
--- a/src/bulrushcove/tracing.py
+++ b/src/bulrushcove/tracing.py
@@ -17,11 +17,20 @@
 _propagator = TraceContextTextMapPropagator()
 
 
-def setup_tracing(settings: TracingSettings, service: str) -> None:
+def setup_tracing(
+    settings: TracingSettings,
+    service: str,
+    *,
+    starts_traces: bool,
+) -> None:
     """Install the exporter that the settings ask for.
 
-    Span ids are made in every case, so that answers can name their trace.
+    A process that ``starts_traces`` makes ids without an exporter too, so
+    that its answers can name their trace; another one passes on the ids that
+    it was given.
     """
+    if settings.exporter == 'none' and not starts_traces:
+        return
     # The SDK costs resident memory, so only processes that trace import it.
     from opentelemetry.sdk.resources import Resource
     from opentelemetry.sdk.trace import TracerProvider
