--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo
+.PHONY: venv test lint format lock demo measure-path
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -35,3 +35,7 @@
 
 demo: venv
 	$(BIN)/python -m dev.demo --seed=$(SEED)
+
+# What the entry adds to a request, beside a bare forwarder.
+measure-path: venv
+	$(BIN)/python -m dev.measure_path
--- /dev/null
+++ b/dev/bare_forwarder.py
@@ -0,0 +1,50 @@
+"""A bare forwarder in twenty lines, to compare the entry with."""
+
+import itertools
+
+import aiohttp
+from absl import app, flags
+from aiohttp import web
+
+from bulrushcove.settings import TracingSettings
+from bulrushcove.tracing import setup_tracing, span
+
+PORT = flags.DEFINE_integer('port', 0, 'Port to listen on.')
+TARGETS = flags.DEFINE_list('targets', [], 'URLs to forward to, in turn.')
+PASSED = ('X-Request-Id', 'X-Organisation', 'X-Idempotent', 'X-Deadline-Ms')
+
+
+async def _application() -> web.Application:
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    targets = itertools.cycle(TARGETS.value)
+
+    async def forward(request: web.Request) -> web.Response:
+        with span('forward'):
+            headers = {name: request.headers[name] for name in PASSED}
+            body = await request.read()
+            async with session.post(
+                next(targets), data=body, headers=headers
+            ) as answer:
+                return web.Response(
+                    status=answer.status, body=await answer.read()
+                )
+
+    application = web.Application()
+    application.router.add_post('/v1/run', forward)
+    return application
+
+
+def main(_arguments: list[str]) -> None:
+    """Forward until told to stop."""
+    setup_tracing(TracingSettings(), 'forwarder')
+    web.run_app(
+        _application(),
+        host='127.0.0.1',
+        port=PORT.value,
+        access_log=None,
+        print=None,
+    )
+
+
+if __name__ == '__main__':
+    app.run(main)
