--- a/dev/measure_path.py
+++ b/dev/measure_path.py
@@ -153,8 +153,8 @@
 
 def main(_arguments: list[str]) -> None:
     """Measure and print."""
-    with started() as ports:
-        asyncio.run(run(ports))
+    with started() as bench:
+        asyncio.run(run(bench.ports))
 
 
 if __name__ == '__main__':
--- a/dev/path_bench.py
+++ b/dev/path_bench.py
@@ -151,14 +151,21 @@
     )
 
 
+class PathBench(NamedTuple):
+    """The started processes and their ports."""
+
+    ports: Ports
+    processes: Processes
+
+
 @contextmanager
-def started() -> Iterator[Ports]:
+def started() -> Iterator[PathBench]:
     """Run the processes; each is ended by its pid."""
     with tempfile.TemporaryDirectory(prefix='bulrushcove-') as name:
         processes = Processes(Path(name))
         ports = _choose()
         try:
             _start_processes(processes, ports, Path(name))
-            yield ports
+            yield PathBench(ports, processes)
         finally:
             processes.end()
