--- a/src/bulrushcove/authentication.py
+++ b/src/bulrushcove/authentication.py
@@ -10,6 +10,7 @@
 from .exceptions import RefusedError
 
 UNAUTHORISED = 401
+UNAVAILABLE = 503
 PREFIX_CHARACTERS = 8
 BEARER = 'Bearer '
 # One answer for a wrong token and for an organisation that does not exist.
@@ -34,8 +35,13 @@
     ) -> Contract:
         """Return the contract that an ``Authorization`` header proves.
 
-        Raises ``RefusedError`` with status 401.
+        Raises ``RefusedError`` with status 401, or 503 while this process
+        has no configuration.
         """
+        if not configuration.revision:
+            raise RefusedError(
+                UNAVAILABLE, 'this VM has received no configuration yet'
+            )
         if configuration.revision != self._revision:
             self._rebuild(configuration)
         digest = token_digest(authorization)
--- a/src/bulrushcove/operator_parts.py
+++ b/src/bulrushcove/operator_parts.py
@@ -1,22 +1,24 @@
 """Mounts the operators' routes on the entry."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import aiohttp
 from aiohttp import web
 
 from .clock import Clock
 from .configuration_store import ConfigurationStore
+from .contract import Contract
 from .control_link import ControlLink
 from .exceptions import WorkerError
+from .ids import DomainName, OrganisationId
 from .job_store import JobStore
 from .operator_jobs import OperatorJobs
 from .operator_routes import add_operator_routes
 from .operators import Operators
 from .packing import check_guarantees
 from .settings import Settings
-from .states import VmRole
+from .states import DomainState, VmRole
 from .store import Store
 from .vm_list import VmEntry
 from .worker_api import WorkerDescription
@@ -41,7 +43,7 @@
         ConfigurationStore(store),
         clock=clock,
         held=lambda: link.configuration,
-        check=check_guarantees,
+        check=_check,
         workers=describe_all,
     )
     add_operator_routes(
@@ -53,6 +55,14 @@
     )
 
 
+def _check(
+    contracts: Mapping[OrganisationId, Contract],
+    workers: Sequence[WorkerDescription],
+    domains: Mapping[DomainName, DomainState],
+) -> list[str]:
+    return check_guarantees(contracts.values(), workers, domains)
+
+
 def _listed_workers(link: ControlLink) -> list[VmEntry]:
     if link.view is None:
         return []
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -3,6 +3,7 @@
 import aiohttp
 import pytest
 
+from bulrushcove.configuration import empty_configuration
 from tests.entry_fakes import (
     EntryBench,
     FakeBackend,
@@ -162,6 +163,15 @@
     assert backend.heads == []
 
 
+async def test_no_configuration_is_told_as_such(start):
+    client = await start(FakeBackend('b1'))
+    client.bench.configuration = empty_configuration()
+    answer = await client.post(URL, data=b'x', headers=head())
+    body = await answer.json()
+    assert (answer.status, body['outcome']) == (503, 'not-run')
+    assert 'no configuration' in body['message']
+
+
 async def _chunks(size):
     for _ in range(size // 1000):
         yield b'c' * 1000
