--- /dev/null
+++ b/dev/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the scheduling core against the naive version."""
--- /dev/null
+++ b/dev/measure/__main__.py
@@ -0,0 +1,50 @@
+"""Measures the core against the naive version: ``make measure``."""
+
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from absl import app, flags
+
+from bulrushcove import naive, scheduler
+from dev.measure.figures import figures_of, table
+from dev.measure.replay import Replay, Style
+
+SEED = flags.DEFINE_integer('seed', 1, 'First seed of the arrivals.')
+SEEDS = flags.DEFINE_integer('seeds', 10, 'Number of seeds.')
+LOAD = flags.DEFINE_float('load', 1.0, 'Scale of the number of arrivals.')
+PROCESSES = flags.DEFINE_integer('processes', 3, 'Replays at a time.')
+REPORTS = flags.DEFINE_string('reports', 'reports', 'Directory to write to.')
+
+Figures = dict[str, float]
+
+
+def measure_seed(seed: int, load: float) -> tuple[Figures, Figures]:
+    """Return the figures of the naive version and of ours."""
+    plain = Style('naive', naive.plan, careful=False)
+    ours = Style('ours', scheduler.plan, careful=True)
+    return (
+        figures_of(Replay(plain, seed, load).run()),
+        figures_of(Replay(ours, seed, load).run()),
+    )
+
+
+def main(_argv: list[str]) -> None:
+    """Replay all seeds and print the table."""
+    first = SEED.value
+    seeds = range(first, first + SEEDS.value)
+    loads = [LOAD.value for _ in seeds]
+    with ProcessPoolExecutor(PROCESSES.value) as pool:
+        pairs = list(pool.map(measure_seed, seeds, loads))
+    text = table([pair[0] for pair in pairs], [pair[1] for pair in pairs])
+    heading = (
+        f'# Measures: naive and ours, seeds {seeds[0]} to {seeds[-1]}, '
+        f'load {LOAD.value}\n\nMean (least to largest) over the seeds.\n\n'
+    )
+    print(text)
+    reports = Path(REPORTS.value)
+    reports.mkdir(exist_ok=True)
+    (reports / 'measure.md').write_text(f'{heading}{text}\n')
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/dev/measure/arrivals.py
@@ -0,0 +1,124 @@
+"""Seeded arrivals shaped on the users' letter: bursts, wrong declarations."""
+
+import math
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+from bulrushcove.clock import MS_PER_S
+from bulrushcove.contract import Contract, GuaranteedShape
+from bulrushcove.ids import OrganisationId
+from bulrushcove.job import MAX_GANG_TASKS, JobSpec
+from bulrushcove.states import Adjacency, Urgency
+
+ARRIVALS_S = 5400
+# Share of the kinds whose tasks ignore a checkpoint.
+NO_CHECKPOINT = 0.2
+# Mean wait between arrivals outside and inside of a burst.
+CALM_S = 11.0
+BURST_S = 1.4
+# Mean lengths of the two.
+CALM_LENGTH_S = 400.0
+BURST_LENGTH_S = 45.0
+DECLARED_FACTOR = 10
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A job that a caller submits."""
+
+    at_s: float
+    organisation: OrganisationId
+    spec: JobSpec
+    # How long it runs on healthy workers, which the core does not know.
+    run_s: float
+    saves_checkpoints: bool = True
+
+
+class _Kind(msgspec.Struct, frozen=True):
+    name: str
+    weight: float
+    tasks: tuple[int, ...]
+    accelerators: int
+    run_s: float
+    adjacency: Adjacency = Adjacency.DOMAIN
+    urgency: Urgency = Urgency.NORMAL
+
+
+KINDS = (
+    _Kind('solids-check', 24, (1, 1, 2), 1, 5, urgency=Urgency.URGENT),
+    _Kind('order-batch', 14, (1,), 1, 8, urgency=Urgency.URGENT),
+    _Kind('stock-tally', 30, (1, 1, 2, 4), 1, 150),
+    _Kind('trend', 16, (1,), 2, 300),
+    _Kind('recipe-batch', 9, (4, 8, 12), 1, 420),
+    _Kind('kiln-review', 4, (1,), 8, 600, Adjacency.WORKER),
+    _Kind('boiler-review', 2, (16, 32), 1, 900, Adjacency.RACK),
+    _Kind('mill-review', 1, (4, 6), 8, 900, Adjacency.RACK),
+    _Kind('mistake', 0.5, (2,), 9, 60),
+)
+LARGE_ACCELERATORS = 16
+
+SHARES = {
+    OrganisationId('litoral'): 0.5,
+    OrganisationId('parlstugan'): 0.25,
+    OrganisationId('mill-tres'): 0.15,
+    OrganisationId('tea-cuatro'): 0.1,
+}
+
+
+def make_contracts() -> dict[OrganisationId, Contract]:
+    """Return contracts that pack into any one of the three domains."""
+    shapes = {
+        'litoral': (GuaranteedShape(32, Adjacency.RACK),),
+        'parlstugan': (GuaranteedShape(8, Adjacency.WORKER, count=2),),
+        'mill-tres': (GuaranteedShape(8, Adjacency.WORKER),),
+        'tea-cuatro': (GuaranteedShape(4),),
+    }
+    return {
+        OrganisationId(name): Contract(
+            organisation=OrganisationId(name),
+            token_sha256=(),
+            guaranteed=guaranteed,
+        )
+        for name, guaranteed in shapes.items()
+    }
+
+
+def make_arrivals(seed: int, load: float) -> list[Arrival]:
+    """Return the arrivals of one run; ``load`` scales their number."""
+    rng = random.Random(seed)
+    return list(_arrive(rng, load))
+
+
+def _arrive(rng: random.Random, load: float) -> Iterator[Arrival]:
+    now_s = 0.0
+    bursting = False
+    change_s = rng.expovariate(1 / CALM_LENGTH_S)
+    while now_s < ARRIVALS_S:
+        mean_s = BURST_S if bursting else CALM_S
+        now_s += rng.expovariate(load / mean_s)
+        if now_s > change_s:
+            bursting = not bursting
+            length_s = BURST_LENGTH_S if bursting else CALM_LENGTH_S
+            change_s = now_s + rng.expovariate(1 / length_s)
+        yield _draw(rng, now_s)
+
+
+def _draw(rng: random.Random, now_s: float) -> Arrival:
+    kind = rng.choices(KINDS, [each.weight for each in KINDS])[0]
+    organisation = rng.choices(list(SHARES), list(SHARES.values()))[0]
+    tasks = rng.choice(kind.tasks)
+    run_s = kind.run_s * rng.lognormvariate(-0.18, 0.6)
+    factor = math.exp(rng.uniform(-1, 1) * math.log(DECLARED_FACTOR))
+    spec = JobSpec(
+        kind=kind.name,
+        tasks=min(tasks, MAX_GANG_TASKS),
+        accelerators_per_task=kind.accelerators,
+        cores_per_task=kind.accelerators * 3,
+        memory_mb_per_task=kind.accelerators * 4096,
+        adjacency=kind.adjacency,
+        urgency=kind.urgency,
+        declared_run_ms=max(int(run_s * factor * MS_PER_S), 1),
+    )
+    saves = (len(kind.name) * 7 + len(organisation)) % 5 > 0
+    return Arrival(now_s, organisation, spec, run_s, saves)
--- /dev/null
+++ b/dev/measure/cluster_fake.py
@@ -0,0 +1,186 @@
+"""Fakes at the core's interfaces: workers that run gangs by a clock."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+import msgspec
+
+from bulrushcove.clock import MS_PER_S
+from bulrushcove.cluster import (
+    DomainSnapshot,
+    Place,
+    Reservation,
+    RunningGang,
+    WorkerRoom,
+)
+from bulrushcove.ids import (
+    AttemptId,
+    DomainName,
+    Epoch,
+    JobId,
+    RackId,
+    WorkerId,
+)
+from bulrushcove.job import Attempt, JobRecord
+from bulrushcove.states import JobState
+from bulrushcove.worker_api import WorkerDescription
+from bulrushcove.worker_health import WorkerHealth
+from dev.measure.arrivals import Arrival
+
+WORKERS_A_RACK = 8
+ACCELERATORS = 8
+CORES = 32
+MEMORY_MB = 65536
+# From the decision to the start on the workers, and to the end of a stop.
+START_S = 1.0
+STOP_S = 2.0
+
+
+class Job(msgspec.Struct):
+    """A submitted job and what became of it."""
+
+    arrival: Arrival
+    record: JobRecord
+    # Run time kept so far by checkpoints.
+    saved_s: float = 0.0
+    ended_s: float | None = None
+    failed: bool = False
+
+
+class Run(msgspec.Struct):
+    """A gang on workers."""
+
+    job: Job
+    place: Place
+    attempt: Attempt
+    started_s: float
+    # When the workers will have stopped it; None: not asked to stop.
+    stops_s: float | None = None
+    fails: bool = False
+
+    def ends_s(self) -> float:
+        """Return when the gang ends by itself."""
+        if self.fails:
+            return self.started_s + 1
+        left_s = self.job.arrival.run_s - self.job.saved_s
+        return self.started_s + left_s
+
+    def ran_s(self, now_s: float) -> float:
+        """Return how long the gang has run."""
+        return max(now_s - self.started_s, 0)
+
+
+class Domain:
+    """Workers, queue and runs of one failure domain."""
+
+    def __init__(self, name: DomainName, health: WorkerHealth | None) -> None:
+        """Start with idle workers in one rack."""
+        self.name = name
+        self.in_service = True
+        self.queue: dict[JobId, Job] = {}
+        self.runs: dict[AttemptId, Run] = {}
+        self.reservations: tuple[Reservation, ...] = ()
+        self.dirty = True
+        self._health = health
+        self.workers = {
+            WorkerId(f'{name}-{nth}'): WorkerDescription(
+                worker=WorkerId(f'{name}-{nth}'),
+                domain=name,
+                rack=RackId(f'{name}-rack'),
+                accelerators=ACCELERATORS,
+                cores=CORES,
+                memory_mb=MEMORY_MB,
+            )
+            for nth in range(WORKERS_A_RACK)
+        }
+
+    def rooms(self, now_s: float) -> Iterator[WorkerRoom]:
+        """Yield the workers with what is free on them."""
+        taken: dict[WorkerId, list[int]] = defaultdict(lambda: [0, 0, 0])
+        for run in self.runs.values():
+            spec = run.job.record.spec
+            for part in run.place.placement:
+                tasks = len(part.parts)
+                held = taken[part.worker]
+                held[0] += tasks * spec.accelerators_per_task
+                held[1] += tasks * spec.cores_per_task
+                held[2] += tasks * spec.memory_mb_per_task
+        for worker, description in self.workers.items():
+            trusted = self._health is None or self._health.is_trusted(worker)
+            yield WorkerRoom(
+                description=description,
+                free_accelerators=ACCELERATORS - taken[worker][0],
+                free_cores=CORES - taken[worker][1],
+                free_memory_mb=MEMORY_MB - taken[worker][2],
+                usable=trusted or self._may_probe(worker, now_s),
+                probe=not trusted,
+            )
+
+    def snapshot(self, now_s: float) -> DomainSnapshot:
+        """Return what a pass looks at, without contracts."""
+        return DomainSnapshot(
+            domain=self.name,
+            now_s=now_s,
+            now_unix_ms=int(now_s * MS_PER_S),
+            workers=tuple(self.rooms(now_s)),
+            running=tuple(_running(run, now_s) for run in self.runs.values()),
+            queued=tuple(job.record for job in self.queue.values()),
+            contracts={},
+            reservations=self.reservations,
+        )
+
+    def start(self, place: Place, now_s: float) -> Run:
+        """Start a queued job as planned."""
+        job = self.queue.pop(place.job)
+        number = job.record.attempts + 1
+        attempt = Attempt(
+            attempt=AttemptId(f'{place.job}.{number}'),
+            epoch=Epoch(1),
+            placement=place.placement,
+            borrowed=place.borrowed,
+            cover=place.cover,
+        )
+        job.record = msgspec.structs.replace(
+            job.record,
+            state=JobState.RUNNING,
+            attempts=number,
+            current=attempt,
+        )
+        run = Run(job, place, attempt, now_s + START_S)
+        self.runs[attempt.attempt] = run
+        return run
+
+    def enqueue(self, job: Job) -> None:
+        """Queue a new or returned job."""
+        job.record = msgspec.structs.replace(
+            job.record, state=JobState.QUEUED, current=None, domain=self.name
+        )
+        self.queue[job.record.job] = job
+        self.dirty = True
+
+    def free_accelerators(self) -> int:
+        """Return the accelerators that nothing holds."""
+        held = sum(
+            run.job.record.spec.accelerators for run in self.runs.values()
+        )
+        return len(self.workers) * ACCELERATORS - held
+
+    def _may_probe(self, worker: WorkerId, now_s: float) -> bool:
+        return self._health is not None and self._health.may_probe(
+            worker, now_s
+        )
+
+
+def _running(run: Run, now_s: float) -> RunningGang:
+    return RunningGang(
+        job=run.job.record.job,
+        attempt=run.attempt.attempt,
+        organisation=run.job.record.organisation,
+        record=run.job.record,
+        placement=run.place.placement,
+        borrowed=run.place.borrowed,
+        started_s=run.started_s,
+        # The core is not told which tasks ignore checkpoints.
+        unsaved_s=run.ran_s(now_s),
+        stopping=run.stops_s is not None,
+    )
--- /dev/null
+++ b/dev/measure/figures.py
@@ -0,0 +1,123 @@
+"""Turns replays into figures, and figures of several seeds into a table."""
+
+import statistics
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
+
+from bulrushcove.states import Urgency
+from dev.measure.cluster_fake import Job
+from dev.measure.replay import Replay
+from dev.measure.tally import is_large
+
+PERCENT = 100
+
+
+class Figure(msgspec.Struct, frozen=True):
+    """One measured figure and its goal against the naive version."""
+
+    name: str
+    unit: str
+    # Wanted: ours over naive at most this; None: no goal.
+    goal: float | None = None
+
+
+FIGURES = (
+    Figure('urgent completion p50', 's'),
+    Figure('urgent completion p99', 's', goal=0.1),
+    Figure('urgent completion p999', 's'),
+    Figure('urgent run time alone p99', 's'),
+    Figure('normal completion p50', 's'),
+    Figure('normal completion p99', 's'),
+    Figure('all completion mean', 's', goal=1),
+    Figure('large wait mean', 's', goal=0.5),
+    Figure('fragmentation', '%', goal=0.5),
+    Figure('work lost in domain change', 'acc h', goal=0.25),
+    Figure('work lost in all', 'acc h'),
+    Figure('work done in domain change', '% of room'),
+    Figure('guarantees missed', 'jobs', goal=0),
+    Figure('jobs failed', 'jobs'),
+)
+SECONDS_AN_HOUR = 3600
+
+
+def figures_of(replay: Replay) -> dict[str, float]:
+    """Return the figures of one replay by name."""
+    done = [job for job in replay.jobs if job.ended_s and not job.failed]
+    urgent = [job for job in done if _is_urgent(job)]
+    normal = [_took_s(job) for job in done if not _is_urgent(job)]
+    urgent_s = [_took_s(job) for job in urgent]
+    large = [job for job in done if is_large(job)]
+    tally = replay.tally
+    return {
+        'urgent completion p50': quantile(urgent_s, 0.5),
+        'urgent completion p99': quantile(urgent_s, 0.99),
+        'urgent completion p999': quantile(urgent_s, 0.999),
+        'urgent run time alone p99': quantile(
+            [job.arrival.run_s for job in urgent], 0.99
+        ),
+        'normal completion p50': quantile(normal, 0.5),
+        'normal completion p99': quantile(normal, 0.99),
+        'all completion mean': _mean(_took_s(job) for job in done),
+        'large wait mean': _mean(
+            _took_s(job) - job.arrival.run_s for job in large
+        ),
+        'fragmentation': PERCENT * tally.broken_s / max(tally.free_s, 1),
+        'work lost in domain change': tally.lost_in_change / SECONDS_AN_HOUR,
+        'work lost in all': tally.lost / SECONDS_AN_HOUR,
+        'work done in domain change': (
+            PERCENT * tally.kept_in_change / tally.room_in_change
+        ),
+        'guarantees missed': len(tally.missed),
+        'jobs failed': sum(job.failed for job in replay.jobs),
+    }
+
+
+def table(
+    naive: Sequence[Mapping[str, float]], ours: Sequence[Mapping[str, float]]
+) -> str:
+    """Return a Markdown table: means and spreads over the seeds."""
+    lines = [
+        '| figure | naive | ours | ours / naive | goal |',
+        '|---|---|---|---|---|',
+    ]
+    for figure in FIGURES:
+        before = [each[figure.name] for each in naive]
+        after = [each[figure.name] for each in ours]
+        goal = '' if figure.goal is None else f'<= {figure.goal}'
+        lines.append(
+            f'| {figure.name} ({figure.unit}) | {spread(before)} '
+            f'| {spread(after)} | {ratio(before, after)} | {goal} |'
+        )
+    return '\n'.join(lines)
+
+
+def spread(values: Sequence[float]) -> str:
+    """Return the mean with the least and the largest value."""
+    mean = statistics.mean(values)
+    return f'{mean:.1f} ({min(values):.1f} to {max(values):.1f})'
+
+
+def ratio(before: Sequence[float], after: Sequence[float]) -> str:
+    """Return the ratio of the means."""
+    mean = statistics.mean(before)
+    return f'{statistics.mean(after) / mean:.2f}' if mean else '-'
+
+
+def quantile(values: Iterable[float], share: float) -> float:
+    """Return the value below which ``share`` of ``values`` lie."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def _mean(values: Iterable[float]) -> float:
+    return statistics.mean(list(values) or [0])
+
+
+def _is_urgent(job: Job) -> bool:
+    return job.record.spec.urgency is Urgency.URGENT
+
+
+def _took_s(job: Job) -> float:
+    ended_s = job.ended_s or 0
+    return ended_s - job.arrival.at_s
--- /dev/null
+++ b/dev/measure/replay.py
@@ -0,0 +1,261 @@
+"""Replays one list of arrivals through the core with a manual clock."""
+
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from bulrushcove.clock import MS_PER_S, ManualClock
+from bulrushcove.cluster import DomainSnapshot, ObservedRuns, Plan
+from bulrushcove.configuration import Configuration
+from bulrushcove.exceptions import RefusedError
+from bulrushcove.ids import DomainName, Epoch, JobId, Revision, VmId
+from bulrushcove.job import JobRecord
+from bulrushcove.job_domain import choose_domain
+from bulrushcove.messages import DomainView
+from bulrushcove.states import DomainState, JobState
+from bulrushcove.worker_health import WorkerHealth
+from dev.measure.arrivals import (
+    ARRIVALS_S,
+    Arrival,
+    make_arrivals,
+    make_contracts,
+)
+from dev.measure.cluster_fake import ACCELERATORS, STOP_S, Domain, Job, Run
+from dev.measure.tally import CHANGE_S, Tally
+
+DOMAINS = (
+    DomainName('fray-bentos'),
+    DomainName('guichon'),
+    DomainName('centenario'),
+)
+OUT_DOMAIN = DOMAINS[1]
+OUT_S, BACK_S = CHANGE_S
+# The worker that fails whatever it starts, and from when to when.
+BAD_WORKER = f'{DOMAINS[0]}-3'
+BAD_S = (900.0, 1800.0)
+MAX_FAILURES = 3
+# A pass runs on each change, and so often without one.
+QUIET_PASS_S = 5
+KEPT_RUNS = 20
+END_S = ARRIVALS_S * 4
+
+Planner = Callable[[DomainSnapshot], Plan]
+
+
+class Style(msgspec.Struct, frozen=True):
+    """A way to run the cluster."""
+
+    name: str
+    planner: Planner
+    # Checkpoints before stops, moves from a domain that is taken out, and
+    # distrusts workers that fail everything.
+    careful: bool
+
+
+class Replay:
+    """One run of one style over the arrivals of one seed."""
+
+    def __init__(self, style: Style, seed: int, load: float) -> None:
+        """Prepare the run."""
+        self._style = style
+        self._clock = ManualClock(0.0)
+        self._health = WorkerHealth() if style.careful else None
+        self._domains = {name: Domain(name, self._health) for name in DOMAINS}
+        self._contracts = make_contracts()
+        self._arrivals = make_arrivals(seed, load)
+        self._observed: dict[tuple[str, str], list[float]] = {}
+        self._random = random.Random(seed)
+        self.jobs: list[Job] = []
+        self.tally = Tally()
+
+    def run(self) -> 'Replay':
+        """Go on second by second until all is done."""
+        waiting = list(reversed(self._arrivals))
+        while waiting or self._is_busy():
+            now_s = self._clock.monotonic_s()
+            if now_s > END_S:
+                break
+            while waiting and waiting[-1].at_s <= now_s:
+                self._submit(waiting.pop())
+            self._end_runs(now_s)
+            self._change_domain(now_s)
+            self._schedule(now_s)
+            self.tally.count(
+                [each for each in self._domains.values() if each.in_service],
+                self._contracts,
+                now_s,
+            )
+            self._clock.advance(1)
+        return self
+
+    def _is_busy(self) -> bool:
+        return any(
+            domain.queue or domain.runs for domain in self._domains.values()
+        )
+
+    def _submit(self, arrival: Arrival) -> None:
+        job = JobId(f'job-{len(self.jobs):05d}')
+        record = JobRecord(
+            job=job,
+            organisation=arrival.organisation,
+            spec=arrival.spec,
+            state=JobState.QUEUED,
+            domain=DOMAINS[0],
+            accepted_unix_ms=int(arrival.at_s * MS_PER_S),
+        )
+        entry = Job(arrival, record)
+        try:
+            domain = self._choose(record)
+        except RefusedError:
+            self.tally.refused += 1
+            return
+        self.jobs.append(entry)
+        self._domains[domain].enqueue(entry)
+
+    def _choose(self, record: JobRecord) -> DomainName:
+        states = {
+            name: DomainState.IN if domain.in_service else DomainState.OUT
+            for name, domain in self._domains.items()
+        }
+        configuration = Configuration(Revision(1), self._contracts, states)
+        return choose_domain(
+            record.spec,
+            self._contracts[record.organisation],
+            configuration,
+            [_view(domain) for domain in self._domains.values()],
+            self._random.choice(DOMAINS),
+        )
+
+    def _end_runs(self, now_s: float) -> None:
+        for domain in self._domains.values():
+            for run in list(domain.runs.values()):
+                stops_s = run.stops_s
+                ends_s = run.ends_s()
+                if ends_s <= now_s and (stops_s is None or ends_s <= stops_s):
+                    self._end(domain, run, ends_s)
+                elif stops_s is not None and stops_s <= now_s:
+                    self._stop(domain, run, now_s)
+
+    def _end(self, domain: Domain, run: Run, now_s: float) -> None:
+        self._leave(domain, run)
+        job = run.job
+        if run.fails:
+            self._fail(domain, run, now_s)
+            return
+        job.ended_s = now_s
+        ran_s = run.ran_s(now_s)
+        kind = (job.record.organisation, job.record.spec.kind)
+        runs = self._observed.setdefault(kind, [])
+        runs.append(ran_s)
+        del runs[:-KEPT_RUNS]
+        self.tally.keep(run, now_s)
+        for part in run.place.placement:
+            if self._health:
+                self._health.task_succeeded(part.worker, job.record)
+
+    def _fail(self, domain: Domain, run: Run, now_s: float) -> None:
+        job = run.job
+        if self._health:
+            self._health.task_failed(BAD_WORKER, job.record, now_s)
+        failures = job.record.failures + 1
+        job.record = msgspec.structs.replace(job.record, failures=failures)
+        if failures < MAX_FAILURES:
+            domain.enqueue(job)
+        else:
+            job.ended_s = now_s
+            job.failed = True
+
+    def _stop(self, domain: Domain, run: Run, now_s: float) -> None:
+        """End a gang before its time; what it did is saved or lost."""
+        self._leave(domain, run)
+        job = run.job
+        ran_s = run.ran_s(now_s)
+        if self._style.careful and job.arrival.saves_checkpoints:
+            job.saved_s += ran_s
+            self.tally.keep(run, now_s)
+        else:
+            self.tally.lose(run, now_s)
+        self._domains[self._move(domain, job)].enqueue(job)
+
+    def _leave(self, domain: Domain, run: Run) -> None:
+        domain.runs.pop(run.attempt.attempt)
+        domain.dirty = True
+
+    def _move(self, domain: Domain, job: Job) -> DomainName:
+        return domain.name if domain.in_service else self._choose(job.record)
+
+    def _change_domain(self, now_s: float) -> None:
+        domain = self._domains[OUT_DOMAIN]
+        if now_s == OUT_S:
+            domain.in_service = False
+            domain.reservations = ()
+            for run in domain.runs.values():
+                run.stops_s = now_s + (STOP_S if self._style.careful else 0)
+            for job in list(domain.queue.values()):
+                domain.queue.pop(job.record.job)
+                self._domains[self._move(domain, job)].enqueue(job)
+        elif now_s == BACK_S:
+            domain.in_service = True
+            domain.dirty = True
+
+    def _schedule(self, now_s: float) -> None:
+        for domain in self._domains.values():
+            due = domain.dirty or now_s % QUIET_PASS_S == 0
+            if domain.in_service and domain.queue and due:
+                domain.dirty = False
+                self._pass(domain, now_s)
+
+    def _pass(self, domain: Domain, now_s: float) -> None:
+        plan = self._style.planner(
+            msgspec.structs.replace(
+                domain.snapshot(now_s),
+                contracts=self._contracts,
+                observed=_observed(self._observed),
+            )
+        )
+        domain.reservations = plan.reservations
+        for place in plan.places:
+            run = domain.start(place, now_s)
+            workers = {part.worker for part in place.placement}
+            is_bad = BAD_S[0] <= now_s < BAD_S[1]
+            run.fails = is_bad and BAD_WORKER in workers
+        for reclaim in plan.reclaims:
+            domain.runs[reclaim.attempt].stops_s = now_s + STOP_S
+        for aside in plan.set_aside:
+            job = domain.queue.pop(aside.job)
+            job.ended_s = now_s
+            job.failed = True
+
+
+def _observed(
+    runs: dict[tuple[str, str], list[float]],
+) -> tuple[ObservedRuns, ...]:
+    return tuple(
+        ObservedRuns(organisation, kind, tuple(times))
+        for (organisation, kind), times in runs.items()
+    )
+
+
+def _view(domain: Domain) -> DomainView:
+    total = len(domain.workers) * ACCELERATORS
+    return DomainView(
+        domain=domain.name,
+        control=VmId('vm'),
+        epoch=Epoch(1),
+        workers=len(domain.workers),
+        usable_workers=len(domain.workers),
+        free_accelerators=domain.free_accelerators(),
+        total_accelerators=total,
+        largest_rack=total,
+        largest_worker=ACCELERATORS,
+        queued_jobs=len(domain.queue),
+        running_jobs=len(domain.runs),
+    )
+
+
+def replay_all(
+    styles: Sequence[Style], seed: int, load: float
+) -> dict[str, Replay]:
+    """Run every style over the same arrivals."""
+    return {style.name: Replay(style, seed, load).run() for style in styles}
--- /dev/null
+++ b/dev/measure/tally.py
@@ -0,0 +1,98 @@
+"""Counts what a replay did, second by second."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from bulrushcove.contract import Contract
+from bulrushcove.ids import OrganisationId
+from bulrushcove.states import Adjacency
+from dev.measure.arrivals import LARGE_ACCELERATORS
+from dev.measure.cluster_fake import ACCELERATORS, Domain, Job, Run
+
+# A shape wanted longer than this, with all of it unused, is missed.
+GUARANTEE_S = 10
+# When one domain is out of service.
+CHANGE_S = (2400.0, 3300.0)
+
+
+class Tally(msgspec.Struct):
+    """Sums over one replay; accelerator-seconds unless named otherwise."""
+
+    refused: int = 0
+    free_s: float = 0.0
+    broken_s: float = 0.0
+    kept: float = 0.0
+    lost: float = 0.0
+    kept_in_change: float = 0.0
+    lost_in_change: float = 0.0
+    room_in_change: float = 0.0
+    missed: set[str] = msgspec.field(default_factory=set)
+
+    def keep(self, run: Run, now_s: float) -> None:
+        """Count work that was completed or saved."""
+        accelerators = run.job.record.spec.accelerators
+        self.kept += run.ran_s(now_s) * accelerators
+        begin_s, end_s = CHANGE_S
+        in_change_s = min(now_s, end_s) - max(run.started_s, begin_s)
+        self.kept_in_change += max(in_change_s, 0) * accelerators
+
+    def lose(self, run: Run, now_s: float) -> None:
+        """Count work that was thrown away."""
+        work = run.ran_s(now_s) * run.job.record.spec.accelerators
+        self.lost += work
+        if CHANGE_S[0] <= now_s < CHANGE_S[1]:
+            self.lost_in_change += work
+
+    def count(
+        self,
+        domains: Iterable[Domain],
+        contracts: Mapping[OrganisationId, Contract],
+        now_s: float,
+    ) -> None:
+        """Count the next second."""
+        for domain in domains:
+            free = _free_by_worker(domain)
+            largest = _largest_shape(domain, contracts)
+            self.free_s += sum(free)
+            self.broken_s += sum(free) - _serving(free, *largest)
+            if CHANGE_S[0] <= now_s < CHANGE_S[1]:
+                self.room_in_change += len(domain.workers) * ACCELERATORS
+
+
+def _free_by_worker(domain: Domain) -> list[int]:
+    free = dict.fromkeys(domain.workers, ACCELERATORS)
+    for run in domain.runs.values():
+        for part in run.place.placement:
+            tasks = len(part.parts)
+            each = run.job.record.spec.accelerators_per_task
+            free[part.worker] -= tasks * each
+    return list(free.values())
+
+
+def _largest_shape(
+    domain: Domain, contracts: Mapping[OrganisationId, Contract]
+) -> tuple[int, Adjacency]:
+    """Return the largest guaranteed or queued shape of the domain."""
+    guaranteed = [
+        (shape.accelerators, shape.adjacency)
+        for contract in contracts.values()
+        for shape in contract.guaranteed
+    ]
+    queued = [
+        (job.record.spec.accelerators, job.record.spec.adjacency)
+        for job in domain.queue.values()
+    ]
+    return max((*guaranteed, *queued), key=lambda shape: shape[0])
+
+
+def _serving(free: list[int], size: int, near: Adjacency) -> int:
+    """Return the free accelerators that shapes of this size could use."""
+    if near is Adjacency.WORKER:
+        return sum(each // size * size for each in free)
+    return sum(free) // size * size
+
+
+def is_large(job: Job) -> bool:
+    """Return whether the job counts as a large one."""
+    return job.record.spec.accelerators >= LARGE_ACCELERATORS
