--- a/dev/measure/replay.py
+++ b/dev/measure/replay.py
@@ -38,6 +38,8 @@
 # A pass runs on each change, and so often without one.
 QUIET_PASS_S = 5
 KEPT_RUNS = 20
+MOVE_AFTER_S = 5.0
+MAX_MOVES = 2
 END_S = ARRIVALS_S * 4
 
 Planner = Callable[[DomainSnapshot], Plan]
@@ -215,6 +217,8 @@
             )
         )
         domain.reservations = plan.reservations
+        if self._style.careful:
+            self._move_waiting(domain, plan, now_s)
         for place in plan.places:
             run = domain.start(place, now_s)
             workers = {part.worker for part in place.placement}
@@ -228,6 +232,31 @@
             job.failed = True
 
 
+    def _move_waiting(self, domain: Domain, plan: Plan, now_s: float) -> None:
+        """Give a few waiting jobs to domains that stand idle."""
+        placed = {place.job for place in plan.places}
+        waiting = [
+            job
+            for job in domain.queue.values()
+            if job.record.job not in placed
+            and now_s - job.arrival.at_s > MOVE_AFTER_S
+        ]
+        moved = 0
+        for job in waiting:
+            target = self._idle_domain(job.record.spec.accelerators)
+            if target is not None and moved < MAX_MOVES:
+                domain.queue.pop(job.record.job)
+                target.enqueue(job)
+                moved += 1
+
+    def _idle_domain(self, accelerators: int) -> Domain | None:
+        for domain in self._domains.values():
+            idle = domain.in_service and not domain.queue
+            if idle and domain.free_accelerators() >= accelerators:
+                return domain
+        return None
+
+
 def _observed(
     runs: dict[tuple[str, str], list[float]],
 ) -> tuple[ObservedRuns, ...]:
--- a/src/bulrushcove/borrowed_start.py
+++ b/src/bulrushcove/borrowed_start.py
@@ -1,12 +1,13 @@
 """Starts jobs beyond the guarantee of their organisation."""
 
-from .cluster import Reservation
+import msgspec
+
 from .job import JobRecord
 from .job_queue import by_age
 from .pass_state import PassState
 from .placement import best_spread, fits_of
 from .reclaim import find_reclaims
-from .reservations import is_large, overstayers, renew, reserve
+from .reservations import is_large, reserve, worth_stopping
 from .rooms import Counts
 
 MAX_RESERVATIONS = 1
@@ -48,17 +49,19 @@
 
 def hold_reservations(state: PassState, waiting: list[JobRecord]) -> None:
     """Keep room for the large jobs that have waited longest."""
-    by_job = {record.job: record for record in waiting}
-    for old in state.snapshot.reservations:
-        holder = by_job.get(old.job)
-        kept = renew(old, state.rooms, state.snapshot.now_s)
-        if holder is not None and kept is not None:
-            _hold_or_start(state, holder, kept)
-    for record in by_age(waiting):
-        if len(state.reservations) >= MAX_RESERVATIONS:
-            return
-        if is_large(record.spec, state.rooms) and state.is_open(record):
-            _reserve(state, record)
+    since_s = {old.job: old.since_s for old in state.snapshot.reservations}
+    large = [
+        record
+        for record in by_age(waiting)
+        if is_large(record.spec, state.rooms)
+    ]
+    # A job that holds a reservation already goes on before others.
+    large.sort(key=lambda record: record.job not in since_s)
+    for holder in large:
+        if not state.may_borrow(holder) or start_borrowed(state, holder):
+            continue
+        if len(state.reservations) < MAX_RESERVATIONS:
+            _reserve(state, holder, since_s.get(holder.job))
 
 
 def fill_gap(state: PassState, record: JobRecord) -> None:
@@ -89,20 +92,10 @@
     return wanted * PERCENT <= percent * guaranteed
 
 
-def _hold_or_start(
-    state: PassState, record: JobRecord, kept: Reservation
+def _reserve(
+    state: PassState, record: JobRecord, since_s: float | None
 ) -> None:
-    if start_borrowed(state, record):
-        return
-    in_way = overstayers(kept, record.spec, state.rooms, state.snapshot)
-    reason = f'overstays in room reserved for job {record.job}'
-    state.reclaim(record, in_way, reason)
-    state.hold(record, kept)
-
-
-def _reserve(state: PassState, record: JobRecord) -> None:
-    if not state.may_borrow(record) or start_borrowed(state, record):
-        return
+    """Keep room for the job, and stop what blocks it at a small loss."""
     found = reserve(
         record,
         state.rooms,
@@ -110,5 +103,12 @@
         state.snapshot,
         state.run_times,
     )
-    if found is not None:
-        state.hold(record, found)
+    if found is None:
+        return
+    if since_s is not None:
+        found = msgspec.structs.replace(found, since_s=since_s)
+    in_way = worth_stopping(
+        found, record.spec, state.rooms, state.borrowed, state.snapshot.now_s
+    )
+    state.reclaim(record, in_way, f'is in room kept for job {record.job}')
+    state.hold(record, found)
--- a/src/bulrushcove/reservations.py
+++ b/src/bulrushcove/reservations.py
@@ -1,8 +1,9 @@
 """Keeps room together for large jobs that wait, and lets others fill gaps.
 
 A reservation names workers, not only a time: work that may be there too
-long is not started there, whatever its declared run time. What was let in
-and overruns is borrowed, and is stopped when it is all that is in the way.
+long is not started there, whatever its declared run time. Borrowed work
+that is in the way, also such as was let in and overruns, is stopped once
+the room that waits idle costs more than its unsaved work.
 """
 
 from collections.abc import Sequence
@@ -10,6 +11,7 @@
 from .cluster import DomainSnapshot, Reservation, RunningGang
 from .job import JobRecord, JobSpec
 from .placement import best_spread, groups
+from .reclaim import Borrowed
 from .rooms import Room, Rooms
 from .run_times import RunTimeEstimates
 
@@ -50,42 +52,37 @@
     )
 
 
-def renew(
-    reservation: Reservation, rooms: Rooms, now_s: float
-) -> Reservation | None:
-    """Return the reservation for another pass; None if a worker is lost."""
-    if any(part.worker not in rooms.index for part in reservation.placement):
-        return None
-    if now_s <= reservation.expected_s:
-        return reservation
-    # Late: expect the wait so far once more, so that gaps can be filled.
-    late_s = now_s - reservation.since_s
-    return Reservation(
-        job=reservation.job,
-        placement=reservation.placement,
-        since_s=reservation.since_s,
-        expected_s=now_s + late_s,
-    )
-
-
-def overstayers(
+def worth_stopping(
     reservation: Reservation,
     spec: JobSpec,
     rooms: Rooms,
-    snapshot: DomainSnapshot,
+    borrowed: Borrowed,
+    now_s: float,
 ) -> list[RunningGang]:
-    """Return the gangs to stop when only gap fillers are in the way."""
+    """Return the gangs in the way, when stopping them wastes less.
+
+    Waiting leaves the room that is free already idle until the others have
+    ended; stopping them throws their unsaved work away.
+    """
     wanted = dict(rooms.counts_of(reservation.placement))
     free = {index: rooms.free[index].copy() for index in wanted}
-    in_way = [
-        gang
-        for gang in snapshot.running
-        if gang.borrowed
-        and gang.started_s >= reservation.since_s
-        and _give_back(gang, rooms, free)
-    ]
+    idle = sum(
+        min(room.fits(spec), wanted[index]) for index, room in free.items()
+    )
+    wait_s = max(reservation.expected_s - now_s, 0)
+    idle_work = idle * spec.accelerators_per_task * wait_s
+    victims = []
+    cost = 0.0
+    for gang in borrowed.on_workers(wanted, spare_urgent=True):
+        if all(free[index].fits(spec) >= wanted[index] for index in wanted):
+            break
+        if gang.record.spec.accelerators * 2 > spec.accelerators:
+            continue
+        if _give_back(gang, rooms, free):
+            victims.append(gang)
+            cost += borrowed.cost(gang)
     fits = all(free[index].fits(spec) >= wanted[index] for index in wanted)
-    return in_way if fits else []
+    return victims if fits and cost < idle_work else []
 
 
 def _expected_ends(
