--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -1,7 +1,9 @@
 """Key-value store in memory with faults, for tests of its users."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
+from enum import Enum, unique
 
 from bulrushcove.clock import Clock, ManualClock
 from bulrushcove.exceptions import (
@@ -17,6 +19,17 @@
 )
 
 
+@unique
+class StoreFault(Enum):
+    """What happens to one call."""
+
+    NONE = 'none'
+    DOWN = 'down'
+    LOSE_ANSWER = 'lose answer'
+    LOSE_WRITE = 'lose write'
+    LATE_WRITE = 'late write'
+
+
 class FakeStore:
     """Implements ``store.Store``; the attributes below bring faults about.
 
@@ -25,6 +38,8 @@
     lose_writes: so many writes look the same and have no effect.
     delay_s: each call takes so long, before its effect.
     before_write: awaited once before the next write, for races.
+    script: faults of the next calls, one each, after those above.
+    late: writes that lost their answer and have not arrived yet.
     """
 
     def __init__(self, clock: Clock | None = None) -> None:
@@ -33,6 +48,8 @@
         self.lose_writes = 0
         self.delay_s = 0.0
         self.before_write: Callable[[], Awaitable[object]] | None = None
+        self.script: deque[StoreFault] = deque()
+        self.late: list[tuple[Write, ...]] = []
         self.calls = 0
         self.store_revision = 1
         self.values: dict[str, StoredValue] = {}
@@ -55,16 +72,27 @@
             race = self.before_write
             self.before_write = None
             await race()
-        await self._begin()
+        fault = await self._begin()
         if self.lose_writes:
             self.lose_writes -= 1
+            fault = StoreFault.LOSE_WRITE
+        elif self.lose_answers:
+            self.lose_answers -= 1
+            fault = StoreFault.LOSE_ANSWER
+        if fault is StoreFault.LATE_WRITE:
+            self.late.append(writes)
+        if fault in {StoreFault.LATE_WRITE, StoreFault.LOSE_WRITE}:
             raise StoreOutcomeUnknownError('write: no answer')
         answer = self._write(writes)
-        if self.lose_answers:
-            self.lose_answers -= 1
+        if fault is StoreFault.LOSE_ANSWER:
             raise StoreOutcomeUnknownError('write: no answer')
         return answer
 
+    def deliver_late(self) -> None:
+        """Let the writes arrive that were on the way, oldest first."""
+        while self.late:
+            self._write(self.late.pop(0))
+
     async def grant_lease(self, ttl_s: int) -> StoreLeaseId:
         await self._begin()
         lease = StoreLeaseId(len(self._leases) + 1)
@@ -82,16 +110,18 @@
         await self._begin()
         self._end_lease(lease)
 
-    async def _begin(self) -> None:
+    async def _begin(self) -> StoreFault:
         self.calls += 1
-        if self.delay_s:
-            await asyncio.sleep(self.delay_s)
-        if self.down:
+        fault = self.script.popleft() if self.script else StoreFault.NONE
+        # Also without a delay, so that concurrent calls interleave.
+        await asyncio.sleep(self.delay_s)
+        if self.down or fault is StoreFault.DOWN:
             raise StoreUnavailableError('store is down')
         now_s = self._clock.monotonic_s()
         for lease, (ttl_s, ends_s) in list(self._leases.items()):
             if ttl_s and ends_s <= now_s:
                 self._end_lease(lease)
+        return fault
 
     def _end_lease(self, lease: StoreLeaseId) -> None:
         self._leases[lease] = (0, 0)
