Command line: each change is based on the revision it was shown at

A change of unknown outcome that was sent again took the newer revision for its base, and so would have overwritten another operator's change unseen.

--- /dev/null
+++ b/src/bulrushcove/cli_change.py
@@ -0,0 +1,75 @@
+"""Makes a change of the configuration: first shown, then sent."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from .cli_client import EntryClient
+from .cli_errors import CommandUnknownError, ExitStatus
+from .cli_verbs import Command
+from .cli_wait import report_change
+from .operator_api import ChangeAnswer, ChangeOrder
+
+MakeBody = Callable[[ChangeOrder], msgspec.Struct]
+MAX_SHOWN_JOBS = 20
+
+
+async def make_change(
+    command: Command,
+    client: EntryClient,
+    method: str,
+    path: str,
+    make_body: MakeBody,
+) -> ExitStatus:
+    """Show what a change would do, make it and report on it.
+
+    It is based on the revision that was shown, so that a change of the same
+    thing by another operator in between is a conflict.
+    """
+    order = _make_order(command)
+    rehearsal = msgspec.structs.replace(order, dry_run=True)
+    body = make_body(rehearsal)
+    preview = await client.ask(method, path, ChangeAnswer, body)
+    if command.options.dry_run:
+        command.show_text(preview, _describe_preview(preview))
+        return ExitStatus.DONE
+    if preview.broken_guarantees or preview.affected_jobs:
+        command.note(_describe_preview(preview))
+    if order.based_on is None:
+        order = msgspec.structs.replace(order, based_on=preview.revision)
+    try:
+        change = await client.change(
+            method, path, ChangeAnswer, make_body(order)
+        )
+    except CommandUnknownError as exc:
+        raise CommandUnknownError(
+            'the outcome is unknown; send the same command again with '
+            f'--operation={order.operation} --based_on={order.based_on}',
+            exc.details,
+        ) from exc
+    return await report_change(command, client, change)
+
+
+def _make_order(command: Command) -> ChangeOrder:
+    options = command.options
+    return ChangeOrder(
+        operation=options.operation,
+        operator=options.operator,
+        based_on=options.based_on,
+        force=options.force,
+    )
+
+
+def _describe_preview(preview: ChangeAnswer) -> str:
+    jobs = preview.affected_jobs
+    broken = preview.broken_guarantees
+    lines = [
+        f'the change breaks {len(broken)} guarantees and touches '
+        f'{len(jobs)} jobs',
+    ]
+    lines.extend(f'  {difference}' for difference in preview.differences)
+    lines.extend(f'  guarantee {problem}' for problem in broken)
+    lines.extend(f'  job {job}' for job in jobs[:MAX_SHOWN_JOBS])
+    if len(jobs) > MAX_SHOWN_JOBS:
+        lines.append(f'  and {len(jobs) - MAX_SHOWN_JOBS} more jobs')
+    return '\n'.join(lines)
--- a/src/bulrushcove/cli_client.py
+++ b/src/bulrushcove/cli_client.py
@@ -12,7 +12,6 @@
     CommandUnknownError,
 )
 from .exceptions import BulrushcoveError
-from .ids import OperationId
 from .operator_api import ErrorAnswer
 from .states import Outcome
 
@@ -49,12 +48,10 @@
         self,
         exchange: Exchange,
         entries: tuple[str, ...],
-        operation: OperationId,
     ) -> None:
-        """Ask ``entries`` by ``exchange``; changes carry ``operation``."""
+        """Ask ``entries`` by ``exchange``."""
         self._exchange = exchange
         self._entries = entries
-        self._operation = operation
 
     async def get(
         self,
@@ -67,10 +64,21 @@
         Raises ``CommandRefusedError``.
         """
         asked = f'{path}?{urlencode(query)}' if query else path
+        return await self.ask('GET', asked, answer_type)
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        answer_type: type[AnswerType],
+        body: msgspec.Struct | None = None,
+    ) -> AnswerType:
+        """Ask what changes nothing, as a dry run; raises as ``get``."""
+        encoded = msgspec.json.encode(body) if body else b''
         failures = []
         for entry in self._entries:
             try:
-                reply = await self._exchange(entry, 'GET', asked, b'')
+                reply = await self._exchange(entry, method, path, encoded)
                 return _decode(entry, reply, answer_type)
             except (NotSentError, NoAnswerError) as exc:
                 failures.append(str(exc))
@@ -100,21 +108,7 @@
             except CommandRefusedError as exc:
                 failures.append(exc)
                 break
-        raise self._conclude(failures)
-
-    def _conclude(self, failures: list[BulrushcoveError]) -> CommandError:
-        lines = tuple(str(failure) for failure in failures)
-        if any(isinstance(failure, NoAnswerError) for failure in failures):
-            # A refusal now says nothing of what was sent before it.
-            return CommandUnknownError(
-                'the outcome is unknown; send the same command again with '
-                f'--operation={self._operation}',
-                lines,
-            )
-        last = failures[-1]
-        if isinstance(last, CommandRefusedError):
-            return last
-        return CommandRefusedError('nothing was changed', lines)
+        raise _conclude(failures)
 
 
 def name_path(path: str, name: str, *rest: str) -> str:
@@ -122,6 +116,17 @@
     return '/'.join((path, quote(name, safe=''), *rest))
 
 
+def _conclude(failures: list[BulrushcoveError]) -> CommandError:
+    lines = tuple(str(failure) for failure in failures)
+    if any(isinstance(failure, NoAnswerError) for failure in failures):
+        # A refusal now says nothing of what was sent before it.
+        return CommandUnknownError('the outcome is unknown', lines)
+    last = failures[-1]
+    if isinstance(last, CommandRefusedError):
+        return last
+    return CommandRefusedError('nothing was changed', lines)
+
+
 def _decode(
     entry: str,
     reply: Reply,
--- a/src/bulrushcove/cli_contract.py
+++ b/src/bulrushcove/cli_contract.py
@@ -2,11 +2,11 @@
 
 from pathlib import Path
 
+from .cli_change import make_change
 from .cli_client import EntryClient, name_path
 from .cli_errors import CommandRefusedError, CommandUsageError, ExitStatus
 from .cli_output import NOTHING, Table, joined
 from .cli_verbs import Command, Verb, open_client
-from .cli_wait import report_change
 from .configuration_diff import contract_differences
 from .contract import Contract, GuaranteedShape
 from .contract_file import format_contract, load_contract
@@ -31,18 +31,6 @@
 )
 
 
-def make_order(command: Command) -> ChangeOrder:
-    """Return how the flags want a change made."""
-    options = command.options
-    return ChangeOrder(
-        operation=options.operation,
-        operator=options.operator,
-        based_on=options.based_on,
-        dry_run=options.dry_run,
-        force=options.force,
-    )
-
-
 async def fetch_configuration(
     command: Command,
     client: EntryClient,
@@ -59,19 +47,22 @@
 
 async def _apply(command: Command) -> ExitStatus:
     contract = _read(command.argument)
-    body = ContractChange(order=make_order(command), contract=contract)
+
+    def make_body(order: ChangeOrder) -> ContractChange:
+        return ContractChange(order=order, contract=contract)
+
     path = name_path(CONTRACTS_PATH, contract.organisation)
     async with open_client(command) as client:
-        change = await client.change('PUT', path, ChangeAnswer, body)
-        return await report_change(command, client, change)
+        return await make_change(command, client, 'PUT', path, make_body)
 
 
 async def _remove(command: Command) -> ExitStatus:
+    def make_body(order: ChangeOrder) -> ChangeOrder:
+        return order
+
     path = name_path(CONTRACTS_PATH, command.argument)
-    order = make_order(command)
     async with open_client(command) as client:
-        change = await client.change('DELETE', path, ChangeAnswer, order)
-        return await report_change(command, client, change)
+        return await make_change(command, client, 'DELETE', path, make_body)
 
 
 async def _show(command: Command) -> ExitStatus:
--- a/src/bulrushcove/cli_domain.py
+++ b/src/bulrushcove/cli_domain.py
@@ -2,16 +2,16 @@
 
 import msgspec
 
-from .cli_client import EntryClient, name_path
-from .cli_contract import fetch_configuration, make_order
+from .cli_change import make_change
+from .cli_client import name_path
+from .cli_contract import fetch_configuration
 from .cli_errors import ExitStatus
 from .cli_output import Table, format_table, seconds, yes_no
 from .cli_verbs import Command, Verb, open_client
-from .cli_wait import report_change
 from .operator_api import (
     DOMAINS_PATH,
     STATUS_PATH,
-    ChangeAnswer,
+    ChangeOrder,
     DomainChange,
     DomainStatus,
     StatusAnswer,
@@ -31,52 +31,23 @@
     'running jobs',
 )
 VM_HEADER = ('VM', 'domain', 'revision in force', 'reachable', 'leaving')
-MAX_SHOWN_JOBS = 20
 
 
 async def _out(command: Command) -> ExitStatus:
-    path = name_path(DOMAINS_PATH, command.argument)
-    order = make_order(command)
-    async with open_client(command) as client:
-        await _preview(command, client, path)
-        if command.options.dry_run:
-            return ExitStatus.DONE
-        body = DomainChange(order, DomainState.OUT)
-        change = await client.change('PUT', path, ChangeAnswer, body)
-        return await report_change(command, client, change)
+    return await _set_state(command, DomainState.OUT)
 
 
 async def _in(command: Command) -> ExitStatus:
+    return await _set_state(command, DomainState.IN)
+
+
+async def _set_state(command: Command, state: DomainState) -> ExitStatus:
+    def make_body(order: ChangeOrder) -> DomainChange:
+        return DomainChange(order, state)
+
     path = name_path(DOMAINS_PATH, command.argument)
-    body = DomainChange(make_order(command), DomainState.IN)
     async with open_client(command) as client:
-        change = await client.change('PUT', path, ChangeAnswer, body)
-        return await report_change(command, client, change)
-
-
-async def _preview(command: Command, client: EntryClient, path: str) -> None:
-    """Show which guarantees and jobs taking the domain out touches."""
-    order = msgspec.structs.replace(make_order(command), dry_run=True)
-    body = DomainChange(order, DomainState.OUT)
-    preview = await client.change('PUT', path, ChangeAnswer, body)
-    text = '\n'.join(_describe_effects(command.argument, preview))
-    if command.options.dry_run:
-        command.show_text(preview, text)
-    else:
-        command.note(text)
-
-
-def _describe_effects(domain: str, preview: ChangeAnswer) -> tuple[str, ...]:
-    jobs = preview.affected_jobs
-    lines = [
-        f'taking out {domain!r} breaks {len(preview.broken_guarantees)} '
-        f'guarantees and touches {len(jobs)} jobs',
-    ]
-    lines.extend(f'  {problem}' for problem in preview.broken_guarantees)
-    lines.extend(f'  job {job}' for job in jobs[:MAX_SHOWN_JOBS])
-    if len(jobs) > MAX_SHOWN_JOBS:
-        lines.append(f'  and {len(jobs) - MAX_SHOWN_JOBS} more jobs')
-    return tuple(lines)
+        return await make_change(command, client, 'PUT', path, make_body)
 
 
 async def _list(command: Command) -> ExitStatus:
--- a/src/bulrushcove/cli_verbs.py
+++ b/src/bulrushcove/cli_verbs.py
@@ -73,7 +73,7 @@
     options = command.options
     async with aiohttp.ClientSession() as session:
         exchange = make_exchange(session, options.token, options.timeout_s)
-        yield EntryClient(exchange, options.entries, options.operation)
+        yield EntryClient(exchange, options.entries)
 
 
 def run_verb(verb: Verb, command: Command) -> ExitStatus:
--- a/src/bulrushcove/cli_wait.py
+++ b/src/bulrushcove/cli_wait.py
@@ -36,9 +36,9 @@
     status is ``UNKNOWN``.
     """
     report = ChangeReport(change)
-    if command.options.wait_s and not command.options.dry_run:
+    if command.options.wait_s:
         report = await _wait(command, client, change)
-    command.show_text(report, _describe(command, report))
+    command.show_text(report, _describe(report))
     if report.in_force_everywhere is False:
         return ExitStatus.UNKNOWN
     return ExitStatus.DONE
@@ -107,12 +107,10 @@
     return f'{vm.vm} (revision {vm.revision}{reached})'
 
 
-def _describe(command: Command, report: ChangeReport) -> str:
+def _describe(report: ChangeReport) -> str:
     change = report.change
     lines = [f'  {difference}' for difference in change.differences]
     lines.extend(f'  replaces {text}' for text in change.previous)
-    if command.options.dry_run:
-        return '\n'.join(('dry run, nothing was changed:', *lines))
     if not change.changed:
         return f'nothing to change at revision {change.revision}'
     accepted = f'accepted at revision {change.revision}'
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,11 +1,15 @@
 import asyncio
 import json
+from pathlib import Path
 
+import msgspec
 import pytest
 
 from bulrushcove.cli import VERBS, main
 from bulrushcove.cli_options import ENTRY_VARIABLE, TOKEN_VARIABLE
+from bulrushcove.contract_file import load_contract
 from bulrushcove.job import JobRecord, JobSpec
+from bulrushcove.operator_api import ChangeOrder
 from bulrushcove.states import JobState
 from tests.operator_app import TOKEN, OperatorApp
 
@@ -21,7 +25,8 @@
 async def run(operator_app, aiohttp_server, monkeypatch, capsys):
     """Return a function that runs a command and gives status and output."""
     server = await aiohttp_server(operator_app.make())
-    monkeypatch.setenv(ENTRY_VARIABLE, str(server.make_url('')))
+    operator_app.url = str(server.make_url(''))
+    monkeypatch.setenv(ENTRY_VARIABLE, operator_app.url)
     monkeypatch.setenv(TOKEN_VARIABLE, TOKEN)
 
     async def run_command(*arguments):
@@ -74,7 +79,7 @@
 async def test_taking_a_domain_out_shows_the_effects_first(run, deployed):
     status, out, _ = await run('domain', 'out', 'Luleå', '--dry_run')
     assert status == 0
-    assert 'breaks 1 guarantees and touches 0 jobs' in out
+    assert 'the change breaks 1 guarantees and touches 0 jobs' in out
     status, _, err = await run('domain', 'out', 'Luleå')
     assert status == 1
     assert 'Pärlbar Söder: no domain left' in err
@@ -111,7 +116,7 @@
     operator_app.store.lose_writes = 100
     status, _, err = await run('domain', 'in', 'Luleå', '--operation=op-7')
     assert status == 3
-    assert '--operation=op-7' in err
+    assert '--operation=op-7 --based_on=0' in err
 
 
 async def test_racing_operators_see_the_other_change(
@@ -125,6 +130,31 @@
     assert 'created' in err
 
 
+async def test_sending_again_does_not_overwrite_what_came_between(
+    run, deployed, operator_app, contract_file
+):
+    operator_app.store.lose_writes = 100
+    remove = ('contract', 'remove', 'Pärlbar Söder', '--wait_seconds=0')
+    status, _, err = await run(*remove, '--operation=op-7')
+    assert (status, '--based_on=2' in err) == (3, True)
+    operator_app.store.lose_writes = 0
+    contract = load_contract(Path(contract_file))
+    larger = msgspec.structs.replace(contract, urgent_share_percent=60)
+    order = ChangeOrder('other', operator='bo')
+    await operator_app.operators.apply_contract(larger, order)
+    again = (*remove, '--operation=op-7', '--based_on=2')
+    status, _, err = await run(*again)
+    assert (status, 'urgent_share_percent: 50 -> 60' in err) == (1, True)
+
+
+async def test_the_next_entry_vm_is_asked(run, operator_app):
+    entries = ('--entry=http://127.0.0.1:1', f'--entry={operator_app.url}')
+    added = await run('domain', 'in', 'Luleå', '--wait_seconds=0', *entries)
+    assert added[0] == 0
+    status, _, err = await run('status', entries[0])
+    assert (status, 'no entry VM answered' in err) == (1, True)
+
+
 async def test_status_shows_vms_and_domains(run, deployed):
     status, out, _ = await run('status')
     assert status == 0
