--- a/src/bulrushcove/names.py
+++ b/src/bulrushcove/names.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 MAX_NAME_CHARACTERS = 64
+MAX_LISTED_NAMES = 20
 BACKSLASH = 0x5C
 # A name is part of store keys and URL paths.
 RESERVED_CHARACTERS = frozenset(('/', chr(BACKSLASH), '?', '#', '%'))
@@ -40,5 +41,7 @@
     near = difflib.get_close_matches(found.casefold(), folded, n=1)
     if near:
         return f'unknown {thing} {found!r}; did you mean {folded[near[0]]!r}?'
+    if len(names) > MAX_LISTED_NAMES:
+        return f'unknown {thing} {found!r}'
     listed = ', '.join(names) or 'none'
     return f'unknown {thing} {found!r}; known: {listed}'
--- a/src/bulrushcove/operator_jobs.py
+++ b/src/bulrushcove/operator_jobs.py
@@ -9,6 +9,7 @@
 from .job import JobRecord
 from .job_store import JobChangedError, JobStore, StoredJob
 from .messages import JobNotice
+from .names import unknown_name
 from .operator_api import JobSummary
 from .tracing import current_traceparent
 
@@ -80,7 +81,8 @@
     async def _load(self, job: JobId) -> StoredJob:
         stored = await self._jobs.load(job)
         if stored is None:
-            raise RefusedError(HTTP_NOT_FOUND, f'unknown job {job!r}')
+            known = [record.job for record in await self.all_jobs()]
+            raise RefusedError(HTTP_NOT_FOUND, unknown_name('job', job, known))
         return stored
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -164,19 +164,21 @@
 
 async def test_jobs_are_listed_shown_explained_and_cancelled(run, operator_app):
     spec = JobSpec('tally', payload='secret')
-    record = JobRecord('job-1', 'Pärlbar', spec, JobState.QUEUED, 'Luleå', 1)
+    record = JobRecord(
+        'Pär bar/job-1', 'Pär bar', spec, JobState.QUEUED, 'Luleå', 1
+    )
     await operator_app.jobs.create(record)
     for words, message in (
-        (['list', '--state=queued', '--organisation=Pärlbar'], 'Pärlbar'),
-        (['show', 'job-1'], 'idempotent'),
-        (['explain', 'job-1'], "domain 'Luleå' is not in service"),
-        (['cancel', 'job-1'], 'its cancellation is under way'),
+        (['list', '--state=queued', '--organisation=Pär bar'], 'Pär bar'),
+        (['show', 'Pär bar/job-1'], 'idempotent'),
+        (['explain', 'Pär bar/job-1'], "domain 'Luleå' is not in service"),
+        (['cancel', 'Pär bar/job-1'], 'its cancellation is under way'),
         (['list', '--output=json'], '"cancel_requested": true'),
     ):
         status, out, _ = await run('job', *words)
         assert (status, message in out, 'secret' in out) == (0, True, False)
     for words, message in (
-        (['show', 'x'], "unknown job 'x'"),
+        (['show', 'Parbar/job'], "did you mean 'Pär bar/job-1'?"),
         (['list', '--state=quued'], "did you mean 'queued'?"),
     ):
         status, _, err = await run('job', *words)
