--- a/src/bulrushcove/cli.py
+++ b/src/bulrushcove/cli.py
@@ -51,9 +51,7 @@
     if values.help:
         print(_help(words, values))
         return ExitStatus.DONE
-    verb = _find_verb(words)
-    named = sum(bool(word) for word in (verb.group, verb.name))
-    rest = tuple(words[named:])
+    verb, rest = find_verb(words)
     if len(rest) != len(verb.arguments):
         raise CommandUsageError(
             f'{verb.usage}: found {len(rest)} arguments, '
@@ -63,10 +61,14 @@
     return run_verb(verb, Command(read_options(values), rest))
 
 
-def _find_verb(words: Sequence[str]) -> Verb:
+def find_verb(words: Sequence[str]) -> tuple[Verb, tuple[str, ...]]:
+    """Return the verb that ``words`` name, and its arguments.
+
+    Raises ``CommandUsageError`` that suggests the nearest verb.
+    """
     found = _match_verb(words)
     if found is not None:
-        return found
+        return found, tuple(words[len(_name(found).split()) :])
     if not words:
         lines = tuple(verb.usage for verb in VERBS)
         raise CommandUsageError('a verb is needed, one of:', lines)
