Launcher: processes import the code of their own checkout; peer addresses

Started processes took bulrushcove from the installed package, which may point to another checkout: operators' routes were missing in a checkout that had them. The launcher now passes the paths of its own code. Settings name the controls of all VMs, so that a VM can boot while the VM list is down.

--- a/dev/launch/processes.py
+++ b/dev/launch/processes.py
@@ -1,6 +1,7 @@
 """Processes started by the launcher; each is ended by its own pid."""
 
 import ctypes
+import os
 import signal
 import subprocess
 import sys
@@ -11,6 +12,8 @@
 import msgspec
 import psutil
 
+import bulrushcove
+
 BYTES_PER_MB = 1024 * 1024
 STOP_TIMEOUT_S = 5
 PR_SET_PDEATHSIG = 1
@@ -24,6 +27,7 @@
     """A started process and the file with its standard error."""
 
     name: str
+    command: tuple[str, ...]
     process: subprocess.Popen[bytes]
     errors_path: Path
 
@@ -38,17 +42,12 @@
 
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Start ``python -m module`` under ``name``."""
-        errors_path = self._directory / f'{name}.log'
-        with errors_path.open('ab') as errors:
-            process = subprocess.Popen(
-                [sys.executable, '-m', module, *arguments],
-                stdin=subprocess.DEVNULL,
-                stdout=errors,
-                stderr=errors,
-                start_new_session=True,
-                preexec_fn=_end_with_parent,
-            )
-        self._started[name] = Started(name, process, errors_path)
+        command = (sys.executable, '-m', module, *arguments)
+        self._start(name, command)
+
+    def restart(self, name: str) -> None:
+        """Start a process that has ended again, with the same command."""
+        self._start(name, self._started[name].command)
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
@@ -101,6 +100,20 @@
         for waited in living:
             _wait_or_kill(waited.process, end_s)
 
+    def _start(self, name: str, command: tuple[str, ...]) -> None:
+        errors_path = self._directory / f'{name}.log'
+        with errors_path.open('ab') as errors:
+            process = subprocess.Popen(
+                command,
+                env=_environment(),
+                stdin=subprocess.DEVNULL,
+                stdout=errors,
+                stderr=errors,
+                start_new_session=True,
+                preexec_fn=_end_with_parent,
+            )
+        self._started[name] = Started(name, command, process, errors_path)
+
 
 def _wait_or_kill(process: subprocess.Popen[bytes], end_s: float) -> None:
     try:
@@ -110,6 +123,16 @@
         process.wait()
 
 
+def _environment() -> dict[str, str]:
+    """Return an environment in which the same code is imported as here."""
+    roots = (
+        Path(bulrushcove.__file__).parents[1],
+        Path(__file__).parents[2],
+    )
+    path = os.pathsep.join([str(root) for root in roots])
+    return {**os.environ, 'PYTHONPATH': path}
+
+
 def _end_with_parent() -> None:
     """Have the kernel end the new process when its parent dies."""
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGTERM)
--- a/dev/launch/settings_file.py
+++ b/dev/launch/settings_file.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bulrushcove.ids import DomainName
 from bulrushcove.settings import (
     ControlSettings,
     EntrySettings,
@@ -12,14 +13,45 @@
     Settings,
     VmSettings,
 )
-from dev.launch.topology import EntryVm
+from dev.launch.ports import HOST
+from dev.launch.topology import EntryVm, Topology, ports_seen_from
+from dev.standins.links import Link
 
 OPERATOR_TOKEN = 'operator-of-the-launched-cluster'
 
 
+class Surroundings(msgspec.Struct, frozen=True):
+    """What a VM's settings have to lead to."""
+
+    topology: Topology
+    links: tuple[Link, ...] = ()
+
+    def platform_settings(self, domain: DomainName) -> PlatformSettings:
+        """Return where the VMs of ``domain`` find the platform."""
+        plan = next(
+            each for each in self.topology.domains if each.size.domain == domain
+        )
+        store = self._address(domain, self.topology.platform_port)
+        vm_list = self._address(domain, plan.vm_list_port)
+        return PlatformSettings(
+            store_url=f'http://{store}', vm_list_url=f'http://{vm_list}/vms'
+        )
+
+    def peer_addresses(self, domain: DomainName) -> tuple[str, ...]:
+        """Return where the VMs of ``domain`` find all controls."""
+        return tuple(
+            self._address(domain, vm.stream_port)
+            for vm in self.topology.entry_vms
+        )
+
+    def _address(self, domain: DomainName, port: int) -> str:
+        ports = ports_seen_from(domain, self.links)
+        return f'{HOST}:{ports.get(port, port)}'
+
+
 def make_settings(
     vm: EntryVm,
-    platform: PlatformSettings,
+    around: Surroundings,
     control_changes: dict[str, int],
     entry_changes: dict[str, int],
 ) -> Settings:
@@ -35,9 +67,10 @@
         control=ControlSettings(
             stream_port=vm.stream_port,
             http_port=vm.control_http_port,
+            peer_addresses=around.peer_addresses(vm.domain),
             **control_changes,
         ),
-        platform=platform,
+        platform=around.platform_settings(vm.domain),
     )
 
 
--- a/dev/launcher.py
+++ b/dev/launcher.py
@@ -13,22 +13,23 @@
 import msgspec
 
 from bulrushcove.ids import DomainName, VmId
-from bulrushcove.settings import PlatformSettings
 from dev.history.events import Event, read_events
 from dev.launch.http import answers, get_bytes, put_json, wait_until
-from dev.launch.ports import HOST, choose_ports
+from dev.launch.ports import choose_ports
 from dev.launch.processes import Processes
-from dev.launch.settings_file import format_settings, make_settings
+from dev.launch.settings_file import (
+    Surroundings,
+    format_settings,
+    make_settings,
+)
 from dev.launch.standin_start import START_TIMEOUT_S, StandinStart
 from dev.launch.topology import (
-    DomainPlan,
     DomainSize,
     EntryVm,
     Topology,
     count_ports,
     plan_links,
     plan_topology,
-    ports_seen_from,
 )
 from dev.standins.faults import Faults
 from dev.standins.links import Cut, Link
@@ -110,7 +111,7 @@
         vm = self.find_vm(name)
         settings = make_settings(
             vm,
-            self.platform_settings(vm.domain),
+            Surroundings(self.topology, self.links),
             self.options.control_changes,
             self.options.entry_changes,
         )
@@ -122,25 +123,25 @@
 
     def wait_for_vm(self, vm: EntryVm) -> None:
         """Wait until both processes of a VM answer health checks."""
-        names = (control_name(vm.vm), entry_name(vm.vm))
+        wait_until(
+            lambda: self.is_healthy(vm),
+            f'{vm.vm} is not healthy',
+            START_TIMEOUT_S,
+        )
 
-        def is_healthy() -> bool:
-            self.processes.check(names)
-            ports = (vm.entry_port, vm.control_http_port)
-            return all(answers(port, '/healthz') for port in ports)
+    def is_healthy(self, vm: EntryVm) -> bool:
+        """Return whether both processes of a VM answer health checks.
 
-        wait_until(is_healthy, f'{vm.vm} is not healthy', START_TIMEOUT_S)
+        Raises ``ProcessDiedError`` when one of them has ended.
+        """
+        self.processes.check((control_name(vm.vm), entry_name(vm.vm)))
+        ports = (vm.entry_port, vm.control_http_port)
+        return all(answers(port, '/healthz') for port in ports)
 
     def find_vm(self, name: VmId) -> EntryVm:
         """Return the entry VM called ``name``."""
         return next(vm for vm in self.entry_vms if vm.vm == name)
 
-    def find_domain(self, domain: DomainName) -> DomainPlan:
-        """Return what is in one failure domain."""
-        return next(
-            plan for plan in self.topology.domains if plan.size.domain == domain
-        )
-
     def kill(self, process_name: str) -> None:
         """End one process with SIGKILL."""
         self.processes.signal(process_name, signal.SIGKILL)
@@ -170,17 +171,6 @@
         """Return what workers and backend servers have logged."""
         return read_events(self._directory.glob('*.jsonl'))
 
-    def platform_settings(self, domain: DomainName) -> PlatformSettings:
-        """Return where the VMs of ``domain`` find the platform."""
-        plan = self.find_domain(domain)
-        ports = ports_seen_from(domain, self.links)
-        store_port = self.topology.platform_port
-        list_port = plan.vm_list_port
-        return PlatformSettings(
-            store_url=f'http://{HOST}:{ports.get(store_port, store_port)}',
-            vm_list_url=f'http://{HOST}:{ports.get(list_port, list_port)}/vms',
-        )
-
 
 def control_name(vm: VmId) -> str:
     """Return the process name of a VM's control."""
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -9,7 +9,11 @@
 from bulrushcove.vm_list import VmList
 from dev.launch.http import get_bytes
 from dev.launch.ports import choose_ports
-from dev.launch.settings_file import format_settings, make_settings
+from dev.launch.settings_file import (
+    Surroundings,
+    format_settings,
+    make_settings,
+)
 from dev.launcher import SMALL_SIZE, Cluster, LaunchOptions, planned
 from dev.standins.faults import Faults
 
@@ -36,11 +40,15 @@
     cluster = Cluster(OPTIONS, tmp_path)
     vm = cluster.entry_vms[0]
     settings = make_settings(
-        vm, cluster.platform_settings(vm.domain), {'poll_ms': 500}, {}
+        vm,
+        Surroundings(cluster.topology, cluster.links),
+        {'poll_ms': 500},
+        {},
     )
     document = tomllib.loads(format_settings(settings))
     assert check_settings(document) == settings
     assert settings.control.poll_ms == 500
+    assert len(set(settings.control.peer_addresses)) == len(SMALL_SIZE)
 
 
 def test_domain_sees_others_through_links(cluster):
