--- a/dev/measure/replay.py
+++ b/dev/measure/replay.py
@@ -231,7 +231,6 @@
             job.ended_s = now_s
             job.failed = True
 
-
     def _move_waiting(self, domain: Domain, plan: Plan, now_s: float) -> None:
         """Give a few waiting jobs to domains that stand idle."""
         placed = {place.job for place in plan.places}
