--- a/dev/bare_forwarder.py
+++ b/dev/bare_forwarder.py
@@ -36,7 +36,7 @@
 
 def main(_arguments: list[str]) -> None:
     """Forward until told to stop."""
-    setup_tracing(TracingSettings(), 'forwarder')
+    setup_tracing(TracingSettings(), 'forwarder', starts_traces=True)
     web.run_app(
         _application(),
         host='127.0.0.1',
