Redirects are not followed, late bodies and stalled answers end at the deadline, every server is probed

Needs: a followed 307 would run a request twice; an upload or answer that stops half way held its place for ever; a server that tells of leaving by its probe only was never probed while it had traffic. A probe that times out counts the second time only: the delay may be this process's own.

--- a/src/bulrushcove/backend_client.py
+++ b/src/bulrushcove/backend_client.py
@@ -109,7 +109,11 @@
         session = self._fresh_session if fresh else self._session
         try:
             response = await session.post(
-                f'{server.url}{RUN_PATH}', headers=headers, data=body
+                f'{server.url}{RUN_PATH}',
+                headers=headers,
+                data=body,
+                # A redirect would run the request a second time.
+                allow_redirects=False,
             )
         except (
             aiohttp.ClientConnectorError,
@@ -129,7 +133,8 @@
     async def probe(self, server: Server) -> BackendState:
         """Ask ``server`` for its state over a fresh connection.
 
-        Raises ``BackendError`` when it does not answer.
+        Raises ``BackendNotRunError`` when it cannot be reached and
+        ``BackendError`` when it gives no answer.
         """
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
         try:
@@ -137,6 +142,8 @@
                 f'{server.url}{STATE_PATH}', timeout=timeout
             ) as response:
                 return _state_decoder.decode(await response.read())
+        except aiohttp.ClientConnectorError as exc:
+            raise BackendNotRunError(server.backend, 'not reached') from exc
         except (aiohttp.ClientError, OSError, msgspec.MsgspecError) as exc:
             raise BackendError(
                 f'backend server {server.backend!r}: probe: {exc!r}'
--- a/src/bulrushcove/backend_watch.py
+++ b/src/bulrushcove/backend_watch.py
@@ -5,8 +5,7 @@
 
 from mode import Service
 
-from .backend_client import BackendClient
-from .clock import Clock
+from .backend_client import BackendClient, BackendNotRunError
 from .exceptions import BackendError
 from .request_path import RequestPath
 from .routing import Router, Server
@@ -14,12 +13,11 @@
 
 TICK_S = 0.02
 PROBE_INTERVAL_S = 1.0
-# A server from which nothing came for so long is probed.
-QUIET_S = 2.0
+MISSED_PROBES = 2
 
 
 class BackendWatch(Service):
-    """Follows the VM list, probes quiet servers, wakes waiting requests."""
+    """Follows the VM list, probes servers, wakes waiting requests."""
 
     def __init__(
         self,
@@ -27,7 +25,6 @@
         client: BackendClient,
         path: RequestPath,
         vms: Callable[[], Iterable[VmEntry]],
-        clock: Clock,
     ) -> None:
         """Update ``router`` from ``vms`` and from probes of ``client``."""
         super().__init__()
@@ -35,7 +32,6 @@
         self._client = client
         self._path = path
         self._vms = vms
-        self._clock = clock
         self._seen: Iterable[VmEntry] = ()
 
     @Service.task
@@ -49,25 +45,31 @@
             await asyncio.sleep(TICK_S)
 
     @Service.task
-    async def _probe_quiet_servers(self) -> None:
+    async def _probe_servers(self) -> None:
         while not self.should_stop:
-            now_s = self._clock.monotonic_s()
             await asyncio.gather(
                 *(
                     self._probe(server)
                     for server in self._router.servers.values()
-                    if not server.usable or now_s - server.heard_s > QUIET_S
                 )
             )
             await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def _probe(self, server: Server) -> None:
+        """Take over what ``server`` says of itself.
+
+        One that says nothing is left out only after a second time: the delay
+        may have been this process's own.
+        """
         try:
             state = await self._client.probe(server)
-        except BackendError:
+        except BackendNotRunError:
             server.unreachable = True
-            return
-        server.heard_s = self._clock.monotonic_s()
-        server.unreachable = False
-        server.silent = False
-        server.said_leaving = state.leaving
+        except BackendError:
+            server.missed_probes += 1
+            server.silent = server.missed_probes >= MISSED_PROBES
+        else:
+            server.missed_probes = 0
+            server.unreachable = False
+            server.silent = False
+            server.said_leaving = state.leaving
--- a/src/bulrushcove/body.py
+++ b/src/bulrushcove/body.py
@@ -1,5 +1,6 @@
 """Reads the body of a caller's request within the limits."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from aiohttp import web
@@ -7,36 +8,59 @@
 from .exceptions import RefusedError
 from .settings import EntrySettings
 
+REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 
 
 async def read_body(
     request: web.Request,
     settings: EntrySettings,
+    timeout_s: float,
 ) -> bytes | AsyncIterator[bytes]:
     """Return the body: whole when it is kept for another try, else a stream.
 
     Raises ``RefusedError`` (413) for a body over the limit, and for one over
-    ``retry_body_bytes`` that does not declare its length.
+    ``retry_body_bytes`` that does not declare its length; (408) when it has
+    not come within ``timeout_s``.
     """
     length = request.content_length
     if length is not None and length > settings.max_body_bytes:
         raise _too_large('max_body_bytes', settings.max_body_bytes)
     if length is not None and length > settings.retry_body_bytes:
         return request.content.iter_any()
-    return await read_whole(request, settings.retry_body_bytes)
+    return await read_whole(request, settings.retry_body_bytes, timeout_s)
 
 
-async def read_whole(request: web.Request, limit: int) -> bytes:
-    """Return the whole body; raises ``RefusedError`` (413) over ``limit``."""
+async def read_whole(
+    request: web.Request,
+    limit: int,
+    timeout_s: float,
+) -> bytes:
+    """Return the whole body.
+
+    Raises ``RefusedError``, (413) over ``limit`` and (408) after
+    ``timeout_s``.
+    """
     content = request.content
     if content.is_eof():
         first = content.read_nowait()
         _check_size(len(first), limit)
         return first
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _read_parts(request, limit)
+    except TimeoutError as exc:
+        raise RefusedError(
+            REQUEST_TIMEOUT,
+            'the body has not come in time',
+            field='X-Bulrushcove-Deadline-Ms',
+        ) from exc
+
+
+async def _read_parts(request: web.Request, limit: int) -> bytes:
     parts: list[bytes] = []
     size = 0
-    async for part in content.iter_any():
+    async for part in request.content.iter_any():
         parts.append(part)
         size += len(part)
         _check_size(size, limit)
--- a/src/bulrushcove/caller_routes.py
+++ b/src/bulrushcove/caller_routes.py
@@ -1,5 +1,6 @@
 """HTTP routes for callers' requests."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 from typing import NamedTuple
@@ -104,7 +105,9 @@
     head = parse_head(headers, contract, context.settings, now_s)
     return Work(
         head=head,
-        body=await read_body(request, context.settings),
+        body=await read_body(
+            request, context.settings, head.deadline_s - now_s
+        ),
         wanted=_still_wanted(request),
         content_type=headers.get('Content-Type', OCTETS),
         traceparent=current_traceparent(),
@@ -132,30 +135,46 @@
             return web.Response(
                 status=answer.status, body=answer.body, headers=headers
             )
-        return await _stream(request, answer)
+        left_s = work.head.deadline_s - context.clock.monotonic_s()
+        return await _stream(request, answer, left_s)
 
 
 async def _stream(
     request: web.Request,
     answer: BackendAnswer,
+    timeout_s: float,
 ) -> web.StreamResponse:
-    """Pass a long answer on; a cut answer cuts the caller's connection."""
+    """Pass a long answer on within ``timeout_s``.
+
+    An answer that is cut or late cuts the caller's connection.
+    """
     response = web.StreamResponse(status=answer.status, headers=answer.headers)
     response.content_length = answer.length
     try:
-        await response.prepare(request)
-        await response.write(answer.body)
-        async for part in answer.rest or ():
-            await response.write(part)
+        async with asyncio.timeout(timeout_s):
+            await _write(request, response, answer)
     except (BackendCutError, OSError) as exc:
-        log_event(logger, 'request.cut', level=logging.WARNING, reason=str(exc))
+        answer.close()
+        log_event(
+            logger, 'request.cut', level=logging.WARNING, reason=repr(exc)
+        )
         if request.transport is not None:
             request.transport.abort()
-        return response
-    await response.write_eof()
     return response
 
 
+async def _write(
+    request: web.Request,
+    response: web.StreamResponse,
+    answer: BackendAnswer,
+) -> None:
+    await response.prepare(request)
+    await response.write(answer.body)
+    async for part in answer.rest or ():
+        await response.write(part)
+    await response.write_eof()
+
+
 def _log_refusal(work: Work | None, error: RefusedError, trace: str) -> None:
     head = work.head if work else None
     log_event(
--- a/src/bulrushcove/job_routes.py
+++ b/src/bulrushcove/job_routes.py
@@ -129,7 +129,12 @@
     request: web.Request,
     contract: Contract,
 ) -> web.Response:
-    body = await read_whole(request, context.settings.retry_body_bytes)
+    settings = context.settings
+    body = await read_whole(
+        request,
+        settings.retry_body_bytes,
+        settings.default_deadline_ms / MS_PER_S,
+    )
     record = _new_record(context, contract, parse_submission(body))
     try:
         stored = await context.jobs.create(record)
--- a/src/bulrushcove/request_parts.py
+++ b/src/bulrushcove/request_parts.py
@@ -55,5 +55,5 @@
         Sender(router, client, admission.service_s, clock),
         clock,
     )
-    watch = BackendWatch(router, client, path, vms, clock)
+    watch = BackendWatch(router, client, path, vms)
     return RequestParts(path, claims, watch)
--- a/src/bulrushcove/routing.py
+++ b/src/bulrushcove/routing.py
@@ -46,8 +46,8 @@
     pause_s: float = FIRST_PAUSE_S
     # Requests that this VM may have on it, adapted to what it answers.
     limit: float = LEAST_LIMIT
-    # Last time that any byte came from it.
-    heard_s: float = 0.0
+    # Probes in a row that got no answer.
+    missed_probes: int = 0
 
     @property
     def usable(self) -> bool:
--- a/src/bulrushcove/sender.py
+++ b/src/bulrushcove/sender.py
@@ -121,7 +121,7 @@
         if second.answer is not None:
             second.answer.close()
         self._note_answer(server, answer)
-        work.service_s = server.heard_s - started_s
+        work.service_s = self._clock.monotonic_s() - started_s
         return answer
 
     async def _go_again(
@@ -166,19 +166,15 @@
             await asyncio.sleep(ROOM_POLL_S)
 
     def _note_answer(self, server: Server, answer: BackendAnswer) -> None:
-        server.heard_s = self._clock.monotonic_s()
         self._router.note_served(server)
         if answer.state == LEAVING:
             server.said_leaving = True
 
     def _note_refusal(self, server: Server, reason: str) -> None:
-        now_s = self._clock.monotonic_s()
         if reason == BUSY:
-            self._router.note_busy(server, now_s)
-            server.heard_s = now_s
+            self._router.note_busy(server, self._clock.monotonic_s())
         elif reason == LEAVING:
             server.said_leaving = True
-            server.heard_s = now_s
         else:
             server.unreachable = True
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
 from bulrushcove.configuration import empty_configuration
 from tests.entry_fakes import (
@@ -207,3 +208,50 @@
     assert sum(answer.status == 429 for answer in answers) == 2
     # The silent one may go again, the refused ones have not run.
     assert len(set(backend.ran)) == 1
+
+
+async def test_redirect_is_passed_on_and_not_followed(start):
+    async def redirect(backend, request):
+        backend.ran.append(request.headers['X-Request-Id'])
+        return web.Response(status=307, headers={'Location': '/v1/run'})
+
+    backend = FakeBackend('b1')
+    backend.behave = redirect
+    client = await start(backend)
+    answer = await client.post(
+        URL, data=b'x', headers=head(), allow_redirects=False
+    )
+    assert (answer.status, backend.ran) == (307, ['r1'])
+
+
+async def test_body_that_does_not_come_is_not_run(start):
+    async def stuck():
+        yield b'part'
+        await asyncio.sleep(3)
+
+    backend = FakeBackend('b1')
+    client = await start(backend)
+    answer = await client.post(
+        URL, data=stuck(), headers=head(**{DEADLINE: '200'})
+    )
+    assert (answer.status, answer.headers[OUTCOME]) == (408, 'not-run')
+    assert backend.heads == []
+
+
+async def test_answer_that_stops_half_way_is_cut_at_the_deadline(start):
+    async def stops(backend, request):
+        await request.read()
+        response = web.StreamResponse()
+        await response.prepare(request)
+        await response.write(b'x' * 1_000_000)
+        await asyncio.sleep(3)
+        return response
+
+    backend = FakeBackend('b1')
+    backend.behave = stops
+    client = await start(backend)
+    with pytest.raises(aiohttp.ClientError):
+        async with client.post(
+            URL, data=b'x', headers=head(**{DEADLINE: '400'})
+        ) as answer:
+            await answer.read()
