--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import uuid
 
 from aiohttp import ClientSession
 from mode import Service
@@ -16,14 +15,13 @@
 )
 from .clock import MS_PER_S, Clock, SystemClock
 from .control_link import ControlLink
+from .hello import ENTRY_ROLE, new_hello
 from .http_server import HttpServer
-from .ids import IncarnationId
 from .job_routes import JobContext, add_job_routes
 from .job_store import JobStore
 from .job_watch import JobWatch
-from .messages import Hello
 from .metrics import new_metrics
-from .operator_parts import mount_operators
+from .operator_mount import OperatorParts, mount_operators
 from .program import run_program
 from .request_parts import RequestParts, new_request_parts
 from .routing import Router
@@ -32,7 +30,6 @@
 from .store_etcd import EtcdStore
 
 NAME = 'bulrushcove-entry'
-ROLE = 'entry'
 
 
 class EntryApplication(Service):
@@ -49,7 +46,7 @@
         self._settings = settings
         self._clock = clock
         self._router = Router(settings.vm.domain, rng)
-        self._hello = new_hello(settings)
+        self._hello = new_hello(settings.vm, ENTRY_ROLE)
         self._link = ControlLink(settings, self._hello)
         self._metrics = new_metrics()
 
@@ -86,11 +83,15 @@
         router = self._server.router
         mount_operators(
             router,
-            self._settings,
-            store,
-            self._link,
-            self._platform,
-            self._clock,
+            OperatorParts(
+                store=store,
+                session=self._platform,
+                clock=self._clock,
+                held=lambda: self._link.configuration,
+                view=lambda: self._link.view,
+                notify=self._link.notify_job,
+                token_sha256=self._settings.entry.operator_token_sha256,
+            ),
         )
         add_caller_routes(router, self._caller_context(tokens))
         add_job_routes(router, self._job_context(tokens))
@@ -138,16 +139,6 @@
         return ''
 
 
-def new_hello(settings: Settings) -> Hello:
-    """Return the greeting of this run of the process."""
-    return Hello(
-        vm=settings.vm.id,
-        domain=settings.vm.domain,
-        role=ROLE,
-        incarnation=IncarnationId(uuid.uuid4().hex),
-    )
-
-
 def make_entry(settings: Settings) -> EntryApplication:
     """Return the daemon on the machine's clock."""
     return EntryApplication(settings, SystemClock(), random.Random())
