Request metrics, bytes across domains, a span for the hop to the backend server

The span of the inner hop is made only where spans are exported: two spans a request cost the hot path and nobody would see the second.

--- a/dev/measure_shares.py
+++ b/dev/measure_shares.py
@@ -145,7 +145,7 @@
     clock = SystemClock()
     admission = Admission()
     client = SlotClient(backends, vm.domain)
-    sender = Sender(router, client, admission.service_s, clock)
+    sender = Sender(router, client, admission.service_s, _ignore, clock)
     return RequestPath(admission, router, NoOnce(), sender, clock)
 
 
@@ -227,6 +227,10 @@
     return True
 
 
+def _ignore(_count: int) -> None:
+    """Bytes are not counted here."""
+
+
 def _nothing() -> None:
     """Nothing to close."""
 
--- a/src/bulrushcove/backend_watch.py
+++ b/src/bulrushcove/backend_watch.py
@@ -7,6 +7,7 @@
 
 from .backend_client import BackendClient, BackendNotRunError
 from .exceptions import BackendError
+from .request_metrics import RequestMetrics
 from .request_path import RequestPath
 from .routing import Router, Server
 from .vm_list import VmEntry
@@ -25,6 +26,7 @@
         client: BackendClient,
         path: RequestPath,
         vms: Callable[[], Iterable[VmEntry]],
+        metrics: RequestMetrics,
     ) -> None:
         """Update ``router`` from ``vms`` and from probes of ``client``."""
         super().__init__()
@@ -32,6 +34,7 @@
         self._client = client
         self._path = path
         self._vms = vms
+        self._metrics = metrics
         self._seen: Iterable[VmEntry] = ()
 
     @Service.task
@@ -42,6 +45,7 @@
                 self._seen = vms
                 self._router.update(vms)
             self._path.dispatch()
+            self._metrics.show_load(self._path.in_progress, self._path.queued)
             await asyncio.sleep(TICK_S)
 
     @Service.task
--- a/src/bulrushcove/caller_routes.py
+++ b/src/bulrushcove/caller_routes.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import aioprometheus
 from aiohttp import web
 
 from .authentication import TokenIndex
@@ -15,9 +14,9 @@
 from .configuration import Configuration
 from .exceptions import RefusedError
 from .logs import log_event
-from .metrics import Metrics
 from .refusals import outcome_headers, refusal_response
 from .request_head import parse_head
+from .request_metrics import RequestMetrics
 from .request_path import RequestPath
 from .settings import EntrySettings
 from .states import Outcome
@@ -41,23 +40,7 @@
     tokens: TokenIndex
     path: RequestPath
     clock: Clock
-    answered: aioprometheus.Counter
-    completion: aioprometheus.Histogram
-
-
-def new_caller_metrics(
-    metrics: Metrics,
-) -> tuple[aioprometheus.Counter, aioprometheus.Histogram]:
-    """Register the counter of outcomes and the time to the whole answer."""
-    return (
-        metrics.counter(
-            'bulrushcove_requests_total', 'Requests answered, by outcome.'
-        ),
-        metrics.histogram(
-            'bulrushcove_request_completion_seconds',
-            'Time from the head of a request to its whole answer.',
-        ),
-    )
+    metrics: RequestMetrics
 
 
 def add_caller_routes(
@@ -68,12 +51,8 @@
 
     async def post_request(request: web.Request) -> web.StreamResponse:
         parent = request.headers.get(TRACEPARENT, '')
-        started_s = context.clock.monotonic_s()
         with span('entry.request', traceparent=parent):
-            response = await _answer(context, request)
-        spent_s = context.clock.monotonic_s() - started_s
-        context.completion.observe({}, spent_s)
-        return response
+            return await _answer(context, request)
 
     router.add_post(REQUESTS_PATH, post_request)
 
@@ -82,17 +61,22 @@
     context: CallerContext,
     request: web.Request,
 ) -> web.StreamResponse:
+    started_s = context.clock.monotonic_s()
     trace = current_trace_id()
     work: Work | None = None
+    outcome = Outcome.RAN
     try:
         work = await _read_work(context, request)
         response = await _serve(context, request, work, trace)
     except RefusedError as exc:
+        outcome = exc.outcome
         _log_refusal(work, exc, trace)
         response = refusal_response(exc, trace, work.attempts if work else 0)
-        context.answered.inc({'outcome': exc.outcome.value})
-    else:
-        context.answered.inc({'outcome': Outcome.RAN.value})
+    context.metrics.note_answer(
+        outcome,
+        work.attempts if work else 0,
+        context.clock.monotonic_s() - started_s,
+    )
     return response
 
 
--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -7,12 +7,7 @@
 from mode import Service
 
 from .authentication import TokenIndex
-from .backend_client import BackendClient
-from .caller_routes import (
-    CallerContext,
-    add_caller_routes,
-    new_caller_metrics,
-)
+from .caller_routes import CallerContext, add_caller_routes
 from .clock import MS_PER_S, Clock, SystemClock
 from .control_link import ControlLink
 from .hello import ENTRY_ROLE, new_hello
@@ -23,6 +18,7 @@
 from .metrics import new_metrics
 from .operator_mount import OperatorParts, mount_operators
 from .program import run_program
+from .request_metrics import RequestMetrics
 from .request_parts import RequestParts, new_request_parts
 from .routing import Router
 from .settings import Settings
@@ -49,15 +45,16 @@
         self._hello = new_hello(settings.vm, ENTRY_ROLE)
         self._link = ControlLink(settings, self._hello)
         self._metrics = new_metrics()
+        self._request_metrics = RequestMetrics(self._metrics)
 
     async def on_start(self) -> None:
         """Open the parts; the port for callers comes last."""
-        self._client = BackendClient()
         self._platform = ClientSession()
         store = EtcdStore(self._platform, self._settings.platform)
         self._jobs = JobStore(store)
         self._watch = JobWatch(self._jobs)
         parts = self._request_parts(store)
+        self._client = parts.client
         self._path = parts.path
         for part in (self._link, parts.claims, parts.watch, self._watch):
             await self.add_runtime_dependency(part)
@@ -97,15 +94,13 @@
         add_job_routes(router, self._job_context(tokens))
 
     def _caller_context(self, tokens: TokenIndex) -> CallerContext:
-        answered, completion = new_caller_metrics(self._metrics)
         return CallerContext(
             settings=self._settings.entry,
             configuration=lambda: self._link.configuration,
             tokens=tokens,
             path=self._path,
             clock=self._clock,
-            answered=answered,
-            completion=completion,
+            metrics=self._request_metrics,
         )
 
     def _job_context(self, tokens: TokenIndex) -> JobContext:
@@ -125,9 +120,9 @@
             self._settings,
             self._hello.incarnation,
             self._router,
-            self._client,
             store,
             lambda: self._link.view.vms if self._link.view else (),
+            self._request_metrics,
             self._clock,
         )
 
--- a/src/bulrushcove/request_parts.py
+++ b/src/bulrushcove/request_parts.py
@@ -11,6 +11,7 @@
 from .clock import MS_PER_S, Clock
 from .ids import IncarnationId
 from .once import OnceOnly
+from .request_metrics import RequestMetrics
 from .request_path import RequestPath
 from .routing import Router
 from .sender import Sender
@@ -20,8 +21,9 @@
 
 
 class RequestParts(NamedTuple):
-    """The request path and the services that it needs running."""
+    """The request path and what it needs open and running."""
 
+    client: BackendClient
     path: RequestPath
     claims: ClaimWriter
     watch: BackendWatch
@@ -31,13 +33,17 @@
     settings: Settings,
     incarnation: IncarnationId,
     router: Router,
-    client: BackendClient,
     store: Store,
     vms: Callable[[], Iterable[VmEntry]],
+    metrics: RequestMetrics,
     clock: Clock,
 ) -> RequestParts:
-    """Return the parts for one entry process, not started yet."""
+    """Return the parts for one entry process, not started yet.
+
+    Needs a running loop; the caller closes the client.
+    """
     entry = settings.entry
+    client = BackendClient()
     admission = Admission()
     claims = ClaimWriter(
         store,
@@ -52,8 +58,14 @@
         admission,
         router,
         OnceOnly(book, claims, clock),
-        Sender(router, client, admission.service_s, clock),
+        Sender(
+            router,
+            client,
+            admission.service_s,
+            metrics.note_far_bytes,
+            clock,
+        ),
         clock,
     )
-    watch = BackendWatch(router, client, path, vms)
-    return RequestParts(path, claims, watch)
+    watch = BackendWatch(router, client, path, vms, metrics)
+    return RequestParts(client, path, claims, watch)
--- a/src/bulrushcove/request_path.py
+++ b/src/bulrushcove/request_path.py
@@ -34,6 +34,16 @@
         self._sender = sender
         self._clock = clock
 
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests are in progress."""
+        return self._admission.in_progress
+
+    @property
+    def queued(self) -> int:
+        """Return how many requests wait for room."""
+        return self._admission.queued
+
     @contextlib.asynccontextmanager
     async def serve(self, work: Work) -> AsyncIterator[BackendAnswer]:
         """Bring ``work`` to a server; yields the answer to pass on.
--- a/src/bulrushcove/routing.py
+++ b/src/bulrushcove/routing.py
@@ -132,6 +132,10 @@
         connections = MAX_CONNECTIONS // self.live_entries - 1
         return max(1, min(SLOTS, connections))
 
+    def is_near(self, server: Server) -> bool:
+        """Return whether ``server`` is in this VM's own domain."""
+        return server.domain == self._domain
+
     def capacity(self, now_s: float) -> int:
         """Return how many requests may be in progress now."""
         return sum(
--- a/src/bulrushcove/sender.py
+++ b/src/bulrushcove/sender.py
@@ -16,6 +16,7 @@
 from .retry_budget import RetryBudget
 from .routing import Router, Server
 from .silence import SecondTry, silence_limit_s
+from .tracing import TRACEPARENT, hop_span
 from .work import (
     GATEWAY_TIMEOUT,
     Work,
@@ -37,12 +38,18 @@
         router: Router,
         client: BackendClient,
         service_s: Callable[[OrganisationId], float],
+        note_far_bytes: Callable[[int], None],
         clock: Clock,
     ) -> None:
-        """Send by ``client``; ``service_s`` is what requests take so far."""
+        """Send by ``client``.
+
+        ``service_s`` is what an organisation's requests take so far;
+        ``note_far_bytes`` is told of bytes that cross failure domains.
+        """
         self._router = router
         self._client = client
         self._service_s = service_s
+        self._note_far_bytes = note_far_bytes
         self._clock = clock
         self._budgets: dict[DomainName, RetryBudget] = {}
 
@@ -109,9 +116,7 @@
         try:
             async with asyncio.timeout(left_s) as scope:
                 second.start_after(silence_limit_s(expected_s, left_s), scope)
-                answer = await self._client.send(
-                    server, backend_headers(work, left_s), work.body
-                )
+                answer = await self._exchange(server, work, left_s)
         except TimeoutError:
             if second.answer is None:
                 raise
@@ -145,9 +150,7 @@
         work.attempts += 1
         left_s = work.head.deadline_s - now_s
         try:
-            answer = await self._client.send(
-                server, backend_headers(work, left_s), work.body, fresh=True
-            )
+            answer = await self._exchange(server, work, left_s, fresh=True)
         except BackendNotRunError as exc:
             self._note_refusal(server, exc.reason)
         except BackendUnknownError:
@@ -157,6 +160,25 @@
             return answer
         return None
 
+    async def _exchange(
+        self,
+        server: Server,
+        work: Work,
+        left_s: float,
+        *,
+        fresh: bool = False,
+    ) -> BackendAnswer:
+        with hop_span('entry.backend', backend=server.backend) as traceparent:
+            headers = backend_headers(work, left_s)
+            headers[TRACEPARENT] = traceparent or work.traceparent
+            answer = await self._client.send(
+                server, headers, work.body, fresh=fresh
+            )
+        if not self._router.is_near(server):
+            sent = len(work.body) if isinstance(work.body, bytes) else 0
+            self._note_far_bytes(sent + (answer.length or len(answer.body)))
+        return answer
+
     async def _await_retry(self, work: Work, group: DomainName) -> None:
         """Wait until the budget of ``group`` allows another try."""
         budget = self._budget(group)
--- a/src/bulrushcove/tracing.py
+++ b/src/bulrushcove/tracing.py
@@ -14,6 +14,14 @@
 TRACEPARENT = 'traceparent'
 TRACER_NAME = 'bulrushcove'
 
+
+class _Export:
+    """Whether this process exports spans."""
+
+    active = False
+
+
+_export = _Export()
 _propagator = TraceContextTextMapPropagator()
 # Follows the provider that is set up later.
 _tracer = trace.get_tracer(TRACER_NAME)
@@ -30,7 +38,8 @@
 
     resource = Resource({'service.name': service})
     provider = TracerProvider(resource=resource)
-    if settings.exporter != 'none':
+    _export.active = settings.exporter != 'none'
+    if _export.active:
         provider.add_span_processor(_make_processor(settings))
     trace.set_tracer_provider(provider)
 
@@ -74,6 +83,20 @@
         yield current
 
 
+@contextmanager
+def hop_span(name: str, **attributes: Any) -> Iterator[str]:
+    """Record an inner hop where spans are exported; yields its traceparent.
+
+    Where they are not, nobody would see it: the traceparent is empty and the
+    outer span goes on.
+    """
+    if not _export.active:
+        yield ''
+        return
+    with span(name, **attributes):
+        yield current_traceparent()
+
+
 def current_traceparent() -> str:
     """Return the W3C traceparent of the span in progress; empty: none."""
     carrier: dict[str, str] = {}
--- a/src/bulrushcove/work.py
+++ b/src/bulrushcove/work.py
@@ -11,7 +11,6 @@
 from .request_head import RequestHead
 from .routing import NONE_AVOIDED, Server
 from .states import Outcome
-from .tracing import TRACEPARENT
 
 OCTETS = 'application/octet-stream'
 GATEWAY_TIMEOUT = 504
@@ -62,7 +61,6 @@
             'X-Idempotent': 'true' if head.idempotent else 'false',
             'X-Deadline-Ms': str(max(1, int(left_s * MS_PER_S))),
             'Content-Type': work.content_type,
-            TRACEPARENT: work.traceparent,
         }
     )
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -9,17 +9,14 @@
 from bulrushcove.answers import AnswerBook
 from bulrushcove.authentication import TokenIndex, token_digest
 from bulrushcove.backend_client import BackendClient
-from bulrushcove.caller_routes import (
-    CallerContext,
-    add_caller_routes,
-    new_caller_metrics,
-)
+from bulrushcove.caller_routes import CallerContext, add_caller_routes
 from bulrushcove.claim_writer import ClaimWriter
 from bulrushcove.clock import SystemClock
 from bulrushcove.configuration import Configuration
 from bulrushcove.contract import Contract, RequestLimits
 from bulrushcove.metrics import new_metrics
 from bulrushcove.once import OnceOnly
+from bulrushcove.request_metrics import RequestMetrics
 from bulrushcove.request_path import RequestPath
 from bulrushcove.routing import Router
 from bulrushcove.sender import Sender
@@ -159,12 +156,19 @@
         self.claims = ClaimWriter(
             self.store, 'e1', name, 3_600_000, lambda: 1, clock
         )
+        self.metrics = RequestMetrics(new_metrics())
         admission = Admission()
         self.path = RequestPath(
             admission,
             self.router,
             OnceOnly(AnswerBook(60), self.claims, clock),
-            Sender(self.router, self.client, admission.service_s, clock),
+            Sender(
+                self.router,
+                self.client,
+                admission.service_s,
+                self.metrics.note_far_bytes,
+                clock,
+            ),
             clock,
         )
         self.configuration = configuration_of(
@@ -173,15 +177,13 @@
 
     def application(self) -> web.Application:
         application = web.Application()
-        answered, completion = new_caller_metrics(new_metrics())
         context = CallerContext(
             settings=SETTINGS,
             configuration=lambda: self.configuration,
             tokens=TokenIndex(),
             path=self.path,
             clock=SystemClock(),
-            answered=answered,
-            completion=completion,
+            metrics=self.metrics,
         )
         add_caller_routes(application.router, context)
 
--- a/tests/test_entry_silence.py
+++ b/tests/test_entry_silence.py
@@ -153,7 +153,9 @@
 def _watch(client, backends):
     bench = client.bench
     vms = [backend_vm(backend) for backend in backends]
-    return BackendWatch(bench.router, bench.client, bench.path, lambda: vms)
+    return BackendWatch(
+        bench.router, bench.client, bench.path, lambda: vms, bench.metrics
+    )
 
 
 @pytest.mark.parametrize(
