Reclaimed room goes to the job that asked for it

The cleared placement is handed to the next pass, which serves it first. A reservation keeps its place until its time has come, and stops small borrowed work in its way once the idle room costs more than what a stop throws away.

--- a/dev/measure/arrivals.py
+++ b/dev/measure/arrivals.py
@@ -58,12 +58,12 @@
 )
 LARGE_ACCELERATORS = 16
 
-SHARES = {
-    OrganisationId('litoral'): 0.5,
-    OrganisationId('parlstugan'): 0.25,
-    OrganisationId('mill-tres'): 0.15,
-    OrganisationId('tea-cuatro'): 0.1,
-}
+SHARES = (
+    (OrganisationId('litoral'), 0.5),
+    (OrganisationId('parlstugan'), 0.25),
+    (OrganisationId('mill-tres'), 0.15),
+    (OrganisationId('tea-cuatro'), 0.1),
+)
 
 
 def make_contracts() -> dict[OrganisationId, Contract]:
@@ -106,7 +106,8 @@
 
 def _draw(rng: random.Random, now_s: float) -> Arrival:
     kind = rng.choices(KINDS, [each.weight for each in KINDS])[0]
-    organisation = rng.choices(list(SHARES), list(SHARES.values()))[0]
+    names, shares = zip(*SHARES, strict=True)
+    organisation = rng.choices(names, shares)[0]
     tasks = rng.choice(kind.tasks)
     run_s = kind.run_s * rng.lognormvariate(-0.18, 0.6)
     factor = math.exp(rng.uniform(-1, 1) * math.log(DECLARED_FACTOR))
--- a/dev/measure/replay.py
+++ b/dev/measure/replay.py
@@ -132,11 +132,10 @@
     def _end_runs(self, now_s: float) -> None:
         for domain in self._domains.values():
             for run in list(domain.runs.values()):
-                stops_s = run.stops_s
-                ends_s = run.ends_s()
-                if ends_s <= now_s and (stops_s is None or ends_s <= stops_s):
-                    self._end(domain, run, ends_s)
-                elif stops_s is not None and stops_s <= now_s:
+                stops_s = END_S if run.stops_s is None else run.stops_s
+                if run.ends_s() <= min(now_s, stops_s):
+                    self._end(domain, run, run.ends_s())
+                elif stops_s <= now_s:
                     self._stop(domain, run, now_s)
 
     def _end(self, domain: Domain, run: Run, now_s: float) -> None:
@@ -150,7 +149,7 @@
         kind = (job.record.organisation, job.record.spec.kind)
         runs = self._observed.setdefault(kind, [])
         runs.append(ran_s)
-        del runs[:-KEPT_RUNS]
+        self._observed[kind] = runs[-KEPT_RUNS:]
         self.tally.keep(run, now_s)
         for part in run.place.placement:
             if self._health:
@@ -193,7 +192,7 @@
             domain.in_service = False
             domain.reservations = ()
             for run in domain.runs.values():
-                run.stops_s = now_s + (STOP_S if self._style.careful else 0)
+                run.stops_s = now_s + STOP_S * self._style.careful
             for job in list(domain.queue.values()):
                 domain.queue.pop(job.record.job)
                 self._domains[self._move(domain, job)].enqueue(job)
@@ -231,7 +230,6 @@
             job.ended_s = now_s
             job.failed = True
 
-
     def _move_waiting(self, domain: Domain, plan: Plan, now_s: float) -> None:
         """Give a few waiting jobs to domains that stand idle."""
         placed = {place.job for place in plan.places}
--- a/src/bulrushcove/borrowed_start.py
+++ b/src/bulrushcove/borrowed_start.py
@@ -1,13 +1,12 @@
 """Starts jobs beyond the guarantee of their organisation."""
 
-import msgspec
-
+from .cluster import Reservation
 from .job import JobRecord
 from .job_queue import by_age
 from .pass_state import PassState
 from .placement import best_spread, fits_of
 from .reclaim import find_reclaims
-from .reservations import is_large, reserve, worth_stopping
+from .reservations import is_current, is_large, reserve, worth_stopping
 from .rooms import Counts
 
 MAX_RESERVATIONS = 1
@@ -49,19 +48,21 @@
 
 def hold_reservations(state: PassState, waiting: list[JobRecord]) -> None:
     """Keep room for the large jobs that have waited longest."""
-    since_s = {old.job: old.since_s for old in state.snapshot.reservations}
+    held = {
+        old.job: old for old in state.snapshot.reservations if not old.clearing
+    }
     large = [
         record
         for record in by_age(waiting)
         if is_large(record.spec, state.rooms)
     ]
     # A job that holds a reservation already goes on before others.
-    large.sort(key=lambda record: record.job not in since_s)
+    large.sort(key=lambda record: record.job not in held)
     for holder in large:
         if not state.may_borrow(holder) or start_borrowed(state, holder):
             continue
         if len(state.reservations) < MAX_RESERVATIONS:
-            _reserve(state, holder, since_s.get(holder.job))
+            _reserve(state, holder, held.get(holder.job))
 
 
 def fill_gap(state: PassState, record: JobRecord) -> None:
@@ -93,22 +94,25 @@
 
 
 def _reserve(
-    state: PassState, record: JobRecord, since_s: float | None
+    state: PassState, record: JobRecord, old: Reservation | None
 ) -> None:
     """Keep room for the job, and stop what blocks it at a small loss."""
-    found = reserve(
-        record,
-        state.rooms,
-        state.visible(record),
-        state.snapshot,
-        state.run_times,
-    )
-    if found is None:
+    kept = old
+    if old is None or not is_current(old, state.rooms, state.snapshot.now_s):
+        kept = reserve(
+            record,
+            state.rooms,
+            state.visible(record),
+            state.snapshot,
+            state.run_times,
+        )
+    if kept is None:
         return
-    if since_s is not None:
-        found = msgspec.structs.replace(found, since_s=since_s)
     in_way = worth_stopping(
-        found, record.spec, state.rooms, state.borrowed, state.snapshot.now_s
+        kept, record.spec, state.rooms, state.borrowed, state.snapshot.now_s
     )
-    state.reclaim(record, in_way, f'is in room kept for job {record.job}')
-    state.hold(record, found)
+    if in_way:
+        counts = state.rooms.counts_of(kept.placement)
+        state.await_victims(record, counts, in_way)
+    else:
+        state.hold(record, kept)
--- /dev/null
+++ b/src/bulrushcove/clearing.py
@@ -0,0 +1,51 @@
+"""Starts jobs in the room that was cleared for them, before any other."""
+
+from collections.abc import Iterable
+
+from .cluster import Reservation
+from .covers import Cover
+from .job import JobRecord
+from .pass_state import PassState
+from .rooms import Counts
+
+
+def resume_clearing(state: PassState, waiting: Iterable[JobRecord]) -> None:
+    """Start the jobs whose victims have ended; hold the room of others.
+
+    Without this, a job that comes earlier in the fair order would slip into
+    the room, and the victims would be stopped for nothing.
+    """
+    by_job = {record.job: record for record in waiting}
+    for kept in state.snapshot.reservations:
+        record = by_job.get(kept.job)
+        if kept.clearing and record is not None:
+            _resume(state, record, kept)
+
+
+def _resume(state: PassState, record: JobRecord, kept: Reservation) -> None:
+    counts = state.rooms.counts_of(kept.placement)
+    if sum(tasks for _, tasks in counts) < record.spec.tasks:
+        # A worker was lost meanwhile.
+        return
+    is_free = state.rooms.has_free(record.spec, counts)
+    if not is_free and not state.borrowed.clears(record.spec, counts):
+        return
+    cover = _usable_cover(state, record, kept, counts)
+    if kept.cover and cover is None:
+        return
+    if is_free:
+        state.place(record, counts, cover)
+    else:
+        state.await_room(record, counts, cover)
+
+
+def _usable_cover(
+    state: PassState, record: JobRecord, kept: Reservation, counts: Counts
+) -> Cover | None:
+    """Return the cover of the reservation when it may still be used so."""
+    guarantees = state.guarantees
+    cover = guarantees.cover_named(record.organisation, kept.cover)
+    if cover is None or cover.rest < guarantees.weight(record.spec):
+        return None
+    admitted = guarantees.admits(cover, record.spec, counts)
+    return cover if admitted else None
--- a/src/bulrushcove/cluster.py
+++ b/src/bulrushcove/cluster.py
@@ -45,6 +45,10 @@
     since_s: float
     # When the room is expected to be free.
     expected_s: float
+    # The room is being cleared for the job, which then goes first.
+    clearing: bool = False
+    # The guaranteed shape that the job will use there.
+    cover: str = ''
 
 
 class ObservedRuns(msgspec.Struct, frozen=True):
--- a/src/bulrushcove/covered_start.py
+++ b/src/bulrushcove/covered_start.py
@@ -90,7 +90,7 @@
             if state.rooms.has_free(spec, counts):
                 state.place(record, counts, cover)
             else:
-                state.await_victims(record, counts, way.victims)
+                state.await_victims(record, counts, way.victims, cover)
             return True
     return False
 
--- a/src/bulrushcove/guarantees.py
+++ b/src/bulrushcove/guarantees.py
@@ -67,6 +67,15 @@
             cover.accelerators for cover in self._covers.get(organisation, ())
         )
 
+    def cover_named(
+        self, organisation: OrganisationId, name: str
+    ) -> Cover | None:
+        """Return the cover of the organisation with this name."""
+        for cover in self._covers.get(organisation, ()):
+            if cover.name == name:
+                return cover
+        return None
+
     def allowed(self, cover: Cover, indices: Sequence[int]) -> list[int]:
         """Return the workers of ``indices`` that the cover may use."""
         return self._layout.allowed(cover, indices)
@@ -119,11 +128,11 @@
         current = gang.record.current
         if current is None or not current.cover:
             return False
-        for cover in self._covers.get(gang.organisation, ()):
-            if cover.name == current.cover:
-                self._bind(cover, gang)
-                return True
-        return False
+        cover = self.cover_named(gang.organisation, current.cover)
+        if cover is None:
+            return False
+        self._bind(cover, gang)
+        return True
 
     def _bind(self, cover: Cover, gang: RunningGang) -> None:
         counts = self._rooms.counts_of(gang.placement)
--- a/src/bulrushcove/pass_state.py
+++ b/src/bulrushcove/pass_state.py
@@ -46,7 +46,7 @@
         self._set_aside: list[SetAside] = []
         self._waits: dict[JobId, str] = {}
         # Jobs that hold room until their victims have ended.
-        self._awaiting: set[JobId] = set()
+        self._clearing: dict[JobId, Reservation] = {}
 
     def contract(self, record: JobRecord) -> Contract:
         """Return the contract that the job runs under."""
@@ -76,7 +76,7 @@
     def is_open(self, record: JobRecord) -> bool:
         """Return whether nothing was decided for the job yet."""
         return (
-            record.job not in self._places and record.job not in self._awaiting
+            record.job not in self._places and record.job not in self._clearing
         )
 
     def place(
@@ -107,12 +107,27 @@
         record: JobRecord,
         counts: Counts,
         victims: Iterable[RunningGang],
+        cover: Cover | None = None,
     ) -> None:
         """Stop ``victims`` and hold their room for the job."""
         reason = f'room is wanted by organisation {record.organisation}'
         self.reclaim(record, victims, reason)
+        self.await_room(record, counts, cover)
+
+    def await_room(
+        self, record: JobRecord, counts: Counts, cover: Cover | None
+    ) -> None:
+        """Hold room that is being cleared for the job."""
         self.rooms.take(record.spec, counts)
-        self._awaiting.add(record.job)
+        now_s = self.snapshot.now_s
+        self._clearing[record.job] = Reservation(
+            job=record.job,
+            placement=self.rooms.placement_of(counts),
+            since_s=now_s,
+            expected_s=now_s,
+            clearing=True,
+            cover=cover.name if cover else '',
+        )
         self.wait(record, 'waits for reclaimed accelerators')
 
     def reclaim(
@@ -156,5 +171,8 @@
             reclaims=tuple(self._reclaims),
             set_aside=tuple(self._set_aside),
             waits=tuple(waits),
-            reservations=tuple(kept for _, kept in self.reservations.values()),
+            reservations=(
+                *self._clearing.values(),
+                *(kept for _, kept in self.reservations.values()),
+            ),
         )
--- a/src/bulrushcove/reclaim.py
+++ b/src/bulrushcove/reclaim.py
@@ -9,7 +9,7 @@
 from .ids import AttemptId
 from .job import JobSpec
 from .placement import fits_of, groups
-from .rooms import Room, Rooms
+from .rooms import Counts, Room, Rooms
 from .states import Adjacency, Urgency
 
 # Stopping and starting again costs this much besides unsaved work.
@@ -45,6 +45,15 @@
         """Return whether the gang's room comes back without a new stop."""
         return gang.stopping or gang.attempt in self._stopping
 
+    def clears(self, spec: JobSpec, counts: Counts) -> bool:
+        """Return whether gangs that are stopping leave room for a gang."""
+        wanted = dict(counts)
+        state = _GroupRoom(spec, self._rooms, list(wanted), wanted)
+        for gang in self.on_workers(wanted, spare_urgent=True):
+            if self.is_stopping(gang):
+                state.give(gang, 1)
+        return state.total >= spec.tasks
+
     def cost(self, gang: RunningGang) -> float:
         """Return the accelerator-seconds that a stop throws away."""
         if self.is_stopping(gang):
--- a/src/bulrushcove/reservations.py
+++ b/src/bulrushcove/reservations.py
@@ -6,7 +6,7 @@
 the room that waits idle costs more than its unsaved work.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from .cluster import DomainSnapshot, Reservation, RunningGang
 from .job import JobRecord, JobSpec
@@ -52,6 +52,16 @@
     )
 
 
+def is_current(reservation: Reservation, rooms: Rooms, now_s: float) -> bool:
+    """Return whether the room may still be free when it was expected.
+
+    A reservation stays where it is until then, as moving it would give away
+    the room that has been kept so far.
+    """
+    known = all(part.worker in rooms.index for part in reservation.placement)
+    return known and now_s <= reservation.expected_s
+
+
 def worth_stopping(
     reservation: Reservation,
     spec: JobSpec,
@@ -66,23 +76,27 @@
     """
     wanted = dict(rooms.counts_of(reservation.placement))
     free = {index: rooms.free[index].copy() for index in wanted}
-    idle = sum(
-        min(room.fits(spec), wanted[index]) for index, room in free.items()
-    )
     wait_s = max(reservation.expected_s - now_s, 0)
-    idle_work = idle * spec.accelerators_per_task * wait_s
+    idle = _free_tasks(spec, free, wanted) * spec.accelerators_per_task
     victims = []
-    cost = 0.0
     for gang in borrowed.on_workers(wanted, spare_urgent=True):
-        if all(free[index].fits(spec) >= wanted[index] for index in wanted):
+        if _free_tasks(spec, free, wanted) >= spec.tasks:
             break
-        if gang.record.spec.accelerators * 2 > spec.accelerators:
-            continue
-        if _give_back(gang, rooms, free):
+        is_small = gang.record.spec.accelerators * 2 <= spec.accelerators
+        if is_small and _give_back(gang, rooms, free):
             victims.append(gang)
-            cost += borrowed.cost(gang)
-    fits = all(free[index].fits(spec) >= wanted[index] for index in wanted)
-    return victims if fits and cost < idle_work else []
+    fits = _free_tasks(spec, free, wanted) >= spec.tasks
+    loss = sum(borrowed.cost(victim) for victim in victims)
+    return victims if fits and loss < idle * wait_s else []
+
+
+def _free_tasks(
+    spec: JobSpec, free: Mapping[int, Room], wanted: Mapping[int, int]
+) -> int:
+    """Return how many of the wanted tasks fit where they are wanted."""
+    return sum(
+        min(room.fits(spec), wanted[index]) for index, room in free.items()
+    )
 
 
 def _expected_ends(
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -1,6 +1,6 @@
 """One scheduling pass over a domain: guarantees first, then what fits."""
 
-from collections.abc import Generator, Iterable
+from collections.abc import Callable, Generator, Iterable, Iterator
 
 from .borrowed_start import (
     fill_gap,
@@ -8,6 +8,7 @@
     reclaim_for_urgent,
     start_borrowed,
 )
+from .clearing import resume_clearing
 from .cluster import DomainSnapshot, Plan
 from .covered_start import reclaim_for_cover, start_covered
 from .job import JobRecord
@@ -36,24 +37,31 @@
     """
     state = PassState(snapshot)
     yield
-    waiting = _runnable(state)
+    runnable = _runnable(state)
+    resume_clearing(state, runnable)
+    waiting = [record for record in runnable if state.is_open(record)]
+    yield
+    yield from _try_each(_try_urgent, state, by_age(filter(is_urgent, waiting)))
     normal = [record for record in waiting if not is_urgent(record)]
-    for urgent in by_age(record for record in waiting if is_urgent(record)):
-        _try_urgent(state, urgent)
-        yield
-    for covered in _in_fair_order(state, normal):
-        _try_covered(state, covered)
-        yield
+    yield from _try_each(_try_covered, state, _in_fair_order(state, normal))
     rest = [record for record in normal if state.is_open(record)]
     place_probes(state, rest)
     hold_reservations(state, rest)
     yield
-    for borrower in _in_fair_order(state, rest):
-        _try_borrowed(state, borrower)
-        yield
+    yield from _try_each(_try_borrowed, state, _in_fair_order(state, rest))
     return state.result()
 
 
+def _try_each(
+    attempt: Callable[[PassState, JobRecord], None],
+    state: PassState,
+    records: Iterable[JobRecord],
+) -> Iterator[None]:
+    for record in records:
+        attempt(state, record)
+        yield
+
+
 def _runnable(state: PassState) -> list[JobRecord]:
     """Return the jobs that may ever run here; set the others aside."""
     why = why_never(state.snapshot)
