An organisation's small gangs leave its guarantee to its large or urgent jobs

Small jobs of an organisation sat in its only large shape, so its large jobs waited as borrowers. Way tried and reverted: small jobs borrow first (two organisations within their guarantees then stopped each other without end).

--- a/src/bulrushcove/covered_start.py
+++ b/src/bulrushcove/covered_start.py
@@ -42,6 +42,32 @@
     )
 
 
+def displace_own(state: PassState, record: JobRecord) -> bool:
+    """Let small gangs of the organisation leave their cover to the job.
+
+    Otherwise the small jobs of an organisation would keep its large ones
+    from the shape that was agreed for them.
+    """
+    guarantees = state.guarantees
+    covers = [
+        (cover, guarantees.users_to_yield(cover, record.spec))
+        for cover in guarantees.every_cover(record.organisation)
+    ]
+    covers.sort(key=lambda each: sum(map(state.borrowed.cost, each[1])))
+    for cover, yielding in covers:
+        for gang in yielding:
+            guarantees.release(cover, gang)
+            state.borrowed.add(gang)
+        if yielding and _reclaim_into(state, record, cover):
+            reason = f'leaves its guarantee to job {record.job}'
+            state.reclaim(record, yielding, reason)
+            return True
+        for kept in yielding:
+            state.borrowed.remove(kept)
+            guarantees.take_back(cover, kept)
+    return False
+
+
 def _start_in(
     state: PassState,
     record: JobRecord,
--- a/src/bulrushcove/guarantees.py
+++ b/src/bulrushcove/guarantees.py
@@ -6,6 +6,7 @@
 usable workers.
 """
 
+from collections import defaultdict
 from collections.abc import Sequence
 from copy import copy
 
@@ -15,6 +16,7 @@
 from .ids import OrganisationId
 from .job import JobSpec
 from .rooms import Counts, Room, Rooms
+from .states import Urgency
 
 
 class Guarantees:
@@ -44,6 +46,8 @@
         every = [cover for each in self._covers.values() for cover in each]
         firm = _firm_rooms(snapshot.running, rooms)
         self._layout = CoverLayout(rooms, firm, every)
+        # Running gangs of each cover, by the cover's identity.
+        self._users: dict[int, list[RunningGang]] = defaultdict(list)
         self._bind_running(snapshot.running)
         self._layout.lay_out()
 
@@ -113,11 +117,56 @@
         cover.spot = before.spot
         return False
 
+    def users_to_yield(self, cover: Cover, spec: JobSpec) -> list[RunningGang]:
+        """Return gangs that could leave the cover to a job.
+
+        A normal job displaces small gangs only, an urgent one any normal
+        gang. Empty when that does not make room.
+        """
+        weight = self.weight(spec)
+        if cover.accelerators < weight:
+            return []
+        is_urgent = spec.urgency is Urgency.URGENT
+        small = [
+            gang
+            for gang in self._users[id(cover)]
+            if gang.record.spec.urgency is Urgency.NORMAL
+            and (is_urgent or 2 * self.weight(gang.record.spec) <= weight)
+        ]
+        chosen: list[RunningGang] = []
+        rest = cover.rest
+        for gang in sorted(small, key=lambda each: each.unsaved_s):
+            if rest < weight:
+                chosen.append(gang)
+                rest += self.weight(gang.record.spec)
+        return chosen if rest >= weight else []
+
+    def release(self, cover: Cover, gang: RunningGang) -> None:
+        """Take a running gang out of its cover, as if it were borrowed."""
+        spec = gang.record.spec
+        self._users[id(cover)].remove(gang)
+        self._layout.shift(spec, self._rooms.counts_of(gang.placement), -1)
+        cover.used -= self.weight(spec)
+        if not self._users[id(cover)]:
+            cover.rack = -1
+            cover.worker = -1
+
+    def take_back(self, cover: Cover, gang: RunningGang) -> None:
+        """Undo ``release``."""
+        counts = self._rooms.counts_of(gang.placement)
+        self._layout.shift(gang.record.spec, counts, 1)
+        self._bind(cover, gang)
+
+    def every_cover(self, organisation: OrganisationId) -> list[Cover]:
+        """Return all covers of the organisation."""
+        return self._covers.get(organisation, [])
+
     def _bind_running(self, running: Sequence[RunningGang]) -> None:
         """Bind the covers of unborrowed gangs, those that name one first."""
         unnamed = []
         for gang in running:
-            if not gang.borrowed and not self._bind_named(gang):
+            holds = not (gang.borrowed or gang.stopping)
+            if holds and not self._bind_named(gang):
                 unnamed.append(gang)
         for other in unnamed:
             covers = self.covers(other.organisation, other.record.spec)
@@ -137,12 +186,13 @@
     def _bind(self, cover: Cover, gang: RunningGang) -> None:
         counts = self._rooms.counts_of(gang.placement)
         self._layout.bind(cover, self.weight(gang.record.spec), counts)
+        self._users[id(cover)].append(gang)
 
 
 def _firm_rooms(running: Sequence[RunningGang], rooms: Rooms) -> list[Room]:
     firm = [room.copy() for room in rooms.free]
     for gang in running:
-        if gang.borrowed:
+        if gang.borrowed or gang.stopping:
             for index, tasks in rooms.counts_of(gang.placement):
                 firm[index].take(gang.record.spec, -tasks)
     for room, worker in zip(firm, rooms.workers, strict=True):
--- a/src/bulrushcove/reclaim.py
+++ b/src/bulrushcove/reclaim.py
@@ -34,8 +34,8 @@
         self._on_worker: dict[int, list[RunningGang]] = defaultdict(list)
         self._stopping: set[AttemptId] = set()
         for borrower in running:
-            if borrower.borrowed:
-                self._add(borrower)
+            if borrower.borrowed or borrower.stopping:
+                self.add(borrower)
 
     def stop(self, victim: RunningGang) -> None:
         """Note that ``victim`` is being stopped."""
@@ -76,10 +76,16 @@
         ]
         return sorted(gangs, key=self._order)
 
-    def _add(self, gang: RunningGang) -> None:
+    def add(self, gang: RunningGang) -> None:
+        """Let ``gang`` be stopped like borrowed work."""
         for index, _ in self._rooms.counts_of(gang.placement):
             self._on_worker[index].append(gang)
 
+    def remove(self, gang: RunningGang) -> None:
+        """Undo ``add``."""
+        for index, _ in self._rooms.counts_of(gang.placement):
+            self._on_worker[index].remove(gang)
+
     def _order(self, gang: RunningGang) -> tuple[bool, float, AttemptId]:
         weight = max(gang.record.spec.accelerators, 1)
         return _is_urgent(gang), self.cost(gang) / weight, gang.attempt
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -10,7 +10,7 @@
 )
 from .clearing import resume_clearing
 from .cluster import DomainSnapshot, Plan
-from .covered_start import reclaim_for_cover, start_covered
+from .covered_start import displace_own, reclaim_for_cover, start_covered
 from .job import JobRecord
 from .job_queue import by_age, fair_order, is_urgent
 from .pass_state import PassState
@@ -92,17 +92,19 @@
     """Start an urgent job at once, if need be by stopping others."""
     if start_covered(state, record) or start_borrowed(state, record):
         return
-    if not reclaim_for_cover(state, record):
-        reclaim_for_urgent(state, record)
+    if reclaim_for_cover(state, record) or reclaim_for_urgent(state, record):
+        return
+    displace_own(state, record)
 
 
 def _try_covered(state: PassState, record: JobRecord) -> None:
     """Start a job within the guarantee, if need be by stopping others."""
-    if not state.guarantees.covers(record.organisation, record.spec):
+    if not state.guarantees.every_cover(record.organisation):
         return
     if start_covered(state, record) or start_borrowed(state, record):
         return
-    reclaim_for_cover(state, record)
+    if not reclaim_for_cover(state, record):
+        displace_own(state, record)
 
 
 def _try_borrowed(state: PassState, record: JobRecord) -> None:
