--- a/src/bulrushcove/reclaim.py
+++ b/src/bulrushcove/reclaim.py
@@ -9,7 +9,7 @@
 from .ids import AttemptId
 from .job import JobSpec
 from .placement import fits_of, groups
-from .rooms import Room, Rooms
+from .rooms import Counts, Room, Rooms
 from .states import Adjacency, Urgency
 
 # Stopping and starting again costs this much besides unsaved work.
@@ -34,8 +34,8 @@
         self._on_worker: dict[int, list[RunningGang]] = defaultdict(list)
         self._stopping: set[AttemptId] = set()
         for borrower in running:
-            if borrower.borrowed:
-                self._add(borrower)
+            if borrower.borrowed or borrower.stopping:
+                self.add(borrower)
 
     def stop(self, victim: RunningGang) -> None:
         """Note that ``victim`` is being stopped."""
@@ -45,6 +45,15 @@
         """Return whether the gang's room comes back without a new stop."""
         return gang.stopping or gang.attempt in self._stopping
 
+    def clears(self, spec: JobSpec, counts: Counts) -> bool:
+        """Return whether gangs that are stopping leave room for a gang."""
+        wanted = dict(counts)
+        state = _GroupRoom(spec, self._rooms, list(wanted), wanted)
+        for gang in self.on_workers(wanted, spare_urgent=True):
+            if self.is_stopping(gang):
+                state.give(gang, 1)
+        return state.total >= spec.tasks
+
     def cost(self, gang: RunningGang) -> float:
         """Return the accelerator-seconds that a stop throws away."""
         if self.is_stopping(gang):
@@ -67,10 +76,16 @@
         ]
         return sorted(gangs, key=self._order)
 
-    def _add(self, gang: RunningGang) -> None:
+    def add(self, gang: RunningGang) -> None:
+        """Let ``gang`` be stopped like borrowed work."""
         for index, _ in self._rooms.counts_of(gang.placement):
             self._on_worker[index].append(gang)
 
+    def remove(self, gang: RunningGang) -> None:
+        """Undo ``add``."""
+        for index, _ in self._rooms.counts_of(gang.placement):
+            self._on_worker[index].remove(gang)
+
     def _order(self, gang: RunningGang) -> tuple[bool, float, AttemptId]:
         weight = max(gang.record.spec.accelerators, 1)
         return _is_urgent(gang), self.cost(gang) / weight, gang.attempt
