--- a/src/bulrushcove/operator_routes.py
+++ b/src/bulrushcove/operator_routes.py
@@ -15,6 +15,7 @@
 from .names import unknown_name
 from .operator_answers import (
     HTTP_BAD_REQUEST,
+    HTTP_UNAVAILABLE,
     operator_handler,
     read_body,
 )
@@ -134,9 +135,17 @@
         domain: DomainName,
         order: ChangeOrder,
     ) -> None:
-        known = known_domains(await self._operators.current(), self._view())
-        if domain not in known and not order.force:
-            raise ConfigurationError(unknown_name('domain', domain, known))
+        view = self._view()
+        known = known_domains(await self._operators.current(), view)
+        if domain in known or order.force:
+            return
+        if view is None:
+            raise RefusedError(
+                HTTP_UNAVAILABLE,
+                f'domain {domain!r}: this VM has no news from its control '
+                'yet, and cannot tell whether the domain exists',
+            )
+        raise ConfigurationError(unknown_name('domain', domain, known))
 
     async def _affected_jobs(self, domain: DomainName) -> tuple[JobId, ...]:
         try:
--- a/tests/operator_app.py
+++ b/tests/operator_app.py
@@ -40,6 +40,7 @@
         self.held = empty_configuration()
         self.vm_revisions = {'entry-1': 0, 'entry-2': 0}
         self.notices = []
+        self.linked = True
         self.jobs = JobStore(self.store)
         self.operators = Operators(
             ConfigurationStore(self.store, no_sleep),
@@ -49,7 +50,9 @@
             workers=self._workers,
         )
 
-    def view(self) -> ClusterView:
+    def view(self) -> ClusterView | None:
+        if not self.linked:
+            return None
         entries = [
             VmEntry(vm, 'entry', 'Luleå', '127.0.0.1', 1)
             for vm in self.vm_revisions
--- a/tests/test_operator_routes.py
+++ b/tests/test_operator_routes.py
@@ -92,6 +92,13 @@
     assert "did you mean 'Luleå'?" in answer['message']
 
 
+async def test_a_vm_without_its_control_does_not_guess(client, operator_app):
+    operator_app.linked = False
+    status, answer = await put_domain(client, 'Luleå', 'in', operation='a')
+    assert (status, answer['outcome']) == (503, 'not-run')
+    assert 'no news from its control' in answer['message']
+
+
 async def test_guarantees_and_jobs_of_a_domain_are_shown(client, operator_app):
     await put_domain(client, 'Luleå', 'in', operation='a')
     await put_contract(client, 'b')
