Accepted configuration is shared before the answer; events and spans

Between the write and the next poll only the accepting entry knew of the revision; an outage in that second left an accepted change in force nowhere. Operators now calls share(configuration) before it answers.

--- a/src/bulrushcove/operator_answers.py
+++ b/src/bulrushcove/operator_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import hmac
+import logging
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
@@ -17,6 +18,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from .logs import log_event
 from .operator_api import ErrorAnswer
 from .states import Outcome
 from .tracing import TRACEPARENT, current_trace_id, span
@@ -33,6 +35,8 @@
 MAX_OPERATOR_BODY_BYTES = 1_048_576
 BEARER = 'Bearer '
 
+logger = logging.getLogger(__name__)
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 Answering = Callable[[web.Request], Awaitable[msgspec.Struct]]
 BodyType = TypeVar('BodyType', bound=msgspec.Struct)
@@ -62,6 +66,7 @@
             try:
                 return await _answer(request, answering, allowed)
             except BulrushcoveError as exc:
+                _log_refusal(request, exc)
                 return _error_response(exc)
 
     return handle
@@ -97,6 +102,18 @@
         ) from exc
 
 
+def _log_refusal(request: web.Request, error: BulrushcoveError) -> None:
+    log_event(
+        logger,
+        'operator.refused',
+        level=logging.WARNING,
+        method=request.method,
+        path=request.path,
+        error=error,
+        trace=current_trace_id(),
+    )
+
+
 async def _answer(
     request: web.Request,
     answering: Answering,
--- a/src/bulrushcove/operator_mount.py
+++ b/src/bulrushcove/operator_mount.py
@@ -13,7 +13,7 @@
 from .messages import ClusterView
 from .operator_jobs import NotifyJob, OperatorJobs
 from .operator_routes import add_operator_routes
-from .operators import GuaranteeCheck, Operators
+from .operators import GuaranteeCheck, Operators, Share, share_with_nobody
 from .packing import check_guarantees
 from .store import Store
 from .vm_list import VmEntry
@@ -36,6 +36,8 @@
     notify: NotifyJob
     token_sha256: Iterable[str]
     check: GuaranteeCheck = check_guarantees
+    # Hands an accepted configuration to the control.
+    share: Share = share_with_nobody
 
 
 def mount_operators(router: web.UrlDispatcher, parts: OperatorParts) -> None:
@@ -52,6 +54,7 @@
         held=parts.held,
         check=parts.check,
         workers=inventory.describe,
+        share=parts.share,
     )
     add_operator_routes(
         router,
--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -1,5 +1,6 @@
 """What operators do: change contracts, take failure domains out and in."""
 
+import logging
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 
@@ -22,10 +23,14 @@
     GuaranteeBrokenError,
 )
 from .ids import DomainName, OrganisationId, Revision
+from .logs import log_event
 from .operator_api import ChangeAnswer, ChangeOrder
 from .states import DomainState
+from .tracing import current_trace_id
 from .worker_api import WorkerDescription
 
+logger = logging.getLogger(__name__)
+
 # Other operators' changes of other things that a write may meet in a row.
 MAX_TRIES = 20
 
@@ -39,6 +44,11 @@
 ]
 Workers = Callable[[], Awaitable[Sequence[WorkerDescription]]]
 MakeChange = Callable[..., Configuration]
+Share = Callable[[Configuration], Awaitable[object]]
+
+
+async def share_with_nobody(_configuration: Configuration) -> None:
+    """Leave an accepted configuration to be polled from the platform."""
 
 
 class _Wish(msgspec.Struct, frozen=True):
@@ -60,12 +70,16 @@
         held: Callable[[], Configuration],
         check: GuaranteeCheck,
         workers: Workers,
+        share: Share = share_with_nobody,
     ) -> None:
         """Work on ``configurations``.
 
         ``held`` gives the configuration in force in this process, ``workers``
-        the workers that ``check`` packs the guarantees into.
+        the workers that ``check`` packs the guarantees into. ``share`` hands
+        an accepted configuration to this VM's control before the operator is
+        told, so that it spreads also when the platform fails right then.
         """
+        self._share = share
         self._configurations = configurations
         self._clock = clock
         self._held = held
@@ -124,6 +138,8 @@
         for _ in range(MAX_TRIES):
             done = find_operation(stored.configuration, order.operation)
             if done is not None:
+                await self._share(stored.configuration)
+                _log_change(done)
                 return _accepted(wish, done, stored.configuration)
             _check_conflict(wish, stored.configuration, based_on)
             following = self._make(wish, order, stored.configuration)
@@ -193,6 +209,19 @@
     )
 
 
+def _log_change(change: Change) -> None:
+    log_event(
+        logger,
+        'operator.changed',
+        revision=change.revision,
+        operation=change.operation,
+        operator=change.operator,
+        subject=change.subject.value,
+        thing=change.name,
+        trace=current_trace_id(),
+    )
+
+
 def _accepted(
     wish: _Wish,
     done: Change,
--- a/src/bulrushcove/store_etcd.py
+++ b/src/bulrushcove/store_etcd.py
@@ -20,6 +20,7 @@
 from .exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from .settings import PlatformSettings
 from .store import Scan, StoreLeaseId, Write, WriteAnswer
+from .tracing import span
 
 RANGE_PATH = '/v3/kv/range'
 TXN_PATH = '/v3/kv/txn'
@@ -135,7 +136,8 @@
     ) -> AnswerType:
         self.calls += 1
         try:
-            body = await self._post(path, msgspec.json.encode(request))
+            with span('platform.call', path=path):
+                body = await self._post(path, msgspec.json.encode(request))
         except NOT_SENT_ERRORS as exc:
             raise StoreUnavailableError(f'{path}: not sent: {exc}') from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
--- a/tests/operator_app.py
+++ b/tests/operator_app.py
@@ -40,6 +40,7 @@
         self.held = empty_configuration()
         self.vm_revisions = {'entry-1': 0, 'entry-2': 0}
         self.notices = []
+        self.shared = []
         self.linked = True
         self.jobs = JobStore(self.store)
         self.operators = Operators(
@@ -48,6 +49,7 @@
             held=lambda: self.held,
             check=check_domains_left,
             workers=self._workers,
+            share=self._share,
         )
 
     def view(self) -> ClusterView | None:
@@ -82,5 +84,8 @@
     async def _workers(self):
         return [WorkerDescription('worker-1', 'Luleå', 'rack-å', 8, 32, 65536)]
 
+    async def _share(self, configuration):
+        self.shared.append(configuration.revision)
+
     async def _notify(self, notice):
         self.notices.append(notice)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -144,3 +144,17 @@
     answer = await emptied.set_domain('Visby', DomainState.IN, order)
     assert answer.revision == 3
     assert (await emptied.current()).contracts == {'Molino Ñandú': MILL}
+
+
+async def test_an_accepted_configuration_is_shared_before_the_answer(store):
+    app = OperatorApp(store)
+    store.lose_answers = 1
+    order = ChangeOrder('op')
+    await app.operators.set_domain('Luleå', DomainState.IN, order)
+    assert app.shared == [1]
+    store.lose_writes = 100
+    with pytest.raises(StoreOutcomeUnknownError):
+        await app.operators.set_domain(
+            'Luleå', DomainState.OUT, ChangeOrder('op-2')
+        )
+    assert app.shared == [1]
