--- a/src/bulrushcove/operators.py
+++ b/src/bulrushcove/operators.py
@@ -1,16 +1,12 @@
 """What operators do: change contracts, take failure domains out and in."""
 
-import logging
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 
-import msgspec
-
 from .clock import Clock
-from .configuration import Change, Configuration, Subject
+from .configuration import Configuration, Subject
 from .configuration_changes import (
     apply_contract,
-    changes_since,
     find_operation,
     remove_contract,
     same_content,
@@ -18,19 +14,20 @@
 )
 from .configuration_store import ConfigurationStore, StoredConfiguration
 from .contract import Contract
-from .exceptions import (
-    ConfigurationConflictError,
-    GuaranteeBrokenError,
-)
-from .ids import DomainName, OrganisationId, Revision
-from .logs import log_event
+from .exceptions import ConfigurationConflictError
+from .ids import DomainName, OrganisationId
 from .operator_api import ChangeAnswer, ChangeOrder
+from .operator_outcomes import (
+    Wish,
+    accepted,
+    check_conflict,
+    check_guarantees_kept,
+    log_change,
+    unchanged,
+)
 from .states import DomainState
-from .tracing import current_trace_id
 from .worker_api import WorkerDescription
 
-logger = logging.getLogger(__name__)
-
 # Other operators' changes of other things that a write may meet in a row.
 MAX_TRIES = 20
 
@@ -43,7 +40,6 @@
     Sequence[str],
 ]
 Workers = Callable[[], Awaitable[Sequence[WorkerDescription]]]
-MakeChange = Callable[..., Configuration]
 Share = Callable[[Configuration], Awaitable[object]]
 
 
@@ -51,14 +47,6 @@
     """Leave an accepted configuration to be polled from the platform."""
 
 
-class _Wish(msgspec.Struct, frozen=True):
-    subject: Subject
-    name: str
-    make: MakeChange
-    # Whether an operator may force it against guarantees.
-    forcible: bool = False
-
-
 class Operators:
     """Makes the operators' changes; "accepted" means known to be stored."""
 
@@ -106,7 +94,7 @@
     ) -> ChangeAnswer:
         """Create or replace a contract."""
         make = partial(apply_contract, contract=contract)
-        wish = _Wish(Subject.CONTRACT, contract.organisation, make)
+        wish = Wish(Subject.CONTRACT, contract.organisation, make)
         return await self._change(wish, order)
 
     async def remove_contract(
@@ -116,7 +104,7 @@
     ) -> ChangeAnswer:
         """Remove a contract."""
         make = partial(remove_contract, organisation=organisation)
-        wish = _Wish(Subject.CONTRACT, organisation, make)
+        wish = Wish(Subject.CONTRACT, organisation, make)
         return await self._change(wish, order)
 
     async def set_domain(
@@ -127,10 +115,10 @@
     ) -> ChangeAnswer:
         """Take a failure domain out of service or bring it back."""
         make = partial(set_domain, domain=domain, state=state)
-        wish = _Wish(Subject.DOMAIN, domain, make, forcible=True)
+        wish = Wish(Subject.DOMAIN, domain, make, forcible=True)
         return await self._change(wish, order)
 
-    async def _change(self, wish: _Wish, order: ChangeOrder) -> ChangeAnswer:
+    async def _change(self, wish: Wish, order: ChangeOrder) -> ChangeAnswer:
         stored = await self._load()
         based_on = order.based_on
         if based_on is None:
@@ -139,19 +127,17 @@
             done = find_operation(stored.configuration, order.operation)
             if done is not None:
                 await self._share(stored.configuration)
-                _log_change(done)
-                return _accepted(wish, done, stored.configuration)
-            _check_conflict(wish, stored.configuration, based_on)
+                log_change(done)
+                return accepted(wish, done, stored.configuration)
+            check_conflict(wish, stored.configuration, based_on)
             following = self._make(wish, order, stored.configuration)
             broken = await self._newly_broken(stored.configuration, following)
             if order.dry_run or same_content(
                 stored.configuration,
                 following,
             ):
-                return _unchanged(
-                    order, stored.configuration, following, broken
-                )
-            _check_guarantees(wish, order, broken)
+                return unchanged(order, stored.configuration, following, broken)
+            check_guarantees_kept(wish, order, broken)
             stored = await self._configurations.swap(stored, following)
         raise ConfigurationConflictError(
             f'{wish.subject.value} {wish.name!r}: other changes came first '
@@ -168,7 +154,7 @@
 
     def _make(
         self,
-        wish: _Wish,
+        wish: Wish,
         order: ChangeOrder,
         configuration: Configuration,
     ) -> Configuration:
@@ -198,94 +184,3 @@
         domains = {worker.domain: DomainState.OUT for worker in workers}
         domains.update(configuration.domains)
         return self._check(configuration.contracts, workers, domains)
-
-
-def describe_change(change: Change) -> str:
-    """Return a change in plain words, for another operator."""
-    differences = '; '.join(change.differences)
-    return (
-        f'revision {change.revision} by {change.operator or "an operator"}: '
-        f'{change.subject.value} {change.name!r}: {differences}'
-    )
-
-
-def _log_change(change: Change) -> None:
-    log_event(
-        logger,
-        'operator.changed',
-        revision=change.revision,
-        operation=change.operation,
-        operator=change.operator,
-        subject=change.subject.value,
-        thing=change.name,
-        trace=current_trace_id(),
-    )
-
-
-def _accepted(
-    wish: _Wish,
-    done: Change,
-    configuration: Configuration,
-) -> ChangeAnswer:
-    if (done.subject, done.name) != (wish.subject, wish.name):
-        raise ConfigurationConflictError(
-            f'operation {done.operation!r} was used for another change',
-            details=(describe_change(done),),
-        )
-    earlier = [
-        describe_change(change)
-        for change in configuration.changes
-        if (change.subject, change.name) == (done.subject, done.name)
-        and change.revision < done.revision
-    ]
-    return ChangeAnswer(
-        changed=True,
-        revision=done.revision,
-        operation=done.operation,
-        differences=done.differences,
-        previous=tuple(earlier[-1:]),
-    )
-
-
-def _unchanged(
-    order: ChangeOrder,
-    configuration: Configuration,
-    following: Configuration,
-    broken: tuple[str, ...],
-) -> ChangeAnswer:
-    return ChangeAnswer(
-        changed=False,
-        revision=configuration.revision,
-        operation=order.operation,
-        differences=following.changes[-1].differences,
-        broken_guarantees=broken,
-    )
-
-
-def _check_conflict(
-    wish: _Wish,
-    configuration: Configuration,
-    based_on: Revision,
-) -> None:
-    changes = changes_since(configuration, based_on, wish.subject, wish.name)
-    if changes:
-        raise ConfigurationConflictError(
-            f'{wish.subject.value} {wish.name!r} was changed by another '
-            f'operator after revision {based_on}',
-            details=tuple(describe_change(change) for change in changes),
-        )
-
-
-def _check_guarantees(
-    wish: _Wish,
-    order: ChangeOrder,
-    broken: tuple[str, ...],
-) -> None:
-    if not broken or (wish.forcible and order.force):
-        return
-    hint = '; force it to do so all the same' if wish.forcible else ''
-    raise GuaranteeBrokenError(
-        f'{wish.subject.value} {wish.name!r}: the change would break '
-        f'{len(broken)} guarantees{hint}',
-        details=broken,
-    )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,7 @@
 import asyncio
 import json
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
@@ -208,3 +210,15 @@
     out = capsys.readouterr().out
     assert verb.example in out
     assert '--wait_seconds' in out
+
+
+def test_help_does_not_pay_for_the_http_library():
+    code = (
+        'import sys; from bulrushcove.cli import main; main(["--help"]); '
+        'sys.exit("aiohttp" in sys.modules)'
+    )
+    path = {'PYTHONPATH': str(Path(__file__).parent.parent / 'src')}
+    done = subprocess.run(
+        [sys.executable, '-c', code], env=path, capture_output=True
+    )
+    assert (done.returncode, done.stderr) == (0, b'')
--- a/tests/test_configuration_history.py
+++ b/tests/test_configuration_history.py
@@ -247,7 +247,7 @@
 
 def test_the_check_fails_without_the_conflict_check(monkeypatch):
     monkeypatch.setattr(
-        operators_module, '_check_conflict', lambda *_arguments: None
+        operators_module, 'check_conflict', lambda *_arguments: None
     )
     with pytest.raises(AssertionError, match='silently overwrote'):
         run_state_machine_as_test(
