--- a/dev/launch/topology.py
+++ b/dev/launch/topology.py
@@ -11,7 +11,7 @@
     VmId,
     WorkerId,
 )
-from bulrushcove.states import VmRole
+from bulrushcove.states import VmRole, VmState
 from bulrushcove.vm_list import VmEntry, VmList
 from bulrushcove.worker_api import WorkerDescription
 from dev.launch.ports import HOST
@@ -214,6 +214,18 @@
     ]
 
 
+def list_as_leaving(vm_list: VmList, names: frozenset[str]) -> VmList:
+    """Return ``vm_list`` with the VMs called ``names`` leaving."""
+    return VmList(
+        vms=tuple(
+            msgspec.structs.replace(entry, state=VmState.LEAVING)
+            if entry.vm in names
+            else entry
+            for entry in vm_list.vms
+        )
+    )
+
+
 def ports_seen_from(
     source: DomainName, links: tuple[Link, ...]
 ) -> dict[int, int]:
--- a/dev/launcher.py
+++ b/dev/launcher.py
@@ -28,8 +28,10 @@
     EntryVm,
     Topology,
     count_ports,
+    list_as_leaving,
     plan_links,
     plan_topology,
+    plan_views,
 )
 from dev.standins.faults import Faults
 from dev.standins.links import Cut, Link
@@ -155,6 +157,12 @@
         """Let a backend server say that it is leaving."""
         put_json(self._admin_ports[backend], f'/leaving/{backend}', leaving)
 
+    def put_views(self, *leaving: str) -> None:
+        """Have every VM list show the VMs in ``leaving`` as leaving."""
+        for view in plan_views(self.topology, self.links):
+            vm_list = list_as_leaving(view.vm_list, frozenset(leaving))
+            put_json(view.port, '/vms', vm_list)
+
     def cut(self, one: str, other: str, *, cut: bool = True) -> None:
         """Cut or mend the links between two places."""
         places = Cut(places=(one, other), cut=cut)
--- a/dev/workload/callers.py
+++ b/dev/workload/callers.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 import msgspec
+
+from bulrushcove.ids import OrganisationId, VmId
 from bulrushcove.job_messages import JobAnswer, stored_job_id
 from bulrushcove.refusals import OUTCOME_HEADER, RefusalBody
 from bulrushcove.request_head import (
@@ -15,8 +17,6 @@
     REQUEST_HEADER,
     URGENCY_HEADER,
 )
-
-from bulrushcove.ids import OrganisationId, VmId
 from bulrushcove.states import JobState, Outcome
 from dev.history.records import CallerJob, CallerRequest
 from dev.launch.topology import EntryVm
@@ -43,6 +43,7 @@
         tokens: Mapping[OrganisationId, str],
         entry_vms: Sequence[EntryVm],
         chooser: random.Random,
+        deadline_ms: int = DEADLINE_MS,
     ) -> None:
         """Send to any of ``entry_vms``."""
         # VMs that the balancer sends nothing to.
@@ -51,6 +52,7 @@
         self._tokens = tokens
         self._entry_vms = entry_vms
         self._chooser = chooser
+        self._deadline_ms = deadline_ms
 
     async def send_request(
         self, offered: OfferedRequest, vm: EntryVm | None = None
@@ -144,7 +146,7 @@
             REQUEST_HEADER: offered.request,
             IDEMPOTENT_HEADER: 'true' if offered.idempotent else 'false',
             URGENCY_HEADER: offered.urgency.value,
-            DEADLINE_HEADER: str(DEADLINE_MS),
+            DEADLINE_HEADER: str(self._deadline_ms),
         }
         async with self._session.post(
             f'{vm.url}/v1/requests',
--- /dev/null
+++ b/tests/process_tools.py
@@ -0,0 +1,286 @@
+"""Runs of real processes under faults, used by tests/test_processes_*.py."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+
+import aiohttp
+import msgspec
+
+from bulrushcove.ids import DomainName, VmId
+from bulrushcove.job import JobSpec
+from bulrushcove.states import DomainState, Outcome, Urgency
+from dev.history.bounds import REVISION_SPREAD_S
+from dev.history.checker import check_history
+from dev.history.events import RequestEvent, TaskEvent, TaskStep
+from dev.history.records import CallerJob, CallerRequest, History
+from dev.launch.http import wait_until
+from dev.launch.topology import EntryVm
+from dev.launcher import Cluster, DomainSize, LaunchOptions, launched
+from dev.standins.faults import Faults
+from dev.standins.simulated_task import Payload
+from dev.workload.callers import Callers
+from dev.workload.offer import OfferedJob, OfferedRequest
+from dev.workload.operating import Operating
+from dev.workload.organisations import ORGANISATIONS
+
+FRAY_BENTOS = DomainName('Fray Bentos')
+GUICHON = DomainName('Guichón')
+CENTENARIO = DomainName('Centenario')
+SIZES = (
+    DomainSize(FRAY_BENTOS, 'fray-bentos', 2, 2, 2),
+    DomainSize(GUICHON, 'guichon', 1, 2, 2),
+    DomainSize(CENTENARIO, 'centenario', 1, 2, 2),
+)
+OPTIONS = LaunchOptions(
+    sizes=SIZES,
+    with_links=True,
+    control_changes={'control_lease_ms': 3000, 'remote_takeover_ms': 6000},
+    entry_changes={'balancer_interval_ms': 500},
+)
+READY_TIMEOUT_S = 25
+DEADLINE_MS = 5000
+NO_FAULTS = Faults()
+ORGANISATION = ORGANISATIONS[0].organisation
+
+
+@contextmanager
+def launched_cluster() -> Iterator[Cluster]:
+    """Launch the small cluster with its contracts in force."""
+    with launched(OPTIONS) as cluster:
+        asyncio.run(_configure(cluster))
+        yield cluster
+
+
+async def _configure(cluster: Cluster) -> None:
+    async with aiohttp.ClientSession() as session:
+        operating = Operating(session, cluster.entry_vms)
+        await _wait_for_controls(cluster, operating)
+        for plan in cluster.topology.domains:
+            await operating.set_domain(plan.size.domain, DomainState.IN)
+        for each in ORGANISATIONS:
+            small = msgspec.structs.replace(each.contract, guaranteed=())
+            await operating.apply_contract(small)
+        await operating.wait_in_force(REVISION_SPREAD_S)
+
+
+async def _wait_for_controls(cluster: Cluster, operating: Operating) -> None:
+    end_s = time.monotonic() + READY_TIMEOUT_S
+    while time.monotonic() < end_s:
+        status = await operating.status()
+        active = [each for each in status.domains if each.view is not None]
+        if len(active) == len(cluster.topology.domains):
+            return
+        await asyncio.sleep(0.2)
+    raise TimeoutError('no active control in some failure domain')
+
+
+class Run:
+    """Callers and operators of one test, and what they saw."""
+
+    def __init__(
+        self, cluster: Cluster, session: aiohttp.ClientSession, name: str
+    ) -> None:
+        """Start a run; ``name`` makes its ids unique."""
+        self.cluster = cluster
+        self.operating = Operating(session, cluster.entry_vms)
+        self.callers = Callers(
+            session,
+            {each.organisation: each.token for each in ORGANISATIONS},
+            cluster.entry_vms,
+            random.Random(name),
+            deadline_ms=DEADLINE_MS,
+        )
+        self.requests: list[CallerRequest] = []
+        self.jobs: list[CallerJob] = []
+        self.name = name
+        self.start_s = time.monotonic()
+        self._offered = 0
+
+    def offer_request(self, **changes) -> OfferedRequest:
+        """Return a request with an id of its own."""
+        self._offered += 1
+        service_ms = changes.pop('service_ms', 20)
+        answer_bytes = changes.pop('answer_bytes', 2000)
+        body = {'service_ms': service_ms, 'answer_bytes': answer_bytes}
+        offered = OfferedRequest(
+            at_s=0,
+            organisation=ORGANISATION,
+            request=f'{self.name}-{self._offered}',
+            idempotent=True,
+            urgency=Urgency.NORMAL,
+            body=msgspec.json.encode(body),
+            answer_bytes=answer_bytes,
+        )
+        return msgspec.structs.replace(offered, **changes)
+
+    def offer_job(self, run_ms: int, **spec) -> OfferedJob:
+        """Return a job with an id of its own."""
+        self._offered += 1
+        job = f'{self.name}-{self._offered}'
+        payload = Payload(run_ms=run_ms, result=f'result of {job}')
+        wanted = JobSpec(
+            kind='boiler-review',
+            payload=msgspec.json.encode(payload).decode(),
+            declared_run_ms=run_ms,
+            **spec,
+        )
+        return OfferedJob(
+            at_s=0,
+            organisation=ORGANISATION,
+            job=job,
+            spec=wanted,
+            expected_results=(payload.result,) * wanted.tasks,
+        )
+
+    async def send(self, offered: OfferedRequest, vm=None) -> CallerRequest:
+        """Send one request and keep what its caller saw."""
+        seen = await self.callers.send_request(offered, vm)
+        self.requests.append(seen)
+        return seen
+
+    async def send_for(
+        self,
+        seconds: float,
+        pause_s: float = 0.05,
+        idempotents: tuple[bool, ...] = (True, False),
+        **changes,
+    ) -> None:
+        """Send requests at a steady pace; ``idempotents`` take turns."""
+        end_s = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end_s:
+                turn = self._offered % len(idempotents)
+                offered = self.offer_request(
+                    idempotent=idempotents[turn], **changes
+                )
+                group.create_task(self.send(offered))
+                await asyncio.sleep(pause_s)
+
+    async def run_job(
+        self, offered: OfferedJob, timeout_s: float = 40
+    ) -> CallerJob:
+        """Run one job and keep what its caller saw."""
+        until_s = time.monotonic() + timeout_s
+        seen = await self.callers.run_job(offered, until_s)
+        self.jobs.append(seen)
+        return seen
+
+    async def active_control(self, domain: DomainName) -> VmId:
+        """Return the VM whose control is active for ``domain``."""
+        status = await self.operating.status()
+        (control,) = [
+            each.view.control
+            for each in status.domains
+            if each.domain == domain and each.view is not None
+        ]
+        return control
+
+    async def wait_for_start(
+        self, offered: OfferedJob, timeout_s: float = 20
+    ) -> list[TaskEvent]:
+        """Wait until all parts of a job have started."""
+        end_s = time.monotonic() + timeout_s
+        while time.monotonic() < end_s:
+            starts = self.starts(offered)
+            if len({event.part for event in starts}) == offered.spec.tasks:
+                return starts
+            await asyncio.sleep(0.1)
+        raise TimeoutError(f'job {offered.job} has not started')
+
+    def starts(self, offered: OfferedJob) -> list[TaskEvent]:
+        """Return the starts of a job's tasks so far."""
+        return [
+            event
+            for event in self._events(TaskEvent)
+            if event.step is TaskStep.START
+            and event.job.endswith(f'/{offered.job}')
+        ]
+
+    def history(self, **more) -> History:
+        """Return what was seen since the start of this run."""
+        return History(
+            tasks=self._events(TaskEvent),
+            requests=self._events(RequestEvent),
+            caller_requests=tuple(self.requests),
+            caller_jobs=tuple(self.jobs),
+            domain_changes=tuple(self.operating.domain_changes),
+            **more,
+        )
+
+    def check(self, **more) -> None:
+        """Fail unless every property holds."""
+        broken = check_history(self.history(**more))
+        assert not broken, broken
+
+    def outcomes(self) -> set[Outcome | None]:
+        """Return the outcomes that callers of requests were told."""
+        return {request.outcome for request in self.requests}
+
+    def refusals(self) -> list[str]:
+        """Return why requests were not served, each once."""
+        return sorted(
+            {
+                f'{each.outcome}: {each.message}'
+                for each in self.requests
+                if each.outcome is not Outcome.RAN
+            }
+        )
+
+    def _events(self, kind):
+        return tuple(
+            event
+            for event in self.cluster.events()
+            if event.at_s >= self.start_s and isinstance(event, kind)
+        )
+
+
+@asynccontextmanager
+async def new_run(cluster: Cluster, name: str) -> AsyncIterator[Run]:
+    """Start a run on a cluster whose domains all have a control."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        run = Run(cluster, session, name)
+        await _wait_for_controls(cluster, run.operating)
+        for vm in cluster.entry_vms:
+            await _wait_for_service(run, vm)
+        yield run
+
+
+async def _wait_for_service(run: Run, vm: EntryVm) -> None:
+    """Wait until a VM serves again, after the faults of an earlier test."""
+    end_s = time.monotonic() + READY_TIMEOUT_S
+    seen = await run.send(run.offer_request(), vm)
+    while seen.outcome is not Outcome.RAN:
+        if time.monotonic() > end_s:
+            raise TimeoutError(f'{vm.vm} does not serve: {seen.message}')
+        seen = await run.send(run.offer_request(), vm)
+    run.requests.clear()
+
+
+@contextmanager
+def faults_of(
+    cluster: Cluster, *servers: str, **faults: object
+) -> Iterator[None]:
+    """Switch faults on and, at the end, off."""
+    try:
+        for server in servers:
+            cluster.put_faults(server, Faults(**faults))
+        yield
+    finally:
+        for mended in servers:
+            cluster.put_faults(mended, NO_FAULTS)
+
+
+def restart(cluster: Cluster, process_name: str) -> None:
+    """Start an ended process again and wait until it is healthy."""
+    vm = cluster.find_vm(VmId(process_name.rsplit('.', maxsplit=1)[0]))
+    cluster.processes.restart(process_name)
+    wait_until(lambda: cluster.is_healthy(vm), process_name, READY_TIMEOUT_S)
+
+
+def cancelled(job: CallerJob) -> CallerJob:
+    """Return ``job`` as one that its caller has cancelled."""
+    return msgspec.structs.replace(job, cancelled=True)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -124,6 +124,7 @@
     return {'caller_requests': (changed(REQUEST, **changes),)}
 
 
+DENIAL = changed(REQUEST, status=503, outcome=Outcome.NOT_RUN)
 REFUSED = {'accepted': False, 'state': None, 'outcome': Outcome.NOT_RUN}
 LOST_PART = (*WHOLE_GANG[:2], task(12, 'lapse', 0), task(50, 'finish', 1))
 NEVER_STARTED_PART = (task(11, 'start', 0), task(30, 'stop', 0))
@@ -155,6 +156,26 @@
         with_request(status=503, outcome=Outcome.NOT_RUN),
     ),
     ('not-run is true', with_job(**REFUSED)),
+    (
+        # It ran for the first sending; the second is refused.
+        'not-run is true',
+        {
+            'caller_requests': (
+                REQUEST,
+                changed(DENIAL, sent_s=12, ended_s=13),
+            )
+        },
+    ),
+    (
+        # Two refusals, and a run after them.
+        'not-run is true',
+        {
+            'caller_requests': (
+                changed(DENIAL, sent_s=8, ended_s=9),
+                changed(DENIAL, sent_s=9.2, ended_s=9.3),
+            )
+        },
+    ),
     (
         'non-idempotent at most once',
         {'requests': (*RUN_ONCE, request_event(20, 'run'))},
@@ -230,6 +251,13 @@
         # A retry of an idempotent request may run again.
         with_request(idempotent=True)
         | {'requests': (*RUN_ONCE, request_event(10.6, 'run'))},
+        # Refused, then sent again and run.
+        {
+            'caller_requests': (
+                changed(DENIAL, sent_s=8, ended_s=9),
+                REQUEST,
+            )
+        },
         # An error answer has no body to compare.
         with_request(status=502, outcome=Outcome.UNKNOWN, body_matches=False),
     ],
--- /dev/null
+++ b/tests/test_processes_control.py
@@ -0,0 +1,89 @@
+"""Controls that die, freeze or stop while jobs run."""
+
+import asyncio
+import signal
+
+import pytest
+
+from bulrushcove.states import Adjacency, JobState
+from dev.history.runs import part_runs
+from dev.launcher import control_name
+from tests import process_tools as tools
+
+GANG = {
+    'tasks': 4,
+    'accelerators_per_task': 2,
+    'adjacency': Adjacency.DOMAIN,
+}
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    with tools.launched_cluster() as launched:
+        yield launched
+
+
+async def start_gangs(run, run_ms):
+    """Start an idempotent and a non-idempotent gang; return their runs."""
+    offers = [
+        run.offer_job(run_ms, idempotent=idempotent, **GANG)
+        for idempotent in (True, False)
+    ]
+    running = [asyncio.create_task(run.run_job(each)) for each in offers]
+    starts = [await run.wait_for_start(each) for each in offers]
+    return running, starts[0][0].domain
+
+
+async def test_killed_control_is_replaced_and_its_gangs_are_adopted(cluster):
+    async with tools.new_run(cluster, 'kill') as run:
+        running, domain = await start_gangs(run, run_ms=14_000)
+        killed = control_name(await run.active_control(domain))
+        cluster.kill(killed)
+        jobs = await asyncio.gather(*running)
+        tools.restart(cluster, killed)
+        run.check()
+    assert {job.state for job in jobs} == {JobState.SUCCEEDED}
+    attempts = {each.attempt for each in part_runs(run.history().tasks)}
+    assert len(attempts) == 2
+
+
+async def test_control_that_slept_past_its_lease_harms_nothing(cluster):
+    async with tools.new_run(cluster, 'sleep') as run:
+        running, domain = await start_gangs(run, run_ms=14_000)
+        frozen = control_name(await run.active_control(domain))
+        cluster.processes.signal(frozen, signal.SIGSTOP)
+        # Longer than its lease, so that another one takes over.
+        await asyncio.sleep(8)
+        cluster.processes.signal(frozen, signal.SIGCONT)
+        later = run.offer_job(500, **GANG)
+        await run.run_job(later)
+        jobs = await asyncio.gather(*running)
+        run.check()
+    assert {job.state for job in jobs} == {JobState.SUCCEEDED}
+
+
+async def test_planned_stop_of_the_active_control_hands_over(cluster):
+    async with tools.new_run(cluster, 'stop') as run:
+        running, domain = await start_gangs(run, run_ms=6000)
+        stopped = control_name(await run.active_control(domain))
+        cluster.processes.signal(stopped, signal.SIGTERM)
+        assert cluster.processes.wait(stopped) == 0
+        after = run.offer_job(500, **GANG)
+        await run.run_job(after, timeout_s=20)
+        jobs = await asyncio.gather(*running)
+        tools.restart(cluster, stopped)
+        run.check()
+    assert {job.state for job in jobs} == {JobState.SUCCEEDED}
+
+
+async def test_job_waiting_for_its_start_survives_the_control(cluster):
+    async with tools.new_run(cluster, 'queued') as run:
+        offers = [run.offer_job(1500, **GANG) for _ in range(12)]
+        running = [asyncio.create_task(run.run_job(each)) for each in offers]
+        first = await run.wait_for_start(offers[0])
+        killed = control_name(await run.active_control(first[0].domain))
+        cluster.kill(killed)
+        jobs = await asyncio.gather(*running)
+        tools.restart(cluster, killed)
+        run.check()
+    assert {job.state for job in jobs} == {JobState.SUCCEEDED}
--- /dev/null
+++ b/tests/test_processes_platform.py
@@ -0,0 +1,105 @@
+"""The platform's service down, slow, or losing its answers."""
+
+import asyncio
+import time
+
+import pytest
+
+from bulrushcove.states import DomainState, JobState, Outcome
+from dev.history.bounds import START_AFTER_TAKE_OUT_S
+from dev.launcher import control_name, entry_name
+from tests import process_tools as tools
+
+PLATFORM = 'platform'
+GANG = {'tasks': 2, 'accelerators_per_task': 4}
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    with tools.launched_cluster() as launched:
+        yield launched
+
+
+async def test_outage_spares_requests_and_running_gangs(cluster):
+    async with tools.new_run(cluster, 'outage') as run:
+        gang = run.offer_job(12_000, **GANG)
+        running = asyncio.create_task(run.run_job(gang))
+        starts = await run.wait_for_start(gang)
+        with tools.faults_of(cluster, PLATFORM, down=True):
+            await run.send_for(8, idempotents=(True,))
+            pause_s = time.monotonic()
+            late = run.offer_job(500, **GANG)
+            waiting = asyncio.create_task(run.run_job(late))
+            await asyncio.sleep(2)
+        mended_s = time.monotonic()
+        job = await running
+        await waiting
+        run.check()
+    assert job.state is JobState.SUCCEEDED
+    assert {event.attempt for event in run.starts(gang)} == {starts[0].attempt}
+    assert run.outcomes() == {Outcome.RAN}
+    # Nothing starts while nobody can prove that the domain is in service.
+    early = [
+        event for event in run.starts(late) if pause_s < event.at_s < mended_s
+    ]
+    assert early == []
+
+
+async def test_lost_answers_of_writes_lose_and_double_nothing(cluster):
+    async with tools.new_run(cluster, 'lost') as run:
+        with tools.faults_of(
+            cluster,
+            PLATFORM,
+            effect_without_answer=True,
+            path_prefix='/v3/kv/txn',
+        ):
+            offers = [
+                run.offer_job(300, idempotent=bool(number % 2), **GANG)
+                for number in range(6)
+            ]
+            running = [
+                asyncio.create_task(run.run_job(each)) for each in offers
+            ]
+            await run.send_for(3)
+        await asyncio.gather(*running)
+        run.check()
+    assert {job.accepted for job in run.jobs} == {True}
+
+
+async def test_slow_platform(cluster):
+    async with tools.new_run(cluster, 'slow') as run:
+        with tools.faults_of(cluster, PLATFORM, slow_ms=800):
+            offered = run.offer_job(500, **GANG)
+            running = asyncio.create_task(run.run_job(offered))
+            await run.send_for(5, idempotents=(True,))
+            job = await running
+        run.check()
+    assert job.state is JobState.SUCCEEDED
+    assert run.outcomes() == {Outcome.RAN}
+
+
+async def test_vm_that_boots_in_an_outage_serves_from_its_peers(cluster):
+    vm = cluster.entry_vms[1]
+    async with tools.new_run(cluster, 'boot') as run:
+        for name in (control_name(vm.vm), entry_name(vm.vm)):
+            cluster.kill(name)
+        with tools.faults_of(cluster, PLATFORM, down=True):
+            for restarted in (control_name(vm.vm), entry_name(vm.vm)):
+                cluster.processes.restart(restarted)
+            cluster.wait_for_vm(vm)
+            await asyncio.sleep(5)
+            seen = await run.send(run.offer_request(), vm)
+        run.check()
+    assert seen.outcome is Outcome.RAN
+
+
+async def test_outage_right_after_a_take_out(cluster):
+    async with tools.new_run(cluster, 'takeout') as run:
+        offers = [run.offer_job(400, **GANG) for _ in range(20)]
+        running = [asyncio.create_task(run.run_job(each)) for each in offers]
+        await run.operating.set_domain(tools.GUICHON, DomainState.OUT)
+        with tools.faults_of(cluster, PLATFORM, down=True):
+            await asyncio.sleep(START_AFTER_TAKE_OUT_S + 3)
+        await run.operating.set_domain(tools.GUICHON, DomainState.IN)
+        await asyncio.gather(*running)
+        run.check()
