--- a/dev/workload/callers.py
+++ b/dev/workload/callers.py
@@ -43,6 +43,7 @@
         tokens: Mapping[OrganisationId, str],
         entry_vms: Sequence[EntryVm],
         chooser: random.Random,
+        deadline_ms: int = DEADLINE_MS,
     ) -> None:
         """Send to any of ``entry_vms``."""
         # VMs that the balancer sends nothing to.
@@ -51,6 +52,7 @@
         self._tokens = tokens
         self._entry_vms = entry_vms
         self._chooser = chooser
+        self._deadline_ms = deadline_ms
 
     async def send_request(
         self, offered: OfferedRequest, vm: EntryVm | None = None
@@ -144,7 +146,7 @@
             REQUEST_HEADER: offered.request,
             IDEMPOTENT_HEADER: 'true' if offered.idempotent else 'false',
             URGENCY_HEADER: offered.urgency.value,
-            DEADLINE_HEADER: str(DEADLINE_MS),
+            DEADLINE_HEADER: str(self._deadline_ms),
         }
         async with self._session.post(
             f'{vm.url}/v1/requests',
