--- a/src/bulrushcove/operator_routes.py
+++ b/src/bulrushcove/operator_routes.py
@@ -139,7 +139,7 @@
         known = known_domains(await self._operators.current(), view)
         if domain in known or order.force:
             return
-        if view is None:
+        if view is None or not view.vms:
             raise RefusedError(
                 HTTP_UNAVAILABLE,
                 f'domain {domain!r}: this VM has no news from its control '
