--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import random
-import uuid
 
 from aiohttp import ClientSession
 from mode import Service
 
-from .admission import Admission
 from .authentication import TokenIndex
 from .backend_client import BackendClient
-from .backend_watch import BackendWatch
 from .caller_routes import (
     CallerContext,
     add_caller_routes,
@@ -18,21 +15,21 @@
 )
 from .clock import MS_PER_S, Clock, SystemClock
 from .control_link import ControlLink
+from .hello import ENTRY_ROLE, new_hello
 from .http_server import HttpServer
-from .ids import IncarnationId
 from .job_routes import JobContext, add_job_routes
 from .job_store import JobStore
 from .job_watch import JobWatch
-from .messages import Hello
 from .metrics import new_metrics
+from .operator_mount import OperatorParts, mount_operators
 from .program import run_program
-from .request_path import RequestPath
+from .request_parts import RequestParts, new_request_parts
 from .routing import Router
 from .settings import Settings
+from .store import Store
 from .store_etcd import EtcdStore
 
 NAME = 'bulrushcove-entry'
-ROLE = 'entry'
 
 
 class EntryApplication(Service):
@@ -49,7 +46,8 @@
         self._settings = settings
         self._clock = clock
         self._router = Router(settings.vm.domain, rng)
-        self._link = ControlLink(settings, new_hello(settings))
+        self._hello = new_hello(settings.vm, ENTRY_ROLE)
+        self._link = ControlLink(settings, self._hello)
         self._metrics = new_metrics()
 
     async def on_start(self) -> None:
@@ -59,15 +57,13 @@
         store = EtcdStore(self._platform, self._settings.platform)
         self._jobs = JobStore(store)
         self._watch = JobWatch(self._jobs)
-        self._path = RequestPath(
-            Admission(), self._router, self._client, self._clock
-        )
-        await self.add_runtime_dependency(self._link)
-        await self.add_runtime_dependency(self._watch)
-        await self.add_runtime_dependency(self._backend_watch())
+        parts = self._request_parts(store)
+        self._path = parts.path
+        for part in (self._link, parts.claims, parts.watch, self._watch):
+            await self.add_runtime_dependency(part)
         entry = self._settings.entry
         self._server = HttpServer(self._metrics, self._why_not_ready)
-        self._add_routes()
+        self._add_routes(store)
         await self._server.open(entry.host, entry.port)
 
     async def on_stop(self) -> None:
@@ -82,9 +78,21 @@
         await self._client.close()
         await self._platform.close()
 
-    def _add_routes(self) -> None:
+    def _add_routes(self, store: Store) -> None:
         tokens = TokenIndex()
         router = self._server.router
+        mount_operators(
+            router,
+            OperatorParts(
+                store=store,
+                session=self._platform,
+                clock=self._clock,
+                held=lambda: self._link.configuration,
+                view=lambda: self._link.view,
+                notify=self._link.notify_job,
+                token_sha256=self._settings.entry.operator_token_sha256,
+            ),
+        )
         add_caller_routes(router, self._caller_context(tokens))
         add_job_routes(router, self._job_context(tokens))
 
@@ -112,11 +120,13 @@
             clock=self._clock,
         )
 
-    def _backend_watch(self) -> BackendWatch:
-        return BackendWatch(
+    def _request_parts(self, store: Store) -> RequestParts:
+        return new_request_parts(
+            self._settings,
+            self._hello.incarnation,
             self._router,
             self._client,
-            self._path,
+            store,
             lambda: self._link.view.vms if self._link.view else (),
             self._clock,
         )
@@ -129,16 +139,6 @@
         return ''
 
 
-def new_hello(settings: Settings) -> Hello:
-    """Return the greeting of this run of the process."""
-    return Hello(
-        vm=settings.vm.id,
-        domain=settings.vm.domain,
-        role=ROLE,
-        incarnation=IncarnationId(uuid.uuid4().hex),
-    )
-
-
 def make_entry(settings: Settings) -> EntryApplication:
     """Return the daemon on the machine's clock."""
     return EntryApplication(settings, SystemClock(), random.Random())
--- a/tests/domain_bench.py
+++ b/tests/domain_bench.py
@@ -350,9 +350,9 @@
         """Spare the calls of the test itself the store's faults."""
         calm = {'down': False, 'lose_answers': 0, 'lose_writes': 0}
         faults = {name: getattr(self.store, name) for name in calm}
-        vars(self.store).update(calm)
+        self._set_faults(calm)
         yield
-        vars(self.store).update(faults)
+        self._set_faults(faults)
 
     def set_domain(self, state):
         domains = self.configuration.domains | {DOMAIN: state}
@@ -379,6 +379,10 @@
         record = self.record(job)
         return record.state.is_final or record.domain != DOMAIN
 
+    def _set_faults(self, faults):
+        for name, fault in faults.items():
+            setattr(self.store, name, fault)
+
     def _running_tasks(self, worker):
         tasks = self.tasks.get(worker)
         return list(tasks._table.tasks.values()) if tasks else []
