Control runs the scheduler, with worker health, run times and reservations

The plan is made in steps that yield to the loop, so that a large pass holds it no longer than one job's decision. Ends of attempts feed the worker health: with one of two workers failing everything all 12 jobs succeed and 3 to 5 tasks fail; with the trust rule off more than 5 fail (kept as a test). A wave of 50 cancellations is one write a job (tests/test_domain_controller.py).

--- a/src/bulrushcove/control.py
+++ b/src/bulrushcove/control.py
@@ -3,7 +3,6 @@
 from aiohttp import ClientSession, web
 from mode import Service
 
-from . import naive
 from .campaigns import Campaigns
 from .clock import SystemClock
 from .configuration_holder import ConfigurationHolder
@@ -16,6 +15,7 @@
 from .peers import Peers
 from .permit import PermitBook
 from .program import run_program
+from .scheduler import plan_in_steps
 from .settings import Settings
 from .store_etcd import EtcdStore
 from .surroundings import Surroundings
@@ -121,7 +121,7 @@
             views=peers.domain_views,
             publish=peers.publish,
             notify=peers.notify_job,
-            plan=naive.plan,
+            plan=plan_in_steps,
         )
         return Campaigns(self._hello.domain, election, around)
 
--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -126,7 +126,7 @@
         self.rounds.wake_urgent()
 
     async def _schedule(self) -> None:
-        plan = self.scheduling.plan(self._around.holder.current)
+        plan = await self.scheduling.plan(self._around.holder.current)
         # A worker that was never seen might be able to run them.
         if self.rounds.knows_all:
             await self._set_aside(plan)
--- a/src/bulrushcove/scheduling.py
+++ b/src/bulrushcove/scheduling.py
@@ -1,24 +1,28 @@
 """Scheduling passes and what one pass hands to the next."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Generator
 
 import msgspec
 
 from .clock import MS_PER_S, Clock
-from .cluster import DomainSnapshot, Plan, Reservation
+from .cluster import DomainSnapshot, Plan, Reservation, WorkerRoom
 from .configuration import Configuration
 from .domain_core import DomainCore, RecordChange
 from .domain_moves import must_leave
 from .domain_snapshot import take_snapshot
+from .gang import GangAttempt
 from .ids import JobId
 from .observed_runs import RunTimes
-from .states import JobState
+from .states import JobState, TaskState
+from .worker_health import WorkerHealth
 
-Planner = Callable[[DomainSnapshot], Plan]
+# Yields where other work of the loop may run, and returns the plan.
+Planner = Callable[[DomainSnapshot], Generator[None, None, Plan]]
 
 
 class Scheduling:
-    """Runs ``planner`` over a domain."""
+    """Runs ``planner`` over a domain and learns from how its jobs end."""
 
     def __init__(
         self, core: DomainCore, clock: Clock, planner: Planner
@@ -31,44 +35,90 @@
         self._planner = planner
         self._reservations: tuple[Reservation, ...] = ()
         self._run_times = RunTimes()
+        self._health = WorkerHealth()
 
-    def plan(self, configuration: Configuration) -> Plan:
+    async def plan(self, configuration: Configuration) -> Plan:
         """Return the decisions of one pass."""
+        steps = self._planner(self._snapshot(configuration))
+        while True:
+            try:
+                next(steps)
+            except StopIteration as done:
+                return self._keep(done.value)
+            await asyncio.sleep(0)
+
+    def learn(self, change: RecordChange) -> None:
+        """Take in an attempt whose end was just written."""
+        attempt = change.stored.record.current
+        if attempt is None or change.record.state is JobState.RUNNING:
+            return
+        gang = self._core.table.gangs.get(attempt.attempt)
+        if gang is None:
+            return
+        self._learn_health(gang)
+        if change.record.state is JobState.SUCCEEDED:
+            self._learn_run_time(gang)
+
+    def _snapshot(self, configuration: Configuration) -> DomainSnapshot:
         snapshot = take_snapshot(
             self._core,
             configuration.contracts,
             self._clock.monotonic_s(),
             self._clock.unix_ms(),
         )
-        plan = self._planner(
-            msgspec.structs.replace(
-                snapshot,
-                queued=tuple(
-                    record
-                    for record in snapshot.queued
-                    if not must_leave(record, self._core.domain, configuration)
-                ),
-                observed=self._run_times.observed(),
-                reservations=self._reservations,
+        return msgspec.structs.replace(
+            snapshot,
+            workers=tuple(map(self._with_health, snapshot.workers)),
+            queued=tuple(
+                record
+                for record in snapshot.queued
+                if not must_leave(record, self._core.domain, configuration)
             ),
+            observed=self._run_times.observed(),
+            reservations=self._reservations,
+        )
+
+    def _with_health(self, room: WorkerRoom) -> WorkerRoom:
+        worker = room.description.worker
+        if self._health.is_trusted(worker):
+            return room
+        may_probe = self._health.may_probe(worker, self._clock.monotonic_s())
+        return msgspec.structs.replace(
+            room, usable=room.usable and may_probe, probe=True
         )
+
+    def _keep(self, plan: Plan) -> Plan:
         self._reservations = plan.reservations
         self.waits = {wait.job: wait.reason for wait in plan.waits}
         return plan
 
-    def learn(self, change: RecordChange) -> None:
-        """Take in the run time of a job that has just succeeded."""
-        record = change.record
-        if record.state is not JobState.SUCCEEDED or record.current is None:
-            return
-        gang = self._core.table.gangs.get(record.current.attempt)
-        if gang is None:
-            return
+    def _learn_health(self, gang: GangAttempt) -> None:
+        now_s = self._clock.monotonic_s()
+        for worker, held in gang.held.items():
+            states = set(held.states.values())
+            if TaskState.FAILED in states:
+                self._health.task_failed(worker, gang.record, now_s)
+            elif TaskState.FINISHED in states:
+                self._health.task_succeeded(worker, gang.record)
+
+    def _learn_run_time(self, gang: GangAttempt) -> None:
         longest_ms = max(
             report.run_ms
             for held in gang.held.values()
             for report in held.reports.values()
         )
         self._run_times.add(
-            record.organisation, record.spec.kind, longest_ms / MS_PER_S
+            gang.record.organisation,
+            gang.record.spec.kind,
+            longest_ms / MS_PER_S,
         )
+
+
+def in_one_step(plan: Callable[[DomainSnapshot], Plan]) -> Planner:
+    """Return ``plan`` as a planner that never yields."""
+
+    def run(snapshot: DomainSnapshot) -> Generator[None, None, Plan]:
+        yield
+        return plan(snapshot)
+
+    return run
--- a/tests/domain_bench.py
+++ b/tests/domain_bench.py
@@ -27,6 +27,7 @@
 from bulrushcove.job import JobRecord, JobSpec
 from bulrushcove.job_store import JobStore
 from bulrushcove.permit import PermitBook
+from bulrushcove.scheduling import in_one_step
 from bulrushcove.settings import ControlSettings
 from bulrushcove.states import DomainState, JobState, VmRole
 from bulrushcove.store import JOBS_PREFIX
@@ -44,6 +45,7 @@
 OTHER_DOMAIN = 'Guichon'
 WORKERS = ('w1', 'w2')
 TICK_S = 0.25
+NAIVE_PLANNER = in_one_step(naive.plan)
 SETTINGS = ControlSettings(stream_port=0, http_port=0)
 
 
@@ -156,7 +158,7 @@
             views=lambda: bench.views,
             publish=lambda _view: None,
             notify=_no_peers,
-            plan=naive.plan,
+            plan=bench.planner,
         )
         self.controller = None
         self.runs = True
@@ -233,7 +235,8 @@
 class Bench:
     """Two workers, two controls, the store, and the history."""
 
-    def __init__(self):
+    def __init__(self, planner=NAIVE_PLANNER):
+        self.planner = planner
         self.loop = asyncio.new_event_loop()
         self.clock = ManualClock()
         self.store = RecordingStore(self.clock)
--- /dev/null
+++ b/tests/test_domain_controller.py
@@ -0,0 +1,133 @@
+import pytest
+
+from bulrushcove.domain_moves import (
+    MAX_FORCED_MOVES,
+    MAX_ROOM_MOVES,
+    MovePlanner,
+    must_leave,
+)
+from bulrushcove.messages import DomainView
+from bulrushcove.scheduler import plan_in_steps
+from bulrushcove.states import DomainState, JobState
+from bulrushcove.worker_health import WorkerHealth
+from dev.history.events import TaskStep
+from tests.cluster_builders import contract, job
+from tests.domain_bench import DOMAIN, OTHER_DOMAIN, Bench, starts, violations
+
+
+@pytest.fixture
+def bench():
+    bench = Bench(plan_in_steps)
+    yield bench
+    bench.close()
+
+
+def run_until_settled(bench, jobs, limit_s=120):
+    for _ in range(limit_s):
+        if all(bench.is_settled(job) for job in jobs):
+            return
+        bench.run_for(1)
+
+
+def view(domain=OTHER_DOMAIN, free=16, queued=0, largest=8):
+    return DomainView(domain, 'vm-3', 1, 2, 2, free, 16, 16, largest, queued, 0)
+
+
+def test_a_gang_runs_whole_under_the_scheduler(bench):
+    bench.submit('job')
+    run_until_settled(bench, ['job'])
+    assert bench.record('job').state is JobState.SUCCEEDED
+    assert not list(violations(bench))
+
+
+def fail_on_one_worker(bench):
+    """Return the states of jobs, and how many tasks have failed."""
+    bench.tasks['w1'].fails_everything = True
+    jobs = [f'job-{number}' for number in range(12)]
+    for name in jobs:
+        bench.submit(name, tasks=1, run_ms=1000)
+    run_until_settled(bench, jobs)
+    states = {bench.record(name).state for name in jobs}
+    failed = [
+        event for event in bench.history.events if event.step is TaskStep.FAIL
+    ]
+    return states, len(failed)
+
+
+def test_a_worker_that_fails_everything_loses_new_work(bench):
+    states, failed = fail_on_one_worker(bench)
+    assert states == {JobState.SUCCEEDED}
+    # Three jobs show it, then there is a probe after 30 s and after 60 s.
+    assert 3 <= failed <= 5
+
+
+def test_check_catches_trust_in_a_worker_that_fails(bench, monkeypatch):
+    monkeypatch.setattr(WorkerHealth, 'is_trusted', lambda *_: True)
+    _states, failed = fail_on_one_worker(bench)
+    assert failed > 5
+
+
+def test_a_wave_of_cancellations_is_one_write_a_job(bench):
+    jobs = [f'job-{number}' for number in range(50)]
+    for name in jobs:
+        bench.submit(name, run_ms=60_000)
+    bench.run_for(3)
+    for name in jobs:
+        bench.change(name, cancel_requested=True)
+    written = len(bench.store.written)
+    calls = bench.store.calls
+    bench.run_for(3)
+    states = {bench.record(name).state for name in jobs}
+    assert states == {JobState.CANCELLED}
+    assert len(bench.store.written) == written + len(jobs)
+    # The rest are scans, elections and renewals of two controls.
+    assert bench.store.calls - calls < len(jobs) * 2 + 40
+
+
+def test_a_frozen_holder_finds_its_tenure_over(bench):
+    bench.run_for(3)
+    controller = bench.controls[0].controller
+    assert controller.may_start()
+    bench.clock.advance(7)
+    bench.run(bench.controls[0].poll())
+    assert not controller.may_start()
+
+
+def test_a_job_that_no_other_domain_can_hold_stays(bench):
+    bench.submit('job', tasks=2)
+    bench.views = (view(largest=4),)
+    bench.set_domain(DomainState.OUT)
+    bench.run_for(5)
+    assert bench.record('job').domain == DOMAIN
+    assert not starts(bench)
+
+
+def planner_of(bench, *views):
+    return MovePlanner(DOMAIN, bench.configuration, views)
+
+
+def test_forced_moves_spread_by_room(bench):
+    jobs = [
+        job(f'job-{number}', 'litoral', accelerators=8)
+        for number in range(MAX_FORCED_MOVES + 10)
+    ]
+    moves = planner_of(bench, view()).forced_moves(jobs)
+    assert len(moves) == MAX_FORCED_MOVES
+    assert {move.domain for move in moves} == {OTHER_DOMAIN}
+
+
+def test_moves_for_room_are_a_trickle_into_idle_room(bench):
+    jobs = [job(f'job-{number}', 'litoral') for number in range(50)]
+    moves = planner_of(bench, view()).room_moves(jobs)
+    assert len(moves) == MAX_ROOM_MOVES
+    assert not planner_of(bench, view(queued=1)).room_moves(jobs)
+    assert not planner_of(bench, view(free=0)).room_moves(jobs)
+
+
+def test_no_move_to_a_hidden_domain(bench):
+    hidden = contract('litoral', hidden_domains=(OTHER_DOMAIN,))
+    bench.configuration.contracts['litoral'] = hidden
+    record = job('job', 'litoral')
+    assert not planner_of(bench, view()).forced_moves([record])
+    assert must_leave(record, OTHER_DOMAIN, bench.configuration)
+    assert not must_leave(record, DOMAIN, bench.configuration)
