Elections: fewer looks at the store while peers hear the control; no win after hand-over

Need: 7 standbys looked twice a second each. While a peer hears from the domain's control (view younger than 2.5 s, not leaving) one look a lease is enough. A VM that hands over campaigns no more. Span for the placement of a job below the span of its submission.

--- a/src/bulrushcove/campaigns.py
+++ b/src/bulrushcove/campaigns.py
@@ -20,6 +20,8 @@
 LOCAL_POLLS_PER_LEASE = 12
 REMOTE_POLLS_PER_LEASE = 2
 RENEWALS_PER_LEASE = 3
+# A domain whose view is younger than this has a live control.
+FRESH_VIEW_MS = 2500
 
 
 class Campaigns(Service):
@@ -37,6 +39,8 @@
         self._clock = around.clock
         self._lease_s = around.settings.control_lease_ms / MS_PER_S
         self._absent_since_s: dict[DomainName, float] = {}
+        self._looked_at_s: dict[DomainName, float] = {}
+        self._is_leaving = False
 
     async def notice(self, notice: JobNotice) -> None:
         """Pass ``notice`` to the controller of its domain, if it runs here."""
@@ -45,7 +49,11 @@
             controller.notice()
 
     async def hand_over(self) -> None:
-        """Stop all controllers and let others take over at once."""
+        """Stop all controllers and let others take over at once.
+
+        Campaigns no more: this VM must not win what it has just given up.
+        """
+        self._is_leaving = True
         for domain in tuple(self.controllers):
             controller = self.controllers.pop(domain)
             await controller.stop()
@@ -102,6 +110,8 @@
         controller = self.controllers.get(domain)
         if controller is not None and not controller.tenure.over:
             return
+        if self._is_leaving or self._is_served(domain):
+            return
         try:
             tenure = await self._try(domain)
         except StoreError as exc:
@@ -113,9 +123,38 @@
                 error=exc,
             )
             return
-        if tenure is not None:
+        if tenure is None:
+            return
+        if self._is_leaving:
+            await self._election.resign(tenure)
+        else:
             await self._begin(tenure)
 
+    def _is_served(self, domain: DomainName) -> bool:
+        """Return whether a look at the store may be spared for now.
+
+        While peers hear from the domain's control, one look a lease is
+        enough; news of its leaving or its silence end that.
+        """
+        now_s = self._clock.monotonic_s()
+        looked_at_s = self._looked_at_s.get(domain, -self._lease_s)
+        if now_s < looked_at_s + self._lease_s and self._is_heard(domain):
+            return True
+        self._looked_at_s[domain] = now_s
+        return False
+
+    def _is_heard(self, domain: DomainName) -> bool:
+        not_counted = {
+            status.vm for status in self._around.statuses() if status.leaving
+        }
+        not_counted.add(self._around.vm)
+        return any(
+            view.domain == domain
+            and view.age_ms <= FRESH_VIEW_MS
+            and view.control not in not_counted
+            for view in self._around.views()
+        )
+
     async def _try(self, domain: DomainName) -> Tenure | None:
         if await self._election.holder(domain) is not None:
             self._absent_since_s.pop(domain, None)
--- a/src/bulrushcove/control.py
+++ b/src/bulrushcove/control.py
@@ -119,6 +119,7 @@
             permits=self._permits,
             vms=lambda: peers.vms,
             views=peers.domain_views,
+            statuses=lambda: peers.statuses,
             publish=peers.publish,
             notify=peers.notify_job,
             plan=plan_in_steps,
--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -19,6 +19,7 @@
 from .record_sync import RecordSync
 from .scheduling import Scheduling
 from .surroundings import Surroundings
+from .tracing import span
 from .worker_rounds import WorkerRounds
 
 logger = logging.getLogger(__name__)
@@ -167,7 +168,13 @@
 
     async def _place(self, place: Place) -> None:
         change = self.core.place(place)
-        written = await self._records.write(change)
+        with span(
+            'control.place',
+            traceparent=change.record.traceparent,
+            job=place.job,
+            domain=self.tenure.domain,
+        ):
+            written = await self._records.write(change)
         if written is not None:
             self.core.begin(written, self._clock.monotonic_s())
             self.rounds.wake_urgent()
--- a/src/bulrushcove/surroundings.py
+++ b/src/bulrushcove/surroundings.py
@@ -8,7 +8,7 @@
 from .configuration_holder import ConfigurationHolder
 from .ids import VmId
 from .job_store import JobStore
-from .messages import DomainView, JobNotice
+from .messages import DomainView, JobNotice, VmStatus
 from .permit import PermitBook
 from .scheduling import Planner
 from .settings import ControlSettings
@@ -28,6 +28,7 @@
     permits: PermitBook
     vms: Callable[[], tuple[VmEntry, ...]]
     views: Callable[[], tuple[DomainView, ...]]
+    statuses: Callable[[], tuple[VmStatus, ...]]
     publish: Callable[[DomainView], None]
     notify: Callable[[JobNotice], Awaitable[None]]
     plan: Planner
--- a/tests/domain_bench.py
+++ b/tests/domain_bench.py
@@ -156,6 +156,7 @@
             permits=self.permits,
             vms=lambda: tuple(bench.vms.values()),
             views=lambda: bench.views,
+            statuses=tuple,
             publish=lambda _view: None,
             notify=_no_peers,
             plan=bench.planner,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,7 +1,7 @@
 """The control daemon over real sockets, against stand-ins in the process."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 import msgspec
@@ -45,6 +45,18 @@
             VmEntry(name, VmRole.WORKER, DOMAIN, '127.0.0.1', self.ports[name])
             for name in ('w1', 'w2')
         ]
+        self.stream_ports = {vm: unused_port() for vm in ('vm-1', 'vm-2')}
+        self.vms.extend(
+            VmEntry(
+                vm,
+                VmRole.ENTRY,
+                DOMAIN,
+                '127.0.0.1',
+                unused_port(),
+                control_port=port,
+            )
+            for vm, port in self.stream_ports.items()
+        )
         log = EventLog(self.path)
         self.tasks = [
             WorkerTasks(describe(name), SystemClock(), log)
@@ -57,7 +69,7 @@
                 'vm': {'id': vm, 'domain': DOMAIN},
                 'entry': {'port': 0},
                 'control': {
-                    'stream_port': unused_port(),
+                    'stream_port': self.stream_ports.get(vm, 0),
                     'http_port': unused_port(),
                     'control_lease_ms': 2000,
                 },
@@ -192,3 +204,17 @@
     assert record.attempts == 1
     starts = [step for step in bench.steps() if step[2] is TaskStep.START]
     assert len(starts) == 2
+
+
+async def test_a_standby_takes_over_at_a_planned_stop(bench):
+    async with bench.running(), AsyncExitStack() as first:
+        await first.enter_async_context(bench.control('vm-1'))
+        await bench.submit('job-1', run_ms=6000, result='stock')
+        await bench.wait_for('job-1', JobState.RUNNING)
+        async with bench.control('vm-2'):
+            await asyncio.sleep(1)
+            await first.aclose()
+            record = await bench.wait_for('job-1', JobState.SUCCEEDED)
+    assert record.attempts == 1
+    starts = [step for step in bench.steps() if step[2] is TaskStep.START]
+    assert len(starts) == 2
