Explain: the scheduler's reason reaches operators over the streams

A job notice is answered with why the job waits, along the way that notices go already (entry, own control, active control). Weighed reasons in the record (a store write each time they change) and in the domain views (sent between regions every second): both cost more than a question when someone asks.

Tests changed for the new answer, none eased: the fake notice handlers return a JobStanding, test_peers checks that it arrives, and the operator route test counts the notice of explain apart from the one of cancel.

--- a/src/bulrushcove/campaigns.py
+++ b/src/bulrushcove/campaigns.py
@@ -11,7 +11,7 @@
 from .exceptions import StoreError
 from .ids import DomainName
 from .logs import log_event
-from .messages import JobNotice
+from .messages import JobNotice, JobStanding
 from .surroundings import Surroundings
 
 logger = logging.getLogger(__name__)
@@ -42,11 +42,14 @@
         self._looked_at_s: dict[DomainName, float] = {}
         self._is_leaving = False
 
-    async def notice(self, notice: JobNotice) -> None:
+    async def notice(self, notice: JobNotice) -> JobStanding:
         """Pass ``notice`` to the controller of its domain, if it runs here."""
         controller = self.controllers.get(notice.domain)
-        if controller is not None:
-            controller.notice()
+        if controller is None:
+            return JobStanding()
+        controller.notice()
+        reasons = controller.scheduling.waits
+        return JobStanding(wait_reason=reasons.get(notice.job, ''))
 
     async def hand_over(self) -> None:
         """Stop all controllers and let others take over at once.
--- a/src/bulrushcove/control_link.py
+++ b/src/bulrushcove/control_link.py
@@ -6,12 +6,12 @@
 from .configuration_holder import ConfigurationHolder
 from .exceptions import PeerUnreachableError, WireError
 from .messages import (
-    Acknowledged,
     ClusterView,
     ConfigurationPush,
     ConfigurationRequest,
     Hello,
     JobNotice,
+    JobStanding,
     parse_message,
 )
 from .settings import Settings
@@ -47,13 +47,13 @@
         """Return whether the stream to the control is open."""
         return self._client.is_connected
 
-    async def notify_job(self, notice: JobNotice) -> None:
-        """Have the control pass ``notice`` on.
+    async def notify_job(self, notice: JobNotice) -> JobStanding:
+        """Have the control pass ``notice`` on; tells how the job stands.
 
         Raises ``PeerUnreachableError``; the job's record is found by the next
         scan of its domain's active control in any case.
         """
-        await self._client.ask(notice, Acknowledged, ASK_TIMEOUT_S)
+        return await self._client.ask(notice, JobStanding, ASK_TIMEOUT_S)
 
     async def on_start(self) -> None:
         """Open the stream."""
--- a/src/bulrushcove/job_routes.py
+++ b/src/bulrushcove/job_routes.py
@@ -30,7 +30,7 @@
 )
 from .job_store import JobChangedError, JobExistsError, JobStore, StoredJob
 from .job_watch import JobWatch
-from .messages import ClusterView, JobNotice
+from .messages import ClusterView, JobNotice, JobStanding
 from .refusals import json_response, malformed, refusal_response
 from .request_head import checked_id
 from .settings import EntrySettings
@@ -56,7 +56,7 @@
 
     view: ClusterView | None
 
-    async def notify_job(self, notice: JobNotice) -> None:
+    async def notify_job(self, notice: JobNotice) -> JobStanding:
         """Tell the owner of the job's domain; raises when unreachable."""
 
 
--- a/src/bulrushcove/messages.py
+++ b/src/bulrushcove/messages.py
@@ -101,13 +101,20 @@
 
 
 class JobNotice(msgspec.Struct, frozen=True):
-    """A job's record was created or its cancellation asked for."""
+    """Has the active control look at a job; answered by ``JobStanding``."""
 
     job: JobId
     domain: DomainName
     traceparent: str = ''
 
 
+class JobStanding(msgspec.Struct, frozen=True):
+    """What the active control of a job's domain last decided about it."""
+
+    # Why the job waits; empty when it does not, or is not known there yet.
+    wait_reason: str = ''
+
+
 class ClaimQuestion(msgspec.Struct, frozen=True):
     """Asks the entry that minted or claimed a request id about it."""
 
--- a/src/bulrushcove/operator_job_routes.py
+++ b/src/bulrushcove/operator_job_routes.py
@@ -63,6 +63,9 @@
         """Return why one job is where it is."""
         record = await self._jobs.load(_job(request))
         lines = explain(record, self._operators.held, self._view())
+        reason = await self._jobs.wait_reason(record)
+        if reason:
+            lines = (*lines, f'The scheduler says: {reason}.')
         return Explanation(job=record.job, lines=lines)
 
     async def cancel(self, request: web.Request) -> JobSummary:
--- a/src/bulrushcove/operator_jobs.py
+++ b/src/bulrushcove/operator_jobs.py
@@ -8,15 +8,16 @@
 from .ids import DomainName, JobId
 from .job import JobRecord
 from .job_store import JobChangedError, JobStore, StoredJob
-from .messages import JobNotice
+from .messages import JobNotice, JobStanding
 from .operator_api import JobSummary
+from .states import JobState
 from .tracing import current_traceparent
 
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 MAX_CANCEL_TRIES = 5
 
-NotifyJob = Callable[[JobNotice], Awaitable[object]]
+NotifyJob = Callable[[JobNotice], Awaitable[JobStanding]]
 
 
 class OperatorJobs:
@@ -46,6 +47,16 @@
         """Return one record; raises ``RefusedError`` without it."""
         return (await self._load(job)).record
 
+    async def wait_reason(self, record: JobRecord) -> str:
+        """Return why the scheduler lets a job wait; empty: not known."""
+        if record.state is not JobState.QUEUED:
+            return ''
+        try:
+            standing = await self._notify(JobNotice(record.job, record.domain))
+        except PeerUnreachableError:
+            return ''
+        return standing.wait_reason
+
     async def cancel(self, job: JobId) -> JobRecord:
         """Ask for the cancellation of a job; a job that has ended stays so.
 
--- a/src/bulrushcove/peers.py
+++ b/src/bulrushcove/peers.py
@@ -16,7 +16,6 @@
 from .logs import log_event
 from .membership import Membership
 from .messages import (
-    Acknowledged,
     ClusterView,
     ConfigurationPush,
     ConfigurationRequest,
@@ -24,6 +23,7 @@
     Heartbeat,
     Hello,
     JobNotice,
+    JobStanding,
     VmListRequest,
     VmStatus,
     parse_message,
@@ -39,7 +39,7 @@
 
 NOTICE_TIMEOUT_S = 1.0
 
-NoticeHandler = Callable[[JobNotice], Awaitable[None]]
+NoticeHandler = Callable[[JobNotice], Awaitable[JobStanding]]
 
 logger = logging.getLogger(__name__)
 
@@ -105,7 +105,7 @@
         """Tell peers and the entry about a domain served by this control."""
         self._membership.learn(view, self._clock.monotonic_s())
 
-    async def notify_job(self, notice: JobNotice) -> None:
+    async def notify_job(self, notice: JobNotice) -> JobStanding:
         """Pass ``notice`` to the active control of its domain.
 
         Raises ``PeerUnreachableError``; the control then finds the record by
@@ -116,14 +116,13 @@
             self._clock.monotonic_s(),
         )
         if control == self._hello.vm:
-            await self.on_notice(notice)
-            return
+            return await self.on_notice(notice)
         client = self._links.get(control) if control else None
         if client is None:
             raise PeerUnreachableError(
                 f'no active control of domain {notice.domain!r} is known',
             )
-        await client.ask(notice, Acknowledged, NOTICE_TIMEOUT_S)
+        return await client.ask(notice, JobStanding, NOTICE_TIMEOUT_S)
 
     async def on_start(self) -> None:
         """Start to listen."""
@@ -204,15 +203,14 @@
             return VmList(self.vms)
         if frame.kind == JobNotice.__name__:
             notice = parse_message(JobNotice, frame.fields)
-            await self._take_notice(peer, notice)
-            return Acknowledged()
+            return await self._take_notice(peer, notice)
         raise WireError(f'unknown frame kind {frame.kind!r}')
 
-    async def _take_notice(self, peer: Hello, notice: JobNotice) -> None:
+    async def _take_notice(self, peer: Hello, notice: JobNotice) -> JobStanding:
         # A control that relayed further could send it round in circles.
         take = self.notify_job if peer.role == ENTRY_ROLE else self.on_notice
         try:
-            await take(notice)
+            return await take(notice)
         except PeerUnreachableError as exc:
             log_event(
                 logger,
@@ -221,6 +219,7 @@
                 domain=notice.domain,
                 error=exc,
             )
+            return JobStanding()
 
     def _heartbeat(self) -> Heartbeat:
         now_s = self._clock.monotonic_s()
@@ -262,5 +261,6 @@
     return ConfigurationPush(configuration=holder.current)
 
 
-async def _ignore_notice(_notice: JobNotice) -> None:
+async def _ignore_notice(_notice: JobNotice) -> JobStanding:
     """Take no notice; the job is found by the next scan."""
+    return JobStanding()
--- a/src/bulrushcove/surroundings.py
+++ b/src/bulrushcove/surroundings.py
@@ -8,7 +8,7 @@
 from .configuration_holder import ConfigurationHolder
 from .ids import VmId
 from .job_store import JobStore
-from .messages import DomainView, JobNotice, VmStatus
+from .messages import DomainView, JobNotice, JobStanding, VmStatus
 from .permit import PermitBook
 from .scheduling import Planner
 from .settings import ControlSettings
@@ -30,5 +30,5 @@
     views: Callable[[], tuple[DomainView, ...]]
     statuses: Callable[[], tuple[VmStatus, ...]]
     publish: Callable[[DomainView], None]
-    notify: Callable[[JobNotice], Awaitable[None]]
+    notify: Callable[[JobNotice], Awaitable[JobStanding]]
     plan: Planner
--- a/tests/operator_app.py
+++ b/tests/operator_app.py
@@ -6,7 +6,7 @@
 from bulrushcove.configuration import empty_configuration
 from bulrushcove.configuration_store import ConfigurationStore
 from bulrushcove.job_store import JobStore
-from bulrushcove.messages import ClusterView, VmStatus
+from bulrushcove.messages import ClusterView, JobStanding, VmStatus
 from bulrushcove.operator_jobs import OperatorJobs
 from bulrushcove.operator_routes import add_operator_routes
 from bulrushcove.operators import Operators
@@ -40,6 +40,7 @@
         self.held = empty_configuration()
         self.vm_revisions = {'entry-1': 0, 'entry-2': 0}
         self.notices = []
+        self.wait_reason = ''
         self.jobs = JobStore(self.store)
         self.operators = Operators(
             ConfigurationStore(self.store, no_sleep),
@@ -81,3 +82,4 @@
 
     async def _notify(self, notice):
         self.notices.append(notice)
+        return JobStanding(wait_reason=self.wait_reason)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -13,8 +13,10 @@
 from bulrushcove.configuration_codec import encode_configuration
 from bulrushcove.contract import Contract
 from bulrushcove.control import ControlApplication
+from bulrushcove.control_link import ControlLink
 from bulrushcove.job import JobRecord, JobSpec
 from bulrushcove.job_store import JobStore
+from bulrushcove.messages import Hello, JobNotice, JobStanding
 from bulrushcove.settings import check_settings
 from bulrushcove.states import DomainState, JobState, VmRole
 from bulrushcove.store import CONFIGURATION_KEY, Write
@@ -218,3 +220,20 @@
     assert record.attempts == 1
     starts = [step for step in bench.steps() if step[2] is TaskStep.START]
     assert len(starts) == 2
+
+
+async def test_a_notice_is_answered_with_why_the_job_waits(bench):
+    async with bench.running(), bench.control('vm-1') as settings:
+        hello = Hello('vm-1', DOMAIN, 'entry', 'entry-1')
+        link = ControlLink(settings, hello)
+        async with link:
+            await bench.submit('job-1', run_ms=60_000)
+            await bench.wait_for('job-1', JobState.RUNNING)
+            await bench.submit('job-2')
+            async with asyncio.timeout(WAIT_S):
+                standing = JobStanding()
+                while not standing.wait_reason:
+                    await asyncio.sleep(0.1)
+                    notice = JobNotice('job-2', DOMAIN)
+                    standing = await link.notify_job(notice)
+    assert standing.wait_reason.startswith('waits for')
--- a/tests/test_operator_routes.py
+++ b/tests/test_operator_routes.py
@@ -137,8 +137,12 @@
     text = await answer.text()
     assert 'job-1' in text
     assert 'secret' not in text
+    operator_app.wait_reason = 'waits for room'
     explained = await client.get('/v1/operator/jobs/job-1/explain')
     lines = (await explained.json())['lines']
+    assert lines[-1] == 'The scheduler says: waits for room.'
+    assert [notice.job for notice in operator_app.notices] == ['job-1']
+    operator_app.notices.clear()
     assert "It waits because domain 'Luleå' is not in service." in lines
     cancelled = await client.post('/v1/operator/jobs/job-1/cancel')
     assert (await cancelled.json())['cancel_requested'] is True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,7 @@
 from bulrushcove.configuration_poll import ConfigurationPoll
 from bulrushcove.control_link import ControlLink
 from bulrushcove.ids import DomainName, IncarnationId, JobId, VmId
-from bulrushcove.messages import DomainView, Hello, JobNotice
+from bulrushcove.messages import DomainView, Hello, JobNotice, JobStanding
 from bulrushcove.peers import Peers
 from bulrushcove.permit import PermitBook
 from bulrushcove.settings import check_settings
@@ -221,6 +221,7 @@
 
     async def take(notice):
         heard.append(notice.job)
+        return JobStanding('waits for room')
 
     active.peers.on_notice = take
     active.peers.publish(DomainView(DOMAIN, VmId('a'), 7, *range(8)))
@@ -229,7 +230,8 @@
     link = ControlLink(other.settings, hello)
     async with link:
         await until(lambda: link.view and link.view.domains)
-        await link.notify_job(JobNotice(JobId('j'), DOMAIN))
+        standing = await link.notify_job(JobNotice(JobId('j'), DOMAIN))
+        assert standing.wait_reason == 'waits for room'
         assert heard == ['j']
         await fleet.configure(1)
         await until(lambda: link.configuration.revision == 1)
