--- /dev/null
+++ b/tests/test_campaigns.py
@@ -0,0 +1,127 @@
+import msgspec
+import pytest
+
+from bulrushcove import campaigns
+from bulrushcove.campaigns import Campaigns
+from bulrushcove.election import Election
+from bulrushcove.messages import DomainView, VmStatus
+from tests.domain_bench import DOMAIN, OTHER_DOMAIN, SETTINGS, Bench
+
+
+class StillController:
+    """Stands in for the controller; only the election is tested here."""
+
+    def __init__(self, tenure, _around):
+        self.tenure = tenure
+
+    async def stop(self):
+        """Do nothing."""
+
+
+class Vm:
+    """The campaigns of one VM on the bench's store and clock."""
+
+    def __init__(self, bench, vm, domain):
+        self.views = ()
+        self.statuses = ()
+        around = msgspec.structs.replace(
+            bench.controls[0].around,
+            vm=vm,
+            views=lambda: self.views,
+            statuses=lambda: self.statuses,
+        )
+        election = Election(
+            bench.store,
+            bench.clock,
+            vm,
+            f'{vm}-1',
+            SETTINGS.control_lease_ms,
+        )
+        self.campaigns = Campaigns(domain, election, around)
+        self.campaigns.add_runtime_dependency = _start_nothing
+
+    async def wins(self):
+        await self.campaigns._campaign(DOMAIN)
+        return DOMAIN in self.campaigns.controllers
+
+
+async def _start_nothing(_service):
+    """Leave the service as it is."""
+
+
+def heard(control='near', age_ms=0):
+    return DomainView(DOMAIN, control, 1, 2, 2, 8, 8, 8, 8, 0, 0, age_ms)
+
+
+@pytest.fixture
+def bench(monkeypatch):
+    monkeypatch.setattr(campaigns, 'DomainController', StillController)
+    bench = Bench()
+    yield bench
+    bench.close()
+
+
+async def test_a_near_vm_goes_first_and_a_far_one_only_after_absence(bench):
+    near, far = Vm(bench, 'near', DOMAIN), Vm(bench, 'far', OTHER_DOMAIN)
+    assert not await far.wins()
+    bench.clock.advance(SETTINGS.remote_takeover_ms / 1000 - 1)
+    assert not await far.wins()
+    bench.clock.advance(2)
+    assert await far.wins()
+    assert not await near.wins()
+
+
+async def test_absence_counts_anew_after_a_holder_was_seen(bench):
+    near, far = Vm(bench, 'near', DOMAIN), Vm(bench, 'far', OTHER_DOMAIN)
+    assert not await far.wins()
+    bench.clock.advance(10)
+    assert await near.wins()
+    assert not await far.wins()
+    bench.clock.advance(10)
+    assert not await far.wins()
+
+
+async def test_epochs_only_grow(bench):
+    epochs = []
+    for number in range(3):
+        vm = Vm(bench, f'vm-{number}', DOMAIN)
+        assert await vm.wins()
+        epochs.append(vm.campaigns.controllers[DOMAIN].tenure.epoch)
+        await vm.campaigns.hand_over()
+    assert epochs == [1, 2, 3]
+
+
+async def test_a_vm_that_has_handed_over_does_not_win_again(bench):
+    near = Vm(bench, 'near', DOMAIN)
+    assert await near.wins()
+    await near.campaigns.hand_over()
+    assert not await near.wins()
+    assert await Vm(bench, 'near-2', DOMAIN).wins()
+
+
+async def test_a_lost_answer_to_the_election_is_read_back(bench):
+    bench.store.lose_answers = 1
+    assert await Vm(bench, 'near', DOMAIN).wins()
+
+
+async def test_the_store_is_spared_while_the_control_is_heard(bench):
+    near, standby = Vm(bench, 'near', DOMAIN), Vm(bench, 'near-2', DOMAIN)
+    assert await near.wins()
+    assert not await standby.wins()
+    calls = bench.store.calls
+    standby.views = (heard(),)
+    assert not await standby.wins()
+    assert bench.store.calls == calls
+    standby.statuses = (VmStatus('near', DOMAIN, 1, True, leaving=True),)
+    assert not await standby.wins()
+    assert bench.store.calls > calls
+
+
+@pytest.mark.parametrize('view', [heard(age_ms=3000), heard('near-2')])
+async def test_a_silent_control_is_replaced_at_once(bench, view):
+    near, standby = Vm(bench, 'near', DOMAIN), Vm(bench, 'near-2', DOMAIN)
+    assert await near.wins()
+    assert not await standby.wins()
+    standby.views = (view,)
+    bench.clock.advance(SETTINGS.control_lease_ms / 1000)
+    assert await standby.wins()
