--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,7 +1,7 @@
 """The control daemon over real sockets, against stand-ins in the process."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
 import msgspec
@@ -13,8 +13,10 @@
 from bulrushcove.configuration_codec import encode_configuration
 from bulrushcove.contract import Contract
 from bulrushcove.control import ControlApplication
+from bulrushcove.control_link import ControlLink
 from bulrushcove.job import JobRecord, JobSpec
 from bulrushcove.job_store import JobStore
+from bulrushcove.messages import Hello, JobNotice, JobStanding
 from bulrushcove.settings import check_settings
 from bulrushcove.states import DomainState, JobState, VmRole
 from bulrushcove.store import CONFIGURATION_KEY, Write
@@ -45,6 +47,18 @@
             VmEntry(name, VmRole.WORKER, DOMAIN, '127.0.0.1', self.ports[name])
             for name in ('w1', 'w2')
         ]
+        self.stream_ports = {vm: unused_port() for vm in ('vm-1', 'vm-2')}
+        self.vms.extend(
+            VmEntry(
+                vm,
+                VmRole.ENTRY,
+                DOMAIN,
+                '127.0.0.1',
+                unused_port(),
+                control_port=port,
+            )
+            for vm, port in self.stream_ports.items()
+        )
         log = EventLog(self.path)
         self.tasks = [
             WorkerTasks(describe(name), SystemClock(), log)
@@ -57,7 +71,7 @@
                 'vm': {'id': vm, 'domain': DOMAIN},
                 'entry': {'port': 0},
                 'control': {
-                    'stream_port': unused_port(),
+                    'stream_port': self.stream_ports.get(vm, 0),
                     'http_port': unused_port(),
                     'control_lease_ms': 2000,
                 },
@@ -192,3 +206,34 @@
     assert record.attempts == 1
     starts = [step for step in bench.steps() if step[2] is TaskStep.START]
     assert len(starts) == 2
+
+
+async def test_a_standby_takes_over_at_a_planned_stop(bench):
+    async with bench.running(), AsyncExitStack() as first:
+        await first.enter_async_context(bench.control('vm-1'))
+        await bench.submit('job-1', run_ms=6000, result='stock')
+        await bench.wait_for('job-1', JobState.RUNNING)
+        async with bench.control('vm-2'):
+            await asyncio.sleep(1)
+            await first.aclose()
+            record = await bench.wait_for('job-1', JobState.SUCCEEDED)
+    assert record.attempts == 1
+    starts = [step for step in bench.steps() if step[2] is TaskStep.START]
+    assert len(starts) == 2
+
+
+async def test_a_notice_is_answered_with_why_the_job_waits(bench):
+    async with bench.running(), bench.control('vm-1') as settings:
+        hello = Hello('vm-1', DOMAIN, 'entry', 'entry-1')
+        link = ControlLink(settings, hello)
+        async with link:
+            await bench.submit('job-1', run_ms=60_000)
+            await bench.wait_for('job-1', JobState.RUNNING)
+            await bench.submit('job-2')
+            async with asyncio.timeout(WAIT_S):
+                standing = JobStanding()
+                while not standing.wait_reason:
+                    await asyncio.sleep(0.1)
+                    notice = JobNotice('job-2', DOMAIN)
+                    standing = await link.notify_job(notice)
+    assert standing.wait_reason.startswith('waits for')
