Queue limit for jobs by contract

Need: a contract limits the jobs that wait. Ways weighed: a counter key in the store (a write more for each change, and a hot key), counts in the domain views (an organisation's count would depend on each control's report), or the entry's own scan of changed records, which it has for those who wait for results. Chosen the scan: one call a second and entry VM, own submissions counted at once, others' up to a second late; all records are read again each minute, since deleted ones do not show in a scan of changes.

--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -53,7 +53,7 @@
         self._platform = ClientSession()
         store = EtcdStore(self._platform, self._settings.platform)
         self._jobs = JobStore(store)
-        self._watch = JobWatch(self._jobs)
+        self._watch = JobWatch(self._jobs, self._clock)
         parts = self._request_parts(store)
         self._client = parts.client
         self._path = parts.path
--- a/src/bulrushcove/job_routes.py
+++ b/src/bulrushcove/job_routes.py
@@ -46,6 +46,7 @@
 CREATED = 201
 NOT_FOUND = 404
 CONFLICT = 409
+TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 MAX_CANCEL_TRIES = 8
 JobHandler = Callable[[web.Request, Contract], Awaitable[web.Response]]
@@ -136,14 +137,34 @@
         settings.default_deadline_ms / MS_PER_S,
     )
     record = _new_record(context, contract, parse_submission(body))
+    await _check_queue(context, contract, record)
     try:
         stored = await context.jobs.create(record)
     except JobExistsError as exc:
         return _answer_duplicate(record, exc.stored.record)
+    context.watch.queued.note(stored.record)
     await _notify(context, stored.record)
     return json_response(job_answer(stored.record), CREATED)
 
 
+async def _check_queue(
+    context: JobContext,
+    contract: Contract,
+    record: JobRecord,
+) -> None:
+    """Refuse a new job over the contract's limit; a known one may pass."""
+    limit = contract.jobs.max_queued
+    if context.watch.queued.count(contract.organisation) < limit:
+        return
+    if await context.jobs.load(record.job) is None:
+        raise RefusedError(
+            TOO_MANY_REQUESTS,
+            f'{contract.organisation} has {limit} jobs queued',
+            field='jobs.max_queued',
+            limit=f'{limit} jobs',
+        )
+
+
 def _new_record(
     context: JobContext,
     contract: Contract,
--- a/src/bulrushcove/job_watch.py
+++ b/src/bulrushcove/job_watch.py
@@ -1,34 +1,70 @@
-"""Waits for jobs to end: one scan a round for all who wait."""
+"""Follows the job records: who waits for a job, and how many are queued.
+
+One scan a round, of what changed since the last one, serves all callers of
+this VM. Deleted records do not show in it, so now and then all are read.
+"""
 
 import asyncio
+import sys
 
 from mode import Service
 
+from .clock import Clock
 from .exceptions import StoreError
-from .ids import JobId
+from .ids import JobId, OrganisationId
 from .job import JobRecord
-from .job_store import JobStore, StoredJob
+from .job_store import JobScan, JobStore, StoredJob
+from .states import JobState
 
-SCAN_INTERVAL_S = 0.25
+WANTED_INTERVAL_S = 0.25
+IDLE_INTERVAL_S = 1.0
+FULL_SCAN_S = 60.0
+# Above every revision of the store.
+MAX_REVISION = sys.maxsize
 Waiter = asyncio.Future[JobRecord]
 
 
+class QueuedJobs:
+    """Jobs in the state queued, by organisation; a core without I/O."""
+
+    def __init__(self) -> None:
+        """Start without any job."""
+        self._by_organisation: dict[OrganisationId, set[JobId]] = {}
+
+    def count(self, organisation: OrganisationId) -> int:
+        """Return how many jobs of ``organisation`` wait."""
+        return len(self._by_organisation.get(organisation, ()))
+
+    def note(self, record: JobRecord) -> None:
+        """Take over the state of one record."""
+        jobs = self._by_organisation.setdefault(record.organisation, set())
+        if record.state is JobState.QUEUED:
+            jobs.add(record.job)
+        else:
+            jobs.discard(record.job)
+
+    def forget_all(self) -> None:
+        """Forget every job, before all are noted anew."""
+        self._by_organisation.clear()
+
+
 class JobWatch(Service):
     """Hands the record of an ended job to everybody who waits for it."""
 
-    def __init__(self, jobs: JobStore) -> None:
+    def __init__(self, jobs: JobStore, clock: Clock) -> None:
         """Watch the records of ``jobs``."""
         super().__init__()
+        self.queued = QueuedJobs()
         self._jobs = jobs
+        self._clock = clock
         self._waiters: dict[JobId, set[Waiter]] = {}
         self._seen_revision = 0
+        self._full_scan_due_s = 0.0
         self._wanted = asyncio.Event()
 
     async def wait(self, stored: StoredJob, timeout_s: float) -> JobRecord:
         """Return the record once final, or as it was after ``timeout_s``."""
         job = stored.record.job
-        if not self._waiters:
-            self._seen_revision = stored.mod_revision
         # A change between the load and now must not be missed.
         self._seen_revision = min(self._seen_revision, stored.mod_revision)
         waiter: Waiter = asyncio.get_running_loop().create_future()
@@ -42,19 +78,40 @@
             self._forget(job, waiter)
 
     @Service.task
-    async def _scan_while_wanted(self) -> None:
+    async def _scan_forever(self) -> None:
         while not self.should_stop:
-            await self._wanted.wait()
             await self._scan()
-            await asyncio.sleep(SCAN_INTERVAL_S)
+            await asyncio.sleep(WANTED_INTERVAL_S)
+            if not self._waiters:
+                await self._pause()
+
+    async def _pause(self) -> None:
+        self._wanted.clear()
+        pause_s = IDLE_INTERVAL_S - WANTED_INTERVAL_S
+        wanted = asyncio.create_task(self._wanted.wait())
+        await asyncio.wait((wanted,), timeout=pause_s)
+        wanted.cancel()
 
     async def _scan(self) -> None:
+        now_s = self._clock.monotonic_s()
+        full = now_s >= self._full_scan_due_s
+        newer_than = 0 if full else self._seen_revision
+        # Set before the call: a waiter may lower it while it is on its way.
+        self._seen_revision = MAX_REVISION
         try:
-            scan = await self._jobs.scan(self._seen_revision)
+            scan = await self._jobs.scan(newer_than)
         except StoreError:
+            self._seen_revision = min(self._seen_revision, newer_than)
             return
-        self._seen_revision = max(self._seen_revision, scan.store_revision)
+        self._seen_revision = min(self._seen_revision, scan.store_revision)
+        if full:
+            self._full_scan_due_s = now_s + FULL_SCAN_S
+            self.queued.forget_all()
+        self._take(scan)
+
+    def _take(self, scan: JobScan) -> None:
         for stored in scan.jobs:
+            self.queued.note(stored.record)
             if stored.record.state.is_final:
                 self._wake(stored.record)
 
@@ -68,5 +125,3 @@
         waiters.discard(waiter)
         if not waiters:
             self._waiters.pop(job)
-        if not self._waiters:
-            self._wanted.clear()
--- a/tests/test_job_routes.py
+++ b/tests/test_job_routes.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 
 from bulrushcove.authentication import TokenIndex
-from bulrushcove.clock import ManualClock
+from bulrushcove.clock import ManualClock, SystemClock
+from bulrushcove.contract import JobLimits
 from bulrushcove.exceptions import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -65,11 +66,12 @@
     store = FakeStore()
     clock = ManualClock()
     jobs = JobStore(store)
-    watch = JobWatch(jobs)
+    watch = JobWatch(jobs, SystemClock())
     control = FakeControl()
-    configuration = configuration_of(
-        contract_of('litoral'), contract_of('parlstugan')
+    litoral = msgspec.structs.replace(
+        contract_of('litoral'), jobs=JobLimits(max_queued=3)
     )
+    configuration = configuration_of(litoral, contract_of('parlstugan'))
     application = web.Application()
     context = JobContext(
         settings=SETTINGS,
@@ -207,3 +209,17 @@
     answer = await submit(bench)
     assert answer.status == 503
     assert (await answer.json())['outcome'] == outcome
+
+
+async def test_jobs_over_the_limit_of_the_contract_are_refused(bench):
+    for number in range(3):
+        assert (await submit(bench, f'j{number}')).status == 201
+    refused = await submit(bench, 'j3')
+    body = await refused.json()
+    assert (refused.status, body['outcome']) == (429, 'not-run')
+    assert (body['field'], body['limit']) == ('jobs.max_queued', '3 jobs')
+    assert (await submit(bench, 'j0')).status in {200, 201}
+    assert (await submit(bench, headers=PARLSTUGAN)).status == 201
+    await finish(bench, 'litoral/j0')
+    await asyncio.sleep(1.3)
+    assert (await submit(bench, 'j3')).status == 201
