--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -158,6 +158,7 @@
         )
         self.metrics = RequestMetrics(new_metrics())
         admission = Admission()
+        self.admission = admission
         self.path = RequestPath(
             admission,
             self.router,
