Requests under faults on real processes; a retry says so and is never told not-run

Found on the way: a retry refused at the door of another VM (platform down, queue full) was told not-run although its first try may have run. Ways weighed: a look-up or tombstone claim before each refusal (platform calls just when load is shed), or the caller saying that the id was sent before (X-Bulrushcove-Retry: true), to which no refusal says not-run. Built the header.

--- a/src/bulrushcove/caller_routes.py
+++ b/src/bulrushcove/caller_routes.py
@@ -15,7 +15,7 @@
 from .exceptions import RefusedError
 from .logs import log_event
 from .refusals import outcome_headers, refusal_response
-from .request_head import parse_head
+from .request_head import is_retry, parse_head
 from .request_metrics import RequestMetrics
 from .request_path import RequestPath
 from .settings import EntrySettings
@@ -69,6 +69,9 @@
         work = await _read_work(context, request)
         response = await _serve(context, request, work, trace)
     except RefusedError as exc:
+        if is_retry(request.headers):
+            # An earlier try, of which this VM knows nothing, may have run.
+            exc.outcome = Outcome.UNKNOWN
         outcome = exc.outcome
         _log_refusal(work, exc, trace)
         response = refusal_response(exc, trace, work.attempts if work else 0)
--- a/src/bulrushcove/request_head.py
+++ b/src/bulrushcove/request_head.py
@@ -16,6 +16,8 @@
 IDEMPOTENT_HEADER = 'X-Bulrushcove-Idempotent'
 DEADLINE_HEADER = 'X-Bulrushcove-Deadline-Ms'
 URGENCY_HEADER = 'X-Bulrushcove-Urgency'
+# Says that the id was sent before, perhaps to another entry VM.
+RETRY_HEADER = 'X-Bulrushcove-Retry'
 ID_FORM = '1 to 128 of A-Z a-z 0-9 . _ : -'
 _id_pattern = re.compile('[A-Za-z0-9._:-]{1,128}')
 _booleans: Mapping[str, bool] = {'true': True, 'false': False}
@@ -41,12 +43,14 @@
 
     A request that does not say whether it is idempotent is not.
     """
+    _boolean(RETRY_HEADER, headers.get(RETRY_HEADER, 'false'))
+    idempotent = headers.get(IDEMPOTENT_HEADER, 'false')
     return RequestHead(
         contract=contract,
         request=RequestId(
             checked_id(REQUEST_HEADER, headers.get(REQUEST_HEADER, ''))
         ),
-        idempotent=_idempotent(headers.get(IDEMPOTENT_HEADER, 'false')),
+        idempotent=_boolean(IDEMPOTENT_HEADER, idempotent),
         urgency=_urgency(headers.get(URGENCY_HEADER, Urgency.NORMAL.value)),
         deadline_s=now_s + _deadline_ms(headers, settings) / MS_PER_S,
     )
@@ -59,13 +63,16 @@
     raise malformed(field, f'{field} is not a valid id', ID_FORM)
 
 
-def _idempotent(found: str) -> bool:
-    idempotent = _booleans.get(found)
-    if idempotent is None:
-        raise malformed(
-            IDEMPOTENT_HEADER, f'{found!r} is not a boolean', 'true or false'
-        )
-    return idempotent
+def is_retry(headers: Mapping[str, str]) -> bool:
+    """Return whether the caller may have sent the id before."""
+    return headers.get(RETRY_HEADER, 'false') != 'false'
+
+
+def _boolean(field: str, found: str) -> bool:
+    known = _booleans.get(found)
+    if known is None:
+        raise malformed(field, f'{found!r} is not a boolean', 'true or false')
+    return known
 
 
 def _urgency(found: str) -> Urgency:
--- a/tests/test_entry_once.py
+++ b/tests/test_entry_once.py
@@ -152,3 +152,14 @@
         headers=head(**ONCE, Authorization='Bearer pearls'),
     )
     assert answer.status == 200
+
+
+@pytest.mark.parametrize(
+    ('headers', 'outcome'),
+    [({}, 'not-run'), ({'X-Bulrushcove-Retry': 'true'}, 'unknown')],
+)
+async def test_refused_retry_does_not_say_not_run(pair, headers, outcome):
+    await pair.post(0)
+    pair.store.down = True
+    answer = await pair.post(1, **headers)
+    assert answer[:2] == (outcome, 503)
