Misspelt headers are refused, waits for results end with the entry, probes bounded a second

A header that is not known would silently mean its default; a wait for a result of up to ten minutes held up a planned stop; probes grew with the servers. A token that is not UTF-8 was a 500.

--- a/src/bulrushcove/authentication.py
+++ b/src/bulrushcove/authentication.py
@@ -69,4 +69,4 @@
 def token_digest(authorization: str) -> str:
     """Return the sha256 (hex) of the token in an ``Authorization`` header."""
     token = authorization.removeprefix(BEARER)
-    return hashlib.sha256(token.encode()).hexdigest()
+    return hashlib.sha256(token.encode(errors='surrogateescape')).hexdigest()
--- a/src/bulrushcove/backend_watch.py
+++ b/src/bulrushcove/backend_watch.py
@@ -14,6 +14,7 @@
 
 TICK_S = 0.02
 PROBE_INTERVAL_S = 1.0
+MAX_PROBES_PER_S = 100.0
 MISSED_PROBES = 2
 PUBLISH_INTERVAL_S = 0.5
 
@@ -57,13 +58,10 @@
     @Service.task
     async def _probe_servers(self) -> None:
         while not self.should_stop:
-            await asyncio.gather(
-                *(
-                    self._probe(server)
-                    for server in self._router.servers.values()
-                )
-            )
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            servers = tuple(self._router.servers.values())
+            await asyncio.gather(*(self._probe(server) for server in servers))
+            round_s = len(servers) / MAX_PROBES_PER_S
+            await asyncio.sleep(max(PROBE_INTERVAL_S, round_s))
 
     async def _probe(self, server: Server) -> None:
         """Take over what ``server`` says of itself.
--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -72,6 +72,7 @@
         entry = self._settings.entry
         self._server.health.leaving = True
         await asyncio.sleep(entry.balancer_interval_ms / MS_PER_S)
+        self._watch.stop_waiting()
         await self._server.close(entry.stop_timeout_ms / MS_PER_S)
 
     async def on_shutdown(self) -> None:
--- a/src/bulrushcove/job_watch.py
+++ b/src/bulrushcove/job_watch.py
@@ -21,7 +21,8 @@
 FULL_SCAN_S = 60.0
 # Above every revision of the store.
 MAX_REVISION = sys.maxsize
-Waiter = asyncio.Future[JobRecord]
+# None: the wait ends without news.
+Waiter = asyncio.Future[JobRecord | None]
 
 
 class QueuedJobs:
@@ -61,9 +62,20 @@
         self._seen_revision = 0
         self._full_scan_due_s = 0.0
         self._wanted = asyncio.Event()
+        self._is_closed = False
+
+    def stop_waiting(self) -> None:
+        """Let every wait end now, and those to come at once."""
+        self._is_closed = True
+        for waiters in self._waiters.values():
+            for waiter in waiters:
+                if not waiter.done():
+                    waiter.set_result(None)
 
     async def wait(self, stored: StoredJob, timeout_s: float) -> JobRecord:
         """Return the record once final, or as it was after ``timeout_s``."""
+        if self._is_closed:
+            return stored.record
         job = stored.record.job
         # A change between the load and now must not be missed.
         self._seen_revision = min(self._seen_revision, stored.mod_revision)
@@ -71,7 +83,7 @@
         self._waiters.setdefault(job, set()).add(waiter)
         self._wanted.set()
         try:
-            return await asyncio.wait_for(waiter, timeout_s)
+            return await asyncio.wait_for(waiter, timeout_s) or stored.record
         except TimeoutError:
             return stored.record
         finally:
--- a/src/bulrushcove/request_head.py
+++ b/src/bulrushcove/request_head.py
@@ -1,7 +1,7 @@
 """Headers of a caller's request, parsed into typed fields."""
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -18,6 +18,17 @@
 URGENCY_HEADER = 'X-Bulrushcove-Urgency'
 # Says that the id was sent before, perhaps to another entry VM.
 RETRY_HEADER = 'X-Bulrushcove-Retry'
+PREFIX = 'x-bulrushcove-'
+KNOWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_HEADER,
+        IDEMPOTENT_HEADER,
+        DEADLINE_HEADER,
+        URGENCY_HEADER,
+        RETRY_HEADER,
+    )
+)
 ID_FORM = '1 to 128 of A-Z a-z 0-9 . _ : -'
 _id_pattern = re.compile('[A-Za-z0-9._:-]{1,128}')
 _booleans: Mapping[str, bool] = {'true': True, 'false': False}
@@ -43,6 +54,7 @@
 
     A request that does not say whether it is idempotent is not.
     """
+    _check_known(headers)
     _boolean(RETRY_HEADER, headers.get(RETRY_HEADER, 'false'))
     idempotent = headers.get(IDEMPOTENT_HEADER, 'false')
     return RequestHead(
@@ -68,6 +80,18 @@
     return headers.get(RETRY_HEADER, 'false') != 'false'
 
 
+def _check_known(headers: Iterable[str]) -> None:
+    """Refuse a misspelt header, which would silently mean its default."""
+    for name in headers:
+        lower = name.lower()
+        if lower.startswith(PREFIX) and lower not in KNOWN_HEADERS:
+            raise malformed(
+                name.title(),
+                f'unknown header {name}',
+                ', '.join(sorted(KNOWN_HEADERS)),
+            )
+
+
 def _boolean(field: str, found: str) -> bool:
     known = _booleans.get(found)
     if known is None:
--- a/tests/test_job_routes.py
+++ b/tests/test_job_routes.py
@@ -88,6 +88,7 @@
     client.store = store
     client.jobs = jobs
     client.clock = clock
+    client.watch = watch
     client.control = control
     await watch.start()
     yield client
@@ -157,6 +158,17 @@
     assert (await answer.json())['state'] == 'queued'
 
 
+async def test_wait_ends_with_the_entry(bench):
+    await submit(bench)
+    path = f'{URL}/j1/result?wait_ms=60000'
+    waiting = asyncio.create_task(bench.get(path, headers=LITORAL))
+    await asyncio.sleep(0.1)
+    bench.watch.stop_waiting()
+    async with asyncio.timeout(2):
+        answers = [await waiting, await bench.get(path, headers=LITORAL)]
+    assert [answer.status for answer in answers] == [200, 200]
+
+
 async def test_cancel_is_asked_for_once(bench):
     await submit(bench)
     for _ in range(2):
