--- a/src/bulrushcove/covered_start.py
+++ b/src/bulrushcove/covered_start.py
@@ -42,6 +42,15 @@
     )
 
 
+def is_part_of_shape(state: PassState, record: JobRecord) -> bool:
+    """Return whether the job uses less than half of each guaranteed shape."""
+    weight = state.guarantees.weight(record.spec)
+    return all(
+        2 * weight < cover.accelerators
+        for cover in state.guarantees.every_cover(record.organisation)
+    )
+
+
 def displace_own(state: PassState, record: JobRecord) -> bool:
     """Let small gangs of the organisation leave their cover to the job.
 
--- a/src/bulrushcove/reclaim.py
+++ b/src/bulrushcove/reclaim.py
@@ -49,7 +49,8 @@
         """Return whether gangs that are stopping leave room for a gang."""
         wanted = dict(counts)
         state = _GroupRoom(spec, self._rooms, list(wanted), wanted)
-        for gang in self.on_workers(wanted, spare_urgent=True):
+        size = spec.accelerators
+        for gang in self.on_workers(wanted, size, spare_urgent=True):
             if self.is_stopping(gang):
                 state.give(gang, 1)
         return state.total >= spec.tasks
@@ -62,9 +63,12 @@
         return (gang.unsaved_s + RESTART_S) * weight
 
     def on_workers(
-        self, indices: Iterable[int], *, spare_urgent: bool
+        self, indices: Iterable[int], wanted: int, *, spare_urgent: bool
     ) -> list[RunningGang]:
-        """Return the gangs there that may be stopped, cheapest room first."""
+        """Return the gangs there that may be stopped, cheapest room first.
+
+        Room beyond the ``wanted`` accelerators counts for nothing.
+        """
         found = {}
         for index in indices:
             for candidate in self._on_worker.get(index, ()):
@@ -74,7 +78,7 @@
             for gang in found.values()
             if self.is_stopping(gang) or not (spare_urgent and _is_urgent(gang))
         ]
-        return sorted(gangs, key=self._order)
+        return sorted(gangs, key=lambda gang: self._order(gang, wanted))
 
     def add(self, gang: RunningGang) -> None:
         """Let ``gang`` be stopped like borrowed work."""
@@ -86,9 +90,11 @@
         for index, _ in self._rooms.counts_of(gang.placement):
             self._on_worker[index].remove(gang)
 
-    def _order(self, gang: RunningGang) -> tuple[bool, float, AttemptId]:
-        weight = max(gang.record.spec.accelerators, 1)
-        return _is_urgent(gang), self.cost(gang) / weight, gang.attempt
+    def _order(
+        self, gang: RunningGang, wanted: int
+    ) -> tuple[bool, float, AttemptId]:
+        use = max(min(gang.record.spec.accelerators, wanted), 1)
+        return _is_urgent(gang), self.cost(gang) / use, gang.attempt
 
 
 def find_reclaims(
@@ -128,7 +134,9 @@
     most: dict[int, int] | None,
 ) -> Reclaimed | None:
     """Stop the cheapest gangs of the group until the gang fits, then fewer."""
-    gangs = borrowed.on_workers(group, spare_urgent=most is None)
+    gangs = borrowed.on_workers(
+        group, spec.accelerators, spare_urgent=most is None
+    )
     state = _GroupRoom(spec, rooms, group, most)
     victims: list[RunningGang] = []
     for cheapest in gangs:
--- a/src/bulrushcove/reservations.py
+++ b/src/bulrushcove/reservations.py
@@ -79,10 +79,12 @@
     wait_s = max(reservation.expected_s - now_s, 0)
     idle = _free_tasks(spec, free, wanted) * spec.accelerators_per_task
     victims = []
-    for gang in borrowed.on_workers(wanted, spare_urgent=True):
+    for gang in borrowed.on_workers(
+        wanted, spec.accelerators, spare_urgent=True
+    ):
         if _free_tasks(spec, free, wanted) >= spec.tasks:
             break
-        is_small = gang.record.spec.accelerators * 2 <= spec.accelerators
+        is_small = gang.record.spec.accelerators < spec.accelerators
         if is_small and _give_back(gang, rooms, free):
             victims.append(gang)
     fits = _free_tasks(spec, free, wanted) >= spec.tasks
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -10,13 +10,21 @@
 )
 from .clearing import resume_clearing
 from .cluster import DomainSnapshot, Plan
-from .covered_start import displace_own, reclaim_for_cover, start_covered
+from .covered_start import (
+    displace_own,
+    is_part_of_shape,
+    reclaim_for_cover,
+    start_covered,
+)
 from .job import JobRecord
-from .job_queue import by_age, fair_order, is_urgent
+from .job_queue import by_age, fair_order, is_urgent, waited_s
 from .pass_state import PassState
 from .probes import place_probes
 from .runnable import why_never
 
+# Small normal jobs wait so long for room before they stop others' work.
+PART_PATIENCE_S = 60.0
+
 Steps = Generator[None, None, Plan]
 
 
@@ -103,6 +111,11 @@
         return
     if start_covered(state, record) or start_borrowed(state, record):
         return
+    if is_part_of_shape(state, record):
+        now_unix_ms = state.snapshot.now_unix_ms
+        if waited_s(record, now_unix_ms) < PART_PATIENCE_S:
+            state.wait(record, 'waits for room before others are stopped')
+            return
     if not reclaim_for_cover(state, record):
         displace_own(state, record)
 
