--- a/dev/measure/cluster_fake.py
+++ b/dev/measure/cluster_fake.py
@@ -158,12 +158,13 @@
         self.queue[job.record.job] = job
         self.dirty = True
 
-    def free_accelerators(self) -> int:
-        """Return the accelerators that nothing holds."""
-        held = sum(
-            run.job.record.spec.accelerators for run in self.runs.values()
+    def free_accelerators(self, now_s: float) -> int:
+        """Return the free accelerators of the workers that take new work."""
+        return sum(
+            room.free_accelerators
+            for room in self.rooms(now_s)
+            if room.usable and not room.probe
         )
-        return len(self.workers) * ACCELERATORS - held
 
     def _may_probe(self, worker: WorkerId, now_s: float) -> bool:
         return self._health is not None and self._health.may_probe(
--- a/dev/measure/replay.py
+++ b/dev/measure/replay.py
@@ -122,7 +122,8 @@
             for name, domain in self._domains.items()
         }
         configuration = Configuration(Revision(1), self._contracts, states)
-        views = [_view(domain) for domain in self._domains.values()]
+        now_s = self._clock.monotonic_s()
+        views = [_view(domain, now_s) for domain in self._domains.values()]
         chosen = choose_domain(
             record.spec,
             self._contracts[record.organisation],
@@ -258,7 +259,8 @@
     def _idle_domain(self, accelerators: int) -> Domain | None:
         for domain in self._domains.values():
             idle = domain.in_service
-            if idle and domain.free_accelerators() >= accelerators:
+            free = domain.free_accelerators(self._clock.monotonic_s())
+            if idle and free >= accelerators:
                 return domain
         return None
 
@@ -272,7 +274,7 @@
     )
 
 
-def _view(domain: Domain) -> DomainView:
+def _view(domain: Domain, now_s: float) -> DomainView:
     total = len(domain.workers) * ACCELERATORS
     return DomainView(
         domain=domain.name,
@@ -280,7 +282,7 @@
         epoch=Epoch(1),
         workers=len(domain.workers),
         usable_workers=len(domain.workers),
-        free_accelerators=domain.free_accelerators(),
+        free_accelerators=domain.free_accelerators(now_s),
         total_accelerators=total,
         largest_rack=total,
         largest_worker=ACCELERATORS,
