Speed of deciding: measured, and the searches for victims and ends bounded

Work without accelerators was given back and taken again by the thousand when accelerators were wanted; normal jobs now share 32 searches a pass, and a wish that found nothing is not searched for again in that pass.

--- /dev/null
+++ b/dev/measure/speed.py
@@ -0,0 +1,220 @@
+"""Measures the time that single decisions take as the cluster grows."""
+
+import time
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from bulrushcove import scheduler
+from bulrushcove.cluster import DomainSnapshot, Plan, RunningGang, WorkerRoom
+from bulrushcove.contract import Contract, GuaranteedShape
+from bulrushcove.ids import AttemptId, DomainName, JobId, OrganisationId
+from bulrushcove.job import JobRecord, JobSpec, PlacedPart
+from bulrushcove.packing import check_guarantees
+from bulrushcove.states import Adjacency, DomainState, JobState
+from bulrushcove.worker_api import WorkerDescription
+
+DOMAIN = DomainName('stockholm')
+TASKS = 19_000
+GANG_TASKS = 4
+ORGANISATIONS = 86
+WAVE = 1000
+SIZES = (24, 240, 740)
+REPEATS = 3
+MS_PER_S = 1000
+MEMORY_MB = 65536
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """What was timed, in milliseconds by number of workers."""
+
+    name: str
+    times_ms: dict[int, float]
+
+
+def measure_speed() -> list[Timing]:
+    """Return the timings of all decisions for all sizes."""
+    scenes: dict[str, Callable[[int], float]] = {
+        'rebuild of a pass at take-over': _time_rebuild,
+        'placement of a 64-gang': _time_placement,
+        'reclaim for a 64-gang': _time_reclaim,
+        'reservation for a 64-gang': _time_reservation,
+        'cancellation wave of 1,000 jobs': _time_wave,
+        'longest step, 1,000 jobs queued': _time_longest_step,
+        'contract check, 86 organisations': _time_check,
+    }
+    return [
+        Timing(name, {size: _least(scene, size) for size in SIZES})
+        for name, scene in scenes.items()
+    ]
+
+
+def speed_table(timings: list[Timing]) -> str:
+    """Return a Markdown table of the timings."""
+    heading = ' | '.join(f'{size} workers' for size in SIZES)
+    lines = [f'| decision (ms) | {heading} |', '|---|---|---|---|']
+    for timing in timings:
+        times = ' | '.join(f'{timing.times_ms[size]:.1f}' for size in SIZES)
+        lines.append(f'| {timing.name} | {times} |')
+    return '\n'.join(lines)
+
+
+def _least(scene: Callable[[int], float], size: int) -> float:
+    return min(scene(size) for _ in range(REPEATS)) * MS_PER_S
+
+
+def _time_rebuild(size: int) -> float:
+    return max(_step_times(_snapshot(size, []))[:1])
+
+
+def _time_placement(size: int) -> float:
+    wish = _job('gang', tasks=64, adjacency=Adjacency.RACK)
+    return max(_step_times(_snapshot(size, [wish]))[1:])
+
+
+def _time_reclaim(size: int) -> float:
+    wish = _job('gang', 'org-0', tasks=64, adjacency=Adjacency.RACK)
+    return max(_step_times(_snapshot(size, [wish], is_full=True))[1:])
+
+
+def _time_reservation(size: int) -> float:
+    wish = _job('gang', 'guest', tasks=64, adjacency=Adjacency.RACK)
+    return max(_step_times(_snapshot(size, [wish], is_full=True))[1:])
+
+
+def _time_wave(size: int) -> float:
+    queued = [
+        msgspec.structs.replace(_job(f'q{nth}'), cancel_requested=True)
+        for nth in range(WAVE)
+    ]
+    return sum(_step_times(_snapshot(size, queued))[1:])
+
+
+def _time_longest_step(size: int) -> float:
+    queued = [
+        _job(f'q{nth}', f'org-{nth % ORGANISATIONS}', tasks=1 + nth % 8)
+        for nth in range(WAVE)
+    ]
+    return max(_step_times(_snapshot(size, queued)))
+
+
+def _time_check(size: int) -> float:
+    workers = list(_workers(size))
+    contracts = _contracts(size)
+    begin_s = time.perf_counter()
+    check_guarantees(contracts, workers, {DOMAIN: DomainState.IN})
+    return time.perf_counter() - begin_s
+
+
+def _step_times(snapshot: DomainSnapshot) -> list[float]:
+    """Return how long each step of a pass held the loop, in seconds."""
+    steps: Iterator[None | Plan] = scheduler.plan_in_steps(snapshot)
+    times = []
+    begin_s = time.perf_counter()
+    for _ in steps:
+        times.append(time.perf_counter() - begin_s)
+        begin_s = time.perf_counter()
+    times.append(time.perf_counter() - begin_s)
+    return times
+
+
+def _snapshot(
+    size: int, queued: list[JobRecord], *, is_full: bool = False
+) -> DomainSnapshot:
+    """Return a domain that runs all the tasks; a fifth is free or none."""
+    running = list(_running(size, is_full=is_full))
+    used = dict.fromkeys(range(size), 0)
+    for gang in running:
+        spec = gang.record.spec
+        for part in gang.placement:
+            index = int(part.worker.removeprefix('w'))
+            used[index] += len(part.parts) * spec.accelerators_per_task
+    rooms = (
+        WorkerRoom(
+            description=worker,
+            free_accelerators=worker.accelerators - used[index],
+            free_cores=worker.cores - 2 * used[index],
+            free_memory_mb=MEMORY_MB // 2,
+        )
+        for index, worker in enumerate(_workers(size))
+    )
+    return DomainSnapshot(
+        domain=DOMAIN,
+        now_s=1000.0,
+        now_unix_ms=1_000_000,
+        workers=tuple(rooms),
+        running=tuple(running),
+        queued=tuple(queued),
+        contracts=_contracts(size),
+    )
+
+
+def _workers(size: int) -> Iterator[WorkerDescription]:
+    for nth in range(size):
+        yield WorkerDescription(
+            worker=f'w{nth}',
+            domain=DOMAIN,
+            rack=f'r{nth // 8}',
+            accelerators=8,
+            cores=32,
+            memory_mb=MEMORY_MB,
+        )
+
+
+def _contracts(size: int) -> dict[OrganisationId, Contract]:
+    """Return a whole rack for the first, a share for the others."""
+    share = max(size * 8 // 2 // ORGANISATIONS, 1)
+    shapes = {OrganisationId('guest'): ()}
+    for nth in range(ORGANISATIONS - 1):
+        size_of = 64 if nth == 0 else share
+        near = Adjacency.RACK if nth % 2 == 0 else Adjacency.DOMAIN
+        shapes[OrganisationId(f'org-{nth}')] = (GuaranteedShape(size_of, near),)
+    return {
+        name: Contract(
+            organisation=name, token_sha256=(), guaranteed=guaranteed
+        )
+        for name, guaranteed in shapes.items()
+    }
+
+
+def _running(size: int, *, is_full: bool) -> Iterator[RunningGang]:
+    """Yield gangs of four: some on accelerators, the rest on memory only."""
+    busy = size if is_full else size * 4 // 5 // 8 * 8
+    with_accelerators = busy * 8 // GANG_TASKS
+    for nth in range(TASKS // GANG_TASKS):
+        on_accelerators = nth < with_accelerators
+        worker = nth // 2 if on_accelerators else nth % size
+        record = _job(
+            f'run-{nth}',
+            f'org-{nth % ORGANISATIONS}',
+            tasks=GANG_TASKS,
+            accelerators_per_task=int(on_accelerators),
+            cores_per_task=2 * on_accelerators,
+        )
+        yield RunningGang(
+            job=record.job,
+            attempt=AttemptId(f'{record.job}.1'),
+            organisation=record.organisation,
+            record=record,
+            placement=(PlacedPart(f'w{worker}', tuple(range(GANG_TASKS))),),
+            borrowed=on_accelerators or nth % 2 == 0,
+            started_s=0.0,
+            unsaved_s=float(nth % 97),
+        )
+
+
+def _job(name: str, organisation: str = 'guest', **fields: object) -> JobRecord:
+    spec = {
+        'kind': 'review',
+        'cores_per_task': 2,
+        'memory_mb_per_task': 64,
+        **fields,
+    }
+    return JobRecord(
+        job=JobId(name),
+        organisation=OrganisationId(organisation),
+        spec=JobSpec(**spec),
+        state=JobState.QUEUED,
+        domain=DOMAIN,
+        accepted_unix_ms=0,
+    )
--- a/src/bulrushcove/pass_state.py
+++ b/src/bulrushcove/pass_state.py
@@ -1,6 +1,7 @@
 """Decisions of one scheduling pass so far, and the room that is left."""
 
 from collections.abc import Iterable
+from functools import cached_property
 
 from .cluster import (
     DomainSnapshot,
@@ -37,9 +38,12 @@
             {name: self.guarantees.total(name) for name in snapshot.contracts},
         )
         self.run_times = RunTimeEstimates(snapshot.observed)
-        self.borrowed = Borrowed(snapshot.running, self.rooms)
         # Wishes that found no free room in this pass.
         self.misfits: set[tuple[object, ...]] = set()
+        # Wishes within guarantees that no stop of borrowed work serves.
+        self.hopeless: set[tuple[object, ...]] = set()
+        # Searches for room to clear for normal jobs, which bound the pass.
+        self.reclaim_searches = 0
         self.reservations: dict[JobId, tuple[JobRecord, Reservation]] = {}
         self._places: dict[JobId, Place] = {}
         self._reclaims: list[Reclaim] = []
@@ -48,6 +52,11 @@
         # Jobs that hold room until their victims have ended.
         self._clearing: dict[JobId, Reservation] = {}
 
+    @cached_property
+    def borrowed(self) -> Borrowed:
+        """Return the gangs that may be stopped."""
+        return Borrowed(self.snapshot.running, self.rooms)
+
     def contract(self, record: JobRecord) -> Contract:
         """Return the contract that the job runs under."""
         return self.snapshot.contracts[record.organisation]
--- a/src/bulrushcove/reclaim.py
+++ b/src/bulrushcove/reclaim.py
@@ -33,6 +33,8 @@
         self._rooms = rooms
         self._on_worker: dict[int, list[RunningGang]] = defaultdict(list)
         self._stopping: set[AttemptId] = set()
+        # Accelerator-seconds that a stop of each gang throws away.
+        self._costs: dict[AttemptId, float] = {}
         for borrower in running:
             if borrower.borrowed or borrower.stopping:
                 self.add(borrower)
@@ -40,6 +42,7 @@
     def stop(self, victim: RunningGang) -> None:
         """Note that ``victim`` is being stopped."""
         self._stopping.add(victim.attempt)
+        self._costs[victim.attempt] = 0
 
     def is_stopping(self, gang: RunningGang) -> bool:
         """Return whether the gang's room comes back without a new stop."""
@@ -57,10 +60,8 @@
 
     def cost(self, gang: RunningGang) -> float:
         """Return the accelerator-seconds that a stop throws away."""
-        if self.is_stopping(gang):
-            return 0
-        weight = max(gang.record.spec.accelerators, 1)
-        return (gang.unsaved_s + RESTART_S) * weight
+        known = self._costs.get(gang.attempt)
+        return _loss(gang) if known is None else known
 
     def on_workers(
         self, indices: Iterable[int], wanted: int, *, spare_urgent: bool
@@ -82,6 +83,7 @@
 
     def add(self, gang: RunningGang) -> None:
         """Let ``gang`` be stopped like borrowed work."""
+        self._costs[gang.attempt] = 0 if gang.stopping else _loss(gang)
         for index, _ in self._rooms.counts_of(gang.placement):
             self._on_worker[index].append(gang)
 
@@ -137,6 +139,9 @@
     gangs = borrowed.on_workers(
         group, spec.accelerators, spare_urgent=most is None
     )
+    if spec.accelerators:
+        # Work without accelerators is stopped only where it is in the way.
+        gangs.sort(key=lambda gang: not gang.record.spec.accelerators)
     state = _GroupRoom(spec, rooms, group, most)
     victims: list[RunningGang] = []
     for cheapest in gangs:
@@ -193,5 +198,10 @@
         return min(fitting, self._most.get(index, 0))
 
 
+def _loss(gang: RunningGang) -> float:
+    weight = max(gang.record.spec.accelerators, 1)
+    return (gang.unsaved_s + RESTART_S) * weight
+
+
 def _is_urgent(gang: RunningGang) -> bool:
     return gang.record.spec.urgency is Urgency.URGENT
--- a/src/bulrushcove/reservations.py
+++ b/src/bulrushcove/reservations.py
@@ -6,6 +6,7 @@
 the room that waits idle costs more than its unsaved work.
 """
 
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 
 from .cluster import DomainSnapshot, Reservation, RunningGang
@@ -36,7 +37,9 @@
     ends = _expected_ends(snapshot, rooms, run_times)
     found = []
     for group in groups(rooms, indices, record.spec.adjacency):
-        free, expected_s = _wait_for_room(record.spec, rooms, group, ends)
+        free, expected_s = _wait_for_room(
+            record.spec, rooms, group, _ends_in(group, ends)
+        )
         fits = {index: room.fits(record.spec) for index, room in free.items()}
         counts = best_spread(record.spec, rooms, fits)
         if counts:
@@ -103,14 +106,26 @@
 
 def _expected_ends(
     snapshot: DomainSnapshot, rooms: Rooms, run_times: RunTimeEstimates
-) -> list[Ending]:
-    """Return when each running gang likely ends, the first first."""
-    ends = []
+) -> dict[int, list[Ending]]:
+    """Return when the gangs on each worker likely end."""
+    ends: dict[int, list[Ending]] = defaultdict(list)
     for gang in snapshot.running:
         elapsed_s = max(snapshot.now_s - gang.started_s, 0)
         left_s = run_times.remaining_s(gang.record, elapsed_s)
-        ends.append((snapshot.now_s + left_s, gang))
-    return sorted(ends, key=lambda ending: ending[0])
+        for index, _ in rooms.counts_of(gang.placement):
+            ends[index].append((snapshot.now_s + left_s, gang))
+    return ends
+
+
+def _ends_in(
+    group: Sequence[int], ends: Mapping[int, Sequence[Ending]]
+) -> list[Ending]:
+    """Return the ends of all gangs of a group, the first first."""
+    found = {}
+    for index in group:
+        for end_s, gang in ends.get(index, ()):
+            found[gang.attempt] = (end_s, gang)
+    return sorted(found.values(), key=lambda ending: ending[0])
 
 
 def _wait_for_room(
@@ -126,9 +141,15 @@
     for end_s, gang in ends:
         if total >= spec.tasks:
             break
-        if _give_back(gang, rooms, free):
-            total = _total_fits(spec, free)
-            expected_s = end_s
+        touched = {
+            index: free[index]
+            for index, _ in rooms.counts_of(gang.placement)
+            if index in free
+        }
+        total -= _total_fits(spec, touched)
+        _give_back(gang, rooms, touched)
+        total += _total_fits(spec, touched)
+        expected_s = end_s
     return free, expected_s
 
 
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -25,6 +25,9 @@
 # Small normal jobs wait so long for room before they stop others' work.
 PART_PATIENCE_S = 60.0
 
+# Normal jobs that others' work is stopped for in one pass.
+MAX_SEARCHES = 32
+
 Steps = Generator[None, None, Plan]
 
 
@@ -116,8 +119,12 @@
         if waited_s(record, now_unix_ms) < PART_PATIENCE_S:
             state.wait(record, 'waits for room before others are stopped')
             return
-    if not reclaim_for_cover(state, record):
-        displace_own(state, record)
+    wish = (record.organisation, *state.wish(record))
+    if wish in state.hopeless or state.reclaim_searches >= MAX_SEARCHES:
+        return
+    state.reclaim_searches += 1
+    if not (reclaim_for_cover(state, record) or displace_own(state, record)):
+        state.hopeless.add(wish)
 
 
 def _try_borrowed(state: PassState, record: JobRecord) -> None:
