--- a/dev/measure/cluster_fake.py
+++ b/dev/measure/cluster_fake.py
@@ -44,6 +44,8 @@
     # Run time kept so far by checkpoints.
     saved_s: float = 0.0
     ended_s: float | None = None
+    # When it came into the queue that it is in.
+    queued_s: float = 0.0
     failed: bool = False
 
 
@@ -150,8 +152,9 @@
         self.runs[attempt.attempt] = run
         return run
 
-    def enqueue(self, job: Job) -> None:
+    def enqueue(self, job: Job, now_s: float) -> None:
         """Queue a new or returned job."""
+        job.queued_s = now_s
         job.record = msgspec.structs.replace(
             job.record, state=JobState.QUEUED, current=None, domain=self.name
         )
--- a/dev/measure/figures.py
+++ b/dev/measure/figures.py
@@ -27,6 +27,7 @@
     Figure('urgent completion p99', 's', goal=0.1),
     Figure('urgent completion p999', 's'),
     Figure('urgent run time alone p99', 's'),
+    Figure('urgent wait p99', 's', goal=0.1),
     Figure('normal completion p50', 's'),
     Figure('normal completion p99', 's'),
     Figure('all completion mean', 's', goal=1),
@@ -56,6 +57,9 @@
         'urgent run time alone p99': quantile(
             [job.arrival.run_s for job in urgent], 0.99
         ),
+        'urgent wait p99': quantile(
+            [_took_s(job) - job.arrival.run_s for job in urgent], 0.99
+        ),
         'normal completion p50': quantile(normal, 0.5),
         'normal completion p99': quantile(normal, 0.99),
         'all completion mean': _mean(_took_s(job) for job in done),
@@ -101,7 +105,13 @@
 def ratio(before: Sequence[float], after: Sequence[float]) -> str:
     """Return the ratio of the means."""
     mean = statistics.mean(before)
-    return f'{statistics.mean(after) / mean:.2f}' if mean else '-'
+    if not mean:
+        return '-'
+    by_seed = [new / old for old, new in zip(before, after, strict=True) if old]
+    return (
+        f'{statistics.mean(after) / mean:.2f} '
+        f'({statistics.median(by_seed):.2f})'
+    )
 
 
 def quantile(values: Iterable[float], share: float) -> float:
--- a/dev/measure/tally.py
+++ b/dev/measure/tally.py
@@ -1,17 +1,21 @@
 """Counts what a replay did, second by second."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from bulrushcove.contract import Contract
 from bulrushcove.ids import OrganisationId
+from bulrushcove.job_queue import is_urgent
 from bulrushcove.states import Adjacency
 from dev.measure.arrivals import LARGE_ACCELERATORS
 from dev.measure.cluster_fake import ACCELERATORS, Domain, Job, Run
 
-# A shape wanted longer than this, with all of it unused, is missed.
+# Work within a guarantee that waits longer than this has missed it: urgent
+# work and whole shapes, and normal work that uses less than half of a shape.
 GUARANTEE_S = 10
+PART_S = 75
 # When one domain is out of service.
 CHANGE_S = (2400.0, 3300.0)
 
@@ -56,9 +60,33 @@
             largest = _largest_shape(domain, contracts)
             self.free_s += sum(free)
             self.broken_s += sum(free) - _serving(free, *largest)
+            self._note_missed(domain, contracts, now_s)
             if CHANGE_S[0] <= now_s < CHANGE_S[1]:
                 self.room_in_change += len(domain.workers) * ACCELERATORS
 
+    def _note_missed(
+        self,
+        domain: Domain,
+        contracts: Mapping[OrganisationId, Contract],
+        now_s: float,
+    ) -> None:
+        """Note jobs kept waiting while their organisation has its due."""
+        held = Counter[OrganisationId]()
+        for run in domain.runs.values():
+            record = run.job.record
+            held[record.organisation] += record.spec.accelerators
+        for job in domain.queue.values():
+            record = job.record
+            shapes = contracts[record.organisation].guaranteed
+            largest = max(shape.accelerators for shape in shapes)
+            due = sum(shape.accelerators * shape.count for shape in shapes)
+            size = record.spec.accelerators
+            is_part = 2 * size < largest and not is_urgent(record)
+            patience_s = PART_S if is_part else GUARANTEE_S
+            within = size <= largest and size + held[record.organisation] <= due
+            if within and now_s - job.queued_s > patience_s:
+                self.missed.add(record.job)
+
 
 def _free_by_worker(domain: Domain) -> list[int]:
     free = dict.fromkeys(domain.workers, ACCELERATORS)
--- a/src/bulrushcove/borrowed_start.py
+++ b/src/bulrushcove/borrowed_start.py
@@ -1,5 +1,7 @@
 """Starts jobs beyond the guarantee of their organisation."""
 
+from collections.abc import Iterator
+
 from .cluster import Reservation
 from .job import JobRecord
 from .job_queue import by_age
@@ -46,8 +48,13 @@
     return False
 
 
-def hold_reservations(state: PassState, waiting: list[JobRecord]) -> None:
-    """Keep room for the large jobs that have waited longest."""
+def hold_reservations(
+    state: PassState, waiting: list[JobRecord]
+) -> Iterator[None]:
+    """Keep room for the large jobs that have waited longest.
+
+    Yields after each job, as the pass does.
+    """
     held = {
         old.job: old for old in state.snapshot.reservations if not old.clearing
     }
@@ -63,6 +70,7 @@
             continue
         if len(state.reservations) < MAX_RESERVATIONS:
             _reserve(state, holder, held.get(holder.job))
+        yield
 
 
 def fill_gap(state: PassState, record: JobRecord) -> None:
--- a/src/bulrushcove/guarantees.py
+++ b/src/bulrushcove/guarantees.py
@@ -25,6 +25,8 @@
     def __init__(self, snapshot: DomainSnapshot, rooms: Rooms) -> None:
         """Lay out the covers round the unborrowed work that runs."""
         self._rooms = rooms
+        # Weights by the amounts that a gang asks for.
+        self._weights: dict[tuple[int, ...], int] = {}
         self._largest = max(
             rooms.workers, key=lambda worker: worker.accelerators, default=None
         )
@@ -43,6 +45,11 @@
             )
             for contract in snapshot.contracts.values()
         }
+        self._named = {
+            (organisation, cover.name): cover
+            for organisation, covers in self._covers.items()
+            for cover in covers
+        }
         every = [cover for each in self._covers.values() for cover in each]
         firm = _firm_rooms(snapshot.running, rooms)
         self._layout = CoverLayout(rooms, firm, every)
@@ -53,7 +60,17 @@
 
     def weight(self, spec: JobSpec) -> int:
         """Return what the gang takes in accelerators with their share."""
-        return weight_of(spec, self._largest)
+        amounts = (
+            spec.tasks,
+            spec.accelerators_per_task,
+            spec.cores_per_task,
+            spec.memory_mb_per_task,
+        )
+        weight = self._weights.get(amounts)
+        if weight is None:
+            weight = weight_of(spec, self._largest)
+            self._weights[amounts] = weight
+        return weight
 
     def covers(
         self, organisation: OrganisationId, spec: JobSpec
@@ -75,10 +92,7 @@
         self, organisation: OrganisationId, name: str
     ) -> Cover | None:
         """Return the cover of the organisation with this name."""
-        for cover in self._covers.get(organisation, ()):
-            if cover.name == name:
-                return cover
-        return None
+        return self._named.get((organisation, name))
 
     def allowed(self, cover: Cover, indices: Sequence[int]) -> list[int]:
         """Return the workers of ``indices`` that the cover may use."""
--- a/src/bulrushcove/reservations.py
+++ b/src/bulrushcove/reservations.py
@@ -22,8 +22,7 @@
 
 def is_large(spec: JobSpec, rooms: Rooms) -> bool:
     """Return whether small jobs could keep this one from ever starting."""
-    largest = max((worker.accelerators for worker in rooms.workers), default=0)
-    return 0 < largest <= spec.accelerators
+    return 0 < rooms.largest <= spec.accelerators
 
 
 def reserve(
@@ -110,6 +109,9 @@
     """Return when the gangs on each worker likely end."""
     ends: dict[int, list[Ending]] = defaultdict(list)
     for gang in snapshot.running:
+        if not gang.record.spec.accelerators_per_task:
+            # Hardly ever what a large job waits for.
+            continue
         elapsed_s = max(snapshot.now_s - gang.started_s, 0)
         left_s = run_times.remaining_s(gang.record, elapsed_s)
         for index, _ in rooms.counts_of(gang.placement):
--- a/src/bulrushcove/rooms.py
+++ b/src/bulrushcove/rooms.py
@@ -86,6 +86,9 @@
         self.index = {
             worker.worker: index for index, worker in enumerate(self.workers)
         }
+        self.largest = max(
+            (worker.accelerators for worker in self.workers), default=0
+        )
         self.racks: dict[RackId, list[int]] = defaultdict(list)
         self.free_in_rack: dict[RackId, int] = defaultdict(int)
         for index, room in enumerate(self.free):
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -57,8 +57,7 @@
     yield from _try_each(_try_covered, state, _in_fair_order(state, normal))
     rest = [record for record in normal if state.is_open(record)]
     place_probes(state, rest)
-    hold_reservations(state, rest)
-    yield
+    yield from hold_reservations(state, rest)
     yield from _try_each(_try_borrowed, state, _in_fair_order(state, rest))
     return state.result()
 
