--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo measure-path
+.PHONY: venv test lint format lock demo measure measure-path
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -39,3 +39,7 @@
 # What the entry adds to a request, beside a bare forwarder.
 measure-path: venv
 	$(BIN)/python -m dev.measure_path
+
+# Naive beside ours over seeded arrivals, and the speed of deciding.
+measure: venv
+	$(BIN)/python -m dev.measure --seed=$(SEED)
--- a/dev/measure/cluster_fake.py
+++ b/dev/measure/cluster_fake.py
@@ -44,6 +44,8 @@
     # Run time kept so far by checkpoints.
     saved_s: float = 0.0
     ended_s: float | None = None
+    # When it came into the queue that it is in.
+    queued_s: float = 0.0
     failed: bool = False
 
 
@@ -150,20 +152,22 @@
         self.runs[attempt.attempt] = run
         return run
 
-    def enqueue(self, job: Job) -> None:
+    def enqueue(self, job: Job, now_s: float) -> None:
         """Queue a new or returned job."""
+        job.queued_s = now_s
         job.record = msgspec.structs.replace(
             job.record, state=JobState.QUEUED, current=None, domain=self.name
         )
         self.queue[job.record.job] = job
         self.dirty = True
 
-    def free_accelerators(self) -> int:
-        """Return the accelerators that nothing holds."""
-        held = sum(
-            run.job.record.spec.accelerators for run in self.runs.values()
+    def free_accelerators(self, now_s: float) -> int:
+        """Return the free accelerators of the workers that take new work."""
+        return sum(
+            room.free_accelerators
+            for room in self.rooms(now_s)
+            if room.usable and not room.probe
         )
-        return len(self.workers) * ACCELERATORS - held
 
     def _may_probe(self, worker: WorkerId, now_s: float) -> bool:
         return self._health is not None and self._health.may_probe(
--- a/dev/measure/replay.py
+++ b/dev/measure/replay.py
@@ -8,6 +8,7 @@
 from bulrushcove.clock import MS_PER_S, ManualClock
 from bulrushcove.cluster import DomainSnapshot, ObservedRuns, Plan
 from bulrushcove.configuration import Configuration
+from bulrushcove.domain_fit import tightest_domain
 from bulrushcove.exceptions import RefusedError
 from bulrushcove.ids import DomainName, Epoch, JobId, Revision, VmId
 from bulrushcove.job import JobRecord
@@ -113,7 +114,7 @@
             self.tally.refused += 1
             return
         self.jobs.append(entry)
-        self._domains[domain].enqueue(entry)
+        self._domains[domain].enqueue(entry, arrival.at_s)
 
     def _choose(self, record: JobRecord) -> DomainName:
         states = {
@@ -121,13 +122,21 @@
             for name, domain in self._domains.items()
         }
         configuration = Configuration(Revision(1), self._contracts, states)
-        return choose_domain(
+        now_s = self._clock.monotonic_s()
+        views = [_view(domain, now_s) for domain in self._domains.values()]
+        chosen = choose_domain(
             record.spec,
             self._contracts[record.organisation],
             configuration,
-            [_view(domain) for domain in self._domains.values()],
+            views,
             self._random.choice(DOMAINS),
         )
+        if not self._style.careful:
+            return chosen
+        serving = [
+            view for view in views if states[view.domain] is DomainState.IN
+        ]
+        return tightest_domain(record.spec, serving) or chosen
 
     def _end_runs(self, now_s: float) -> None:
         for domain in self._domains.values():
@@ -162,7 +171,7 @@
         failures = job.record.failures + 1
         job.record = msgspec.structs.replace(job.record, failures=failures)
         if failures < MAX_FAILURES:
-            domain.enqueue(job)
+            domain.enqueue(job, now_s)
         else:
             job.ended_s = now_s
             job.failed = True
@@ -177,7 +186,7 @@
             self.tally.keep(run, now_s)
         else:
             self.tally.lose(run, now_s)
-        self._domains[self._move(domain, job)].enqueue(job)
+        self._domains[self._move(domain, job)].enqueue(job, now_s)
 
     def _leave(self, domain: Domain, run: Run) -> None:
         domain.runs.pop(run.attempt.attempt)
@@ -195,7 +204,7 @@
                 run.stops_s = now_s + STOP_S * self._style.careful
             for job in list(domain.queue.values()):
                 domain.queue.pop(job.record.job)
-                self._domains[self._move(domain, job)].enqueue(job)
+                self._domains[self._move(domain, job)].enqueue(job, now_s)
         elif now_s == BACK_S:
             domain.in_service = True
             domain.dirty = True
@@ -244,13 +253,14 @@
             target = self._idle_domain(job.record.spec.accelerators)
             if target is not None and moved < MAX_MOVES:
                 domain.queue.pop(job.record.job)
-                target.enqueue(job)
+                target.enqueue(job, now_s)
                 moved += 1
 
     def _idle_domain(self, accelerators: int) -> Domain | None:
         for domain in self._domains.values():
-            idle = domain.in_service and not domain.queue
-            if idle and domain.free_accelerators() >= accelerators:
+            idle = domain.in_service
+            free = domain.free_accelerators(self._clock.monotonic_s())
+            if idle and free >= accelerators:
                 return domain
         return None
 
@@ -264,7 +274,7 @@
     )
 
 
-def _view(domain: Domain) -> DomainView:
+def _view(domain: Domain, now_s: float) -> DomainView:
     total = len(domain.workers) * ACCELERATORS
     return DomainView(
         domain=domain.name,
@@ -272,7 +282,7 @@
         epoch=Epoch(1),
         workers=len(domain.workers),
         usable_workers=len(domain.workers),
-        free_accelerators=domain.free_accelerators(),
+        free_accelerators=domain.free_accelerators(now_s),
         total_accelerators=total,
         largest_rack=total,
         largest_worker=ACCELERATORS,
--- a/src/bulrushcove/reclaim.py
+++ b/src/bulrushcove/reclaim.py
@@ -33,6 +33,8 @@
         self._rooms = rooms
         self._on_worker: dict[int, list[RunningGang]] = defaultdict(list)
         self._stopping: set[AttemptId] = set()
+        # Accelerator-seconds that a stop of each gang throws away.
+        self._costs: dict[AttemptId, float] = {}
         for borrower in running:
             if borrower.borrowed or borrower.stopping:
                 self.add(borrower)
@@ -40,6 +42,7 @@
     def stop(self, victim: RunningGang) -> None:
         """Note that ``victim`` is being stopped."""
         self._stopping.add(victim.attempt)
+        self._costs[victim.attempt] = 0
 
     def is_stopping(self, gang: RunningGang) -> bool:
         """Return whether the gang's room comes back without a new stop."""
@@ -49,22 +52,24 @@
         """Return whether gangs that are stopping leave room for a gang."""
         wanted = dict(counts)
         state = _GroupRoom(spec, self._rooms, list(wanted), wanted)
-        for gang in self.on_workers(wanted, spare_urgent=True):
+        size = spec.accelerators
+        for gang in self.on_workers(wanted, size, spare_urgent=True):
             if self.is_stopping(gang):
                 state.give(gang, 1)
         return state.total >= spec.tasks
 
     def cost(self, gang: RunningGang) -> float:
         """Return the accelerator-seconds that a stop throws away."""
-        if self.is_stopping(gang):
-            return 0
-        weight = max(gang.record.spec.accelerators, 1)
-        return (gang.unsaved_s + RESTART_S) * weight
+        known = self._costs.get(gang.attempt)
+        return _loss(gang) if known is None else known
 
     def on_workers(
-        self, indices: Iterable[int], *, spare_urgent: bool
+        self, indices: Iterable[int], wanted: int, *, spare_urgent: bool
     ) -> list[RunningGang]:
-        """Return the gangs there that may be stopped, cheapest room first."""
+        """Return the gangs there that may be stopped, cheapest room first.
+
+        Room beyond the ``wanted`` accelerators counts for nothing.
+        """
         found = {}
         for index in indices:
             for candidate in self._on_worker.get(index, ()):
@@ -74,10 +79,11 @@
             for gang in found.values()
             if self.is_stopping(gang) or not (spare_urgent and _is_urgent(gang))
         ]
-        return sorted(gangs, key=self._order)
+        return sorted(gangs, key=lambda gang: self._order(gang, wanted))
 
     def add(self, gang: RunningGang) -> None:
         """Let ``gang`` be stopped like borrowed work."""
+        self._costs[gang.attempt] = 0 if gang.stopping else _loss(gang)
         for index, _ in self._rooms.counts_of(gang.placement):
             self._on_worker[index].append(gang)
 
@@ -86,9 +92,11 @@
         for index, _ in self._rooms.counts_of(gang.placement):
             self._on_worker[index].remove(gang)
 
-    def _order(self, gang: RunningGang) -> tuple[bool, float, AttemptId]:
-        weight = max(gang.record.spec.accelerators, 1)
-        return _is_urgent(gang), self.cost(gang) / weight, gang.attempt
+    def _order(
+        self, gang: RunningGang, wanted: int
+    ) -> tuple[bool, float, AttemptId]:
+        use = max(min(gang.record.spec.accelerators, wanted), 1)
+        return _is_urgent(gang), self.cost(gang) / use, gang.attempt
 
 
 def find_reclaims(
@@ -128,7 +136,12 @@
     most: dict[int, int] | None,
 ) -> Reclaimed | None:
     """Stop the cheapest gangs of the group until the gang fits, then fewer."""
-    gangs = borrowed.on_workers(group, spare_urgent=most is None)
+    gangs = borrowed.on_workers(
+        group, spec.accelerators, spare_urgent=most is None
+    )
+    if spec.accelerators:
+        # Work without accelerators is stopped only where it is in the way.
+        gangs.sort(key=lambda gang: not gang.record.spec.accelerators)
     state = _GroupRoom(spec, rooms, group, most)
     victims: list[RunningGang] = []
     for cheapest in gangs:
@@ -185,5 +198,10 @@
         return min(fitting, self._most.get(index, 0))
 
 
+def _loss(gang: RunningGang) -> float:
+    weight = max(gang.record.spec.accelerators, 1)
+    return (gang.unsaved_s + RESTART_S) * weight
+
+
 def _is_urgent(gang: RunningGang) -> bool:
     return gang.record.spec.urgency is Urgency.URGENT
--- a/src/bulrushcove/scheduler.py
+++ b/src/bulrushcove/scheduler.py
@@ -10,13 +10,24 @@
 )
 from .clearing import resume_clearing
 from .cluster import DomainSnapshot, Plan
-from .covered_start import displace_own, reclaim_for_cover, start_covered
+from .covered_start import (
+    displace_own,
+    is_part_of_shape,
+    reclaim_for_cover,
+    start_covered,
+)
 from .job import JobRecord
-from .job_queue import by_age, fair_order, is_urgent
+from .job_queue import by_age, fair_order, is_urgent, waited_s
 from .pass_state import PassState
 from .probes import place_probes
 from .runnable import why_never
 
+# Small normal jobs wait so long for room before they stop others' work.
+PART_PATIENCE_S = 60.0
+
+# Normal jobs that others' work is stopped for in one pass.
+MAX_SEARCHES = 32
+
 Steps = Generator[None, None, Plan]
 
 
@@ -46,8 +57,7 @@
     yield from _try_each(_try_covered, state, _in_fair_order(state, normal))
     rest = [record for record in normal if state.is_open(record)]
     place_probes(state, rest)
-    hold_reservations(state, rest)
-    yield
+    yield from hold_reservations(state, rest)
     yield from _try_each(_try_borrowed, state, _in_fair_order(state, rest))
     return state.result()
 
@@ -103,8 +113,17 @@
         return
     if start_covered(state, record) or start_borrowed(state, record):
         return
-    if not reclaim_for_cover(state, record):
-        displace_own(state, record)
+    if is_part_of_shape(state, record):
+        now_unix_ms = state.snapshot.now_unix_ms
+        if waited_s(record, now_unix_ms) < PART_PATIENCE_S:
+            state.wait(record, 'waits for room before others are stopped')
+            return
+    wish = (record.organisation, *state.wish(record))
+    if wish in state.hopeless or state.reclaim_searches >= MAX_SEARCHES:
+        return
+    state.reclaim_searches += 1
+    if not (reclaim_for_cover(state, record) or displace_own(state, record)):
+        state.hopeless.add(wish)
 
 
 def _try_borrowed(state: PassState, record: JobRecord) -> None:
