Explain: what is ahead of a job and what its organisation uses

Still missing: the scheduler's own reason (Plan.waits) and what was reclaimed for a job; both stay in the memory of the domain's control.

--- a/src/bulrushcove/job_explanation.py
+++ b/src/bulrushcove/job_explanation.py
@@ -1,25 +1,32 @@
 """Explains in plain words why a job waits, runs or has ended."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from .configuration import Configuration
 from .contract import Contract
 from .ids import DomainName
 from .job import JobRecord
 from .messages import ClusterView, DomainView
-from .states import DomainState, JobState
+from .states import DomainState, JobState, Urgency
 
 
 def explain(
     record: JobRecord,
     configuration: Configuration,
     view: ClusterView | None,
+    others: Sequence[JobRecord] = (),
 ) -> tuple[str, ...]:
-    """Return sentences on the job, the latest news first."""
+    """Return sentences on the job, the latest news first.
+
+    ``others`` are all jobs, to tell what is ahead of it and what its
+    organisation uses.
+    """
     return (
         *_state_lines(record),
         *_waiting_lines(record, configuration, view),
+        *_queue_lines(record, others),
         *_contract_lines(record, configuration),
+        *_usage_lines(record, others),
     )
 
 
@@ -54,13 +61,12 @@
         f'{part.worker} ({len(part.parts)} tasks)' for part in current.placement
     )
     yield f'Attempt {current.attempt!r} was placed on {placed}.'
-    if current.borrowed:
-        yield (
-            'It runs beyond the guarantee of its organisation, on borrowed '
-            'accelerators, and may be stopped to reclaim them.'
-        )
-    else:
-        yield 'It runs within the guarantee of its organisation.'
+    if not current.borrowed:
+        yield 'That is within the guarantee of its organisation.'
+        return
+    yield 'That is beyond the guarantee of its organisation, on borrowed room.'
+    if not record.state.is_final:
+        yield 'It may be stopped to reclaim that for a guaranteed shape.'
 
 
 def _waiting_lines(
@@ -99,6 +105,47 @@
     return None
 
 
+def _queue_lines(
+    record: JobRecord,
+    others: Sequence[JobRecord],
+) -> Iterator[str]:
+    if record.state is not JobState.QUEUED:
+        return
+    ahead = [
+        other
+        for other in others
+        if other.state is JobState.QUEUED
+        and other.domain == record.domain
+        and other.accepted_unix_ms < record.accepted_unix_ms
+    ]
+    urgent = sum(other.spec.urgency is Urgency.URGENT for other in ahead)
+    yield (
+        f'{len(ahead)} jobs that wait in domain {record.domain!r} were '
+        f'accepted before it, {urgent} of them urgent.'
+    )
+
+
+def _usage_lines(
+    record: JobRecord,
+    others: Sequence[JobRecord],
+) -> Iterator[str]:
+    attempts = [
+        (other.spec.accelerators, other.current.borrowed)
+        for other in others
+        if other.organisation == record.organisation
+        and other.current is not None
+        and not other.state.is_final
+    ]
+    used = sum(accelerators for accelerators, _ in attempts)
+    borrowed = sum(
+        accelerators for accelerators, is_borrowed in attempts if is_borrowed
+    )
+    yield (
+        f'{record.organisation!r} has {len(attempts)} jobs placed on {used} '
+        f'accelerators now, {borrowed} of them borrowed.'
+    )
+
+
 def _contract_lines(
     record: JobRecord,
     configuration: Configuration,
--- a/src/bulrushcove/operator_job_routes.py
+++ b/src/bulrushcove/operator_job_routes.py
@@ -62,7 +62,12 @@
     async def explain(self, request: web.Request) -> Explanation:
         """Return why one job is where it is."""
         record = await self._jobs.load(_job(request))
-        lines = explain(record, self._operators.held, self._view())
+        lines = explain(
+            record,
+            self._operators.held,
+            self._view(),
+            await self._jobs.all_jobs(),
+        )
         return Explanation(job=record.job, lines=lines)
 
     async def cancel(self, request: web.Request) -> JobSummary:
--- /dev/null
+++ b/tests/test_job_explanation.py
@@ -0,0 +1,112 @@
+import msgspec
+import pytest
+
+from bulrushcove.configuration import empty_configuration
+from bulrushcove.configuration_changes import apply_contract, set_domain
+from bulrushcove.contract import Contract, GuaranteedShape, JobLimits
+from bulrushcove.job import Attempt, JobRecord, JobSpec, PlacedPart
+from bulrushcove.job_explanation import explain
+from bulrushcove.messages import ClusterView, DomainView
+from bulrushcove.states import DomainState, JobState, Urgency
+
+DOMAIN_VIEW = DomainView(
+    domain='Luleå',
+    control='entry-1',
+    epoch=1,
+    workers=2,
+    usable_workers=2,
+    free_accelerators=3,
+    total_accelerators=16,
+    largest_rack=16,
+    largest_worker=8,
+    queued_jobs=2,
+    running_jobs=1,
+)
+VIEW = ClusterView((), (DOMAIN_VIEW,), (), True, {'Luleå': 200})
+RECORD = JobRecord(
+    'Bar/batch',
+    'Bar',
+    JobSpec('batch', tasks=4, accelerators_per_task=2),
+    JobState.QUEUED,
+    'Luleå',
+    accepted_unix_ms=5,
+)
+PLACED = Attempt('a-1', 3, (PlacedPart('worker-1', (0, 1)),), borrowed=True)
+
+
+def configure(state=DomainState.IN):
+    contract = Contract('Bar', (), (GuaranteedShape(8),), jobs=JobLimits(10, 4))
+    inside = set_domain(empty_configuration(), 'Luleå', state, 'a')
+    return apply_contract(inside, contract, 'b')
+
+
+def changed(**changes):
+    return msgspec.structs.replace(RECORD, **changes)
+
+
+def test_a_waiting_job_is_told_what_it_waits_for():
+    urgent = JobSpec('order', urgency=Urgency.URGENT)
+    others = (
+        RECORD,
+        changed(job='Café/1', accepted_unix_ms=1, spec=urgent),
+        changed(job='Bar/2', state=JobState.RUNNING, current=PLACED),
+        changed(job='Bar/3', state=JobState.SUCCEEDED, current=PLACED),
+    )
+    lines = explain(RECORD, configure(), VIEW, others)
+    assert lines == (
+        "Job 'Bar/batch' of 'Bar' is queued in domain 'Luleå': 4 tasks with 2 "
+        'accelerators each, within one domain, normal.',
+        "It needs 8 accelerators; domain 'Luleå' has 3 of 16 free, and 2 jobs "
+        'queued.',
+        "1 jobs that wait in domain 'Luleå' were accepted before it, 1 of them "
+        'urgent.',
+        'Its contract guarantees 8 accelerators and lets it borrow 4 more.',
+        "'Bar' has 1 jobs placed on 8 accelerators now, 8 of them borrowed.",
+    )
+
+
+@pytest.mark.parametrize(
+    ('record', 'view', 'state', 'line'),
+    [
+        (RECORD, VIEW, DomainState.OUT, "domain 'Luleå' is not in service"),
+        (RECORD, None, DomainState.IN, 'no link to its control'),
+        (
+            RECORD,
+            msgspec.structs.replace(VIEW, permit_age_ms={}),
+            DomainState.IN,
+            'there is no start permit',
+        ),
+        (
+            RECORD,
+            msgspec.structs.replace(VIEW, domains=()),
+            DomainState.IN,
+            'No active control reports',
+        ),
+        (
+            changed(state=JobState.RUNNING, current=PLACED, attempts=2),
+            VIEW,
+            DomainState.IN,
+            "Attempt 'a-1' was placed on worker-1 (2 tasks)",
+        ),
+        (
+            changed(state=JobState.UNKNOWN),
+            VIEW,
+            DomainState.IN,
+            'never started again',
+        ),
+        (
+            changed(state=JobState.UNRUNNABLE, reason='no rack is so large'),
+            VIEW,
+            DomainState.IN,
+            'Reason: no rack is so large.',
+        ),
+        (
+            changed(cancel_requested=True),
+            VIEW,
+            DomainState.IN,
+            'cancellation was asked for',
+        ),
+    ],
+)
+def test_what_is_special_is_told(record, view, state, line):
+    assert line in ' '.join(explain(record, configure(state), view))
