--- a/dev/workload/callers.py
+++ b/dev/workload/callers.py
@@ -123,7 +123,14 @@
         body: bytes | None = None,
     ) -> 'Answer':
         """Call any entry VM as ``organisation``; raises when it is lost."""
-        headers = self._authorization(organisation)
+        token = self._tokens[organisation]
+        return await self.call_with_token(method, path, token, body)
+
+    async def call_with_token(
+        self, method: str, path: str, token: str, body: bytes | None = None
+    ) -> 'Answer':
+        """Call any entry VM with ``token``; raises when it is lost."""
+        headers = {'Authorization': f'Bearer {token}'}
         async with self._session.request(
             method,
             f'{self.choose_vm().url}{path}',
@@ -157,23 +164,30 @@
             return await _read(response)
 
     async def _submit(self, offered: OfferedJob) -> 'Answer | None':
-        """Submit until the answer is known; returns a refusal."""
+        """Submit until the answer is known; returns a refusal.
+
+        A refusal after a try of unknown outcome is of unknown outcome, too:
+        the write of that try may still take effect.
+        """
         body = msgspec.json.encode({'job': offered.job, 'spec': offered.spec})
-        answer = Answer(status=0, body=b'', outcome=Outcome.UNKNOWN)
+        unknown: Answer | None = None
         for _ in range(SUBMIT_TRIES):
-            try:
-                answer = await self.call(
-                    'POST', '/v1/jobs', offered.organisation, body
-                )
-            except LOST:
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
+            answer = await self._try_submit(offered, body)
             if answer.status in {OK, CREATED}:
                 return None
             if answer.outcome is Outcome.NOT_RUN:
-                break
+                return unknown or answer
+            unknown = answer
             await asyncio.sleep(RETRY_PAUSE_S)
-        return answer
+        return unknown
+
+    async def _try_submit(self, offered: OfferedJob, body: bytes) -> 'Answer':
+        try:
+            return await self.call(
+                'POST', '/v1/jobs', offered.organisation, body
+            )
+        except LOST:
+            return Answer(status=0, body=b'', outcome=Outcome.UNKNOWN)
 
     async def _ask_result(self, offered: OfferedJob) -> JobAnswer | None:
         path = f'/v1/jobs/{offered.job}/result?wait_ms={RESULT_WAIT_MS}'
--- /dev/null
+++ b/tests/test_processes_isolation.py
@@ -0,0 +1,103 @@
+"""Two organisations on one cluster: neither learns of the other's work."""
+
+import asyncio
+
+import pytest
+from msgspec import json
+
+from dev.history.records import ForeignProbe
+from dev.workload.organisations import ORGANISATIONS
+from tests import process_tools as tools
+
+OWNER = ORGANISATIONS[0].organisation
+ASKER = ORGANISATIONS[1].organisation
+UNKNOWN_JOB = 'nobodys-job'
+CALLS = (
+    ('GET', ''),
+    ('GET', '/result'),
+    ('POST', '/cancel'),
+    ('POST', '/acknowledge'),
+)
+
+
+@pytest.fixture(scope='module')
+def cluster():
+    with tools.launched_cluster() as launched:
+        yield launched
+
+
+def without_trace(body, job):
+    """Return a refusal without what differs from call to call."""
+    fields = json.decode(body)
+    fields.pop('trace', None)
+    return json.encode(fields).decode().replace(job, 'JOB')
+
+
+async def probe(run, method, suffix, job):
+    path = f'/v1/jobs/{job}{suffix}'
+    foreign = await run.callers.call(method, path, ASKER)
+    unknown = await run.callers.call(
+        method, f'/v1/jobs/{UNKNOWN_JOB}{suffix}', ASKER
+    )
+    return ForeignProbe(
+        asker=ASKER,
+        what=f'{method} {path}',
+        status=foreign.status,
+        body=without_trace(foreign.body, job),
+        unknown_status=unknown.status,
+        unknown_body=without_trace(unknown.body, UNKNOWN_JOB),
+        secrets=(OWNER, f'result of {job}'),
+    )
+
+
+async def test_jobs_of_another_organisation_look_like_none(cluster):
+    async with tools.new_run(cluster, 'foreign') as run:
+        offered = run.offer_job(2000, tasks=2)
+        running = asyncio.create_task(run.run_job(offered))
+        await run.wait_for_start(offered)
+        probes = [
+            await probe(run, method, suffix, offered.job)
+            for method, suffix in CALLS
+        ]
+        await running
+        probes.extend(
+            [
+                await probe(run, method, suffix, offered.job)
+                for method, suffix in CALLS
+            ]
+        )
+        listing = await run.callers.call('GET', '/v1/jobs', ASKER)
+        run.check(probes=tuple(probes))
+    assert offered.job not in listing.body.decode()
+    # Control: the owner does see it.
+    assert run.jobs[0].results
+
+
+async def test_same_ids_of_two_organisations_do_not_meet(cluster):
+    async with tools.new_run(cluster, 'same-id') as run:
+        for idempotent in (True, False):
+            first = run.offer_request(idempotent=idempotent)
+            for organisation in (OWNER, ASKER):
+                await run.send(tools.offered_by(first, organisation))
+        job = run.offer_job(300)
+        await asyncio.gather(
+            *[
+                run.run_job(tools.offered_by(job, organisation))
+                for organisation in (OWNER, ASKER)
+            ]
+        )
+        run.check()
+    assert not run.refusals()
+    assert [each.accepted for each in run.jobs] == [True, True]
+
+
+async def test_unknown_token_and_organisation_are_told_alike(cluster):
+    async with tools.new_run(cluster, 'token') as run:
+        tokens = ('no-such-token', 'token-of-nobody', '')
+        answers = [
+            await run.callers.call_with_token('GET', '/v1/jobs', token)
+            for token in tokens
+        ]
+    assert {answer.status for answer in answers} == {401}
+    bodies = {without_trace(answer.body, '-') for answer in answers}
+    assert len(bodies) == 1
