--- a/dev/demo.py
+++ b/dev/demo.py
@@ -69,6 +69,7 @@
         )
         self.caller_requests: list[CallerRequest] = []
         self.caller_jobs: list[CallerJob] = []
+        self.disturbances: list[str] = []
         self._seed = seed
         self._start_s = 0.0
 
@@ -130,10 +131,13 @@
         await self._wait_until(BRING_BACK_AT_S)
         await self.operating.set_domain(SPARE_DOMAIN, DomainState.IN)
         await self._wait_until(KILL_AT_S)
-        status = await self.operating.status()
-        for domain in status.domains:
-            if domain.domain == KILLED_DOMAIN and domain.view is not None:
-                self.cluster.kill(control_name(domain.view.control))
+        killed = await self.operating.active_control(KILLED_DOMAIN)
+        self.cluster.kill(control_name(killed))
+        self.disturbances.append(
+            f'{SPARE_DOMAIN} out from {TAKE_OUT_AT_S:.0f} s to'
+            f' {BRING_BACK_AT_S:.0f} s, active control of {KILLED_DOMAIN}'
+            f' on {killed} killed at {KILL_AT_S:.0f} s of {LOAD_S:.0f} s'
+        )
 
     async def _wait_until(self, at_s: float) -> None:
         await asyncio.sleep(self._start_s + at_s - time.monotonic())
@@ -190,6 +194,7 @@
     history = demo.history()
     uses = _memory_uses(idle_mb, _memory_mb(cluster))
     lines = [
+        *demo.disturbances,
         *table.completion_lines(history),
         *table.request_lines(history.caller_requests),
         *table.job_lines(history),
--- a/dev/workload/operating.py
+++ b/dev/workload/operating.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bulrushcove.contract import Contract
-from bulrushcove.ids import DomainName, OperationId
+from bulrushcove.ids import DomainName, OperationId, VmId
 from bulrushcove.operator_api import (
     CONTRACTS_PATH,
     DOMAINS_PATH,
@@ -76,6 +76,16 @@
         body = await self._call('GET', STATUS_PATH, None, vms)
         return msgspec.json.decode(body, type=StatusAnswer)
 
+    async def active_control(self, domain: DomainName) -> VmId:
+        """Return the VM whose control is active for ``domain``.
+
+        Raises ``OperatorError`` when none has reported lately.
+        """
+        for each in (await self.status()).domains:
+            if each.domain == domain and each.view is not None:
+                return each.view.control
+        raise OperatorError(f'no active control of {domain} is known')
+
     async def wait_in_force(self, timeout_s: float) -> None:
         """Wait until each entry VM holds the last accepted revision.
 
--- a/tests/process_tools.py
+++ b/tests/process_tools.py
@@ -4,11 +4,13 @@
 import random
 import time
 from collections.abc import AsyncIterator, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager, contextmanager
 
 import aiohttp
 import msgspec
 
+from bulrushcove.clock import MS_PER_S
 from bulrushcove.ids import DomainName, OrganisationId, VmId
 from bulrushcove.job import JobSpec
 from bulrushcove.states import DomainState, Outcome, Urgency
@@ -53,12 +55,16 @@
         OPTIONS,
         control_changes={**OPTIONS.control_changes, **control_changes},
     )
+    poll_s = control_changes.get('poll_ms', 0) / MS_PER_S
     with launched(options) as cluster:
-        asyncio.run(_configure(cluster))
+        # Its own loop and thread: the caller may have a loop already.
+        with ThreadPoolExecutor(1) as pool:
+            configuring = _configure(cluster, REVISION_SPREAD_S + poll_s)
+            pool.submit(asyncio.run, configuring).result()
         yield cluster
 
 
-async def _configure(cluster: Cluster) -> None:
+async def _configure(cluster: Cluster, timeout_s: float) -> None:
     async with aiohttp.ClientSession() as session:
         operating = Operating(session, cluster.entry_vms)
         await _wait_for_controls(cluster, operating)
@@ -67,7 +73,7 @@
         for each in ORGANISATIONS:
             small = msgspec.structs.replace(each.contract, guaranteed=())
             await operating.apply_contract(small)
-        await operating.wait_in_force(REVISION_SPREAD_S)
+        await operating.wait_in_force(timeout_s)
 
 
 async def _wait_for_controls(cluster: Cluster, operating: Operating) -> None:
@@ -174,13 +180,7 @@
 
     async def active_control(self, domain: DomainName) -> VmId:
         """Return the VM whose control is active for ``domain``."""
-        status = await self.operating.status()
-        (control,) = [
-            each.view.control
-            for each in status.domains
-            if each.domain == domain and each.view is not None
-        ]
-        return control
+        return await self.operating.active_control(domain)
 
     async def wait_for_start(
         self, offered: OfferedJob, timeout_s: float = 20
@@ -293,3 +293,10 @@
 def offered_by(offered, organisation: OrganisationId):
     """Return the same work offered by another organisation."""
     return msgspec.structs.replace(offered, organisation=organisation)
+
+
+async def wait_for_next_poll(run: Run, poll_ms: int) -> None:
+    """Change the configuration and wait until every VM has seen it."""
+    await run.operating.set_domain(CENTENARIO, DomainState.OUT)
+    await run.operating.set_domain(CENTENARIO, DomainState.IN)
+    await run.operating.wait_in_force(REVISION_SPREAD_S + poll_ms / MS_PER_S)
--- /dev/null
+++ b/tests/test_processes_unprotected.py
@@ -0,0 +1,36 @@
+"""Control run: without its protection, a property is seen broken."""
+
+import asyncio
+
+from bulrushcove.states import DomainState
+from dev.history.bounds import START_AFTER_TAKE_OUT_S
+from dev.history.checker import check_history
+from tests import process_tools as tools
+
+POLL_MS = 9000
+NEVER_MS = 3_600_000
+# Enough to keep both workers of a domain busy past the next poll.
+JOBS = 66
+
+
+async def test_starts_go_on_without_start_permits():
+    """Proofs never get old and news of the configuration is rare."""
+    with tools.launched_cluster(
+        poll_ms=POLL_MS, start_permit_ttl_ms=NEVER_MS
+    ) as cluster:
+        async with tools.new_run(cluster, 'unprotected') as run:
+            await tools.wait_for_next_poll(run, POLL_MS)
+            offers = [
+                run.offer_job(300, accelerators_per_task=8) for _ in range(JOBS)
+            ]
+            running = [
+                asyncio.create_task(run.run_job(each)) for each in offers
+            ]
+            await asyncio.sleep(0.5)
+            await run.operating.set_domain(tools.GUICHON, DomainState.OUT)
+            await asyncio.sleep(START_AFTER_TAKE_OUT_S + 3)
+            history = run.history()
+            for task in running:
+                task.cancel()
+    broken = check_history(history)
+    assert 'no start in a domain taken out' in broken
