--- a/src/bulrushcove/control_link.py
+++ b/src/bulrushcove/control_link.py
@@ -6,6 +6,7 @@
 from .configuration_holder import ConfigurationHolder
 from .exceptions import PeerUnreachableError, WireError
 from .messages import (
+    Acknowledged,
     ClusterView,
     ConfigurationPush,
     ConfigurationRequest,
@@ -55,6 +56,15 @@
         """
         return await self._client.ask(notice, JobStanding, ASK_TIMEOUT_S)
 
+    async def share(self, configuration: Configuration) -> None:
+        """Hand an accepted configuration to the control and its peers.
+
+        Raises ``PeerUnreachableError``; they then find it by their next poll.
+        """
+        self.holder.adopt(configuration)
+        push = ConfigurationPush(configuration)
+        await self._client.ask(push, Acknowledged, ASK_TIMEOUT_S)
+
     async def on_start(self) -> None:
         """Open the stream."""
         await self.add_runtime_dependency(self._client)
--- a/src/bulrushcove/peer_links.py
+++ b/src/bulrushcove/peer_links.py
@@ -1,7 +1,11 @@
 """One stream to each peer control, following the list of VMs."""
 
+from contextlib import suppress
+
+import msgspec
 from mode import Service
 
+from .exceptions import PeerUnreachableError
 from .ids import DomainName, VmId
 from .messages import Hello
 from .states import VmRole
@@ -32,6 +36,12 @@
             if client.is_connected
         ]
 
+    def tell_all(self, message: msgspec.Struct) -> None:
+        """Send ``message`` on every open stream without waiting."""
+        for client in self.connected():
+            with suppress(PeerUnreachableError):
+                client.tell(message)
+
     async def follow(self, vms: tuple[VmEntry, ...]) -> None:
         """Open and close streams so that they match ``vms``."""
         wanted = {entry.vm: entry for entry in vms if self._is_peer(entry)}
--- a/src/bulrushcove/peers.py
+++ b/src/bulrushcove/peers.py
@@ -201,11 +201,25 @@
             return _configuration_push(self._holder, request.newer_than)
         if frame.kind == VmListRequest.__name__:
             return VmList(self.vms)
+        if frame.kind == ConfigurationPush.__name__:
+            self._take_push(
+                peer, parse_message(ConfigurationPush, frame.fields)
+            )
+            return Acknowledged()
         if frame.kind == JobNotice.__name__:
             notice = parse_message(JobNotice, frame.fields)
             return await self._take_notice(peer, notice)
         raise WireError(f'unknown frame kind {frame.kind!r}')
 
+    def _take_push(self, peer: Hello, push: ConfigurationPush) -> None:
+        if push.configuration is None:
+            return
+        is_news = self._holder.adopt(push.configuration)
+        if is_news and peer.role == ENTRY_ROLE:
+            # Just accepted: peers must hear of it even if the platform
+            # fails before their next poll.
+            self._links.tell_all(push)
+
     async def _take_notice(self, peer: Hello, notice: JobNotice) -> JobStanding:
         # A control that relayed further could send it round in circles.
         take = self.notify_job if peer.role == ENTRY_ROLE else self.on_notice
