Passes leave the loop half of the time; view once per half round; capacity measurement

Now the second walk is made only after a write, the view twice a round, and the gap is at least as long as the pass. dev/measure_capacity.py runs one real control against stand-ins at each size; its figures come with its report.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 
 demo: venv
 	$(BIN)/python -m dev.demo --seed=$(SEED)
+
+.PHONY: measure-capacity
+measure-capacity: venv
+	$(BIN)/python -m dev.measure_capacity
--- /dev/null
+++ b/dev/capacity_cluster.py
@@ -0,0 +1,84 @@
+"""Settings, workers and jobs of a capacity measurement."""
+
+import msgspec
+from aiohttp import web
+
+from bulrushcove.configuration import Configuration
+from bulrushcove.configuration_codec import encode_configuration
+from bulrushcove.contract import Contract
+from bulrushcove.ids import DomainName, JobId, OrganisationId, RackId, WorkerId
+from bulrushcove.job import JobRecord, JobSpec
+from bulrushcove.settings import (
+    ControlSettings,
+    EntrySettings,
+    PlatformSettings,
+    Settings,
+    VmSettings,
+)
+from bulrushcove.states import DomainState, JobState
+from bulrushcove.worker_api import WorkerDescription
+from dev.standins.faults import FaultSwitch
+from dev.standins.hosting import HOST, HostedServer
+
+DOMAIN = DomainName('north')
+ORGANISATION = OrganisationId('mill')
+GANG = 8
+RACK = 8
+
+
+def make_settings(ports: list[int]) -> Settings:
+    """Return the settings of the control; ports: store, list, own."""
+    kv, vms, stream, http = ports
+    return Settings(
+        vm=VmSettings(id='vm-1', domain=DOMAIN),
+        entry=EntrySettings(port=0),
+        control=ControlSettings(stream_port=stream, http_port=http),
+        platform=PlatformSettings(
+            store_url=f'http://{HOST}:{kv}',
+            vm_list_url=f'http://{HOST}:{vms}/vms',
+        ),
+    )
+
+
+def describe_worker(number: int) -> WorkerDescription:
+    """Return one worker."""
+    return WorkerDescription(
+        worker=WorkerId(f'worker-{number}'),
+        domain=DOMAIN,
+        rack=RackId(f'rack-{number // RACK}'),
+        accelerators=8,
+        cores=32,
+        memory_mb=65_536,
+    )
+
+
+def make_configuration() -> bytes:
+    """Return the stored configuration."""
+    contract = Contract(organisation=ORGANISATION, token_sha256=())
+    return encode_configuration(
+        Configuration(1, {ORGANISATION: contract}, {DOMAIN: DomainState.IN})
+    )
+
+
+def make_record(number: int) -> JobRecord:
+    """Return one job, a gang that runs for an hour."""
+    return JobRecord(
+        job=JobId(f'job-{number}'),
+        organisation=ORGANISATION,
+        spec=JobSpec(
+            kind='review',
+            tasks=GANG,
+            accelerators_per_task=0,
+            payload=msgspec.json.encode({'run_ms': 3_600_000}).decode(),
+        ),
+        state=JobState.QUEUED,
+        domain=DOMAIN,
+        accepted_unix_ms=number,
+    )
+
+
+def host_routes(
+    name: str, port: int, routes: list[web.RouteDef]
+) -> HostedServer:
+    """Return a stand-in without faults."""
+    return HostedServer(name, port, routes, FaultSwitch())
--- /dev/null
+++ b/dev/measure_capacity.py
@@ -0,0 +1,86 @@
+"""Cost of one control process against its workers and running tasks.
+
+Each size is filled with long jobs, left to settle and then watched.
+"""
+
+import asyncio
+from pathlib import Path
+
+import numpy
+from absl import app, flags
+
+from dev.capacity_stage import Cost, staged
+
+WORKER_COUNTS = flags.DEFINE_list(
+    'workers', ['8', '32', '96'], 'Workers of the control.'
+)
+TASK_COUNTS = flags.DEFINE_list(
+    'tasks_per_worker', ['0', '8', '24'], 'Tasks that run on each worker.'
+)
+WATCH_S = flags.DEFINE_float('watch_s', 8, 'How long each size is watched.')
+REPORT = flags.DEFINE_string(
+    'report', 'reports/capacity.md', 'File for the table.'
+)
+START_S = 3
+
+
+async def _measure() -> list[Cost]:
+    costs = []
+    for workers in map(int, WORKER_COUNTS.value):
+        for per_worker in map(int, TASK_COUNTS.value):
+            tasks = workers * per_worker
+            async with staged(workers) as stage:
+                await asyncio.sleep(START_S)
+                await stage.fill(tasks)
+                costs.append(await stage.watch(workers, tasks, WATCH_S.value))
+            print(costs[-1])
+    return costs
+
+
+def fit(costs: list[Cost], field: str) -> tuple[float, float, float, float]:
+    """Return constant, slope a worker, slope a task, and worst error."""
+    sizes = numpy.array([[1, cost.workers, cost.tasks] for cost in costs])
+    found = numpy.array([getattr(cost, field) for cost in costs])
+    factors = numpy.linalg.lstsq(sizes, found, rcond=None)[0]
+    worst = numpy.abs(sizes @ factors - found).max()
+    return (*map(float, factors), float(worst))
+
+
+def _table(costs: list[Cost]) -> str:
+    lines = [
+        '| workers | tasks | CPU % | worker kB/s | resident MB | calls/s |',
+        '|---|---|---|---|---|---|',
+    ]
+    lines.extend(
+        f'| {cost.workers} | {cost.tasks} | {cost.cpu_percent:.1f} '
+        f'| {cost.worker_kb_s:.1f} | {cost.resident_mb:.1f} '
+        f'| {cost.platform_calls_s:.1f} |'
+        for cost in costs
+    )
+    lines.extend(
+        [
+            '',
+            '| of | fixed | a worker | a task | worst error |',
+            '|---|---|---|---|---|',
+        ]
+    )
+    for field in Cost._fields[2:]:
+        fixed, worker, task, worst = fit(costs, field)
+        lines.append(
+            f'| {field} | {fixed:.2f} | {worker:.4f} | {task:.5f} '
+            f'| {worst:.2f} |'
+        )
+    return '\n'.join([*lines, ''])
+
+
+def main(_arguments: list[str]) -> None:
+    """Measure each size and write the table."""
+    table = _table(asyncio.run(_measure()))
+    print(table)
+    report = Path(REPORT.value)
+    report.parent.mkdir(exist_ok=True)
+    report.write_text(f'# Cost of a control\n\n{table}', encoding='utf-8')
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/src/bulrushcove/attempts.py
+++ b/src/bulrushcove/attempts.py
@@ -13,6 +13,8 @@
 # How long a gang that gives way may take to write its checkpoints.
 CHECKPOINT_WAIT_S = 3.0
 
+_HOLDING = frozenset((TaskState.RESERVED, TaskState.RUNNING))
+
 
 def begin(
     record: JobRecord, attempt: Attempt, now_s: float, timing: Timing
@@ -70,10 +72,10 @@
         for part, report in held.reports.items()
         if report.checkpoint
     )
-    held.gone = not any(
-        report.state in {TaskState.RESERVED, TaskState.RUNNING}
-        for report in held.reports.values()
+    held.ended = sum(
+        report.state not in _HOLDING for report in held.reports.values()
     )
+    held.gone = held.ended == len(held.reports)
     # A start that is sent again after a lost answer may be refused.
     began = held.all_in(TaskState.RUNNING, TaskState.FINISHED)
     if refusal and not began:
--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -51,6 +51,7 @@
         self._clock = around.clock
         self._round_s = settings.worker_round_ms / MS_PER_S
         self._news = asyncio.Event()
+        self._published_s = float('-inf')
         self._records = RecordSync(self.core, around.jobs, self._clock)
         self._records.on_written = self.scheduling.learn
         self.rounds = WorkerRounds(
@@ -84,13 +85,13 @@
         """Read, decide and write once."""
         await self._records.scan(self._round_s)
         self._advance()
-        await self._records.commit(
-            self.core.changes(
-                self._clock.monotonic_s(),
-                self._clock.unix_ms(),
-            ),
+        await asyncio.sleep(0)
+        changes = self.core.changes(
+            self._clock.monotonic_s(), self._clock.unix_ms()
         )
-        self._advance()
+        if changes:
+            await self._records.commit(changes)
+            self._advance()
         if self._records.has_scanned and self.may_start():
             await self._schedule()
         if self._records.has_scanned and self.tenure.holds(
@@ -98,7 +99,7 @@
         ):
             await self._let_go()
         self.rounds.wake_urgent()
-        self._around.publish(make_view(self.core, self._around.vm))
+        self._publish()
 
     async def on_start(self) -> None:
         """Start the rounds with the workers."""
@@ -110,8 +111,11 @@
         await self.rounds.try_all()
         while not self.should_stop and not self.is_fenced:
             self._news.clear()
+            began_s = self._clock.monotonic_s()
             await self.run_pass()
-            await self.sleep(PASS_GAP_S)
+            # Leaves at least half of the time to the rounds.
+            took_s = self._clock.monotonic_s() - began_s
+            await self.sleep(max(PASS_GAP_S, took_s))
             await self._wait_for_news()
 
     async def _wait_for_news(self) -> None:
@@ -126,6 +130,12 @@
         self.core.advance(now_s, may_start=self.may_start())
         self.rounds.wake_urgent()
 
+    def _publish(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._published_s + self._round_s / 2:
+            self._published_s = now_s
+            self._around.publish(make_view(self.core, self._around.vm))
+
     async def _schedule(self) -> None:
         plan = await self.scheduling.plan(self._around.holder.current)
         # A worker that was never seen might be able to run them.
--- a/src/bulrushcove/domain_snapshot.py
+++ b/src/bulrushcove/domain_snapshot.py
@@ -91,10 +91,7 @@
     for worker, held in gang.held.items():
         if held.gone or worker not in taken:
             continue
-        ended = sum(
-            report.state not in _HOLDING for report in held.reports.values()
-        )
-        parts = len(held.parts) - ended
+        parts = len(held.parts) - held.ended
         taken[worker].add(
             parts * spec.accelerators_per_task,
             parts * spec.cores_per_task,
--- a/src/bulrushcove/gang.py
+++ b/src/bulrushcove/gang.py
@@ -76,6 +76,8 @@
     reserve_sent: bool = False
     # Run time of each part when a checkpoint was asked for.
     save_from_ms: dict[int, int] = msgspec.field(default_factory=dict)
+    # Parts that were reported to hold no room any more.
+    ended: int = 0
     # No part runs or holds room here any more.
     gone: bool = False
 
