--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -112,7 +112,11 @@
         while not self.should_stop and not self.is_fenced:
             self._news.clear()
             began_s = self._clock.monotonic_s()
-            await self.run_pass()
+            try:
+                await self.run_pass()
+            except Exception:
+                # An error in a pass must not end the renewal of leases.
+                logger.exception('control.pass_failed')
             # Leaves at least half of the time to the rounds.
             took_s = self._clock.monotonic_s() - began_s
             await self.sleep(max(PASS_GAP_S, took_s))
--- a/src/bulrushcove/worker_rounds.py
+++ b/src/bulrushcove/worker_rounds.py
@@ -72,7 +72,7 @@
         """Exchange one request and its answer with a worker."""
         table = self._table
         try:
-            if worker not in table.workers:
+            if self._is_new_or_back(worker):
                 table.see_worker(await self._client.describe(vm))
             await self._exchange(worker, vm)
         except WorkerError as exc:
@@ -117,6 +117,10 @@
         self._wake.pop(worker)
         self._tried.pop(worker).set()
 
+    def _is_new_or_back(self, worker: WorkerId) -> bool:
+        sight = self._table.workers.get(worker)
+        return sight is None or sight.silent
+
     async def _exchange(self, worker: WorkerId, vm: VmEntry) -> None:
         sent_s = self._clock.monotonic_s()
         request = self._table.request(
--- a/tests/test_domain_controller.py
+++ b/tests/test_domain_controller.py
@@ -1,5 +1,6 @@
 import pytest
 
+from bulrushcove.domain_controller import DomainController
 from bulrushcove.domain_moves import (
     MAX_FORCED_MOVES,
     MAX_ROOM_MOVES,
@@ -131,3 +132,28 @@
     assert not planner_of(bench, view()).forced_moves([record])
     assert must_leave(record, OTHER_DOMAIN, bench.configuration)
     assert not must_leave(record, DOMAIN, bench.configuration)
+
+
+async def test_an_error_in_a_pass_ends_no_renewal(monkeypatch):
+    bench = Bench()
+    control = bench.controls[0]
+    await control.poll()
+    await control.elect()
+    controller = control.controller
+    passes = []
+
+    async def fail():
+        passes.append(1)
+        if len(passes) > 2:
+            controller._stopped.set()
+        raise ValueError('a record that no pass can read')
+
+    monkeypatch.setattr(controller, 'run_pass', fail)
+    monkeypatch.setattr(controller, '_wait_for_news', _wait_not)
+    monkeypatch.setattr(controller.rounds, 'try_all', _wait_not)
+    await DomainController._work.fun(controller)
+    assert len(passes) == 3
+
+
+async def _wait_not():
+    """Return at once."""
--- /dev/null
+++ b/tests/test_jobs_on_processes.py
@@ -0,0 +1,70 @@
+"""Jobs on real processes while controls, workers and the platform fail."""
+
+import asyncio
+import signal
+
+import aiohttp
+import pytest
+from absl import flags
+
+from bulrushcove.ids import DomainName
+from dev.demo import Demo
+from dev.history.checker import check_history
+from dev.launcher import LaunchOptions, control_name, launched
+from dev.standins.faults import Faults
+
+NEAR = DomainName('Fray Bentos')
+OTHER = DomainName('Guichón')
+
+
+class FaultyRun(Demo):
+    """The demo's work under other faults, none of which may break a job."""
+
+    async def _disturb(self):
+        frozen = control_name(await self._active_control(NEAR))
+        await self._wait_until(3)
+        self.cluster.processes.signal(frozen, signal.SIGSTOP)
+        # Past the leases of the control and of its tasks.
+        await self._wait_until(18)
+        self.cluster.processes.signal(frozen, signal.SIGCONT)
+        await self._wait_until(20)
+        self.cluster.put_faults('platform', Faults(down=True))
+        await self._wait_until(30)
+        self.cluster.put_faults('platform', Faults())
+        await self._wait_until(33)
+        worker = self._first_worker()
+        self.cluster.put_faults(worker, Faults(frozen=True))
+        await self._wait_until(36)
+        self.cluster.kill(control_name(await self._active_control(OTHER)))
+        await self._wait_until(45)
+        self.cluster.put_faults(worker, Faults())
+
+    async def _active_control(self, domain):
+        status = await self.operating.status()
+        (view,) = [
+            each.view for each in status.domains if each.domain == domain
+        ]
+        return view.control
+
+    def _first_worker(self):
+        plan = self.cluster.find_domain(NEAR)
+        return plan.workers[0].description.worker
+
+
+async def _run(cluster):
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        run = FaultyRun(cluster, session, seed=3)
+        await run.configure()
+        await run.run()
+        await asyncio.sleep(3)
+    return run.history()
+
+
+@pytest.mark.timeout(200)
+def test_jobs_survive_freezes_outages_and_kills():
+    flags.FLAGS(['test'])
+    with launched(LaunchOptions()) as cluster:
+        history = asyncio.run(_run(cluster))
+    assert not check_history(history)
+    assert history.tasks
