--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo measure measure-path
+.PHONY: venv test lint format lock demo measure measure-path measure-capacity
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -43,3 +43,7 @@
 # Naive beside ours over seeded arrivals, and the speed of deciding.
 measure: venv
 	$(BIN)/python -m dev.measure --seed=$(SEED)
+
+# Slopes for docs/CAPACITY.md.
+measure-capacity: venv
+	$(BIN)/python -m dev.measure_capacity
--- a/src/bulrushcove/control_link.py
+++ b/src/bulrushcove/control_link.py
@@ -1,5 +1,7 @@
 """Stream of an entry to the control of its VM."""
 
+from contextlib import suppress
+
 from mode import Service
 
 from .configuration import Configuration
@@ -59,11 +61,12 @@
     async def share(self, configuration: Configuration) -> None:
         """Hand an accepted configuration to the control and its peers.
 
-        Raises ``PeerUnreachableError``; they then find it by their next poll.
+        Without a stream to the control they find it by their next poll.
         """
         self.holder.adopt(configuration)
         push = ConfigurationPush(configuration)
-        await self._client.ask(push, Acknowledged, ASK_TIMEOUT_S)
+        with suppress(PeerUnreachableError):
+            await self._client.ask(push, Acknowledged, ASK_TIMEOUT_S)
 
     async def on_start(self) -> None:
         """Open the stream."""
--- a/src/bulrushcove/peers.py
+++ b/src/bulrushcove/peers.py
@@ -16,6 +16,7 @@
 from .logs import log_event
 from .membership import Membership
 from .messages import (
+    Acknowledged,
     ClusterView,
     ConfigurationPush,
     ConfigurationRequest,
@@ -80,7 +81,12 @@
             hello,
             self._on_frame,
         )
-        holder.listen(lambda _configuration: self._push_configuration())
+        holder.listen(
+            lambda current: self._server.push(
+                ENTRY_ROLE,
+                ConfigurationPush(current),
+            ),
+        )
 
     @property
     def vms(self) -> tuple[VmEntry, ...]:
@@ -246,9 +252,6 @@
             leaving=self.leaving,
         )
 
-    def _push_configuration(self) -> None:
-        self._server.push(ENTRY_ROLE, _configuration_push(self._holder, 0))
-
     def _push_view(self) -> None:
         self._server.push(
             ENTRY_ROLE,
