--- a/dev/measure/cluster_fake.py
+++ b/dev/measure/cluster_fake.py
@@ -44,8 +44,8 @@
     # Run time kept so far by checkpoints.
     saved_s: float = 0.0
     ended_s: float | None = None
-    # When it came into the queue that it is in.
-    queued_s: float = 0.0
+    # Since when it waits within the guarantee of its organisation.
+    due_s: float | None = None
     failed: bool = False
 
 
@@ -152,9 +152,9 @@
         self.runs[attempt.attempt] = run
         return run
 
-    def enqueue(self, job: Job, now_s: float) -> None:
+    def enqueue(self, job: Job) -> None:
         """Queue a new or returned job."""
-        job.queued_s = now_s
+        job.due_s = None
         job.record = msgspec.structs.replace(
             job.record, state=JobState.QUEUED, current=None, domain=self.name
         )
--- a/dev/measure/replay.py
+++ b/dev/measure/replay.py
@@ -114,7 +114,7 @@
             self.tally.refused += 1
             return
         self.jobs.append(entry)
-        self._domains[domain].enqueue(entry, arrival.at_s)
+        self._domains[domain].enqueue(entry)
 
     def _choose(self, record: JobRecord) -> DomainName:
         states = {
@@ -171,7 +171,7 @@
         failures = job.record.failures + 1
         job.record = msgspec.structs.replace(job.record, failures=failures)
         if failures < MAX_FAILURES:
-            domain.enqueue(job, now_s)
+            domain.enqueue(job)
         else:
             job.ended_s = now_s
             job.failed = True
@@ -186,7 +186,7 @@
             self.tally.keep(run, now_s)
         else:
             self.tally.lose(run, now_s)
-        self._domains[self._move(domain, job)].enqueue(job, now_s)
+        self._domains[self._move(domain, job)].enqueue(job)
 
     def _leave(self, domain: Domain, run: Run) -> None:
         domain.runs.pop(run.attempt.attempt)
@@ -204,7 +204,7 @@
                 run.stops_s = now_s + STOP_S * self._style.careful
             for job in list(domain.queue.values()):
                 domain.queue.pop(job.record.job)
-                self._domains[self._move(domain, job)].enqueue(job, now_s)
+                self._domains[self._move(domain, job)].enqueue(job)
         elif now_s == BACK_S:
             domain.in_service = True
             domain.dirty = True
@@ -253,7 +253,7 @@
             target = self._idle_domain(job.record.spec.accelerators)
             if target is not None and moved < MAX_MOVES:
                 domain.queue.pop(job.record.job)
-                target.enqueue(job, now_s)
+                target.enqueue(job)
                 moved += 1
 
     def _idle_domain(self, accelerators: int) -> Domain | None:
