--- a/src/bulrushcove/block_packing.py
+++ b/src/bulrushcove/block_packing.py
@@ -42,6 +42,8 @@
     adjacency: Adjacency
     # Indices of the racks that may serve the block.
     racks: frozenset[int]
+    # Placed after the others by the greedy packing.
+    deferred: bool = False
 
 
 class Spot(msgspec.Struct, frozen=True):
@@ -114,6 +116,7 @@
     return sorted(
         range(len(blocks)),
         key=lambda index: (
+            blocks[index].deferred,
             blocks[index].adjacency is Adjacency.DOMAIN,
             -blocks[index].accelerators,
             len(blocks[index].racks),
--- a/src/bulrushcove/cover_layout.py
+++ b/src/bulrushcove/cover_layout.py
@@ -183,4 +183,4 @@
 
 
 def _block(cover: Cover) -> Block:
-    return Block(cover.rest, cover.adjacency, cover.racks)
+    return Block(cover.rest, cover.adjacency, cover.racks, cover.movable)
--- a/src/bulrushcove/covers.py
+++ b/src/bulrushcove/covers.py
@@ -24,6 +24,8 @@
     adjacency: Adjacency
     # Racks that the organisation may see, by their index.
     racks: frozenset[int]
+    # Any one domain may serve it; one bound to this domain goes first.
+    movable: bool = False
     used: int = 0
     # Where the gangs that use it run; -1: not bound yet.
     rack: int = -1
@@ -62,6 +64,7 @@
                 accelerators=shape.accelerators,
                 adjacency=shape.adjacency,
                 racks=seen,
+                movable=shape.domain is None,
             )
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -229,3 +229,19 @@
         snapshot(workers=[worker('w1')], queued=[*cancelled, job('kept')])
     )
     assert workers_on(plan) == {'kept': {'w1': 1}}
+
+
+def test_a_shape_bound_to_the_domain_goes_before_a_movable_one():
+    """One worker cannot serve both; the movable one has other domains."""
+    bound = GuaranteedShape(8, WORKER, 'north')
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1')],
+            queued=[job('a', accelerators=8)],
+            contracts=[
+                contract(guaranteed=[shape(8)]),
+                contract('shop', guaranteed=[bound]),
+            ],
+        )
+    )
+    assert [place.borrowed for place in plan.places] == [True]
