--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -245,3 +245,62 @@
         )
     )
     assert [place.borrowed for place in plan.places] == [True]
+
+
+def test_small_gangs_leave_the_guarantee_to_a_large_one_of_the_same():
+    """The mill's small jobs hold its only shape when the large one comes."""
+    agreed = [contract(guaranteed=[shape(8)])]
+    small = [gang(job(f's{nth}'), {'w1': 1}) for nth in range(8)]
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=0)],
+            queued=[job('large', accelerators=8)],
+            running=small,
+            contracts=agreed,
+        )
+    )
+    assert len(plan.reclaims) == 8
+    (kept,) = plan.reservations
+    assert (kept.job, kept.clearing) == ('large', True)
+
+
+@pytest.mark.parametrize(('waited_ms', 'stops'), [(1000, 0), (61_000, 1)])
+def test_a_small_part_of_a_shape_is_patient_before_others_are_stopped(
+    waited_ms, stops
+):
+    plan = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=0)],
+            queued=[job('part', accepted_ms=1_000_000 - waited_ms)],
+            running=full_of_borrowed({'w1': 1.0, 'w2': 1.0})[:8],
+            contracts=[contract(guaranteed=[shape(8)]), contract('shop')],
+        )
+    )
+    assert len(plan.reclaims) == stops
+
+
+def test_cleared_room_goes_to_the_job_it_was_cleared_for():
+    """An older job of the same organisation does not take it."""
+    agreed = [contract(guaranteed=[shape(8)]), contract('shop')]
+    running = full_of_borrowed({'w1': 5.0, 'w2': 50.0})
+    first = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=0), worker('w2', free=0)],
+            queued=[job('a', accelerators=8, accepted_ms=5)],
+            running=running,
+            contracts=agreed,
+        )
+    )
+    second = scheduler.plan(
+        snapshot(
+            workers=[worker('w1', free=8), worker('w2', free=0)],
+            queued=[
+                job('older', accelerators=8),
+                job('a', accelerators=8, accepted_ms=5),
+            ],
+            running=running[8:],
+            contracts=agreed,
+            reservations=first.reservations,
+        )
+    )
+    assert workers_on(second) == {'a': {'w1': 1}}
