--- a/src/bulrushcove/job.py
+++ b/src/bulrushcove/job.py
@@ -60,11 +60,11 @@
     placement: tuple[PlacedPart, ...]
     # Beyond the guarantee of the organisation: may be reclaimed.
     borrowed: bool = False
+    # The guaranteed shape that the attempt uses, when it is not borrowed.
+    cover: str = ''
     # Set before the first start of a job that is not idempotent: while it
     # is not set, no part of the attempt can have run.
     start_recorded: bool = False
-    # The guaranteed shape that the attempt uses, when it is not borrowed.
-    cover: str = ''
 
 
 class JobRecord(msgspec.Struct, frozen=True):
