--- a/src/bulrushcove/operator_api.py
+++ b/src/bulrushcove/operator_api.py
@@ -125,7 +125,7 @@
     """The system as the control next to the entry that was asked sees it."""
 
     revision: Revision
-    # Whether the entry hears from the control on its VM.
+    # Whether the entry has heard from the control on its VM.
     control_linked: bool
     platform_reachable: bool
     vms: tuple[VmStatus, ...]
