A distrusted worker is tried by any work when no job is fit for a probe

test_processes_workers: gangs waited over 20 s after a test whose workers had failed everything; no one-task job came, so no probe was ever made.

--- a/src/bulrushcove/probes.py
+++ b/src/bulrushcove/probes.py
@@ -12,7 +12,7 @@
     A probe may fail, so it is a single idempotent task that has not failed
     before, and it is borrowed, so that no guarantee depends on it.
     """
-    candidates = [record for record in waiting if _may_probe(record)]
+    candidates = [record for record in waiting if may_be_probe(record)]
     for worker in state.snapshot.workers:
         if worker.usable and worker.probe and _is_idle(worker):
             _probe(state, worker, candidates)
@@ -30,7 +30,8 @@
             return
 
 
-def _may_probe(record: JobRecord) -> bool:
+def may_be_probe(record: JobRecord) -> bool:
+    """Return whether little is lost if the job fails once more."""
     return (
         record.spec.tasks == 1
         and record.spec.idempotent
--- a/src/bulrushcove/scheduling.py
+++ b/src/bulrushcove/scheduling.py
@@ -13,7 +13,9 @@
 from .domain_snapshot import take_snapshot
 from .gang import GangAttempt
 from .ids import JobId
+from .job import JobRecord
 from .observed_runs import RunTimes
+from .probes import may_be_probe
 from .states import JobState, TaskState
 from .worker_health import WorkerHealth
 
@@ -68,7 +70,10 @@
         )
         return msgspec.structs.replace(
             snapshot,
-            workers=tuple(map(self._with_health, snapshot.workers)),
+            workers=tuple(
+                self._with_health(room, snapshot.queued)
+                for room in snapshot.workers
+            ),
             queued=tuple(
                 record
                 for record in snapshot.queued
@@ -78,13 +83,19 @@
             reservations=self._reservations,
         )
 
-    def _with_health(self, room: WorkerRoom) -> WorkerRoom:
+    def _with_health(
+        self, room: WorkerRoom, queued: tuple[JobRecord, ...]
+    ) -> WorkerRoom:
         worker = room.description.worker
         if self._health.is_trusted(worker):
             return room
         may_probe = self._health.may_probe(worker, self._clock.monotonic_s())
+        # Without a job fit for a probe any work has to do, or the worker
+        # would stay lost to gangs.
         return msgspec.structs.replace(
-            room, usable=room.usable and may_probe, probe=True
+            room,
+            usable=room.usable and may_probe,
+            probe=any(map(may_be_probe, queued)),
         )
 
     def _keep(self, plan: Plan) -> Plan:
