Worker tests: distrust left by one test no longer decides the next

In a trial with worker health wired in, gangs of two later tests did not start within 20 s because a worker of each domain was still distrusted. The test of broken workers now comes last but one, and what comes after it is a test of its own: a gang must start on workers that were broken and are mended.

--- a/tests/test_processes_workers.py
+++ b/tests/test_processes_workers.py
@@ -55,20 +55,6 @@
     assert JobState.SUCCEEDED in {job.state for job in run.jobs}
 
 
-async def test_broken_workers_do_not_eat_the_queue(cluster):
-    broken = workers_of(cluster)[::2]
-    async with tools.new_run(cluster, 'broken') as run:
-        offers = [
-            run.offer_job(300, accelerators_per_task=8) for _ in range(18)
-        ]
-        with tools.faults_of(cluster, *broken, fails_everything=True):
-            await asyncio.gather(*[run.run_job(each) for each in offers])
-        run.check()
-    assert {job.state for job in run.jobs} == {JobState.SUCCEEDED}
-    # Control: the broken workers did fail tasks.
-    assert TaskStep.FAIL in {event.step for event in run.history().tasks}
-
-
 async def test_worker_frozen_past_its_lease_ends_the_whole_gang(cluster):
     async with tools.new_run(cluster, 'lapse') as run:
         offered = run.offer_job(8000, **GANG)
@@ -94,3 +80,26 @@
         run.jobs = [tools.cancelled(job) for job in jobs]
         run.check()
     assert {job.state for job in run.jobs} == {JobState.CANCELLED}
+
+
+async def test_broken_workers_do_not_eat_the_queue(cluster):
+    broken = workers_of(cluster)[::2]
+    async with tools.new_run(cluster, 'broken') as run:
+        offers = [
+            run.offer_job(300, accelerators_per_task=8) for _ in range(18)
+        ]
+        with tools.faults_of(cluster, *broken, fails_everything=True):
+            await asyncio.gather(*[run.run_job(each) for each in offers])
+        run.check()
+    assert {job.state for job in run.jobs} == {JobState.SUCCEEDED}
+    # Control: the broken workers did fail tasks.
+    assert TaskStep.FAIL in {event.step for event in run.history().tasks}
+
+
+async def test_gangs_use_workers_that_were_broken_and_are_mended(cluster):
+    """Follows the test above: one worker of each domain is distrusted."""
+    async with tools.new_run(cluster, 'mended') as run:
+        offered = run.offer_job(300, **GANG)
+        await run.run_job(offered, timeout_s=30)
+        run.check()
+    assert run.jobs[0].state is JobState.SUCCEEDED
