A domain served from afar goes back to its own VMs once they stay

Need: rounds over the links between regions are slow and billed by volume. It is offered once near VMs were reachable for 60 s without a break, so that near VMs that cannot reach the platform cost one pause a minute at most.

--- a/src/bulrushcove/campaigns.py
+++ b/src/bulrushcove/campaigns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 from mode import Service
 
@@ -11,7 +12,7 @@
 from .exceptions import StoreError
 from .ids import DomainName
 from .logs import log_event
-from .messages import JobNotice, JobStanding
+from .messages import JobNotice, JobStanding, VmStatus
 from .surroundings import Surroundings
 
 logger = logging.getLogger(__name__)
@@ -22,6 +23,8 @@
 RENEWALS_PER_LEASE = 3
 # A domain whose view is younger than this has a live control.
 FRESH_VIEW_MS = 2500
+# Near VMs that cannot win the domain get it offered this seldom.
+HAND_BACK_S = 60.0
 
 
 class Campaigns(Service):
@@ -39,6 +42,8 @@
         self._clock = around.clock
         self._lease_s = around.settings.control_lease_ms / MS_PER_S
         self._absent_since_s: dict[DomainName, float] = {}
+        # Since when VMs of a domain that is served from afar are there.
+        self._near_since_s: dict[DomainName, float] = {}
         self._looked_at_s: dict[DomainName, float] = {}
         self._is_leaving = False
 
@@ -80,6 +85,7 @@
         while not self.should_stop:
             await self.sleep(interval_s)
             for domain in self._remote_domains():
+                await self._hand_back(domain)
                 await self._campaign(domain)
 
     @Service.task
@@ -93,6 +99,26 @@
             )
             await self.sleep(self._lease_s / RENEWALS_PER_LEASE)
 
+    async def _hand_back(self, domain: DomainName) -> None:
+        """Give a domain back to its own VMs, once they are there to stay.
+
+        Rounds over the links between regions are slow and cost money.
+        """
+        controller = self.controllers.get(domain)
+        has_near = _has_near_vm(self._around.statuses(), domain)
+        if controller is None or not has_near:
+            self._near_since_s.pop(domain, None)
+            return
+        now_s = self._clock.monotonic_s()
+        since_s = self._near_since_s.setdefault(domain, now_s)
+        if now_s - since_s < HAND_BACK_S:
+            return
+        self._near_since_s.pop(domain)
+        self._absent_since_s[domain] = now_s
+        self.controllers.pop(domain)
+        await controller.stop()
+        await self._election.resign(controller.tenure)
+
     async def _renew_one(self, tenure: Tenure) -> None:
         if tenure.over:
             return
@@ -201,3 +227,10 @@
         listed = {vm.domain for vm in self._around.vms()}
         listed.update(self._around.holder.current.domains)
         return sorted(listed - {self._own_domain})
+
+
+def _has_near_vm(statuses: Iterable[VmStatus], domain: DomainName) -> bool:
+    return any(
+        status.domain == domain and status.reachable and not status.leaving
+        for status in statuses
+    )
--- a/tests/test_campaigns.py
+++ b/tests/test_campaigns.py
@@ -81,6 +81,29 @@
     assert not await far.wins()
 
 
+async def test_a_far_holder_hands_back_to_near_vms_that_stay(bench):
+    near, far = Vm(bench, 'near', DOMAIN), Vm(bench, 'far', OTHER_DOMAIN)
+    assert not await far.wins()
+    bench.clock.advance(SETTINGS.remote_takeover_ms / 1000)
+    assert await far.wins()
+    far.statuses = (VmStatus('near', DOMAIN, 1, True),)
+    await far.campaigns._hand_back(DOMAIN)
+    assert DOMAIN in far.campaigns.controllers
+    far.statuses = ()
+    bench.clock.advance(campaigns.HAND_BACK_S)
+    await far.campaigns._hand_back(DOMAIN)
+    far.statuses = (VmStatus('near', DOMAIN, 1, True),)
+    await far.campaigns._hand_back(DOMAIN)
+    assert DOMAIN in far.campaigns.controllers
+    tenure = far.campaigns.controllers[DOMAIN].tenure
+    for _ in range(int(campaigns.HAND_BACK_S)):
+        bench.clock.advance(1)
+        await far.campaigns._election.renew(tenure)
+    await far.campaigns._hand_back(DOMAIN)
+    assert not await far.wins()
+    assert await near.wins()
+
+
 async def test_epochs_only_grow(bench):
     epochs = []
     for number in range(3):
