--- a/src/bulrushcove/cover_layout.py
+++ b/src/bulrushcove/cover_layout.py
@@ -83,6 +83,21 @@
                 kept[self._members[spot.rack][spot.worker]] += cover.rest
         return kept
 
+    def kept_everywhere(self, but: Cover) -> dict[int, int]:
+        """Return what others keep free, with racks' parts laid on workers.
+
+        A shape in a rack may lie on any of its workers; this puts it on
+        those with the most left, as one way that is surely enough.
+        """
+        kept = defaultdict(int, self.kept_on_workers(but))
+        for cover in self._covers:
+            spot = cover.spot
+            if cover is but or spot is None or spot.rack < 0:
+                continue
+            if spot.worker < 0:
+                self._keep_in_rack(cover.rest, spot.rack, kept)
+        return kept
+
     def lay_out(self, *, thoroughly: bool = False) -> None:
         """Find anew where the unused part of each cover is kept free."""
         racks = self._racks_left()
@@ -121,6 +136,19 @@
         _set_spots(self._covers, spots)
         return False
 
+    def _keep_in_rack(
+        self, accelerators: int, rack: int, kept: dict[int, int]
+    ) -> None:
+        left = {
+            index: max(self._equal[index] - kept[index], 0)
+            for index in self._members[rack]
+        }
+        missing = accelerators
+        for worker in sorted(left, key=left.__getitem__, reverse=True):
+            part = min(missing, left[worker])
+            kept[worker] += part
+            missing -= part
+
     def _racks_left(self) -> list[Rack]:
         return [
             new_rack(
--- a/src/bulrushcove/guarantees.py
+++ b/src/bulrushcove/guarantees.py
@@ -105,9 +105,10 @@
     def unreserved(self, cover: Cover) -> list[Room]:
         """Return the firm rooms less what other covers keep free there."""
         rooms = list(self._layout.firm)
-        for index, kept in self._layout.kept_on_workers(cover).items():
-            worker = self._rooms.workers[index]
-            rooms[index] = less_share(rooms[index], worker, kept)
+        for index, kept in self._layout.kept_everywhere(cover).items():
+            if kept:
+                worker = self._rooms.workers[index]
+                rooms[index] = less_share(rooms[index], worker, kept)
         return rooms
 
     def admits(self, cover: Cover, spec: JobSpec, counts: Counts) -> bool:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -304,3 +304,35 @@
         )
     )
     assert workers_on(second) == {'a': {'w1': 1}}
+
+
+def test_a_reclaim_looks_beyond_the_cheapest_room_that_others_keep():
+    """The cheapest victim runs in the rack that the shop's shape needs."""
+    agreed = [
+        contract(guaranteed=[shape(1, DOMAIN)]),
+        contract('shop', [shape(16, RACK)]),
+        contract('guest'),
+    ]
+    used = gang(job('used', 'shop', 8), {'w1': 1})
+    cheap = gang(job('cheap', 'guest'), {'w2': 1}, borrowed=True)
+    dear = [
+        gang(job(f'd{nth}', 'guest', 7), {name: 1}, True, unsaved_s=90.0)
+        for nth, name in enumerate(('w2', 'w3', 'w4'))
+    ]
+    more = [
+        gang(job(f'm{name}', 'guest'), {name: 1}, True, unsaved_s=60.0)
+        for name in ('w3', 'w4')
+    ]
+    racks = {'w1': 'r1', 'w2': 'r1', 'w3': 'r2', 'w4': 'r2'}
+    plan = scheduler.plan(
+        snapshot(
+            workers=[
+                worker(name, rack, free=0) for name, rack in racks.items()
+            ],
+            queued=[job('a')],
+            running=[used, cheap, *dear, *more],
+            contracts=agreed,
+        )
+    )
+    (reclaim,) = plan.reclaims
+    assert reclaim.attempt == 'mw3-1'
