--- a/src/bulrushcove/job_store.py
+++ b/src/bulrushcove/job_store.py
@@ -2,7 +2,11 @@
 
 import msgspec
 
-from .exceptions import BulrushcoveError, StoreOutcomeUnknownError
+from .exceptions import (
+    BulrushcoveError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from .ids import JobId
 from .job import JobRecord
 from .store import JOBS_PREFIX, Store, StoredValue, Write
@@ -101,7 +105,12 @@
         raise JobChangedError(record.job, _first(answer.current))
 
     async def _read_back(self, record: JobRecord, encoded: bytes) -> StoredJob:
-        scan = await self._store.read(_key(record.job))
+        try:
+            scan = await self._store.read(_key(record.job))
+        except StoreUnavailableError as exc:
+            raise StoreOutcomeUnknownError(
+                f'job {record.job!r}: no read after a lost answer',
+            ) from exc
         if scan.found and scan.found[0].value == encoded:
             return _decode(scan.found[0])
         if scan.found:
