A job that cannot run is set aside only after a quarter of an hour without a break

A lost rack leaves the VM list, and every job as large as a rack was ended at the next pass; a rack is back before long. Until then the reason is shown by explain.

--- /dev/null
+++ b/src/bulrushcove/aside_delay.py
@@ -0,0 +1,31 @@
+"""Delays the end of jobs that cannot run: what is missing may come back."""
+
+from collections.abc import Iterable
+
+from .cluster import SetAside
+from .ids import JobId
+
+# A rack or switch that fails is back within this time on most days.
+SET_ASIDE_AFTER_S = 900.0
+
+
+class AsideDelay:
+    """Remembers since when each job cannot run, without a break."""
+
+    def __init__(self) -> None:
+        """Start without any job."""
+        self._since_s: dict[JobId, float] = {}
+
+    def due(
+        self,
+        asides: Iterable[SetAside],
+        now_s: float,
+    ) -> tuple[SetAside, ...]:
+        """Return those of this pass whose jobs have waited long enough."""
+        judged = {aside.job: aside for aside in asides}
+        self._since_s = {job: self._since_s.get(job, now_s) for job in judged}
+        return tuple(
+            judged[job]
+            for job, since_s in self._since_s.items()
+            if now_s - since_s >= SET_ASIDE_AFTER_S
+        )
--- a/src/bulrushcove/scheduling.py
+++ b/src/bulrushcove/scheduling.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .aside_delay import AsideDelay
 from .clock import MS_PER_S, Clock
 from .cluster import DomainSnapshot, Plan, Reservation, WorkerRoom
 from .configuration import Configuration
@@ -38,6 +39,7 @@
         self._reservations: tuple[Reservation, ...] = ()
         self._run_times = RunTimes()
         self._health = WorkerHealth()
+        self._aside_delay = AsideDelay()
 
     async def plan(self, configuration: Configuration) -> Plan:
         """Return the decisions of one pass."""
@@ -101,7 +103,14 @@
     def _keep(self, plan: Plan) -> Plan:
         self._reservations = plan.reservations
         self.waits = {wait.job: wait.reason for wait in plan.waits}
-        return plan
+        self.waits.update(
+            {aside.job: aside.reason for aside in plan.set_aside},
+        )
+        due = self._aside_delay.due(
+            plan.set_aside,
+            self._clock.monotonic_s(),
+        )
+        return msgspec.structs.replace(plan, set_aside=due)
 
     def _learn_health(self, gang: GangAttempt) -> None:
         now_s = self._clock.monotonic_s()
