--- a/src/bulrushcove/domain_controller.py
+++ b/src/bulrushcove/domain_controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import logging
+from collections.abc import Awaitable, Callable
 
 from mode import Service
 
@@ -110,25 +111,25 @@
     async def _work(self) -> None:
         # Fences earlier controls and learns what runs, before anything else.
         await self.rounds.try_all()
-        await self._guarded_pass()
+        await _run_guarded(self.run_pass)
         # What was taken over stays for hours: full collections need not
         # walk it, which held the loop for tens of milliseconds.
         gc.freeze()
         while not self.should_stop and not self.is_fenced:
             self._news.clear()
             began_s = self._clock.monotonic_s()
-            await self._guarded_pass()
+            await _run_guarded(self.run_pass)
             # Leaves at least half of the time to the rounds.
             took_s = self._clock.monotonic_s() - began_s
             await self.sleep(max(PASS_GAP_S, took_s))
-            await _wait_for(self._news, self._round_s)
+            await self._wait_for_news()
 
-    async def _guarded_pass(self) -> None:
+    async def _wait_for_news(self) -> None:
         try:
-            await self.run_pass()
-        except Exception:
-            # An error in a pass must not end the renewal of leases.
-            logger.exception('control.pass_failed')
+            async with asyncio.timeout(self._round_s):
+                await self._news.wait()
+        except TimeoutError:
+            return
 
     def _advance(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -195,9 +196,9 @@
             self.rounds.wake_urgent()
 
 
-async def _wait_for(event: asyncio.Event, timeout_s: float) -> None:
+async def _run_guarded(run_pass: Callable[[], Awaitable[None]]) -> None:
     try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        return
+        await run_pass()
+    except Exception:
+        # An error in a pass must not end the renewal of leases.
+        logger.exception('control.pass_failed')
