--- /dev/null
+++ b/dev/capacity_sizes.py
@@ -0,0 +1,81 @@
+"""Sizes of messages and records at the two-year target, by encoding them."""
+
+import hashlib
+from typing import NamedTuple
+
+import msgspec
+
+from bulrushcove.configuration import Configuration
+from bulrushcove.configuration_codec import encode_configuration
+from bulrushcove.contract import Contract, GuaranteedShape
+from bulrushcove.job import Attempt, JobRecord, JobSpec, PlacedPart
+from bulrushcove.messages import DomainView, Heartbeat
+from bulrushcove.states import DomainState, JobState
+from bulrushcove.wire import encode
+from dev.capacity_target import DOMAINS, ORGANISATIONS
+
+GANG_WORKERS = 8
+GANG_TASKS = 64
+NAMES = tuple(f'domain-{number}' for number in range(DOMAINS))
+
+
+class Sizes(NamedTuple):
+    """Bytes of one message or record each."""
+
+    configuration: int
+    heartbeat: int
+    job_record: int
+
+
+def measure_sizes() -> Sizes:
+    """Encode one of each as the daemons do."""
+    return Sizes(
+        configuration=len(encode_configuration(_configuration())),
+        heartbeat=len(encode(_heartbeat())),
+        job_record=len(msgspec.msgpack.encode(_record())),
+    )
+
+
+def _configuration() -> Configuration:
+    contracts = {
+        f'organisation-{number}': Contract(
+            organisation=f'organisation-{number}',
+            token_sha256=(_digest(number),),
+            guaranteed=(GuaranteedShape(8), GuaranteedShape(4, count=2)),
+            spare_domain=NAMES[0],
+        )
+        for number in range(ORGANISATIONS)
+    }
+    return Configuration(1, contracts, dict.fromkeys(NAMES, DomainState.IN))
+
+
+def _digest(number: int) -> str:
+    return hashlib.sha256(str(number).encode()).hexdigest()
+
+
+def _heartbeat() -> Heartbeat:
+    views = tuple(
+        DomainView(name, 'entry-1', *range(1, 10), age_ms=500) for name in NAMES
+    )
+    return Heartbeat('entry-1', 'f' * 32, 1, 500, views)
+
+
+def _record() -> JobRecord:
+    each = GANG_TASKS // GANG_WORKERS
+    placement = tuple(
+        PlacedPart(
+            f'worker-{number}', tuple(range(number * each, (number + 1) * each))
+        )
+        for number in range(GANG_WORKERS)
+    )
+    return JobRecord(
+        job='organisation-1/job-000001',
+        organisation='organisation-1',
+        spec=JobSpec(kind='boiler-review', tasks=GANG_TASKS),
+        state=JobState.RUNNING,
+        domain=NAMES[0],
+        accepted_unix_ms=1,
+        spec_sha256='f' * 64,
+        current=Attempt('organisation-1/job-000001.1.1', 1, placement),
+        traceparent='f' * 55,
+    )
--- /dev/null
+++ b/dev/capacity_target.py
@@ -0,0 +1,20 @@
+"""The two-year target and its bounds, as the users' page states them."""
+
+WORKERS = 740
+ACCELERATORS = 1100
+TASKS = 19_000
+JOBS_A_DAY = 2500
+ORGANISATIONS = 86
+DOMAINS = 6
+CONFIGURATION_CHANGES_A_DAY = 1100
+# The fleet of today; the target names none.
+ENTRY_VMS = 7
+
+CPU_PERCENT = 1.8
+RESIDENT_MB = 64.0
+KB_S = 2.0
+PLATFORM_CALLS_S = 2000
+PLATFORM_WRITES_S = 300
+CONFIGURATION_S = 6.0
+
+S_A_DAY = 86_400
--- a/dev/measure_capacity.py
+++ b/dev/measure_capacity.py
@@ -4,11 +4,14 @@
 """
 
 import asyncio
+import subprocess
 from pathlib import Path
 
 import numpy
 from absl import app, flags
 
+from dev.capacity_page import Fit, make_page
+from dev.capacity_sizes import measure_sizes
 from dev.capacity_stage import Cost, staged
 
 WORKER_COUNTS = flags.DEFINE_list(
@@ -21,6 +24,9 @@
 REPORT = flags.DEFINE_string(
     'report', 'reports/capacity.md', 'File for the table.'
 )
+PAGE = flags.DEFINE_string(
+    'page', 'docs/CAPACITY.md', 'File for the page at the target size.'
+)
 START_S = 3
 
 
@@ -37,13 +43,13 @@
     return costs
 
 
-def fit(costs: list[Cost], field: str) -> tuple[float, float, float, float]:
-    """Return constant, slope a worker, slope a task, and worst error."""
+def fit(costs: list[Cost], field: str) -> Fit:
+    """Fit one field of ``costs``."""
     sizes = numpy.array([[1, cost.workers, cost.tasks] for cost in costs])
     found = numpy.array([getattr(cost, field) for cost in costs])
     factors = numpy.linalg.lstsq(sizes, found, rcond=None)[0]
     worst = numpy.abs(sizes @ factors - found).max()
-    return (*map(float, factors), float(worst))
+    return Fit(*map(float, factors), float(worst))
 
 
 def _table(costs: list[Cost]) -> str:
@@ -75,11 +81,24 @@
 
 def main(_arguments: list[str]) -> None:
     """Measure each size and write the table."""
-    table = _table(asyncio.run(_measure()))
+    costs = asyncio.run(_measure())
+    table = _table(costs)
     print(table)
     report = Path(REPORT.value)
     report.parent.mkdir(exist_ok=True)
     report.write_text(f'# Cost of a control\n\n{table}', encoding='utf-8')
+    fits = {field: fit(costs, field) for field in Cost._fields[2:]}
+    page = make_page(fits, measure_sizes(), table, _commit())
+    Path(PAGE.value).write_text(page, encoding='utf-8')
+
+
+def _commit() -> str:
+    return subprocess.run(
+        ('git', 'rev-parse', '--short', 'HEAD'),
+        capture_output=True,
+        check=True,
+        text=True,
+    ).stdout.strip()
 
 
 if __name__ == '__main__':
