--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo measure measure-path measure-capacity
+.PHONY: venv test lint format lock demo soak measure measure-path measure-capacity
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -36,6 +36,10 @@
 demo: venv
 	$(BIN)/python -m dev.demo --seed=$(SEED)
 
+# Random combinations of faults; prints the seed of a breach.
+soak: venv
+	$(BIN)/python -m dev.soak --seconds=$(SECONDS) --seed=$(SEED) --requests=400 --jobs=24
+
 # What the entry adds to a request, beside a bare forwarder.
 measure-path: venv
 	$(BIN)/python -m dev.measure_path
--- /dev/null
+++ b/dev/soak_faults.py
@@ -0,0 +1,129 @@
+"""Faults of a soak run: what each does to a launched cluster, and undoes."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from types import MappingProxyType
+
+import msgspec
+
+from bulrushcove.ids import DomainName
+from bulrushcove.states import DomainState
+from dev.launcher import FULL_SIZE, Cluster, control_name, entry_name
+from dev.standins.faults import Faults
+from dev.workload.operating import Operating
+
+NO_FAULTS = Faults()
+SERVER_FAULTS = MappingProxyType(
+    {
+        'down': Faults(down=True),
+        'slow': Faults(slow_ms=400),
+        'frozen': Faults(frozen=True),
+        'effect without answer': Faults(effect_without_answer=True),
+        'cut answers': Faults(cut=True),
+        'late answers': Faults(late_ms=2000),
+    }
+)
+DOMAINS = tuple(size.domain for size in FULL_SIZE)
+FIRST_AT_S = 2.0
+LAST_AT_S = 16.0
+SHORTEST_S = 3.0
+LONGEST_S = 10.0
+
+
+class SoakFault(msgspec.Struct, frozen=True):
+    """One fault: ``kind`` hits ``target`` of ``domain`` for a while."""
+
+    at_s: float
+    lasts_s: float
+    kind: str
+    target: str
+    domain: DomainName
+
+    def __str__(self) -> str:
+        """Return the fault in words."""
+        return (
+            f'{self.at_s:.1f} s: {self.target} of {self.domain} {self.kind} '
+            f'for {self.lasts_s:.1f} s'
+        )
+
+
+Undo = Callable[[], Awaitable[None]]
+
+
+def draw_faults(rng: random.Random, count: int) -> tuple[SoakFault, ...]:
+    """Return ``count`` random faults in the order of their times."""
+    faults = [_draw_fault(rng) for _ in range(count)]
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_fault(rng: random.Random) -> SoakFault:
+    target = rng.choice(
+        ('platform', 'worker', 'backend', 'control', 'entry', 'domain')
+    )
+    kinds = {
+        'control': ('killed', 'frozen'),
+        'entry': ('killed', 'frozen'),
+        'domain': ('taken out',),
+    }.get(target, tuple(SERVER_FAULTS))
+    return SoakFault(
+        at_s=rng.uniform(FIRST_AT_S, LAST_AT_S),
+        lasts_s=rng.uniform(SHORTEST_S, LONGEST_S),
+        kind=rng.choice(kinds),
+        target=target,
+        domain=rng.choice(DOMAINS),
+    )
+
+
+async def begin(
+    fault: SoakFault, cluster: Cluster, operating: Operating
+) -> Undo:
+    """Bring ``fault`` about; the returned function ends it."""
+    if fault.target == 'domain':
+        return await _take_out(fault, operating)
+    if fault.target in {'control', 'entry'}:
+        return await _hit_process(fault, cluster, operating)
+    server = _server(fault, cluster)
+    cluster.put_faults(server, SERVER_FAULTS[fault.kind])
+
+    async def mend() -> None:
+        cluster.put_faults(server, NO_FAULTS)
+
+    return mend
+
+
+async def _take_out(fault: SoakFault, operating: Operating) -> Undo:
+    await operating.set_domain(fault.domain, DomainState.OUT)
+
+    async def bring_back() -> None:
+        await operating.set_domain(fault.domain, DomainState.IN)
+
+    return bring_back
+
+
+async def _hit_process(
+    fault: SoakFault, cluster: Cluster, operating: Operating
+) -> Undo:
+    vm = await operating.active_control(fault.domain)
+    name = control_name(vm) if fault.target == 'control' else entry_name(vm)
+    if fault.kind == 'killed':
+        cluster.kill(name)
+    else:
+        cluster.processes.signal(name, signal.SIGSTOP)
+
+    async def revive() -> None:
+        if fault.kind == 'killed':
+            cluster.processes.restart(name)
+        else:
+            cluster.processes.signal(name, signal.SIGCONT)
+
+    return revive
+
+
+def _server(fault: SoakFault, cluster: Cluster) -> str:
+    plan = cluster.find_domain(fault.domain)
+    if fault.target == 'worker':
+        return plan.workers[0].description.worker
+    if fault.target == 'backend':
+        return plan.backends[0].backend
+    return 'platform'
