--- a/src/bulrushcove/peer_links.py
+++ b/src/bulrushcove/peer_links.py
@@ -5,11 +5,12 @@
 import msgspec
 from mode import Service
 
+from .connection import FrameHandler
 from .exceptions import PeerUnreachableError
 from .ids import DomainName, VmId
 from .messages import Hello
 from .states import VmRole
-from .streams import FrameHandler, StreamClient
+from .streams import StreamClient
 from .vm_list import VmEntry
 
 
