--- a/dev/launch/processes.py
+++ b/dev/launch/processes.py
@@ -69,6 +69,10 @@
         """Return the pids of all processes that were started."""
         return [started.process.pid for started in self._started.values()]
 
+    def error_paths(self) -> list[Path]:
+        """Return the files with the processes' standard errors."""
+        return [started.errors_path for started in self._started.values()]
+
     def check(self, names: Sequence[str]) -> None:
         """Raise ``ProcessDiedError`` when one of ``names`` has ended."""
         for name in names:
--- a/dev/launch/settings_file.py
+++ b/dev/launch/settings_file.py
@@ -11,6 +11,7 @@
     EntrySettings,
     PlatformSettings,
     Settings,
+    TracingSettings,
     VmSettings,
 )
 from dev.launch.ports import HOST
@@ -54,6 +55,7 @@
     around: Surroundings,
     control_changes: dict[str, int],
     entry_changes: dict[str, int],
+    exporter: str = 'none',
 ) -> Settings:
     """Return the settings of one entry VM."""
     token_sha256 = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
@@ -71,6 +73,7 @@
             **control_changes,
         ),
         platform=around.platform_settings(vm.domain),
+        tracing=TracingSettings(exporter=exporter),
     )
 
 
--- a/dev/launcher.py
+++ b/dev/launcher.py
@@ -57,6 +57,8 @@
     with_links: bool = False
     control_changes: dict[str, int] = msgspec.field(default_factory=dict)
     entry_changes: dict[str, int] = msgspec.field(default_factory=dict)
+    # Exporter of the daemons' spans.
+    exporter: str = 'none'
     # Kept with all logs; empty: a temporary directory.
     directory: str = ''
 
@@ -116,6 +118,7 @@
             Surroundings(self.topology, self.links),
             self.options.control_changes,
             self.options.entry_changes,
+            self.options.exporter,
         )
         path = self._directory / f'{vm.vm}.toml'
         path.write_text(format_settings(settings), encoding='utf-8')
