--- a/dev/capacity_page.py
+++ b/dev/capacity_page.py
@@ -30,6 +30,9 @@
   has changed since the last answer, and rounds as long as the lease allows (a
   third of it), would carry the same promises with a small part of the bytes and
   of the processor time.
+- A heartbeat carries the views of all domains each second, asked and answered
+  by both ends. Views only when they change, and one end asking, would leave a
+  few hundred bytes a second.
 - The fixed part of the memory is the interpreter and the libraries that the
   house style names.
 
--- a/src/bulrushcove/streams.py
+++ b/src/bulrushcove/streams.py
@@ -79,6 +79,10 @@
             await connection.run(silence_s=None)
         except (WireError, OSError, EOFError) as exc:
             _log_end(connection, exc)
+        except asyncio.CancelledError:
+            # The loop ends; the streams module of asyncio would log the
+            # cancellation of this callback as an error.
+            return
         finally:
             self.connections.discard(connection)
             connection.close()
