--- a/src/bulrushcove/entry.py
+++ b/src/bulrushcove/entry.py
@@ -13,7 +13,8 @@
 from .control_link import ControlLink
 from .hello import ENTRY_ROLE, new_hello
 from .http_server import HttpServer
-from .job_routes import JobContext, add_job_routes
+from .job_context import JobContext
+from .job_routes import add_job_routes
 from .job_store import JobStore
 from .job_watch import JobWatch
 from .metrics import new_metrics
--- /dev/null
+++ b/src/bulrushcove/job_context.py
@@ -0,0 +1,35 @@
+"""Collaborators of the routes for callers' jobs."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from .authentication import TokenIndex
+from .clock import Clock
+from .configuration import Configuration
+from .ids import DomainName
+from .job_store import JobStore
+from .job_watch import JobWatch
+from .messages import ClusterView, JobNotice, JobStanding
+from .settings import EntrySettings
+
+
+class ControlNotices(Protocol):
+    """The part of the link to this VM's control that jobs use."""
+
+    view: ClusterView | None
+
+    async def notify_job(self, notice: JobNotice) -> JobStanding:
+        """Tell the owner of the job's domain; raises when unreachable."""
+
+
+class JobContext(NamedTuple):
+    """Collaborators of the routes."""
+
+    settings: EntrySettings
+    domain: DomainName
+    configuration: Callable[[], Configuration]
+    tokens: TokenIndex
+    jobs: JobStore
+    watch: JobWatch
+    control: ControlNotices
+    clock: Clock
--- a/src/bulrushcove/job_routes.py
+++ b/src/bulrushcove/job_routes.py
@@ -1,44 +1,30 @@
 """HTTP routes for callers' jobs."""
 
-import hashlib
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
 
 import msgspec
 from aiohttp import web
 
-from .authentication import TokenIndex
-from .body import read_whole
-from .clock import MS_PER_S, Clock
-from .configuration import Configuration
+from .clock import MS_PER_S
 from .contract import Contract
 from .exceptions import (
-    PeerUnreachableError,
     RefusedError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from .ids import DomainName
-from .job import JobRecord
-from .job_domain import choose_domain
+from .job_context import JobContext
 from .job_messages import (
-    JobSubmission,
-    caller_job_id,
     job_answer,
-    parse_submission,
     stored_job_id,
 )
-from .job_store import JobChangedError, JobExistsError, JobStore, StoredJob
-from .job_watch import JobWatch
-from .messages import ClusterView, JobNotice, JobStanding
+from .job_store import JobChangedError, StoredJob
+from .job_submission import notify_control, submit_job
 from .refusals import json_response, malformed, refusal_response
 from .request_head import checked_id
-from .settings import EntrySettings
-from .states import JobState, Outcome
+from .states import Outcome
 from .tracing import (
     TRACEPARENT,
     current_trace_id,
-    current_traceparent,
     span,
 )
 
@@ -52,28 +38,6 @@
 JobHandler = Callable[[web.Request, Contract], Awaitable[web.Response]]
 
 
-class ControlNotices(Protocol):
-    """The part of the link to this VM's control that jobs use."""
-
-    view: ClusterView | None
-
-    async def notify_job(self, notice: JobNotice) -> JobStanding:
-        """Tell the owner of the job's domain; raises when unreachable."""
-
-
-class JobContext(NamedTuple):
-    """Collaborators of the routes."""
-
-    settings: EntrySettings
-    domain: DomainName
-    configuration: Callable[[], Configuration]
-    tokens: TokenIndex
-    jobs: JobStore
-    watch: JobWatch
-    control: ControlNotices
-    clock: Clock
-
-
 def add_job_routes(router: web.UrlDispatcher, context: JobContext) -> None:
     """Serve ``/v1/jobs``."""
 
@@ -86,7 +50,7 @@
         return handler
 
     one = f'{JOBS_PATH}/{{job}}'
-    router.add_post(JOBS_PATH, route(_submit))
+    router.add_post(JOBS_PATH, route(submit_job))
     router.add_get(JOBS_PATH, route(_list))
     router.add_get(one, route(_state))
     router.add_get(f'{one}/result', route(_result))
@@ -125,82 +89,6 @@
         ) from exc
 
 
-async def _submit(
-    context: JobContext,
-    request: web.Request,
-    contract: Contract,
-) -> web.Response:
-    settings = context.settings
-    body = await read_whole(
-        request,
-        settings.retry_body_bytes,
-        settings.default_deadline_ms / MS_PER_S,
-    )
-    record = _new_record(context, contract, parse_submission(body))
-    await _check_queue(context, contract, record)
-    try:
-        stored = await context.jobs.create(record)
-    except JobExistsError as exc:
-        return _answer_duplicate(record, exc.stored.record)
-    context.watch.queued.note(stored.record)
-    await _notify(context, stored.record)
-    return json_response(job_answer(stored.record), CREATED)
-
-
-async def _check_queue(
-    context: JobContext,
-    contract: Contract,
-    record: JobRecord,
-) -> None:
-    """Refuse a new job over the contract's limit; a known one may pass."""
-    limit = contract.jobs.max_queued
-    if context.watch.queued.count(contract.organisation) < limit:
-        return
-    if await context.jobs.load(record.job) is None:
-        raise RefusedError(
-            TOO_MANY_REQUESTS,
-            f'{contract.organisation} has {limit} jobs queued',
-            field='jobs.max_queued',
-            limit=f'{limit} jobs',
-        )
-
-
-def _new_record(
-    context: JobContext,
-    contract: Contract,
-    submission: JobSubmission,
-) -> JobRecord:
-    spec = submission.spec
-    view = context.control.view
-    return JobRecord(
-        job=stored_job_id(contract.organisation, submission.job),
-        organisation=contract.organisation,
-        spec=spec,
-        state=JobState.QUEUED,
-        domain=choose_domain(
-            spec,
-            contract,
-            context.configuration(),
-            view.domains if view else (),
-            context.domain,
-        ),
-        accepted_unix_ms=context.clock.unix_ms(),
-        spec_sha256=hashlib.sha256(msgspec.json.encode(spec)).hexdigest(),
-        traceparent=current_traceparent(),
-    )
-
-
-def _answer_duplicate(wanted: JobRecord, found: JobRecord) -> web.Response:
-    if found.spec_sha256 == wanted.spec_sha256:
-        return json_response(job_answer(found))
-    raise RefusedError(
-        CONFLICT,
-        f'job {caller_job_id(found)!r} exists with another spec',
-        field='job',
-        limit='one spec for each id',
-    )
-
-
 async def _list(
     context: JobContext,
     _request: web.Request,
@@ -253,7 +141,7 @@
             stored = await context.jobs.replace(stored, wanted)
         except JobChangedError:
             continue
-        await _notify(context, stored.record)
+        await notify_control(context, stored.record)
         return json_response(job_answer(stored.record))
     raise RefusedError(
         CONFLICT, 'the job keeps changing; ask again', outcome=Outcome.UNKNOWN
@@ -302,15 +190,6 @@
     return stored
 
 
-async def _notify(context: JobContext, record: JobRecord) -> None:
-    """Tell the owner now; without it the owner finds the record later."""
-    notice = JobNotice(record.job, record.domain, record.traceparent)
-    try:
-        await context.control.notify_job(notice)
-    except PeerUnreachableError:
-        return
-
-
 def _wait_ms(request: web.Request, most: int) -> int:
     found = request.query.get('wait_ms', '0')
     if found.isascii() and found.isdigit() and int(found) <= most:
--- /dev/null
+++ b/src/bulrushcove/job_submission.py
@@ -0,0 +1,121 @@
+"""Acceptance of callers' jobs: durable before it is answered."""
+
+import hashlib
+
+import msgspec
+from aiohttp import web
+
+from .body import read_whole
+from .clock import MS_PER_S
+from .contract import Contract
+from .exceptions import (
+    PeerUnreachableError,
+    RefusedError,
+)
+from .job import JobRecord
+from .job_context import JobContext
+from .job_domain import choose_domain
+from .job_messages import (
+    JobSubmission,
+    caller_job_id,
+    job_answer,
+    parse_submission,
+    stored_job_id,
+)
+from .job_store import JobExistsError
+from .messages import JobNotice
+from .refusals import json_response
+from .states import JobState
+from .tracing import (
+    current_traceparent,
+)
+
+CREATED = 201
+CONFLICT = 409
+TOO_MANY_REQUESTS = 429
+
+
+async def submit_job(
+    context: JobContext,
+    request: web.Request,
+    contract: Contract,
+) -> web.Response:
+    """Accept a job; raises ``RefusedError`` and the store's errors."""
+    settings = context.settings
+    body = await read_whole(
+        request,
+        settings.retry_body_bytes,
+        settings.default_deadline_ms / MS_PER_S,
+    )
+    record = _new_record(context, contract, parse_submission(body))
+    await _check_queue(context, contract, record)
+    try:
+        stored = await context.jobs.create(record)
+    except JobExistsError as exc:
+        return _answer_duplicate(record, exc.stored.record)
+    context.watch.queued.note(stored.record)
+    await notify_control(context, stored.record)
+    return json_response(job_answer(stored.record), CREATED)
+
+
+async def _check_queue(
+    context: JobContext,
+    contract: Contract,
+    record: JobRecord,
+) -> None:
+    """Refuse a new job over the contract's limit; a known one may pass."""
+    limit = contract.jobs.max_queued
+    if context.watch.queued.count(contract.organisation) < limit:
+        return
+    if await context.jobs.load(record.job) is None:
+        raise RefusedError(
+            TOO_MANY_REQUESTS,
+            f'{contract.organisation} has {limit} jobs queued',
+            field='jobs.max_queued',
+            limit=f'{limit} jobs',
+        )
+
+
+def _new_record(
+    context: JobContext,
+    contract: Contract,
+    submission: JobSubmission,
+) -> JobRecord:
+    spec = submission.spec
+    view = context.control.view
+    return JobRecord(
+        job=stored_job_id(contract.organisation, submission.job),
+        organisation=contract.organisation,
+        spec=spec,
+        state=JobState.QUEUED,
+        domain=choose_domain(
+            spec,
+            contract,
+            context.configuration(),
+            view.domains if view else (),
+            context.domain,
+        ),
+        accepted_unix_ms=context.clock.unix_ms(),
+        spec_sha256=hashlib.sha256(msgspec.json.encode(spec)).hexdigest(),
+        traceparent=current_traceparent(),
+    )
+
+
+def _answer_duplicate(wanted: JobRecord, found: JobRecord) -> web.Response:
+    if found.spec_sha256 == wanted.spec_sha256:
+        return json_response(job_answer(found))
+    raise RefusedError(
+        CONFLICT,
+        f'job {caller_job_id(found)!r} exists with another spec',
+        field='job',
+        limit='one spec for each id',
+    )
+
+
+async def notify_control(context: JobContext, record: JobRecord) -> None:
+    """Tell the owner now; without it the owner finds the record later."""
+    notice = JobNotice(record.job, record.domain, record.traceparent)
+    try:
+        await context.control.notify_job(notice)
+    except PeerUnreachableError:
+        return
--- a/tests/test_job_routes.py
+++ b/tests/test_job_routes.py
@@ -11,7 +11,8 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from bulrushcove.job_routes import JobContext, add_job_routes
+from bulrushcove.job_context import JobContext
+from bulrushcove.job_routes import add_job_routes
 from bulrushcove.job_store import JobStore
 from bulrushcove.job_watch import JobWatch
 from bulrushcove.messages import ClusterView, DomainView
