--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,34 @@
+import re
+from pathlib import Path
+
+import pytest
+from aiohttp import web
+
+from bulrushcove.metrics import add_metrics_route, new_metrics
+
+ROOT = Path(__file__).parent.parent
+NAME = re.compile(r"'(bulrushcove_\w+)'")
+
+
+def test_every_metric_is_on_the_page():
+    sources = (ROOT / 'src' / 'bulrushcove').glob('*.py')
+    named = {
+        name
+        for source in sources
+        for name in NAME.findall(source.read_text(encoding='utf-8'))
+    }
+    page = (ROOT / 'docs' / 'METRICS.md').read_text(encoding='utf-8')
+    assert named == set(re.findall(r'`(bulrushcove_\w+)`', page))
+
+
+@pytest.mark.parametrize('accept', ['text/plain', '*/*'])
+async def test_metrics_are_served_with_their_help(aiohttp_client, accept):
+    metrics = new_metrics()
+    metrics.counter('bulrushcove_tests_total', 'Tests run.').inc({'of': 'å'})
+    application = web.Application()
+    add_metrics_route(application.router, metrics)
+    client = await aiohttp_client(application)
+    answer = await client.get('/metrics', headers={'Accept': accept})
+    text = await answer.text()
+    assert '# HELP bulrushcove_tests_total Tests run.' in text
+    assert 'bulrushcove_tests_total{of="å"} 1' in text
