A job that finds no room goes to the domain of its guarantee

Cause: the entry chose the domain by queue length, and borrowed work gives way in the domain of the guarantee only; the job came there when it was moved.

--- a/src/bulrushcove/job_domain.py
+++ b/src/bulrushcove/job_domain.py
@@ -47,7 +47,14 @@
         )
     return min(
         candidates,
-        key=lambda domain: _wait_rank(reported.get(domain), spec, domain, own),
+        key=lambda domain: (
+            not _has_room(reported.get(domain), spec),
+            # Borrowed work gives way there, and nowhere else.
+            not _is_guaranteed(contract, domain, spec),
+            _queued(reported.get(domain)),
+            domain != own,
+            domain,
+        ),
     )
 
 
@@ -95,14 +102,20 @@
     )
 
 
-def _wait_rank(
-    view: DomainView | None,
-    spec: JobSpec,
+def _has_room(view: DomainView | None, spec: JobSpec) -> bool:
+    return view is not None and view.free_accelerators >= spec.accelerators
+
+
+def _queued(view: DomainView | None) -> int:
+    return view.queued_jobs if view else 0
+
+
+def _is_guaranteed(
+    contract: Contract,
     domain: DomainName,
-    own: DomainName,
-) -> tuple[bool, int, bool, str]:
-    """Order: has room now, shortest queue, own domain, name."""
-    if view is None:
-        return (True, 0, domain != own, domain)
-    has_room = view.free_accelerators >= spec.accelerators
-    return (not has_room, view.queued_jobs, domain != own, domain)
+    spec: JobSpec,
+) -> bool:
+    return any(
+        shape.domain == domain and shape.accelerators >= spec.accelerators
+        for shape in contract.guaranteed
+    )
