Worker inventory asks through the worker client; unused claim messages go

The inventory had its own copy of WorkerClient.describe. The copy's care for bytes that are not UTF-8 moves into the client's decoding, so that control has it too. ClaimQuestion and ClaimAnswer were for ids minted by an entry, which are not built.

--- a/src/bulrushcove/messages.py
+++ b/src/bulrushcove/messages.py
@@ -11,8 +11,6 @@
     Epoch,
     IncarnationId,
     JobId,
-    OrganisationId,
-    RequestId,
     Revision,
     VmId,
 )
@@ -115,25 +113,6 @@
     wait_reason: str = ''
 
 
-class ClaimQuestion(msgspec.Struct, frozen=True):
-    """Asks the entry that minted or claimed a request id about it."""
-
-    organisation: OrganisationId
-    request: RequestId
-    body_sha256: str
-    claimer: VmId
-    # The entry to ask, as the claim or the id names it.
-    owner: IncarnationId
-
-
-class ClaimAnswer(msgspec.Struct, frozen=True):
-    """Whether the asker now holds the claim, and why not."""
-
-    granted: bool
-    # 'claimed', 'other-body', 'not-minted'; empty when granted.
-    reason: str = ''
-
-
 class Acknowledged(msgspec.Struct, frozen=True):
     """Answer to a message that asks for nothing but its receipt."""
 
--- a/src/bulrushcove/worker_client.py
+++ b/src/bulrushcove/worker_client.py
@@ -94,5 +94,5 @@
 def _decode(vm: VmEntry, decoder: msgspec.json.Decoder, body: bytes):
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
         raise WorkerError(f'worker {vm.vm!r}: {exc}') from exc
--- a/src/bulrushcove/worker_inventory.py
+++ b/src/bulrushcove/worker_inventory.py
@@ -4,13 +4,12 @@
 from collections.abc import Callable, Iterable
 
 import aiohttp
-import msgspec
 
-from .clock import MS_PER_S
 from .exceptions import WorkerError
 from .states import VmRole
 from .vm_list import VmEntry
-from .worker_api import DESCRIPTION_PATH, WorkerDescription
+from .worker_api import WorkerDescription
+from .worker_client import WorkerClient
 
 MAX_QUESTIONS_AT_ONCE = 32
 
@@ -29,9 +28,8 @@
         timeout_ms: int,
     ) -> None:
         """Ask the workers in ``vms`` over ``session``."""
-        self._session = session
+        self._client = WorkerClient(session, timeout_ms)
         self._vms = vms
-        self._timeout = aiohttp.ClientTimeout(total=timeout_ms / MS_PER_S)
         self._questions = asyncio.Semaphore(MAX_QUESTIONS_AT_ONCE)
         self._known: dict[VmEntry, WorkerDescription] = {}
 
@@ -49,23 +47,11 @@
     async def _learn(self, vm: VmEntry) -> None:
         async with self._questions:
             try:
-                self._known[vm] = await self._ask(vm)
+                self._known[vm] = await self._client.describe(vm)
             except WorkerError:
                 # It is asked again the next time.
                 return
 
-    async def _ask(self, vm: VmEntry) -> WorkerDescription:
-        url = f'http://{vm.address}:{vm.port}{DESCRIPTION_PATH}'
-        try:
-            async with self._session.get(url, timeout=self._timeout) as answer:
-                body = await answer.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-            raise WorkerError(f'worker {vm.vm!r}: no description') from exc
-        try:
-            return msgspec.json.decode(body, type=WorkerDescription)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            raise WorkerError(f'worker {vm.vm!r}: bad description') from exc
-
 
 def _key(vm: VmEntry) -> VmEntry:
     """Return ``vm`` without what changes while it stays the same worker."""
