--- /dev/null
+++ b/src/bulrushcove/batch/admission.py
@@ -0,0 +1,37 @@
+"""Which submissions are refused at the door, and when to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .exceptions import JobRefusedError
+from .model import JobSpec, StepSpec
+from .workers import WorkerEntry
+
+if TYPE_CHECKING:
+    from .engine import Engine
+
+# A worker of the missing size may come with the next ones that are added.
+IMPOSSIBLE_RETRY_S = 30.0
+
+
+def refuse_if_hopeless(spec: JobSpec, engine: Engine, now_s: float) -> None:
+    """Raise ``JobRefusedError`` when no worker could ever run ``spec``."""
+    workers = [
+        worker
+        for worker in engine.workers.values()
+        if worker.entry.pool == spec.terms.pool and worker.is_listed
+    ]
+    if not workers:
+        return
+    for number, step in enumerate(spec.steps):
+        if not any(_could_run(worker.entry, step) for worker in workers):
+            raise JobRefusedError(
+                f'step {number}: no worker of {spec.terms.pool} has room',
+                IMPOSSIBLE_RETRY_S,
+            )
+
+
+def _could_run(entry: WorkerEntry, step: StepSpec) -> bool:
+    has_label = not step.required_label or step.required_label in entry.labels
+    return has_label and step.room.fits(entry.capacity)
--- /dev/null
+++ b/src/bulrushcove/batch/endings.py
@@ -0,0 +1,89 @@
+"""What the end of a run means for its unit and its job."""
+
+from .progress import (
+    Job,
+    JobPhase,
+    Seat,
+    Unit,
+    UnitPhase,
+    is_complete,
+)
+from .reconcile import SeatEnd
+from .workers import EndKind
+
+# Ends that say nothing against the run: it goes on in the others.
+_NEUTRAL = frozenset((EndKind.DONE,))
+
+
+def apply_end(end: SeatEnd, unix_ms: int, now_s: float) -> list[Seat]:
+    """Take note of ``end``; returns the seats that must be stopped for it."""
+    seat = end.seat
+    unit = seat.unit
+    if unit.seats.get(seat.index) is seat:
+        unit.seats.pop(seat.index)
+    if unit.run != seat.run:
+        return []
+    if end.checkpoint and unit.phase is not UnitPhase.DONE:
+        unit.checkpoint = end.checkpoint
+    if end.kind is EndKind.DONE and not unit.spec.is_service:
+        unit.phase = UnitPhase.DONE
+    elif end.kind is EndKind.FAILED and unit.failed_run != seat.run:
+        unit.failed_run = seat.run
+        unit.failures += 1
+    stops = _break_run(unit, end.kind)
+    _close_run(unit, now_s)
+    _close_job(unit.job, unix_ms, now_s)
+    return stops + _seats_of_ended(unit.job)
+
+
+def cancel_job(job: Job, unix_ms: int, now_s: float) -> list[Seat]:
+    """Cancel ``job`` unless it has ended; returns the seats to stop."""
+    if not job.has_ended:
+        _end_job(job, JobPhase.CANCELLED, unix_ms, now_s)
+    return _seats_of_ended(job)
+
+
+def _break_run(unit: Unit, kind: EndKind) -> list[Seat]:
+    """Return the members of a gang that cannot go on."""
+    if kind in _NEUTRAL or unit.phase is not UnitPhase.ACTIVE:
+        return []
+    unit.is_broken = True
+    return list(unit.seats.values())
+
+
+def _close_run(unit: Unit, now_s: float) -> None:
+    if unit.seats or unit.phase is not UnitPhase.ACTIVE:
+        return
+    unit.phase = UnitPhase.WAITING
+    unit.is_broken = False
+    unit.ready_s = now_s
+
+
+def _close_job(job: Job, unix_ms: int, now_s: float) -> None:
+    if job.has_ended:
+        return
+    limit = job.spec.terms.max_attempts
+    for unit in job.units:
+        if unit.failures >= limit and _counts_failures(unit):
+            job.reason = f'step {unit.step}: {unit.failures} runs failed'
+            _end_job(job, JobPhase.FAILED, unix_ms, now_s)
+            return
+    if is_complete(job):
+        _end_job(job, JobPhase.SUCCEEDED, unix_ms, now_s)
+
+
+def _counts_failures(unit: Unit) -> bool:
+    return not unit.spec.is_service and unit.phase is not UnitPhase.DONE
+
+
+def _end_job(job: Job, phase: JobPhase, unix_ms: int, now_s: float) -> None:
+    job.phase = phase
+    job.ended_unix_ms = unix_ms
+    job.ended_s = now_s
+
+
+def _seats_of_ended(job: Job) -> list[Seat]:
+    """Return what still runs for a job that failed or was cancelled."""
+    if job.phase not in {JobPhase.FAILED, JobPhase.CANCELLED}:
+        return []
+    return [seat for unit in job.units for seat in unit.seats.values()]
--- /dev/null
+++ b/src/bulrushcove/batch/engine.py
@@ -0,0 +1,312 @@
+"""State of the active scheduler and what it decides, without input or output.
+
+The caller feeds it submissions, cancellations, the list of workers, their
+reports and the operators' standing, and carries out the plans it returns:
+records are stored before their starts are sent.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import msgspec
+
+from ..ids import JobId, OrganisationId, WorkerId
+from .admission import refuse_if_hopeless
+from .endings import apply_end, cancel_job
+from .estimates import Estimates
+from .exceptions import JobConflictError
+from .ids import PoolName, QueueName
+from .model import JobSpec
+from .passes import Pass, make_pass
+from .policy import Standing
+from .progress import Job, JobPhase, Seat, new_job
+from .reclaim import Reclaim
+from .reconcile import Findings, SeatEnd, apply_report
+from .standstill import standing_still
+from .trust import Trust
+from .workers import EndKind, Worker, WorkerEntry, WorkerReport
+
+MS_PER_S = 1000
+# Ended jobs are shown this long, then leave memory and store. Callers are
+# promised 120 s.
+KEEP_ENDED_S = 600.0
+# A missing entry means that the worker has left, unless the store was away:
+# live workers are listed again within two seconds of its return.
+UNLISTED_GRACE_S = 2.5
+_BAD_ENDS = frozenset((EndKind.FAILED,))
+
+
+class Plan(msgspec.Struct):
+    """What is to be done now, in this order."""
+
+    # Jobs whose progress has changed and must be stored first.
+    changed: list[Job] = msgspec.field(default_factory=list)
+    starts: list[Seat] = msgspec.field(default_factory=list)
+    stops: list[Seat] = msgspec.field(default_factory=list)
+
+
+class Engine:
+    """Jobs, workers and what was learnt of them."""
+
+    def __init__(self) -> None:
+        """Know no job and no worker."""
+        self.jobs: dict[JobId, Job] = {}
+        # Jobs that have not ended, or still hold seats.
+        self.active: dict[JobId, Job] = {}
+        self.workers: dict[WorkerId, Worker] = {}
+        self.standing = Standing()
+        self.estimates = Estimates()
+        self.trust = Trust()
+        self.reclaims: dict[int, tuple[Reclaim, float]] = {}
+
+    def restore(self, jobs: Iterable[Job], lapses_s: float) -> None:
+        """Take over ``jobs``; what runs unseen has lapsed by ``lapses_s``."""
+        for job in jobs:
+            self.jobs[job.id] = job
+            if not job.has_ended or any(unit.seats for unit in job.units):
+                self.active[job.id] = job
+            for unit in job.units:
+                for seat in unit.seats.values():
+                    self._restore_seat(seat, lapses_s)
+
+    def submit(
+        self, spec: JobSpec, *, unix_ms: int, now_s: float
+    ) -> tuple[Job, bool]:
+        """Return the accepted job, and whether it is new.
+
+        Raises ``JobRefusedError`` when it cannot be served, and
+        ``JobConflictError`` when its id stands for other content.
+        """
+        known = self.jobs.get(spec.job)
+        if known is not None:
+            _check_same(known.spec, spec)
+            return known, False
+        refuse_if_hopeless(spec, self, now_s)
+        job = new_job(spec, unix_ms, now_s)
+        self.jobs[job.id] = job
+        self.active[job.id] = job
+        return job, True
+
+    def cancel(self, job: Job, *, unix_ms: int, now_s: float) -> list[Seat]:
+        """Cancel ``job``; returns the seats to stop."""
+        return cancel_job(job, unix_ms, now_s)
+
+    def pending(self, queue: QueueName) -> int:
+        """Return how many accepted jobs of ``queue`` have not begun."""
+        return sum(
+            1
+            for job in self.active.values()
+            if job.phase is JobPhase.QUEUED and job.spec.terms.queue == queue
+        )
+
+    def note_entry(self, entry: WorkerEntry, now_s: float) -> Worker:
+        """Take note of what a worker says of itself in the list."""
+        worker = self.workers.get(entry.worker)
+        if worker is None:
+            worker = Worker(entry=entry)
+            self.workers[entry.worker] = worker
+        born_unix_ms = worker.entry.born_unix_ms
+        if entry.born_unix_ms != born_unix_ms:
+            self.trust.forget(entry.worker)
+        if entry.is_leaving and not worker.entry.is_leaving:
+            worker.leaving_since_s = now_s
+        # Its own reports decide on which life it is in.
+        if worker.is_adopted:
+            entry = msgspec.structs.replace(entry, born_unix_ms=born_unix_ms)
+        worker.entry = entry
+        worker.is_listed = True
+        return worker
+
+    def note_unlisted(self, worker: WorkerId, now_s: float) -> None:
+        """Take note that the worker's entry is gone."""
+        known = self.workers.get(worker)
+        if known is not None and known.is_listed:
+            known.is_listed = False
+            known.unlisted_s = now_s
+
+    def report(
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        *,
+        sent_s: float,
+        now_s: float,
+        unix_ms: int,
+    ) -> tuple[Plan, Findings]:
+        """Apply a worker's report; the plan holds what follows from it."""
+        findings = apply_report(worker, report, sent_s=sent_s, now_s=now_s)
+        plan = self.end_seats(findings.ends, unix_ms=unix_ms, now_s=now_s)
+        plan.stops.extend(_unwanted(findings.confirmed))
+        for seat in findings.confirmed:
+            if seat.unit.job.phase is JobPhase.QUEUED:
+                seat.unit.job.phase = JobPhase.RUNNING
+                plan.changed.append(seat.unit.job)
+        return plan, findings
+
+    def end_seats(
+        self, ends: Iterable[SeatEnd], *, unix_ms: int, now_s: float
+    ) -> Plan:
+        """Apply the ends of seats."""
+        plan = Plan()
+        changed: dict[JobId, Job] = {}
+        for end in ends:
+            self._learn(end, now_s)
+            job = end.seat.unit.job
+            plan.stops.extend(apply_end(end, unix_ms, now_s))
+            changed[job.id] = job
+        plan.changed = list(changed.values())
+        return plan
+
+    def expire(self, *, unix_ms: int, now_s: float) -> Plan:
+        """End what silent workers cannot be running any more."""
+        ends = []
+        for worker in self.workers.values():
+            if not worker.seats or now_s <= worker.lapses_s:
+                continue
+            if worker.missed_calls or not worker.is_adopted:
+                ends.extend(
+                    SeatEnd(seat, EndKind.LOST)
+                    for seat in worker.seats.values()
+                )
+                worker.seats.clear()
+                # What it says next is taken as of a new scheduler.
+                worker.is_adopted = False
+        return self.end_seats(ends, unix_ms=unix_ms, now_s=now_s)
+
+    def plan(self, *, unix_ms: int, now_s: float) -> Plan:
+        """Place what waits, and choose what is stopped for urgent work."""
+        current = make_pass(self, unix_ms=unix_ms, now_s=now_s)
+        plan = Plan()
+        _run_pass(current, plan)
+        for seat in standing_still(self, now_s):
+            self.trust.note_standstill(seat.worker, now_s)
+            plan.stops.append(seat)
+        return plan
+
+    def forget_ended(self, now_s: float) -> list[JobId]:
+        """Drop jobs that ended long ago; returns their ids."""
+        old = [
+            job.id
+            for job in self.jobs.values()
+            if job.has_ended and now_s - job.ended_s > KEEP_ENDED_S
+        ]
+        for job_id in old:
+            self.jobs.pop(job_id)
+            self.active.pop(job_id, None)
+        return old
+
+    def settle_active(self) -> None:
+        """Leave out of the passes what has ended and holds no seat."""
+        over = [
+            job.id
+            for job in self.active.values()
+            if job.has_ended and not any(unit.seats for unit in job.units)
+        ]
+        for job_id in over:
+            self.active.pop(job_id)
+
+    def forget_gone_workers(self, now_s: float) -> list[WorkerId]:
+        """Drop unlisted workers that hold nothing; returns their ids."""
+        gone = [
+            worker.id
+            for worker in self.workers.values()
+            if not worker.is_listed
+            and not worker.seats
+            and now_s - worker.unlisted_s > UNLISTED_GRACE_S
+        ]
+        for worker_id in gone:
+            self.workers.pop(worker_id)
+            self.trust.forget(worker_id)
+        return gone
+
+    def accelerators_by_pool(self) -> dict[PoolName, int]:
+        """Return the accelerators of all listed workers."""
+        totals: dict[PoolName, int] = defaultdict(int)
+        for worker in self.workers.values():
+            if worker.is_listed:
+                entry = worker.entry
+                totals[entry.pool] += entry.capacity.accelerators
+        return totals
+
+    def guaranteed(self, organisation: OrganisationId) -> int:
+        """Return the accelerators that ``organisation`` is guaranteed."""
+        policy = self.standing.policy
+        for known in policy.organisations if policy else ():
+            if known.name == organisation:
+                return known.guaranteed_accelerators
+        return 0
+
+    def _learn(self, end: SeatEnd, now_s: float) -> None:
+        seat = end.seat
+        unit = seat.unit
+        if end.kind is EndKind.DONE:
+            self.trust.note_success(seat.worker)
+            is_whole = seat.confirmed_s is not None and not unit.checkpoint
+            if is_whole and not unit.spec.is_service:
+                duration_s = now_s - seat.confirmed_s
+                self.estimates.observe(
+                    unit.job.spec.terms.queue, duration_s * MS_PER_S
+                )
+        elif end.kind in _BAD_ENDS:
+            self.trust.note_failure(seat.worker, unit.job.id, now_s)
+
+    def _restore_seat(self, seat: Seat, lapses_s: float) -> None:
+        worker = self.workers.get(seat.worker)
+        if worker is None:
+            worker = Worker(entry=_unknown_entry(seat.worker))
+            worker.is_listed = False
+            self.workers[seat.worker] = worker
+        worker.lapses_s = lapses_s
+        worker.seats[seat.ref] = seat
+
+
+def _unknown_entry(worker: WorkerId) -> WorkerEntry:
+    """Return a stand-in for a worker that a record names."""
+    return msgspec.convert(
+        {
+            'worker': worker,
+            'pool': '',
+            'address': '',
+            'domain': '',
+            'rack': '',
+            'labels': [],
+            'capacity': {},
+        },
+        WorkerEntry,
+    )
+
+
+def _check_same(known: JobSpec, spec: JobSpec) -> None:
+    same = (
+        known.steps == spec.steps
+        and known.payload == spec.payload
+        and known.terms.organisation == spec.terms.organisation
+    )
+    if not same:
+        raise JobConflictError(
+            f'job {spec.job} is known with other content',
+        )
+
+
+def _unwanted(confirmed: list[Seat]) -> list[Seat]:
+    """Return runs that began though they are no longer wanted."""
+    return [
+        seat
+        for seat in confirmed
+        if seat.unit.is_broken
+        or seat.unit.job.phase is JobPhase.CANCELLED
+        or seat.unit.job.phase is JobPhase.FAILED
+    ]
+
+
+def _run_pass(current: Pass, plan: Plan) -> None:
+    """Place the waiting units in order; urgent ones may displace others."""
+    changed: dict[JobId, Job] = {}
+    for unit in current.waiting:
+        seats = current.place(unit)
+        if seats:
+            plan.starts.extend(seats)
+            changed[unit.job.id] = unit.job
+            continue
+        plan.stops.extend(current.reclaim(unit))
+    plan.changed = list(changed.values())
--- /dev/null
+++ b/src/bulrushcove/batch/estimates.py
@@ -0,0 +1,76 @@
+"""Run times, learnt from ends.
+
+Declared times are off by up to nine tenths either way, so they serve only
+until enough runs of the queue have ended.
+"""
+
+import msgspec
+
+from .ids import QueueName
+from .model import MS_PER_S, StepSpec
+from .progress import Job, Unit, UnitPhase
+
+# Runs after which the mean of a queue goes before the declared time.
+MIN_OBSERVED = 3
+# Weight of a new run in the mean; about the last ten runs count.
+NEW_WEIGHT = 0.1
+# Expected duration of a task that declares none.
+DEFAULT_MS = 5000
+# A run that did not begin from the start says little about the whole.
+WHOLE_PERCENT = 100
+# Work of a service step is counted as if it ended after this time.
+SERVICE_MS = 10_000
+
+
+class _Mean(msgspec.Struct):
+    count: int = 0
+    mean_ms: float = 0.0
+
+    def add(self, duration_ms: float) -> None:
+        self.count += 1
+        weight = max(NEW_WEIGHT, 1 / self.count)
+        self.mean_ms += weight * (duration_ms - self.mean_ms)
+
+
+class Estimates:
+    """Mean run times by queue."""
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self._means: dict[QueueName, _Mean] = {}
+
+    def observe(self, queue: QueueName, duration_ms: float) -> None:
+        """Take note of a whole run of ``duration_ms``."""
+        self._means.setdefault(queue, _Mean()).add(duration_ms)
+
+    def task_ms(self, queue: QueueName, step: StepSpec) -> float:
+        """Return the expected milliseconds of a task of ``step``."""
+        if step.is_service:
+            return SERVICE_MS
+        mean = self._means.get(queue)
+        if mean is not None and mean.count >= MIN_OBSERVED:
+            return mean.mean_ms
+        return step.estimated_ms or DEFAULT_MS
+
+    def chain_ms(self, job: Job) -> float:
+        """Return the expected milliseconds of the longest chain of steps."""
+        queue = job.spec.terms.queue
+        ends: list[float] = []
+        for step in job.spec.steps:
+            begin = max((ends[before] for before in step.after), default=0)
+            ends.append(begin + self.task_ms(queue, step))
+        return max(ends)
+
+    def left_ms(self, unit: Unit) -> float:
+        """Return the expected milliseconds until ``unit`` is done."""
+        whole_ms = self.task_ms(unit.job.spec.terms.queue, unit.spec)
+        if unit.phase is not UnitPhase.ACTIVE or not unit.seats:
+            return whole_ms
+        percent = min(seat.percent for seat in unit.seats.values())
+        return whole_ms * (1 - percent / WHOLE_PERCENT)
+
+    def objective_s(self, job: Job) -> float:
+        """Return the seconds within which ``job`` is on time."""
+        terms = job.spec.terms
+        allowed_ms = terms.stretch * self.chain_ms(job) + terms.target_ms
+        return allowed_ms / MS_PER_S
--- /dev/null
+++ b/src/bulrushcove/batch/ordering.py
@@ -0,0 +1,46 @@
+"""Order of waiting when more work is there than room.
+
+Answers bursts of two to three times the usual load: urgent work first, then
+what can still be on time, earliest due first, then what is late anyway, the
+smallest first, so that late large jobs never hold up many small ones.
+"""
+
+from .estimates import Estimates
+from .model import MS_PER_S
+from .progress import Unit
+
+URGENT = 0
+# A job that takes longer than this many objectives is of no more use late
+# than later; users' price list.
+LATE_OBJECTIVES = 3
+
+_ON_TIME = 0
+_LATE = 1
+_TOO_LATE = 2
+
+
+def waiting_key(
+    unit: Unit, estimates: Estimates, now_s: float
+) -> tuple[float, ...]:
+    """Return the sort key of a waiting unit; lower goes first."""
+    job = unit.job
+    terms = job.spec.terms
+    objective_s = estimates.objective_s(job)
+    left_s = estimates.left_ms(unit) / MS_PER_S
+    finish_s = now_s + left_s - job.accepted_s
+    lateness = _lateness(finish_s, objective_s)
+    due_s = job.accepted_s + objective_s - left_s
+    is_urgent = terms.priority == URGENT
+    rank = URGENT if is_urgent else 1 + lateness
+    begun = 0 if job.has_begun else 1
+    if lateness == _ON_TIME:
+        return (rank, lateness, terms.priority, due_s, begun)
+    return (rank, lateness, terms.priority, unit.weight_cores, due_s)
+
+
+def _lateness(finish_s: float, objective_s: float) -> int:
+    if finish_s <= objective_s:
+        return _ON_TIME
+    if finish_s <= LATE_OBJECTIVES * objective_s:
+        return _LATE
+    return _TOO_LATE
--- /dev/null
+++ b/src/bulrushcove/batch/passes.py
@@ -0,0 +1,229 @@
+"""One pass over the waiting work: the order, the room and the choices."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from ..ids import WorkerId
+from .ids import PoolName
+from .ordering import URGENT, waiting_key
+from .placement import FAR_PATIENCE_S, Candidate, find_places, take_room
+from .progress import (
+    Seat,
+    SeatPhase,
+    Unit,
+    UnitPhase,
+    units_whose_turn_came,
+)
+from .reclaim import Reclaim, plan_reclaim
+from .workers import Worker
+
+if TYPE_CHECKING:
+    from .engine import Engine
+
+# Room that is being cleared is kept for its unit this long.
+RECLAIM_HOLD_S = 2.5
+# Below this share in use a pool has room enough for tasks far from their rack.
+HALF = 0.5
+
+_Shape = tuple[object, ...]
+
+
+class Pass:
+    """Waiting units in order, and the room that is left for them."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        waiting: list[Unit],
+        candidates: dict[PoolName, list[Candidate]],
+        now_s: float,
+    ) -> None:
+        """Place ``waiting`` on ``candidates``."""
+        self.waiting = waiting
+        self._engine = engine
+        self._candidates = candidates
+        self._now_s = now_s
+        # Shapes that found no room, so that equal ones are not tried again.
+        self._without_room: set[_Shape] = set()
+        self._is_roomy = {
+            pool: _used_share(group) < HALF
+            for pool, group in candidates.items()
+        }
+
+    def place(self, unit: Unit) -> list[Seat]:
+        """Return the seats of a new run of ``unit``; empty: no room."""
+        if unit.phase is not UnitPhase.WAITING or unit.job.has_ended:
+            return []
+        shape = _shape(unit)
+        if shape in self._without_room:
+            self._keep_reclaimed(unit)
+            return []
+        pool = unit.job.spec.terms.pool
+        waited_s = self._now_s - unit.ready_s
+        may_go_far = waited_s >= FAR_PATIENCE_S and self._is_roomy.get(
+            pool, False
+        )
+        chosen = find_places(
+            unit,
+            self._candidates.get(pool, []),
+            placed=_placed(unit),
+            may_go_far=may_go_far,
+        )
+        if chosen is None:
+            self._without_room.add(shape)
+            self._keep_reclaimed(unit)
+            return []
+        take_room(chosen, unit.spec)
+        self._engine.reclaims.pop(id(unit), None)
+        return self._seat(unit, chosen)
+
+    def reclaim(self, unit: Unit) -> list[Seat]:
+        """Return what is stopped for ``unit``, once, if it is urgent."""
+        terms = unit.job.spec.terms
+        if terms.priority != URGENT or unit.phase is not UnitPhase.WAITING:
+            return []
+        if id(unit) in self._engine.reclaims:
+            return []
+        found = plan_reclaim(
+            unit,
+            self._candidates.get(terms.pool, []),
+            self._engine.workers,
+            self._engine.estimates,
+        )
+        if found is None:
+            return []
+        until_s = self._now_s + RECLAIM_HOLD_S
+        self._engine.reclaims[id(unit)] = (found, until_s)
+        take_room(found.places, unit.spec)
+        return _stop(found)
+
+    def _keep_reclaimed(self, unit: Unit) -> None:
+        """Keep others off the room that is being cleared for ``unit``."""
+        known = self._engine.reclaims.get(id(unit))
+        if known is None:
+            return
+        found, until_s = known
+        if self._now_s > until_s:
+            self._engine.reclaims.pop(id(unit))
+            return
+        wanted = {place.worker for place in found.places}
+        by_worker = {
+            candidate.worker: candidate
+            for candidate in self._candidates.get(unit.job.spec.terms.pool, [])
+            if candidate.worker in wanted
+        }
+        take_room(
+            [
+                by_worker[place.worker]
+                for place in found.places
+                if place.worker in by_worker
+            ],
+            unit.spec,
+        )
+
+    def _seat(self, unit: Unit, chosen: list[Candidate]) -> list[Seat]:
+        unit.phase = UnitPhase.ACTIVE
+        unit.run += 1
+        unit.is_broken = False
+        unit.placed_s = self._now_s
+        unit.job.has_begun = True
+        for index, candidate in zip(unit.indices, chosen, strict=True):
+            seat = Seat(
+                unit=unit, index=index, run=unit.run, worker=candidate.worker
+            )
+            unit.seats[index] = seat
+            self._engine.workers[candidate.worker].seats[seat.ref] = seat
+        return list(unit.seats.values())
+
+
+def make_pass(engine: Engine, *, unix_ms: int, now_s: float) -> Pass:
+    """Return a pass over what waits now."""
+    waiting = [
+        unit
+        for job in engine.active.values()
+        for unit in units_whose_turn_came(job, unix_ms, now_s)
+    ]
+    estimates = engine.estimates
+    waiting.sort(key=lambda unit: waiting_key(unit, estimates, now_s))
+    candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
+    if waiting:
+        for worker in engine.workers.values():
+            if may_start(engine, worker, now_s):
+                candidates[worker.entry.pool].append(
+                    _candidate(engine, worker, now_s)
+                )
+    return Pass(engine, waiting, candidates, now_s)
+
+
+def may_start(engine: Engine, worker: Worker, now_s: float) -> bool:
+    """Return whether ``worker`` is given new work."""
+    entry = worker.entry
+    return (
+        worker.is_listed
+        and worker.is_adopted
+        and not worker.missed_calls
+        and not entry.is_leaving
+        and not worker.strays
+        and entry.domain not in engine.standing.closed_domains
+        and not engine.trust.is_barred(worker.id, now_s)
+    )
+
+
+def _candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
+    entry = worker.entry
+    return Candidate(
+        worker=worker.id,
+        rack=entry.rack,
+        labels=entry.labels,
+        room=worker.room(),
+        capacity=entry.capacity,
+        is_suspect=engine.trust.is_suspect(worker.id, now_s),
+        on_probation=engine.trust.is_on_probation(worker.id),
+    )
+
+
+def _placed(unit: Unit) -> dict[WorkerId, int]:
+    """Return how many tasks of the unit's step each worker has."""
+    counts: dict[WorkerId, int] = {}
+    if not unit.spec.max_per_worker:
+        return counts
+    for other in unit.job.units:
+        if other.occurrence == unit.occurrence and other.step == unit.step:
+            for seat in other.seats.values():
+                counts[seat.worker] = counts.get(seat.worker, 0) + 1
+    return counts
+
+
+def _shape(unit: Unit) -> _Shape:
+    spec = unit.spec
+    own = unit.job.id if spec.max_per_worker else ''
+    return (
+        unit.job.spec.terms.pool,
+        unit.size,
+        spec.size,
+        spec.required_label,
+        spec.near_rack,
+        spec.same_rack and unit.size > 1,
+        spec.max_per_worker,
+        own,
+    )
+
+
+def _stop(found: Reclaim) -> list[Seat]:
+    stops = []
+    for victim in found.victims:
+        victim.is_broken = True
+        stops.extend(
+            seat
+            for seat in victim.seats.values()
+            if seat.phase is not SeatPhase.STOPPING
+        )
+    return stops
+
+
+def _used_share(group: list[Candidate]) -> float:
+    whole = sum(candidate.capacity.weight_cores for candidate in group)
+    free = sum(candidate.room.weight_cores for candidate in group)
+    return 1 - free / whole if whole else 1
--- /dev/null
+++ b/src/bulrushcove/batch/placement.py
@@ -0,0 +1,163 @@
+"""Where a unit goes: best fit, whole gangs, near racks first.
+
+Answers fragmentation: tasks fill workers that are already broken, gangs whose
+members want one rack take the rack that they leave least room in, so that
+whole workers and whole racks stay free for the large ones.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from ..ids import RackId, WorkerId
+from .model import StepSpec, TaskSize
+from .progress import Unit
+
+# How long a unit waits for its rack while other racks have plenty of room.
+FAR_PATIENCE_S = 2.0
+
+
+class Candidate(msgspec.Struct, eq=False, kw_only=True):
+    """A worker that may be given work, and its room in this pass."""
+
+    worker: WorkerId
+    rack: RackId
+    labels: frozenset[str]
+    room: TaskSize
+    capacity: TaskSize
+    # Others go first.
+    is_suspect: bool = False
+    # Takes one unit at a time.
+    on_probation: bool = False
+
+
+def fitting_tasks(candidate: Candidate, step: StepSpec, placed: int = 0) -> int:
+    """Return how many tasks of ``step`` the candidate takes now."""
+    if step.required_label and step.required_label not in candidate.labels:
+        return 0
+    most = _times(candidate.room, step.room)
+    if step.max_per_worker:
+        most = min(most, step.max_per_worker - placed)
+    if candidate.on_probation:
+        is_empty = candidate.room == candidate.capacity
+        most = min(most, 1) if is_empty else 0
+    return max(most, 0)
+
+
+def find_places(
+    unit: Unit,
+    candidates: Sequence[Candidate],
+    *,
+    placed: dict[WorkerId, int],
+    may_go_far: bool,
+) -> list[Candidate] | None:
+    """Return a candidate for each task of ``unit``; None: no room.
+
+    ``placed`` counts the tasks of the step that each worker has already.
+    Unless it ``may_go_far``, the unit keeps to its rack while that exists.
+    """
+    step = unit.spec
+    usable = [
+        (candidate, count)
+        for candidate in candidates
+        if (
+            count := fitting_tasks(
+                candidate, step, placed.get(candidate.worker, 0)
+            )
+        )
+    ]
+    for group in _rack_choices(unit, usable, candidates, may_go_far):
+        chosen = _fill(group, step, unit.size)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def take_room(chosen: Iterable[Candidate], step: StepSpec) -> None:
+    """Subtract the tasks placed on ``chosen``."""
+    for candidate in chosen:
+        candidate.room = candidate.room.minus(step.room)
+
+
+def _rack_choices(
+    unit: Unit,
+    usable: list[tuple[Candidate, int]],
+    candidates: Sequence[Candidate],
+    may_go_far: bool,
+) -> list[list[tuple[Candidate, int]]]:
+    """Return the groups of workers to try, the best first."""
+    step = unit.spec
+    by_rack: dict[RackId, list[tuple[Candidate, int]]] = defaultdict(list)
+    for candidate, count in usable:
+        by_rack[candidate.rack].append((candidate, count))
+    racks = {candidate.rack for candidate in candidates}
+    is_tight = step.same_rack and unit.size > 1
+    if step.near_rack in racks:
+        choices = [by_rack.get(step.near_rack, [])]
+        return [*choices, usable] if may_go_far else choices
+    if not is_tight:
+        return [usable]
+    full = [
+        group
+        for group in by_rack.values()
+        if sum(count for _, count in group) >= unit.size
+    ]
+    full.sort(key=_room_of)
+    if may_go_far or not _any_rack_could_hold(unit, candidates):
+        return [*full, usable]
+    return full
+
+
+def _any_rack_could_hold(unit: Unit, candidates: Sequence[Candidate]) -> bool:
+    """Return whether some rack would hold the gang were it empty."""
+    totals: dict[RackId, int] = defaultdict(int)
+    step = unit.spec
+    for candidate in candidates:
+        if step.required_label in candidate.labels or not step.required_label:
+            most = _times(candidate.capacity, step.room)
+            if step.max_per_worker:
+                most = min(most, step.max_per_worker)
+            totals[candidate.rack] += most
+    return any(total >= unit.size for total in totals.values())
+
+
+def _room_of(group: list[tuple[Candidate, int]]) -> float:
+    return sum(candidate.room.weight_cores for candidate, _ in group)
+
+
+def _fill(
+    group: list[tuple[Candidate, int]], step: StepSpec, size: int
+) -> list[Candidate] | None:
+    if sum(count for _, count in group) < size:
+        return None
+    needed = step.room
+    group = sorted(group, key=lambda pair: _fit_key(pair[0], needed))
+    chosen: list[Candidate] = []
+    for candidate, count in group:
+        chosen.extend([candidate] * min(count, size - len(chosen)))
+        if len(chosen) == size:
+            return chosen
+    return None
+
+
+def _fit_key(candidate: Candidate, needed: TaskSize) -> tuple[float, ...]:
+    """Sort the fullest worker first; with no accelerators by processor."""
+    room = candidate.room
+    if needed.accelerators:
+        return (candidate.is_suspect, room.accelerators, room.cpu_millicores)
+    return (candidate.is_suspect, room.cpu_millicores, room.memory_mb)
+
+
+def _times(room: TaskSize, needed: TaskSize) -> int:
+    most = 1_000_000
+    for have, want in (
+        (room.cpu_millicores, needed.cpu_millicores),
+        (room.memory_mb, needed.memory_mb),
+        (room.accelerators, needed.accelerators),
+    ):
+        if want:
+            most = min(most, have // want)
+        elif have < 0:
+            return 0
+    return max(most, 0)
--- /dev/null
+++ b/src/bulrushcove/batch/policy.py
@@ -0,0 +1,114 @@
+"""Configuration of the operators as the scheduler needs it."""
+
+import msgspec
+
+from ..ids import DomainName, OrganisationId
+from .ids import PoolName, QueueName
+from .model import QueueTerms
+
+
+class Adviser(msgspec.Struct, frozen=True, kw_only=True):
+    """How the placement adviser answers for one queue."""
+
+    decision_ms: int
+    per_worker_ms: int
+    validity_ms: int
+
+
+class Queue(msgspec.Struct, frozen=True, kw_only=True):
+    """A queue and the address that callers reach it by."""
+
+    name: QueueName
+    host: str
+    prefix: str
+    pool: PoolName
+    priority: int = 1
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_ms: int = 0
+    timeout_ms: int = 0
+    # Whether calls need no credential.
+    is_public: bool = False
+    adviser: Adviser | None = None
+
+
+class Organisation(msgspec.Struct, frozen=True, kw_only=True):
+    """An organisation, its credentials and its guarantee."""
+
+    name: OrganisationId
+    credentials: frozenset[str] = frozenset()
+    guaranteed_accelerators: int = 0
+
+
+class Pool(msgspec.Struct, frozen=True, kw_only=True):
+    """A pool of workers."""
+
+    name: PoolName
+    # Whether its workers refuse what does not fit.
+    guards_room: bool = False
+    is_standby: bool = False
+
+
+class Policy(msgspec.Struct, frozen=True, kw_only=True):
+    """One version of the configuration; versions only grow."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    organisations: tuple[Organisation, ...]
+    pools: tuple[Pool, ...]
+    max_body_bytes: int
+
+
+def find_queue(policy: Policy, host: str, path: str) -> Queue | None:
+    """Return the queue of ``host`` with the longest prefix of ``path``."""
+    best = None
+    for queue in policy.queues:
+        if queue.host != host or not path.startswith(queue.prefix):
+            continue
+        if best is None or len(queue.prefix) > len(best.prefix):
+            best = queue
+    return best
+
+
+def find_organisation(policy: Policy, credential: str) -> Organisation | None:
+    """Return the organisation that holds ``credential``."""
+    for organisation in policy.organisations:
+        if credential in organisation.credentials:
+            return organisation
+    return None
+
+
+def grant_terms(queue: Queue, organisation: OrganisationId) -> QueueTerms:
+    """Return what ``queue`` grants a job that it accepts now."""
+    return QueueTerms(
+        queue=queue.name,
+        pool=queue.pool,
+        organisation=organisation,
+        priority=queue.priority,
+        max_attempts=max(1, queue.max_attempts),
+        stretch=queue.stretch,
+        target_ms=queue.target_ms,
+        needs_advice=queue.adviser is not None,
+    )
+
+
+class Standing(msgspec.Struct, frozen=True, kw_only=True):
+    """What the operators want, as known at one time."""
+
+    policy: Policy | None = None
+    # Failure domains in which nothing may be started.
+    closed_domains: frozenset[DomainName] = frozenset()
+    # Store revision up to which this is known to be complete.
+    revision: int = 0
+
+
+def newer_standing(known: Standing, news: Standing) -> Standing:
+    """Return the newer of both; the policy never goes back."""
+    if news.revision < known.revision:
+        return known
+    policy = news.policy
+    if policy is None or (
+        known.policy is not None and policy.version < known.policy.version
+    ):
+        policy = known.policy
+    return msgspec.structs.replace(news, policy=policy)
--- /dev/null
+++ b/src/bulrushcove/batch/reclaim.py
@@ -0,0 +1,154 @@
+"""What is stopped so that urgent work starts within its bound.
+
+Answers a pool full of other work as an urgent job arrives: victims are whole
+units (a gang that loses one member loses all), chosen to lose the least work
+that no checkpoint keeps.
+"""
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+import msgspec
+
+from ..ids import RackId
+from .estimates import Estimates
+from .model import MS_PER_S, TaskSize
+from .placement import Candidate, fitting_tasks
+from .progress import Seat, SeatPhase, Unit
+from .workers import Worker
+
+# Work kept by a checkpoint costs only its restart and the next start.
+RESTART_COST_CORE_S = 3.0
+# A unit this near its end is left to finish rather than stopped.
+NEARLY_DONE_S = 0.6
+
+
+class Reclaim(msgspec.Struct, frozen=True):
+    """Workers on which an urgent unit will find room, and what goes first."""
+
+    places: tuple[Candidate, ...]
+    victims: tuple[Unit, ...]
+    cost_core_s: float
+
+
+class _Option(msgspec.Struct):
+    """One worker and the units to stop so that tasks fit there."""
+
+    candidate: Candidate
+    victims: list[Unit]
+    room: TaskSize
+    cost_core_s: float
+
+
+def plan_reclaim(
+    unit: Unit,
+    candidates: Sequence[Candidate],
+    workers: dict[str, Worker],
+    estimates: Estimates,
+) -> Reclaim | None:
+    """Return the cheapest way to make room for ``unit``; None: there is none.
+
+    A gang that wants one rack is given one where any rack can be cleared.
+    """
+    step = unit.spec
+    groups: dict[RackId, list[Candidate]] = defaultdict(list)
+    for candidate in candidates:
+        groups[candidate.rack].append(candidate)
+    if step.near_rack in groups:
+        found = _clear(unit, groups[step.near_rack], workers, estimates)
+        if found is not None:
+            return found
+    elif step.same_rack and unit.size > 1:
+        plans = [
+            _clear(unit, group, workers, estimates) for group in groups.values()
+        ]
+        possible = [plan for plan in plans if plan is not None]
+        if possible:
+            return min(possible, key=lambda plan: plan.cost_core_s)
+    return _clear(unit, candidates, workers, estimates)
+
+
+def loss_core_s(unit: Unit, estimates: Estimates) -> float:
+    """Return the core-seconds lost when ``unit`` is stopped now."""
+    if unit.spec.writes_checkpoints:
+        return RESTART_COST_CORE_S * unit.size
+    queue = unit.job.spec.terms.queue
+    whole_s = estimates.task_ms(queue, unit.spec) / MS_PER_S
+    left_s = estimates.left_ms(unit) / MS_PER_S
+    return (whole_s - left_s) * unit.weight_cores + RESTART_COST_CORE_S
+
+
+def _clear(
+    unit: Unit,
+    candidates: Sequence[Candidate],
+    workers: dict[str, Worker],
+    estimates: Estimates,
+) -> Reclaim | None:
+    chosen: dict[int, Unit] = {}
+    places: list[Candidate] = []
+    options = [
+        option
+        for candidate in candidates
+        if (option := _option(unit, candidate, workers, estimates))
+    ]
+    options.sort(key=lambda option: option.cost_core_s)
+    for option in options:
+        count = _count(option, unit)
+        if not count:
+            continue
+        places.extend([option.candidate] * min(count, unit.size - len(places)))
+        chosen.update((id(victim), victim) for victim in option.victims)
+        if len(places) == unit.size:
+            victims = tuple(chosen.values())
+            cost = sum(loss_core_s(victim, estimates) for victim in victims)
+            return Reclaim(tuple(places), victims, cost)
+    return None
+
+
+def _option(
+    unit: Unit,
+    candidate: Candidate,
+    workers: dict[str, Worker],
+    estimates: Estimates,
+) -> _Option | None:
+    """Return the fewest victims with which one more task fits."""
+    step = unit.spec
+    if step.required_label and step.required_label not in candidate.labels:
+        return None
+    if candidate.on_probation:
+        return None
+    option = _Option(candidate, [], candidate.room, 0)
+    if fitting_tasks(candidate, step):
+        return option
+    worker = workers[candidate.worker]
+    victims = _victims(unit, worker, estimates)
+    for victim, seats in victims:
+        option.victims.append(victim)
+        option.cost_core_s += loss_core_s(victim, estimates)
+        for seat in seats:
+            option.room = option.room.plus(seat.unit.spec.room)
+        if step.room.fits(option.room):
+            return option
+    return None
+
+
+def _victims(
+    unit: Unit, worker: Worker, estimates: Estimates
+) -> list[tuple[Unit, list[Seat]]]:
+    priority = unit.job.spec.terms.priority
+    by_unit: dict[int, tuple[Unit, list[Seat]]] = {}
+    for seat in worker.seats.values():
+        terms = seat.unit.job.spec.terms
+        if terms.priority <= priority or seat.phase is SeatPhase.STOPPING:
+            continue
+        if seat.unit.spec.is_service and not seat.unit.spec.max_absent:
+            continue
+        by_unit.setdefault(id(seat.unit), (seat.unit, []))[1].append(seat)
+    return sorted(
+        by_unit.values(), key=lambda pair: loss_core_s(pair[0], estimates)
+    )
+
+
+def _count(option: _Option, unit: Unit) -> int:
+    probe = msgspec.structs.replace(option.candidate, room=option.room)
+    return fitting_tasks(probe, unit.spec)
--- /dev/null
+++ b/src/bulrushcove/batch/records.py
@@ -0,0 +1,146 @@
+"""Stored form of a job: the submission, written once, and its progress."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from ..ids import WorkerId
+from .exceptions import RecordError
+from .model import JobSpec
+from .progress import Job, JobPhase, Seat, Unit, UnitPhase, new_job
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class Submission(msgspec.Struct, frozen=True, array_like=True):
+    """Value below ``bulrushcove/jobs/``; never changed."""
+
+    spec: JobSpec
+    accepted_unix_ms: int
+
+
+class UnitRecord(msgspec.Struct, frozen=True, array_like=True):
+    """State of one unit; ``workers`` in the order of its tasks."""
+
+    phase: int
+    run: int
+    failures: int
+    checkpoint: str
+    workers: tuple[str, ...] = ()
+
+
+class Progress(msgspec.Struct, frozen=True, array_like=True):
+    """Value below ``bulrushcove/progress/``.
+
+    ``units`` holds, by place in the job's list of units, those that ever ran.
+    """
+
+    phase: str
+    has_begun: bool
+    ended_unix_ms: int
+    reason: str
+    units: dict[int, UnitRecord]
+
+
+_submissions = msgspec.msgpack.Decoder(Submission)
+_progress = msgspec.msgpack.Decoder(Progress)
+
+
+def encode_submission(job: Job) -> bytes:
+    """Return the record of what was accepted."""
+    return _encoder.encode(Submission(job.spec, job.accepted_unix_ms))
+
+
+def decode_submission(stored: bytes) -> Submission:
+    """Return the stored submission; raises ``RecordError``."""
+    return _decode(_submissions, stored)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return the record of how far ``job`` is."""
+    units = {
+        place: _unit_record(unit)
+        for place, unit in enumerate(job.units)
+        if unit.run
+    }
+    return _encoder.encode(
+        Progress(
+            job.phase.value,
+            job.has_begun,
+            job.ended_unix_ms,
+            job.reason,
+            units,
+        )
+    )
+
+
+def decode_progress(stored: bytes) -> Progress:
+    """Return the stored progress; raises ``RecordError``."""
+    return _decode(_progress, stored)
+
+
+def restore_job(
+    submission: Submission, progress: Progress | None, now_s: float
+) -> Job:
+    """Return the job that the two records describe.
+
+    Runs that may still go on are seats of unknown state.
+    """
+    job = new_job(submission.spec, submission.accepted_unix_ms, now_s)
+    if progress is None:
+        return job
+    try:
+        job.phase = JobPhase(progress.phase)
+        for place, stored in progress.units.items():
+            _restore_unit(job.units[place], stored)
+    except (ValueError, IndexError) as exc:
+        raise RecordError(f'progress of job {job.id}: {exc}') from exc
+    job.has_begun = progress.has_begun
+    job.ended_unix_ms = progress.ended_unix_ms
+    job.reason = progress.reason
+    job.ended_s = now_s if job.has_ended else 0
+    return job
+
+
+def queued_or_stored_phase(records: Mapping[str, bytes], key: str) -> JobPhase:
+    """Return the phase stored under ``key``; queued without a record."""
+    if key not in records:
+        return JobPhase.QUEUED
+    return JobPhase(decode_progress(records[key]).phase)
+
+
+def _unit_record(unit: Unit) -> UnitRecord:
+    workers: tuple[str, ...] = ()
+    if unit.seats:
+        by_index = unit.seats
+        workers = tuple(
+            by_index[index].worker if index in by_index else ''
+            for index in unit.indices
+        )
+    return UnitRecord(
+        unit.phase.value, unit.run, unit.failures, unit.checkpoint, workers
+    )
+
+
+def _restore_unit(unit: Unit, stored: UnitRecord) -> None:
+    unit.phase = UnitPhase(stored.phase)
+    unit.run = stored.run
+    unit.failures = stored.failures
+    unit.checkpoint = stored.checkpoint
+    for index, worker in zip(unit.indices, stored.workers, strict=False):
+        if worker:
+            unit.seats[index] = Seat(
+                unit=unit,
+                index=index,
+                run=stored.run,
+                worker=WorkerId(worker),
+                sent=True,
+            )
+
+
+def _decode(decoder: Any, stored: bytes) -> Any:
+    try:
+        return decoder.decode(stored)
+    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+        raise RecordError(f'stored record: {exc}') from exc
--- /dev/null
+++ b/src/bulrushcove/batch/workers.py
@@ -0,0 +1,151 @@
+"""A worker as the scheduler sees it: room, lease and evidence."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from ..ids import DomainName, RackId, WorkerId
+from .ids import PoolName, RunRef, TaskRef
+from .model import MS_PER_S, TaskSize
+from .progress import Seat, SeatPhase
+
+# A worker's steady clock may run this much slow, as its owners state.
+CLOCK_DRIFT = 0.02
+
+
+class EndKind(Enum):
+    """How a run ended."""
+
+    DONE = 'done'
+    # Through its own fault or the worker's.
+    FAILED = 'failed'
+    STOPPED = 'stopped'
+    # The lease ran out.
+    LAPSED = 'lapsed'
+    # Another member of its gang ended.
+    BROKEN = 'broken'
+    # The other members of its gang did not come.
+    ALONE = 'alone'
+    # Known to be over without the worker's word on how.
+    LOST = 'lost'
+    # The start was refused, or can no longer be carried out.
+    NEVER_STARTED = 'never-started'
+
+
+class WorkerEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """What a worker says of itself in the list of workers."""
+
+    worker: WorkerId
+    pool: PoolName
+    address: str
+    domain: DomainName
+    rack: RackId
+    labels: frozenset[str]
+    capacity: TaskSize
+    # Identifies one life of a worker under its id, in Unix milliseconds.
+    born_unix_ms: int = 0
+    is_leaving: bool = False
+    # Shortest time until a leaving worker is gone.
+    leaves_in_ms: int = 0
+
+
+class RunningTask(msgspec.Struct, frozen=True):
+    """One run that goes on."""
+
+    ref: RunRef
+    checkpoint: str
+    percent: int
+
+
+class EndedTask(msgspec.Struct, frozen=True):
+    """One end; a worker numbers its ends from 1."""
+
+    number: int
+    ref: RunRef
+    kind: EndKind
+    checkpoint: str
+
+
+class WorkerReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that runs on a worker and has ended there."""
+
+    # The worker's steady clock as the report was made.
+    clock_ms: int
+    born_unix_ms: int
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedTask, ...]
+
+
+class Worker(msgspec.Struct, eq=False, kw_only=True):
+    """State of one worker."""
+
+    entry: WorkerEntry
+    # Whether the entry stands in the list.
+    is_listed: bool = True
+    unlisted_s: float = 0.0
+    leaving_since_s: float = 0.0
+    # Whether it has answered this scheduler: its runs are known.
+    is_adopted: bool = False
+    seats: dict[RunRef, Seat] = msgspec.field(default_factory=dict)
+    # Runs that no record names; they are stopped and hold unknown room.
+    strays: set[RunRef] = msgspec.field(default_factory=set)
+    # Last end that was processed, and last one that is stored.
+    seen_end: int = 0
+    stored_end: int = 0
+    # One reading of its clock and when it came.
+    clock_ms: int = 0
+    clock_read_s: float = 0.0
+    # Latest lease end that it may have been given, on its clock.
+    granted_ms: int = 0
+    # When whatever it runs has surely lapsed, if it is not heard again.
+    lapses_s: float = 0.0
+    # Calls without a usable answer since the last good one.
+    missed_calls: int = 0
+    heard_s: float = 0.0
+
+    @property
+    def id(self) -> WorkerId:
+        """Return the worker's id."""
+        return self.entry.worker
+
+    def room(self) -> TaskSize:
+        """Return what is surely free."""
+        free = self.entry.capacity
+        for seat in self.seats.values():
+            free = free.minus(seat.unit.spec.room)
+        return free
+
+    def clock_at(self, now_s: float) -> int:
+        """Return about what its clock shows at ``now_s``, never too much."""
+        elapsed_s = now_s - self.clock_read_s
+        return self.clock_ms + int(elapsed_s * (1 - CLOCK_DRIFT) * MS_PER_S)
+
+    def note_clock(self, clock_ms: int, now_s: float) -> None:
+        """Keep a reading that came at ``now_s``."""
+        self.clock_ms = clock_ms
+        self.clock_read_s = now_s
+        self.heard_s = now_s
+        self.missed_calls = 0
+        self._note_lapse()
+
+    def note_grant(self, deadline_ms: int) -> None:
+        """Keep that a lease until ``deadline_ms`` may have been given."""
+        self.granted_ms = max(self.granted_ms, deadline_ms)
+        self._note_lapse()
+
+    def _note_lapse(self) -> None:
+        left_s = max(0, self.granted_ms - self.clock_ms) / MS_PER_S
+        self.lapses_s = self.clock_read_s + left_s / (1 - CLOCK_DRIFT)
+
+
+def known_runs(seats: Iterable[Seat]) -> set[TaskRef]:
+    """Return the tasks of ``seats``."""
+    return {seat.ref.task for seat in seats}
+
+
+def live_seats(worker: Worker) -> list[Seat]:
+    """Return the seats whose runs are known to go on."""
+    return [
+        seat for seat in worker.seats.values() if seat.phase is SeatPhase.LIVE
+    ]
--- a/src/bulrushcove/clock.py
+++ b/src/bulrushcove/clock.py
@@ -29,6 +29,14 @@
         return time.time_ns() // NS_PER_MS
 
 
+class SuspendAwareClock(SystemClock):
+    """Clock of the machine that counts the time it was suspended."""
+
+    def monotonic_s(self) -> float:
+        """Return seconds since boot, suspended or not."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """Clock that moves only when told to; for tests and replays."""
 
--- a/src/bulrushcove/exceptions.py
+++ b/src/bulrushcove/exceptions.py
@@ -19,6 +19,10 @@
     """The call may or may not have taken effect."""
 
 
+class StoreHistoryGoneError(StoreError):
+    """The changes asked for are no longer kept: read everything again."""
+
+
 class WorkerError(BulrushcoveError):
     """A worker gave no usable answer; the effect is unknown."""
 
--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import os
 import sys
 from types import MappingProxyType
 from typing import Any
@@ -24,6 +25,8 @@
         'message': EVENT_KEY,
     }
 )
+# Lines of a busy scheduler; a line costs about 40 microseconds.
+MAX_LINES_PER_S = 400
 QUOTED_CHARACTERS = frozenset(' ="\n\r\t\\')
 
 
@@ -78,3 +81,52 @@
     if text and QUOTED_CHARACTERS.isdisjoint(text):
         return text
     return json.dumps(text, ensure_ascii=False)
+
+
+class BoundedHandler(logging.Handler):
+    """Writes to a descriptor that never blocks the process.
+
+    Beyond ``MAX_LINES_PER_S``, or while the reader does not keep up, lines
+    are counted instead; the count goes out with the next line that does.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        """Write to ``descriptor``, which becomes non-blocking."""
+        super().__init__()
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._second = 0
+        self._lines = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write the line of ``record``, or count it."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        self._lines += 1
+        if self._lines > MAX_LINES_PER_S and record.levelno < logging.ERROR:
+            self.dropped += 1
+            return
+        line = self.format(record)
+        if self.dropped:
+            line = f'{line} dropped_before={self.dropped}'
+        try:
+            os.write(self._descriptor, f'{line}\n'.encode())
+        except OSError:
+            # Nowhere to tell it but the next line.
+            self.dropped += 1
+        else:
+            self.dropped = 0
+
+
+def setup_bounded_logs(level: str = 'info') -> None:
+    """Send every log line to standard output, bounded, as key=value pairs."""
+    handler = BoundedHandler(sys.stdout.fileno())
+    handler.setFormatter(make_formatter(LogSettings()))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+    mode.Service.mundane_level = 'debug'
+    logging.getLogger('aiohttp.access').setLevel(logging.WARNING)
--- a/src/bulrushcove/messages.py
+++ b/src/bulrushcove/messages.py
@@ -24,7 +24,7 @@
 
     vm: VmId
     domain: DomainName
-    # 'control' or 'entry'.
+    # 'control', 'entry' or 'node'.
     role: str
     incarnation: IncarnationId
 
--- /dev/null
+++ b/src/bulrushcove/node/application.py
@@ -0,0 +1,289 @@
+"""The program on every VM, as one application with life-cycle hooks."""
+
+import asyncio
+import logging
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import aioprometheus
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from ..batch.policy import Standing, newer_standing
+from ..clock import MS_PER_S, Clock
+from ..exceptions import PeerUnreachableError
+from ..hello import NODE_ROLE, make_hello
+from ..logs import log_event
+from ..messages import Acknowledged, Hello, parse_message
+from ..metrics import new_metrics
+from ..store import SharedStore
+from ..wire import Frame
+from .desk import Desk
+from .feed import Contents, Feed
+from .messages import (
+    CountPending,
+    HandOver,
+    Holder,
+    Inquiry,
+    Ping,
+    Pong,
+    StoreCall,
+    Submit,
+)
+from .metrics import NodeMetrics
+from .peers import Peers
+from .relay import RelayedStore, serve_store_call
+from .scheduler import DecodeWorker, Scheduler
+from .settings import NodeSettings
+from .tenure import Tenure
+from .worker_link import PortFactory
+
+# Time kept of the grace for closing the connections.
+CLOSE_MARGIN_S = 0.8
+# The balancer takes a VM out after two misses, a second apart.
+BALANCER_S = 2.3
+IDLE_CHECK_S = 0.05
+HAND_OVER_TIMEOUT_S = 0.3
+# A VM whose news from the operators is older says that it is not ready.
+KEEP_ALIVE_S = 75.0
+BACKLOG = 1024
+
+AnswerCall = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+logger = logging.getLogger(__name__)
+
+
+class CallersFront(Protocol):
+    """Answers callers over HTTP."""
+
+    is_leaving: bool
+    in_progress: int
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+
+
+class Surroundings(msgspec.Struct, frozen=True, kw_only=True):
+    """What an adapter provides: ports, prefixes and decoders."""
+
+    store: SharedStore
+    make_port: PortFactory
+    decode_worker: DecodeWorker
+    workers_prefix: str
+    operators_prefix: str
+    # Returns the standing that the operators' keys describe.
+    decode_standing: Callable[[Contents, int], Standing]
+    make_front: Callable[..., CallersFront]
+    make_ready_handler: Callable[[Callable[[], bool]], AnswerCall]
+    # Reads the settings anew after a signal.
+    reload_settings: Callable[[], NodeSettings]
+
+
+class NodeApplication(Service):
+    """Owns the services of one VM and their clean-up."""
+
+    def __init__(
+        self, settings: NodeSettings, around: Surroundings, clock: Clock
+    ) -> None:
+        """Serve the VM that ``settings`` describe, once started."""
+        super().__init__()
+        self._settings = settings
+        self._around = around
+        self._clock = clock
+        self._standing = Standing()
+        self._is_leaving = False
+        self._metrics = NodeMetrics(new_metrics())
+        hello = make_hello(settings.vm, settings.domain, NODE_ROLE)
+        self._peers = Peers(hello, settings.streams_address, self._on_frame)
+        self._peers.learn(settings.seed_addresses)
+        self._store = RelayedStore(around.store, self._peers, clock)
+        self._tenure = Tenure(settings, self._store, self._peers, clock)
+        self._tenure.on_won = self._begin_scheduling
+        self._tenure.on_lost = self._end_scheduling
+        self._desk = Desk(self._tenure, self._peers, self._store, clock)
+        self._front = around.make_front(
+            self._desk,
+            lambda: self._standing,
+            clock,
+            self._metrics.answered,
+        )
+        self._feed = Feed(
+            self._store, around.operators_prefix, self._note_operators
+        )
+        self._runners: list[web.ServerRunner] = []
+
+    async def on_start(self) -> None:
+        """Start the services, those that others need first."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        log_event(
+            logger,
+            'node.starts',
+            vm=self._settings.vm,
+            domain=self._settings.domain,
+            incarnation=self._peers.hello.incarnation,
+        )
+        await self._serve(self._settings.callers_address, self._front.handle)
+        ready = self._around.make_ready_handler(self._is_ready)
+        await self._serve(self._settings.ready_address, ready)
+        await self._serve(self._settings.metrics_address, self._show_metrics)
+        for service in (self._peers, self._feed, self._tenure):
+            await self.add_runtime_dependency(service)
+
+    async def on_stop(self) -> None:
+        """Leave: no new callers, the tenure handed over, answers given."""
+        began_s = self._clock.monotonic_s()
+        self._is_leaving = True
+        self._front.is_leaving = True
+        log_event(logger, 'node.stops', vm=self._settings.vm)
+        holder = await self._tenure.resign()
+        if holder is not None:
+            await self._tell_hand_over(holder)
+        end_s = began_s + self._settings.grace_ms / MS_PER_S - CLOSE_MARGIN_S
+        while self._clock.monotonic_s() < end_s:
+            stayed_s = self._clock.monotonic_s() - began_s
+            if stayed_s > BALANCER_S and not self._front.in_progress:
+                break
+            await asyncio.sleep(IDLE_CHECK_S)
+        for runner in self._runners:
+            await runner.cleanup()
+        log_event(logger, 'node.stopped', vm=self._settings.vm)
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_leaving
+            and self._standing.policy is not None
+            and (self._feed.is_current or self._tenure.hears_holder)
+        )
+
+    async def _serve(self, address: str, handler: AnswerCall) -> None:
+        server = web.Server(
+            handler, keepalive_timeout=KEEP_ALIVE_S, access_log=None
+        )
+        runner = web.ServerRunner(
+            server, handle_signals=False, shutdown_timeout=CLOSE_MARGIN_S / 2
+        )
+        await runner.setup()
+        host, _, port = address.rpartition(':')
+        site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+        await site.start()
+        self._runners.append(runner)
+
+    async def _show_metrics(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        body, headers = aioprometheus.render(
+            self._metrics.registry.registry, [request.headers.get('Accept', '')]
+        )
+        return web.Response(body=body, headers=headers)
+
+    def _reload(self) -> None:
+        try:
+            settings = self._around.reload_settings()
+        except Exception as exc:
+            # The process goes on with what it has: it serves callers.
+            log_event(
+                logger, 'node.reload_failed', level=logging.ERROR, error=exc
+            )
+            return
+        self._peers.learn(settings.seed_addresses)
+        log_event(logger, 'node.reloaded', vm=settings.vm)
+
+    def _note_operators(
+        self, contents: Contents, changed: frozenset[str]
+    ) -> None:
+        news = self._around.decode_standing(contents, self._feed.revision)
+        self._standing = newer_standing(self._standing, news)
+        policy = self._standing.policy
+        log_event(
+            logger,
+            'standing.changed',
+            changed=len(changed),
+            version=policy.version if policy else None,
+            closed=','.join(sorted(self._standing.closed_domains)) or None,
+            revision=self._standing.revision,
+        )
+        if self._desk.scheduler is not None:
+            self._desk.scheduler.note_standing(self._standing)
+
+    async def _begin_scheduling(self, holder: Holder) -> None:
+        scheduler = Scheduler(
+            self._settings,
+            self._store,
+            self._tenure,
+            holder,
+            self._clock,
+            self._metrics,
+        )
+        scheduler.make_port = self._around.make_port
+        scheduler.decode_worker = self._around.decode_worker
+        scheduler.workers_prefix = self._around.workers_prefix
+        scheduler.note_standing(self._standing)
+        self._desk.scheduler = scheduler
+        await self.add_runtime_dependency(scheduler)
+
+    async def _end_scheduling(self, _reason: str) -> None:
+        scheduler, self._desk.scheduler = self._desk.scheduler, None
+        if scheduler is not None:
+            await self.remove_dependency(scheduler)
+            # Stopped on its own: the end may come from one of its tasks.
+            self.add_future(scheduler.stop())
+
+    async def _tell_hand_over(self, holder: Holder) -> None:
+        news = HandOver(holder.epoch)
+        await asyncio.gather(
+            *(self._tell(address, news) for address in self._peers.known)
+        )
+
+    async def _tell(self, address: str, news: HandOver) -> None:
+        try:
+            await self._peers.ask(
+                address, news, Acknowledged, HAND_OVER_TIMEOUT_S
+            )
+        except PeerUnreachableError as exc:
+            # It finds out by its next ping.
+            log_event(
+                logger,
+                'tenure.hand_over_untold',
+                level=logging.DEBUG,
+                address=address,
+                error=exc,
+            )
+
+    async def _on_frame(
+        self, _peer: Hello, frame: Frame
+    ) -> msgspec.Struct | None:
+        if frame.kind == Ping.__name__:
+            ping = parse_message(Ping, frame.fields)
+            self._peers.learn((ping.address,))
+            return self._pong()
+        if frame.kind == HandOver.__name__:
+            news = parse_message(HandOver, frame.fields)
+            self._tenure.note_hand_over(news.epoch)
+            return Acknowledged()
+        if frame.kind == StoreCall.__name__:
+            call = parse_message(StoreCall, frame.fields)
+            return await serve_store_call(self._around.store, call)
+        return await self._answer_question(frame)
+
+    async def _answer_question(self, frame: Frame) -> msgspec.Struct | None:
+        if frame.kind == Submit.__name__:
+            submit = parse_message(Submit, frame.fields)
+            return await self._desk.answer_submit(submit)
+        if frame.kind == Inquiry.__name__:
+            inquiry = parse_message(Inquiry, frame.fields)
+            return await self._desk.answer_inquiry(inquiry)
+        if frame.kind == CountPending.__name__:
+            count = parse_message(CountPending, frame.fields)
+            return await self._desk.answer_count(count)
+        return None
+
+    def _pong(self) -> Pong:
+        return Pong(
+            holder=self._tenure.holder,
+            is_active=self._tenure.has_authority,
+            hears_holder=self._tenure.hears_holder,
+            addresses=tuple(self._peers.known),
+        )
--- /dev/null
+++ b/src/bulrushcove/node/desk.py
@@ -0,0 +1,287 @@
+"""Callers' questions, taken to the active scheduler wherever it is."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+
+from ..batch.exceptions import JobConflictError, JobRefusedError
+from ..batch.ids import QueueName
+from ..batch.model import JobSpec
+from ..batch.progress import JobPhase
+from ..batch.records import decode_progress, decode_submission
+from ..clock import MS_PER_S, Clock
+from ..exceptions import PeerUnreachableError, StoreError
+from ..ids import JobId, OrganisationId
+from ..logs import log_event
+from ..store import SharedStore
+from .exceptions import NotServingError, OutcomeUnknownError
+from .journal import TenureLostError
+from .keys import job_key, progress_key
+from .messages import (
+    CountPending,
+    Holder,
+    Inquiry,
+    JobAnswer,
+    PendingCount,
+    Submit,
+    SubmitOutcome,
+    Submitted,
+)
+from .peers import Peers
+from .scheduler import Scheduler
+from .tenure import Tenure
+
+# A question to the active scheduler that brings no answer in this time is
+# asked again on a fresh stream.
+QUESTION_TIMEOUT_S = 1.2
+RETRY_S = 0.1
+# Time kept for the answer to reach the caller.
+ANSWER_MARGIN_S = 0.15
+# How long a submission waits for an active scheduler before it is refused.
+PATIENCE_S = 1.2
+# When to come back while there is no active scheduler.
+NO_SCHEDULER_RETRY_S = 1.0
+
+Answer = TypeVar('Answer', bound=msgspec.Struct)
+
+logger = logging.getLogger(__name__)
+
+
+class Desk:
+    """Answers callers of one VM, and other VMs that cannot ask themselves."""
+
+    def __init__(
+        self, tenure: Tenure, peers: Peers, store: SharedStore, clock: Clock
+    ) -> None:
+        """Ask the scheduler that ``tenure`` names."""
+        self.scheduler: Scheduler | None = None
+        self._tenure = tenure
+        self._peers = peers
+        self._store = store
+        self._clock = clock
+
+    async def submit(self, spec: JobSpec, deadline_s: float) -> None:
+        """Return once ``spec`` is accepted and stored.
+
+        Raises ``JobRefusedError`` and ``NotServingError`` when it is not and
+        never will be, ``JobConflictError``, and ``OutcomeUnknownError``.
+        """
+        patience_s = self._clock.monotonic_s() + PATIENCE_S
+        may_be_taken = False
+        while True:
+            left_s = deadline_s - self._clock.monotonic_s() - ANSWER_MARGIN_S
+            if left_s <= 0:
+                break
+            answer = await self._submit_once(spec, left_s)
+            if answer.outcome is SubmitOutcome.ACCEPTED:
+                return
+            if answer.outcome is SubmitOutcome.CONFLICT:
+                raise JobConflictError(answer.message)
+            if answer.outcome is SubmitOutcome.REFUSED:
+                raise JobRefusedError(answer.message, answer.retry_after_s)
+            if answer.outcome is SubmitOutcome.UNKNOWN:
+                may_be_taken = True
+            elif self._clock.monotonic_s() > patience_s and not may_be_taken:
+                break
+            await asyncio.sleep(RETRY_S)
+        if may_be_taken:
+            raise OutcomeUnknownError(f'job {spec.job}: no answer in time')
+        raise NotServingError('no active scheduler', NO_SCHEDULER_RETRY_S)
+
+    async def inquire(
+        self,
+        job: JobId,
+        organisation: OrganisationId,
+        *,
+        cancels: bool,
+        deadline_s: float,
+    ) -> JobPhase | None:
+        """Return the state of a job, cancelled before if it ``cancels``.
+
+        None: there is no such job. Raises ``NotServingError`` when nobody
+        can tell in time.
+        """
+        question = Inquiry(job, organisation, cancels)
+
+        def is_usable(answer: JobAnswer) -> bool:
+            return answer.is_known
+
+        while self._clock.monotonic_s() + ANSWER_MARGIN_S < deadline_s:
+            answer = await self._ask_scheduler(
+                question, JobAnswer, self.answer_inquiry, deadline_s
+            )
+            if answer is not None and is_usable(answer):
+                return JobPhase(answer.phase) if answer.phase else None
+            if not cancels:
+                try:
+                    return await self._read_phase(job, organisation)
+                except StoreError as exc:
+                    log_event(
+                        logger, 'inquiry.store_failed', job=job, error=exc
+                    )
+            await asyncio.sleep(RETRY_S)
+        raise NotServingError('no active scheduler', NO_SCHEDULER_RETRY_S)
+
+    async def count_pending(self, queue: QueueName, deadline_s: float) -> int:
+        """Return how many jobs of ``queue`` have not begun."""
+        question = CountPending(queue)
+        while self._clock.monotonic_s() + ANSWER_MARGIN_S < deadline_s:
+            answer = await self._ask_scheduler(
+                question, PendingCount, self.answer_count, deadline_s
+            )
+            if answer is not None and answer.count is not None:
+                return answer.count
+            await asyncio.sleep(RETRY_S)
+        raise NotServingError('no active scheduler', NO_SCHEDULER_RETRY_S)
+
+    async def answer_submit(self, question: Submit) -> Submitted:
+        """Answer a submission that another VM or this one handed in."""
+        scheduler = self._active()
+        if scheduler is not None:
+            return await self._submit_here(scheduler, question)
+        if question.may_forward and self._tenure.holder is not None:
+            forwarded = msgspec.structs.replace(question, may_forward=False)
+            return await self._submit_to(self._tenure.holder, forwarded)
+        return Submitted(SubmitOutcome.NOT_ACTIVE)
+
+    async def answer_inquiry(self, question: Inquiry) -> JobAnswer:
+        """Answer a question about one job."""
+        scheduler = self._active()
+        if scheduler is None:
+            return await self._forward(
+                question, JobAnswer, JobAnswer('', is_known=False)
+            )
+        if question.cancels:
+            try:
+                is_known = await scheduler.cancel(
+                    question.job, question.organisation
+                )
+            except TenureLostError:
+                return JobAnswer('', is_known=False)
+            return JobAnswer(JobPhase.CANCELLED.value if is_known else '')
+        phase = scheduler.phase(question.job, question.organisation)
+        return JobAnswer(phase.value if phase else '')
+
+    async def answer_count(self, question: CountPending) -> PendingCount:
+        """Answer a question about a queue."""
+        scheduler = self._active()
+        if scheduler is None:
+            return await self._forward(
+                question, PendingCount, PendingCount(None)
+            )
+        return PendingCount(scheduler.pending(question.queue))
+
+    def _active(self) -> Scheduler | None:
+        """Return this VM's scheduler if it may answer."""
+        scheduler = self.scheduler
+        if scheduler is None or not scheduler.is_loaded:
+            return None
+        return scheduler if self._tenure.has_authority else None
+
+    async def _submit_once(self, spec: JobSpec, left_s: float) -> Submitted:
+        question = Submit(spec, int(left_s * MS_PER_S))
+        if self._active() is not None:
+            return await self.answer_submit(question)
+        holder = self._tenure.holder
+        if holder is not None and self._tenure.hears_holder:
+            return await self._submit_to(holder, question)
+        if holder is not None:
+            return await self._submit_around(holder, question)
+        return Submitted(SubmitOutcome.NOT_ACTIVE)
+
+    async def _submit_here(
+        self, scheduler: Scheduler, question: Submit
+    ) -> Submitted:
+        try:
+            async with asyncio.timeout(question.wait_ms / MS_PER_S):
+                await scheduler.submit(question.spec)
+        except JobRefusedError as exc:
+            return Submitted(SubmitOutcome.REFUSED, str(exc), exc.retry_after_s)
+        except JobConflictError as exc:
+            return Submitted(SubmitOutcome.CONFLICT, str(exc))
+        except (TimeoutError, TenureLostError) as exc:
+            return Submitted(SubmitOutcome.UNKNOWN, repr(exc))
+        return Submitted(SubmitOutcome.ACCEPTED)
+
+    async def _submit_to(self, holder: Holder, question: Submit) -> Submitted:
+        return await self._submit_by(holder.address, question)
+
+    async def _submit_by(self, address: str, question: Submit) -> Submitted:
+        timeout_s = min(QUESTION_TIMEOUT_S, question.wait_ms / MS_PER_S)
+        try:
+            _, answer = await self._peers.ask(
+                address, question, Submitted, timeout_s
+            )
+        except PeerUnreachableError as exc:
+            return Submitted(SubmitOutcome.UNKNOWN, str(exc))
+        return answer
+
+    async def _submit_around(
+        self, holder: Holder, question: Submit
+    ) -> Submitted:
+        """Hand in through a VM that may hear the scheduler."""
+        for address in self._peers.known:
+            if address != holder.address:
+                return await self._submit_by(address, question)
+        return Submitted(SubmitOutcome.NOT_ACTIVE)
+
+    async def _ask_scheduler(
+        self,
+        question: msgspec.Struct,
+        answer_type: type[Answer],
+        answer_here: Callable[[msgspec.Struct], Awaitable[Answer]],
+        deadline_s: float,
+    ) -> Answer | None:
+        if self._active() is not None:
+            return await answer_here(question)
+        holder = self._tenure.holder
+        if holder is None:
+            return None
+        left_s = deadline_s - self._clock.monotonic_s()
+        try:
+            _, answer = await self._peers.ask(
+                holder.address,
+                question,
+                answer_type,
+                min(QUESTION_TIMEOUT_S, left_s),
+            )
+        except PeerUnreachableError:
+            return None
+        return answer
+
+    async def _forward(
+        self,
+        question: msgspec.Struct,
+        answer_type: type[Answer],
+        otherwise: Answer,
+    ) -> Answer:
+        """Pass a question on once, for a VM that cannot reach the holder."""
+        holder = self._tenure.holder
+        if not question.may_forward or holder is None:
+            return otherwise
+        forwarded = msgspec.structs.replace(question, may_forward=False)
+        try:
+            _, answer = await self._peers.ask(
+                holder.address, forwarded, answer_type, QUESTION_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return otherwise
+        return answer
+
+    async def _read_phase(
+        self, job: JobId, organisation: OrganisationId
+    ) -> JobPhase | None:
+        """Return the state that the store knows; raises ``StoreError``."""
+        accepted = await self._store.read(job_key(job))
+        if not accepted.found:
+            return None
+        submission = decode_submission(accepted.found[0].value)
+        if submission.spec.terms.organisation != organisation:
+            return None
+        known = await self._store.read(progress_key(job))
+        if not known.found:
+            return JobPhase.QUEUED
+        return JobPhase(decode_progress(known.found[0].value).phase)
--- /dev/null
+++ b/src/bulrushcove/node/journal.py
@@ -0,0 +1,185 @@
+"""Writes of the active scheduler, many in one transaction.
+
+Each transaction is conditional on the tenure and on the revision of each key:
+a write that the store carries out late, after a newer one of the same key,
+does nothing.
+"""
+
+import asyncio
+import logging
+
+import msgspec
+from mode import Service
+
+from ..clock import Clock
+from ..exceptions import (
+    BulrushcoveError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from ..logs import log_event
+from ..store import Check, SharedStore, StoredValue, Write, WriteAnswer
+from .keys import TENURE_KEY
+from .messages import Holder
+from .tenure import Tenure
+
+# The store takes 32 entries a transaction: a condition and a value for each
+# write, and the condition on the tenure.
+MAX_WRITES = 15
+RETRY_S = 0.1
+
+logger = logging.getLogger(__name__)
+
+
+class TenureLostError(BulrushcoveError):
+    """Another VM is the active scheduler; the write had no effect."""
+
+
+class _Pending(msgspec.Struct, eq=False):
+    value: bytes | None
+    stored: asyncio.Future[None]
+
+
+class Journal(Service):
+    """Writes records in order; one transaction at a time."""
+
+    def __init__(
+        self, store: SharedStore, tenure: Tenure, holder: Holder, clock: Clock
+    ) -> None:
+        """Write while ``holder`` is the record of the tenure."""
+        super().__init__()
+        # Revision of each key as last known.
+        self.revisions: dict[str, int] = {}
+        self.transactions = 0
+        self._store = store
+        self._tenure = tenure
+        self._holder = holder
+        self._clock = clock
+        self._pending: dict[str, _Pending] = {}
+        self._news = asyncio.Event()
+        self._is_deposed = False
+
+    @property
+    def backlog(self) -> int:
+        """Return how many writes wait."""
+        return len(self._pending)
+
+    def put(self, key: str, value: bytes | None) -> asyncio.Future[None]:
+        """Write ``value`` (None: delete); the future ends when it is stored.
+
+        It raises ``TenureLostError`` when the tenure ended before.
+        """
+        loop = asyncio.get_running_loop()
+        if self._is_deposed:
+            refused: asyncio.Future[None] = loop.create_future()
+            refused.set_exception(TenureLostError(key))
+            refused.exception()
+            return refused
+        pending = self._pending.get(key)
+        if pending is None:
+            pending = _Pending(value, loop.create_future())
+            # A write that nobody waits for fails without a warning.
+            pending.stored.add_done_callback(_consume)
+            self._pending[key] = pending
+        pending.value = value
+        self._news.set()
+        return pending.stored
+
+    async def on_stop(self) -> None:
+        """Fail what was not stored."""
+        self._depose()
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop and not self._is_deposed:
+            await self._news.wait()
+            self._news.clear()
+            while self._pending and not self._is_deposed:
+                keys = tuple(self._pending)[:MAX_WRITES]
+                batch = {key: self._pending.pop(key) for key in keys}
+                await self._store_batch(batch)
+
+    async def _store_batch(self, batch: dict[str, _Pending]) -> None:
+        while batch and not self._is_deposed:
+            asked_s = self._clock.monotonic_s()
+            try:
+                answer = await self._commit(batch)
+            except StoreOutcomeUnknownError as exc:
+                self._log_failure('journal.answer_lost', exc, batch)
+                continue
+            except StoreError as exc:
+                self._log_failure('journal.unavailable', exc, batch)
+                await asyncio.sleep(RETRY_S)
+                continue
+            if answer.written:
+                self._tenure.note_proof(asked_s)
+                self._settle(batch, answer.store_revision)
+                return
+            if not self._learn(batch, answer):
+                self._fail(batch)
+                self._depose()
+                await self._tenure.lose('another scheduler has written')
+                return
+        self._fail(batch)
+
+    async def _commit(self, batch: dict[str, _Pending]) -> WriteAnswer:
+        self.transactions += 1
+        writes = tuple(
+            Write(key, pending.value, self.revisions.get(key, 0))
+            for key, pending in batch.items()
+        )
+        check = Check(TENURE_KEY, self._holder.epoch)
+        return await self._store.commit(writes, (check,))
+
+    def _settle(self, batch: dict[str, _Pending], revision: int) -> None:
+        for key, pending in batch.items():
+            self.revisions[key] = revision if pending.value is not None else 0
+            _resolve(pending)
+        batch.clear()
+
+    def _learn(self, batch: dict[str, _Pending], answer: WriteAnswer) -> bool:
+        """Take over what stands in the store; false: deposed."""
+        current = {item.key: item for item in answer.current}
+        tenure = current.get(TENURE_KEY)
+        if tenure is None or tenure.mod_revision != self._holder.epoch:
+            return False
+        for key, pending in tuple(batch.items()):
+            found: StoredValue | None = current.get(key)
+            self.revisions[key] = found.mod_revision if found else 0
+            if (found.value if found else None) == pending.value:
+                _resolve(pending)
+                batch.pop(key)
+        return True
+
+    def _log_failure(
+        self, event: str, exc: StoreError, batch: dict[str, _Pending]
+    ) -> None:
+        log_event(
+            logger,
+            event,
+            level=logging.WARNING,
+            writes=len(batch),
+            backlog=len(self._pending),
+            error=exc,
+        )
+
+    def _depose(self) -> None:
+        self._is_deposed = True
+        self._fail(self._pending)
+        self._news.set()
+
+    def _fail(self, batch: dict[str, _Pending]) -> None:
+        for key, pending in batch.items():
+            if not pending.stored.done():
+                pending.stored.set_exception(TenureLostError(key))
+        batch.clear()
+
+
+def _resolve(pending: _Pending) -> None:
+    if not pending.stored.done():
+        pending.stored.set_result(None)
+
+
+def _consume(stored: asyncio.Future[None]) -> None:
+    if not stored.cancelled():
+        stored.exception()
--- /dev/null
+++ b/src/bulrushcove/node/metrics.py
@@ -0,0 +1,48 @@
+"""Counters and histograms of the node program."""
+
+from ..batch.engine import Engine
+from ..batch.progress import Job
+from ..metrics import Metrics
+
+
+class NodeMetrics:
+    """What a process counts; served on the metrics address."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Register the collectors."""
+        self.registry = metrics
+        self._calls = metrics.counter(
+            'bulrushcove_calls_total', 'Answers to callers by status.'
+        )
+        self._call_s = metrics.histogram(
+            'bulrushcove_call_seconds', 'Time to answer callers.'
+        )
+        self._accepted = metrics.counter(
+            'bulrushcove_jobs_accepted_total', 'Jobs accepted by queue.'
+        )
+        self._active = metrics.gauge(
+            'bulrushcove_jobs_active', 'Jobs that have not ended.'
+        )
+        self._workers = metrics.gauge(
+            'bulrushcove_workers_usable', 'Workers that answer.'
+        )
+
+    def answered(self, method: str, status: int, duration_s: float) -> None:
+        """Count an answer to a caller."""
+        labels = {'method': method, 'status': str(status)}
+        self._calls.inc(labels)
+        self._call_s.observe({'method': method}, duration_s)
+
+    def accepted(self, job: Job) -> None:
+        """Count an accepted job."""
+        self._accepted.inc({'queue': job.spec.terms.queue})
+
+    def observe_engine(self, engine: Engine) -> None:
+        """Show the state of the active scheduler."""
+        self._active.set({}, len(engine.active))
+        usable = sum(
+            1
+            for worker in engine.workers.values()
+            if worker.is_adopted and not worker.missed_calls
+        )
+        self._workers.set({}, usable)
--- /dev/null
+++ b/src/bulrushcove/node/settings.py
@@ -0,0 +1,32 @@
+"""Settings of the node program, whatever file they came from."""
+
+import msgspec
+
+from ..ids import DomainName, VmId
+
+
+class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Everything that a process learns from its surroundings."""
+
+    vm: VmId
+    domain: DomainName
+    region: str
+    ip: str
+    # Pairs host:port.
+    callers_address: str
+    ready_address: str
+    # Streams of the other VMs; at a VM without a port of its own, empty.
+    streams_address: str
+    metrics_address: str
+    # Streams of a few VMs, possibly gone.
+    seed_addresses: tuple[str, ...]
+    store_address: str
+    machines_address: str
+    advice_address: str
+    # Longest lease that a worker grants.
+    max_lease_ms: int
+    # A stopped run is gone within this time.
+    stop_ms: int
+    # Time from the request to stop to the end of the process by force.
+    grace_ms: int
+    min_store_lease_ms: int
--- /dev/null
+++ b/src/bulrushcove/platform/operators.py
@@ -0,0 +1,186 @@
+"""What operators and workers write into the store, decoded."""
+
+import logging
+from typing import Literal
+
+import msgspec
+
+from ..batch.ids import PoolName, QueueName
+from ..batch.model import TaskSize
+from ..batch.policy import Adviser, Organisation, Policy, Pool, Queue
+from ..batch.workers import WorkerEntry
+from ..ids import DomainName, OrganisationId, RackId, WorkerId
+from ..logs import log_event
+from .exceptions import UndecodableError
+from .http_call import decode
+
+OPERATORS_PREFIX = 'op/'
+POLICY_KEY = 'op/config'
+CLOSED_PREFIX = 'op/evacuate/'
+WORKERS_PREFIX = 'servers/'
+
+logger = logging.getLogger(__name__)
+
+
+class _Advice(msgspec.Struct, rename='kebab'):
+    decision_ms: int = 0
+    # For each worker named.
+    period_ms: int = 0
+    validity_ms: int = 0
+
+
+class _Route(msgspec.Struct, rename='kebab'):
+    """A route is a queue; its service is the pool that runs its tasks."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: int = 0
+    # How much later than stretch times its work a job may end.
+    target_duration_ms: int = 0
+    priority: int = 1
+    max_attempts: int = 1
+    stretch: float = 1.0
+    # Whether calls need no key.
+    public: bool = False
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct, rename='kebab'):
+    name: str
+    enforces_capacity: bool = False
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct, rename='kebab'):
+    max_body_bytes: int = 262_144
+
+
+class _Guaranteed(msgspec.Struct, rename='kebab'):
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct, rename='kebab'):
+    name: str
+    api_keys: list[str] = []
+    guaranteed: _Guaranteed | None = None
+
+
+class _Config(msgspec.Struct, rename='kebab'):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class _Capacity(msgspec.Struct, rename='kebab'):
+    # Thousandths of a core.
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Server(msgspec.Struct, rename='kebab'):
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: Literal['ready', 'draining']
+    seq: int
+    capacity: _Capacity
+    # The worker's kind and its rack.
+    labels: list[str]
+    born: int = 0
+    drain_remaining_ms: float = 0
+
+
+def decode_policy(stored: bytes) -> Policy | None:
+    """Return the operators' configuration; None when it is not readable."""
+    try:
+        config = decode(stored, _Config)
+    except UndecodableError as exc:
+        log_event(logger, 'policy.undecodable', level=logging.ERROR, error=exc)
+        return None
+    return Policy(
+        version=config.version,
+        queues=tuple(_queue(route) for route in config.routes),
+        organisations=tuple(_organisation(one) for one in config.tenants),
+        pools=tuple(_pool(service) for service in config.services),
+        max_body_bytes=config.limits.max_body_bytes,
+    )
+
+
+def decode_worker(key: str, stored: bytes) -> WorkerEntry | None:
+    """Return a worker's entry; None when it names no worker to use."""
+    worker = WorkerId(key.removeprefix(WORKERS_PREFIX))
+    try:
+        server = decode(stored, _Server)
+    except UndecodableError as exc:
+        log_event(logger, 'worker.undecodable', worker=worker, error=exc)
+        return None
+    host, _, port = server.address.rpartition(':')
+    if not host or not port.isdigit():
+        return None
+    labels = server.labels
+    capacity = server.capacity
+    return WorkerEntry(
+        worker=worker,
+        pool=PoolName(server.service),
+        address=server.address,
+        domain=DomainName(server.zone),
+        rack=RackId(labels[-1] if labels else ''),
+        labels=frozenset(labels),
+        capacity=TaskSize(capacity.cpu, capacity.mem_mb, capacity.gpu),
+        born_unix_ms=server.born,
+        is_leaving=server.state == 'draining',
+        leaves_in_ms=int(server.drain_remaining_ms),
+    )
+
+
+def closed_domain(key: str) -> DomainName | None:
+    """Return the domain that the entry ``key`` takes out of service."""
+    if not key.startswith(CLOSED_PREFIX):
+        return None
+    return DomainName(key.removeprefix(CLOSED_PREFIX))
+
+
+def _queue(route: _Route) -> Queue:
+    advice = route.advice
+    return Queue(
+        name=QueueName(route.name),
+        host=route.host.lower(),
+        prefix=route.prefix,
+        pool=PoolName(route.service),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target_ms=route.target_duration_ms,
+        timeout_ms=route.timeout_ms,
+        is_public=route.public,
+        adviser=advice
+        and Adviser(
+            decision_ms=advice.decision_ms,
+            per_worker_ms=advice.period_ms,
+            validity_ms=advice.validity_ms,
+        ),
+    )
+
+
+def _organisation(tenant: _Tenant) -> Organisation:
+    guaranteed = tenant.guaranteed
+    return Organisation(
+        name=OrganisationId(tenant.name),
+        credentials=frozenset(tenant.api_keys),
+        guaranteed_accelerators=guaranteed.gpu if guaranteed else 0,
+    )
+
+
+def _pool(service: _Service) -> Pool:
+    return Pool(
+        name=PoolName(service.name),
+        guards_room=service.enforces_capacity,
+        is_standby=service.standby,
+    )
--- /dev/null
+++ b/src/bulrushcove/platform/program.py
@@ -0,0 +1,72 @@
+"""The node program on the users' platform."""
+
+import sys
+
+from mode import Worker
+
+from ..batch.policy import Standing
+from ..clock import SuspendAwareClock
+from ..ids import WorkerId
+from ..logs import setup_bounded_logs
+from ..node.application import NodeApplication, Surroundings
+from ..node.feed import Contents
+from .callers import Front, make_ready_handler
+from .exceptions import UndecodableError
+from .operators import (
+    OPERATORS_PREFIX,
+    POLICY_KEY,
+    WORKERS_PREFIX,
+    closed_domain,
+    decode_policy,
+    decode_worker,
+)
+from .settings import load_node_settings
+from .store import PlatformStore
+from .workers import WorkerConnection
+
+EXIT_USAGE = 2
+
+
+def main() -> None:
+    """Run the program; exits with status 2 when the settings are wrong."""
+    try:
+        settings = load_node_settings()
+    except UndecodableError as exc:
+        sys.stderr.write(f'bulrushcove-node: {exc}\n')
+        sys.exit(EXIT_USAGE)
+    setup_bounded_logs()
+    around = Surroundings(
+        store=PlatformStore(settings.store_address),
+        make_port=make_worker_port,
+        decode_worker=decode_worker,
+        workers_prefix=WORKERS_PREFIX,
+        operators_prefix=OPERATORS_PREFIX,
+        decode_standing=decode_standing,
+        make_front=Front,
+        make_ready_handler=make_ready_handler,
+        reload_settings=load_node_settings,
+    )
+    application = NodeApplication(settings, around, SuspendAwareClock())
+    worker = Worker(
+        application,
+        override_logging=False,
+        redirect_stdouts=False,
+        quiet=True,
+    )
+    worker.execute_from_commandline()
+
+
+def make_worker_port(worker: str, address: str) -> WorkerConnection:
+    """Return calls to ``worker``."""
+    return WorkerConnection(WorkerId(worker), address)
+
+
+def decode_standing(contents: Contents, revision: int) -> Standing:
+    """Return what the operators' keys say as of ``revision``."""
+    stored = contents.get(POLICY_KEY)
+    closed = (closed_domain(key) for key in contents)
+    return Standing(
+        policy=decode_policy(stored) if stored else None,
+        closed_domains=frozenset(domain for domain in closed if domain),
+        revision=revision,
+    )
--- /dev/null
+++ b/src/bulrushcove/platform/settings.py
@@ -0,0 +1,93 @@
+"""The platform's settings file."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from ..ids import DomainName, VmId
+from ..node.settings import NodeSettings
+from .exceptions import UndecodableError
+
+PATH_VARIABLE = 'BULRUSHCOVE_CONFIG'
+MS_PER_S = 1000
+
+
+class _Listen(msgspec.Struct, rename='kebab'):
+    front: str
+    ready: str
+    # Only where the role serves it: reached by the other VMs.
+    control: str = ''
+
+
+class _Store(msgspec.Struct, rename='kebab'):
+    address: str
+    min_ttl_ms: int = 1000
+
+
+class _Bounds(msgspec.Struct, rename='kebab'):
+    max_hold_ms: int = 6000
+    stop_ms: int = 1000
+    grace_s: float = 6.0
+
+
+class _Cloud(msgspec.Struct, rename='kebab'):
+    address: str = ''
+
+
+class _Settings(msgspec.Struct, rename='kebab'):
+    node: str
+    ip: str
+    zone: str
+    region: str
+    # First and last port that is free for streams between VMs.
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    platform: _Store
+    seeds: list[str] = []
+    advice: str = ''
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    cloud: _Cloud = msgspec.field(default_factory=_Cloud)
+
+
+def load_node_settings() -> NodeSettings:
+    """Read the file that the platform names in the environment.
+
+    Raises ``UndecodableError`` naming the first field that does not fit.
+    """
+    path = os.environ.get(PATH_VARIABLE, '')
+    try:
+        document = tomllib.loads(Path(path).read_text(encoding='utf-8'))
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise UndecodableError(f'settings file {path!r}: {exc}') from exc
+    return decode_node_settings(document)
+
+
+def decode_node_settings(document: dict[str, Any]) -> NodeSettings:
+    """Return the settings in ``document``; raises ``UndecodableError``."""
+    try:
+        found = msgspec.convert(document, _Settings, strict=False)
+    except msgspec.ValidationError as exc:
+        raise UndecodableError(f'settings: {exc}') from exc
+    first_port, last_port = found.internal_ports
+    own_streams = f'{found.ip}:{first_port}'
+    return NodeSettings(
+        vm=VmId(found.node),
+        domain=DomainName(found.zone),
+        region=found.region,
+        ip=found.ip,
+        callers_address=found.listen.front,
+        ready_address=found.listen.ready,
+        streams_address=found.listen.control or own_streams,
+        metrics_address=f'{found.ip}:{last_port}',
+        seed_addresses=tuple(found.seeds),
+        store_address=found.platform.address,
+        machines_address=found.cloud.address,
+        advice_address=found.advice,
+        max_lease_ms=found.bounds.max_hold_ms,
+        stop_ms=found.bounds.stop_ms,
+        grace_ms=int(found.bounds.grace_s * MS_PER_S),
+        min_store_lease_ms=found.platform.min_ttl_ms,
+    )
--- a/src/bulrushcove/store.py
+++ b/src/bulrushcove/store.py
@@ -39,6 +39,28 @@
     lease: StoreLeaseId | None = None
 
 
+class Check(msgspec.Struct, frozen=True):
+    """Condition on a key that a transaction leaves as it is (0: absent)."""
+
+    key: str
+    revision: int
+
+
+class Removed(msgspec.Struct, frozen=True):
+    """A key that was deleted at ``mod_revision``."""
+
+    key: str
+    mod_revision: int
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """Answer to a watch: what changed up to ``store_revision``, in order."""
+
+    written: tuple[StoredValue, ...]
+    removed: tuple[Removed, ...]
+    store_revision: int
+
+
 class WriteAnswer(msgspec.Struct, frozen=True):
     """Whether all writes took effect, and what stands where they did not."""
 
@@ -72,3 +94,39 @@
 
     async def revoke_lease(self, lease: StoreLeaseId) -> None:
         """End a lease and delete the keys that hang on it."""
+
+
+class SharedStore(Protocol):
+    """Operations of the node program, on a store that also has watches.
+
+    Errors as in ``Store``; times are milliseconds.
+    """
+
+    async def read(self, key: str) -> Scan:
+        """Read one key, linearizably; found is empty when it is absent."""
+
+    async def scan(self, prefix: str) -> Scan:
+        """Read all keys below ``prefix``; not a snapshot.
+
+        What changed while it was read is after ``store_revision``.
+        """
+
+    async def watch(self, prefix: str, after: int, wait_ms: int) -> Changes:
+        """Wait for changes below ``prefix`` after revision ``after``.
+
+        Raises ``StoreHistoryGoneError`` when they can no longer be told.
+        """
+
+    async def commit(
+        self, writes: tuple[Write, ...], checks: tuple[Check, ...] = ()
+    ) -> WriteAnswer:
+        """Apply all ``writes`` if all conditions hold, or none."""
+
+    async def grant_lease(self, ttl_ms: int) -> StoreLeaseId:
+        """Create a lease that lapses ``ttl_ms`` after its last renewal."""
+
+    async def renew_lease(self, lease: StoreLeaseId) -> bool:
+        """Renew a lease; false: it has ended."""
+
+    async def end_lease(self, lease: StoreLeaseId) -> None:
+        """End a lease and delete the keys that hang on it."""
--- /dev/null
+++ b/src/bulrushcove_node.py
@@ -0,0 +1,6 @@
+"""Starts the node program from a checkout."""
+
+from bulrushcove.platform.program import main
+
+if __name__ == '__main__':
+    main()
