Leaving workers: short leases, doomed runs move early; list of workers read at a pace

Cause: a gang member on a drained worker was silent after it left; its 8 s lease, then a new scheduler's wait of 22 s held the gang for 35 s. Each heartbeat ended a watch.

--- a/src/bulrushcove/batch/endings.py
+++ b/src/bulrushcove/batch/endings.py
@@ -4,6 +4,7 @@
     Job,
     JobPhase,
     Seat,
+    SeatPhase,
     Unit,
     UnitPhase,
     is_complete,
@@ -48,7 +49,7 @@
     if kind in _NEUTRAL or unit.phase is not UnitPhase.ACTIVE:
         return []
     unit.is_broken = True
-    return list(unit.seats.values())
+    return _not_stopping(unit)
 
 
 def _close_run(unit: Unit, now_s: float) -> None:
@@ -86,4 +87,12 @@
     """Return what still runs for a job that failed or was cancelled."""
     if job.phase not in {JobPhase.FAILED, JobPhase.CANCELLED}:
         return []
-    return [seat for unit in job.units for seat in unit.seats.values()]
+    return [seat for unit in job.units for seat in _not_stopping(unit)]
+
+
+def _not_stopping(unit: Unit) -> list[Seat]:
+    return [
+        seat
+        for seat in unit.seats.values()
+        if seat.phase is not SeatPhase.STOPPING
+    ]
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -16,6 +16,7 @@
 from .estimates import Estimates
 from .exceptions import JobConflictError
 from .ids import PoolName, QueueName
+from .leaving import cannot_end
 from .model import JobSpec
 from .passes import Pass, make_pass
 from .policy import Standing
@@ -41,6 +42,8 @@
 
     # Jobs whose progress has changed and must be stored first.
     changed: list[Job] = msgspec.field(default_factory=list)
+    # Those of them that have just ended.
+    ended: list[Job] = msgspec.field(default_factory=list)
     starts: list[Seat] = msgspec.field(default_factory=list)
     stops: list[Seat] = msgspec.field(default_factory=list)
 
@@ -113,6 +116,11 @@
         # Its own reports decide on which life it is in.
         if worker.is_adopted:
             entry = msgspec.structs.replace(entry, born_unix_ms=born_unix_ms)
+        if entry.is_leaving and worker.entry.is_leaving:
+            # The time that is left counts from the first notice.
+            entry = msgspec.structs.replace(
+                entry, leaves_in_ms=worker.entry.leaves_in_ms
+            )
         worker.entry = entry
         worker.is_listed = True
         return worker
@@ -152,8 +160,11 @@
         for end in ends:
             self._learn(end, now_s)
             job = end.seat.unit.job
+            was_over = job.has_ended
             plan.stops.extend(apply_end(end, unix_ms, now_s))
             changed[job.id] = job
+            if job.has_ended and not was_over:
+                plan.ended.append(job)
         plan.changed = list(changed.values())
         return plan
 
@@ -181,6 +192,7 @@
         for seat in standing_still(self, now_s):
             self.trust.note_standstill(seat.worker, now_s)
             plan.stops.append(seat)
+        plan.stops.extend(cannot_end(self, now_s))
         return plan
 
     def forget_ended(self, now_s: float) -> list[JobId]:
--- a/src/bulrushcove/batch/estimates.py
+++ b/src/bulrushcove/batch/estimates.py
@@ -18,6 +18,8 @@
 DEFAULT_MS = 5000
 # A run that did not begin from the start says little about the whole.
 WHOLE_PERCENT = 100
+# From here on the rate of a run says more than the mean of its queue.
+MIN_RATE_PERCENT = 10
 # Work of a service step is counted as if it ended after this time.
 SERVICE_MS = 10_000
 
@@ -66,8 +68,17 @@
         whole_ms = self.task_ms(unit.job.spec.terms.queue, unit.spec)
         if unit.phase is not UnitPhase.ACTIVE or not unit.seats:
             return whole_ms
-        percent = min(seat.percent for seat in unit.seats.values())
-        return whole_ms * (1 - percent / WHOLE_PERCENT)
+        seats = unit.seats.values()
+        percent = min(seat.percent for seat in seats)
+        left = 1 - percent / WHOLE_PERCENT
+        if percent < MIN_RATE_PERCENT:
+            return whole_ms * left
+        # The rate so far also tells of slow workers and distant data.
+        took_s = max(
+            seat.progress_s - (seat.confirmed_s or seat.progress_s)
+            for seat in seats
+        )
+        return took_s * MS_PER_S * left / (1 - left)
 
     def objective_s(self, job: Job) -> float:
         """Return the seconds within which ``job`` is on time."""
--- /dev/null
+++ b/src/bulrushcove/batch/leaving.py
@@ -0,0 +1,39 @@
+"""Runs on workers that leave.
+
+Answers drained workers, taken-away machines and their short notices: what
+cannot end before its worker is gone is stopped early, so that it goes on
+elsewhere, from its checkpoint where it has one; what can is left to end.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .model import MS_PER_S
+from .progress import Seat, SeatPhase
+
+if TYPE_CHECKING:
+    from .engine import Engine
+    from .workers import Worker
+
+# Most workers stay for some seconds after the time that they announce.
+STAYS_LONGER_S = 2.0
+
+
+def cannot_end(engine: Engine, now_s: float) -> list[Seat]:
+    """Return the seats whose worker will be gone before they end."""
+    doomed = []
+    for worker in engine.workers.values():
+        if not worker.entry.is_leaving or not worker.is_listed:
+            continue
+        stays_s = _stays_s(worker, now_s)
+        for seat in worker.seats.values():
+            left_s = engine.estimates.left_ms(seat.unit) / MS_PER_S
+            if seat.phase is SeatPhase.LIVE and left_s > stays_s:
+                doomed.append(seat)
+    return doomed
+
+
+def _stays_s(worker: Worker, now_s: float) -> float:
+    announced_s = worker.entry.leaves_in_ms / MS_PER_S
+    return worker.leaving_since_s + announced_s + STAYS_LONGER_S - now_s
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -32,6 +32,10 @@
     on_probation: bool = False
 
 
+# A worker and how many tasks it takes.
+_Fit = tuple[Candidate, int]
+
+
 def fitting_tasks(candidate: Candidate, step: StepSpec, placed: int = 0) -> int:
     """Return how many tasks of ``step`` the candidate takes now."""
     if step.required_label and step.required_label not in candidate.labels:
@@ -82,13 +86,13 @@
 
 def _rack_choices(
     unit: Unit,
-    usable: list[tuple[Candidate, int]],
+    usable: list[_Fit],
     candidates: Sequence[Candidate],
     may_go_far: bool,
-) -> list[list[tuple[Candidate, int]]]:
+) -> list[list[_Fit]]:
     """Return the groups of workers to try, the best first."""
     step = unit.spec
-    by_rack: dict[RackId, list[tuple[Candidate, int]]] = defaultdict(list)
+    by_rack: dict[RackId, list[_Fit]] = defaultdict(list)
     for candidate, count in usable:
         by_rack[candidate.rack].append((candidate, count))
     racks = {candidate.rack for candidate in candidates}
@@ -122,17 +126,22 @@
     return any(total >= unit.size for total in totals.values())
 
 
-def _room_of(group: list[tuple[Candidate, int]]) -> float:
+def _room_of(group: list[_Fit]) -> float:
     return sum(candidate.room.weight_cores for candidate, _ in group)
 
 
 def _fill(
-    group: list[tuple[Candidate, int]], step: StepSpec, size: int
+    group: list[_Fit], step: StepSpec, size: int
 ) -> list[Candidate] | None:
     if sum(count for _, count in group) < size:
         return None
     needed = step.room
-    group = sorted(group, key=lambda pair: _fit_key(pair[0], needed))
+    free_by_rack = _free_by_rack(group)
+
+    def fit(pair: _Fit) -> tuple[float, ...]:
+        return _fit_key(pair[0], needed, free_by_rack[pair[0].rack])
+
+    group = sorted(group, key=fit)
     chosen: list[Candidate] = []
     for candidate, count in group:
         chosen.extend([candidate] * min(count, size - len(chosen)))
@@ -141,12 +150,26 @@
     return None
 
 
-def _fit_key(candidate: Candidate, needed: TaskSize) -> tuple[float, ...]:
-    """Sort the fullest worker first; with no accelerators by processor."""
+def _free_by_rack(group: list[_Fit]) -> dict[RackId, int]:
+    free: dict[RackId, int] = defaultdict(int)
+    for candidate, _ in group:
+        free[candidate.rack] += candidate.room.accelerators
+    return free
+
+
+def _fit_key(
+    candidate: Candidate, needed: TaskSize, rack_free: int
+) -> tuple[float, ...]:
+    """Sort the fullest rack first, and in it the fullest worker.
+
+    Without accelerators the processor decides.
+    """
     room = candidate.room
     if needed.accelerators:
-        return (candidate.is_suspect, room.accelerators, room.cpu_millicores)
-    return (candidate.is_suspect, room.cpu_millicores, room.memory_mb)
+        left = (room.accelerators, room.cpu_millicores)
+    else:
+        left = (room.cpu_millicores, room.memory_mb)
+    return (candidate.is_suspect, rack_free, *left)
 
 
 def _times(room: TaskSize, needed: TaskSize) -> int:
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -109,6 +109,13 @@
         """Return the worker's id."""
         return self.entry.worker
 
+    def is_same_as_listed(self, entry: WorkerEntry) -> bool:
+        """Return whether ``entry`` says nothing new."""
+        known = msgspec.structs.replace(
+            self.entry, leaves_in_ms=entry.leaves_in_ms
+        )
+        return self.is_listed and known == entry
+
     def room(self) -> TaskSize:
         """Return what is surely free."""
         free = self.entry.capacity
--- a/src/bulrushcove/node/feed.py
+++ b/src/bulrushcove/node/feed.py
@@ -30,8 +30,12 @@
         store: SharedStore,
         prefix: str,
         on_change: Callable[[Contents, frozenset[str]], None],
+        pause_s: float = 0,
     ) -> None:
-        """Call ``on_change`` with all contents and the keys that changed."""
+        """Call ``on_change`` with all contents and the keys that changed.
+
+        News are gathered for ``pause_s`` where they come often.
+        """
         super().__init__()
         self.contents: Contents = {}
         # Revision up to which the contents are known; zero: never read.
@@ -41,6 +45,7 @@
         self._store = store
         self._prefix = prefix
         self._on_change = on_change
+        self._pause_s = pause_s
 
     @Service.task
     async def _run(self) -> None:
@@ -75,6 +80,8 @@
             for removed in news.removed:
                 self._remove(removed.key, news.written, removed.mod_revision)
             self._on_change(self.contents, frozenset(changed))
+            if self._pause_s:
+                await self.sleep(self._pause_s)
         elif loop.time() - asked_s < RETRY_S:
             await self.sleep(RELAYED_PAUSE_S)
 
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -45,6 +45,9 @@
 # Without news the waiting work is looked at this often.
 TICK_S = 0.25
 LOAD_RETRY_S = 0.2
+# Every worker writes its entry each second or two: news are taken together,
+# well within the three seconds in which a leaving worker must be known.
+WORKERS_PAUSE_S = 0.6
 MS_PER_S = 1000
 _DRIFT_MARGIN = 1.02
 
@@ -77,6 +80,7 @@
         self._metrics = metrics
         self._journal = Journal(store, tenure, holder, clock)
         self._links: dict[WorkerId, WorkerLink] = {}
+        self._lease_ms = min(LEASE_MS, settings.max_lease_ms)
         self._news = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._submitting: dict[JobId, asyncio.Future[None]] = {}
@@ -229,7 +233,12 @@
     @Service.task
     async def _run(self) -> None:
         await self._load()
-        feed = Feed(self._store, self.workers_prefix, self._note_workers)
+        feed = Feed(
+            self._store,
+            self.workers_prefix,
+            self._note_workers,
+            pause_s=WORKERS_PAUSE_S,
+        )
         await self.add_runtime_dependency(feed)
         while not self.should_stop:
             try:
@@ -263,8 +272,10 @@
         for item in found:
             self._journal.revisions[item.key] = item.mod_revision
         restored = self._restore(jobs.found, progress.found)
-        lease_s = self._settings.max_lease_ms / MS_PER_S * _DRIFT_MARGIN
-        self.engine.restore(restored, self._now_s() + AUTHORITY_S + lease_s)
+        lease_s = self._lease_ms / MS_PER_S * _DRIFT_MARGIN
+        if not self._tenure.predecessor_is_over:
+            lease_s += AUTHORITY_S
+        self.engine.restore(restored, self._now_s() + lease_s)
         self.is_loaded = True
         log_event(
             logger,
@@ -323,6 +334,9 @@
                     log_event(logger, 'worker.unlisted', worker=worker_id)
                 self.engine.note_unlisted(worker_id, self._now_s())
                 continue
+            known = self.engine.workers.get(worker_id)
+            if known is not None and known.is_same_as_listed(entry):
+                continue
             worker = self.engine.note_entry(entry, self._now_s())
             log_event(
                 logger,
@@ -343,7 +357,7 @@
             self.make_port(worker.id, worker.entry.address),
             self,
             epoch=self._holder.epoch,
-            lease_ms=min(LEASE_MS, self._settings.max_lease_ms),
+            lease_ms=self._lease_ms,
             clock=self._clock,
         )
         self._links[worker.id] = link
@@ -373,8 +387,8 @@
         stored = []
         for job in plan.changed:
             stored.append(self._put_progress(job))
-            if job.has_ended:
-                self._note_ended(job, stored[-1])
+        for ended in plan.ended:
+            self._note_ended(ended)
         self._stop(plan.stops)
         if plan.starts:
             self._spawn(self._start(plan.starts, stored))
@@ -417,11 +431,10 @@
         if link is not None:
             link.wake()
 
-    def _note_ended(self, job: Job, stored: asyncio.Future[None]) -> None:
-        if stored.done() or job.id in self._unstored:
-            return
+    def _note_ended(self, job: Job) -> None:
         self._log_job('job.ended', job)
         self._unstored.add(job.id)
+        stored = self._put_progress(job)
         stored.add_done_callback(lambda _: self._unstored.discard(job.id))
 
     def _put_progress(self, job: Job) -> asyncio.Future[None]:
--- a/src/bulrushcove/node/tenure.py
+++ b/src/bulrushcove/node/tenure.py
@@ -55,11 +55,18 @@
         self.on_lost: Callable[[str], Awaitable[None]] = _ignore
         # Set when this VM has a holder to turn to.
         self.is_leaving = False
+        # Whether the holder before is known to have ended, so that it can
+        # give no more orders or leases.
+        self.predecessor_is_over = False
         self._settings = settings
         self._store = store
         self._peers = peers
         self._clock = clock
         self._sight = Sight()
+        # Epoch of the last holder that is known to have ended.
+        self._over_epoch = Epoch(0)
+        # Epoch of the last record that was read.
+        self._seen_epoch = Epoch(0)
         self._is_active = False
         self._proof_s = 0.0
         self._round_trip_s = _FIRST_ROUND_TRIP_S
@@ -92,6 +99,8 @@
     def note_hand_over(self, epoch: Epoch) -> None:
         """The holder of ``epoch`` has left."""
         if self.holder is not None and self.holder.epoch == epoch:
+            self._sight.is_dead = True
+            self._over_epoch = epoch
             self.holder = None
             self._wake.set()
 
@@ -216,6 +225,7 @@
                 holder.address, ping, Pong, PING_TIMEOUT_S
             )
         except PeerRefusedError:
+            # A cut may refuse as well, so the process is not surely over.
             self._sight.is_dead = True
             return
         except PeerUnreachableError:
@@ -223,6 +233,7 @@
             return
         if peer.incarnation != holder.incarnation:
             self._sight.is_dead = True
+            self._over_epoch = holder.epoch
             return
         self._peers.learn(pong.addresses)
         self._sight.note_heard(is_active=pong.is_active, now_s=now_s())
@@ -263,6 +274,7 @@
             # A write of this VM whose answer was lost.
             await self._begin(holder, asked_s)
             return
+        self._seen_epoch = holder.epoch
         if replace is not None and replace.epoch == holder.epoch:
             await self._campaign(holder)
             return
@@ -310,6 +322,9 @@
     async def _begin(self, holder: Holder, proof_s: float) -> None:
         if self.is_leaving:
             return
+        self.predecessor_is_over = (
+            self._seen_epoch > 0 and self._seen_epoch == self._over_epoch
+        )
         self.holder = holder
         self._sight = Sight()
         self._is_active = True
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -28,13 +28,15 @@
 START_TTL_MS = 1500
 # How long a report waits for an end. Half of a lease must be left after it.
 REPORT_WAIT_MS = 1500
+# Lease of a worker that leaves: once it is silent, what it ran goes on
+# elsewhere after this.
+LEAVING_LEASE_MS = 3000
 # While the outcome of an order is open.
 SHORT_WAIT_MS = 250
 # Ends are confirmed once stored; a report does not wait longer for that.
 STORING_WAIT_S = 0.4
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
-STOP_TRIES = 4
 # Time between two orders to stop the same run.
 STOP_AGAIN_S = 0.7
 
@@ -180,7 +182,10 @@
         sent_s = self._clock.monotonic_s()
         lease_end_ms = None
         if worker.is_adopted:
-            lease_end_ms = worker.clock_at(sent_s) + self._lease_ms
+            lease_ms = self._lease_ms
+            if worker.entry.is_leaving:
+                lease_ms = min(lease_ms, LEAVING_LEASE_MS)
+            lease_end_ms = worker.clock_at(sent_s) + lease_ms
             worker.note_grant(lease_end_ms)
         stored_end = worker.stored_end
         try:
@@ -273,7 +278,7 @@
         self.wake()
 
     async def _stop(self, seat: Seat) -> None:
-        for _ in range(STOP_TRIES):
+        while seat.ref in self.worker.seats:
             answer = await self.port.stop(self._epoch, seat.ref)
             self._log_order('run.stop', seat, answer)
             if answer.outcome is OrderOutcome.DONE:
@@ -282,8 +287,6 @@
             if answer.outcome is OrderOutcome.FENCED:
                 self._events.note_fenced(self.worker)
                 break
-            if seat.ref not in self.worker.seats:
-                break
             await asyncio.sleep(STOP_AGAIN_S)
         self.wake()
 
