Refusals at once while the store is away; a silent holder is replaced sooner

Cause: submissions were held to their deadline through a store outage and answered 504; a holder without power was missed for its whole lease.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -90,6 +90,18 @@
         self.active[job.id] = job
         return job, True
 
+    def drop(self, job: Job) -> None:
+        """Forget ``job``, of which nothing was stored or sent."""
+        self.jobs.pop(job.id, None)
+        self.active.pop(job.id, None)
+        job.phase = JobPhase.CANCELLED
+        for unit in job.units:
+            for seat in unit.seats.values():
+                worker = self.workers.get(seat.worker)
+                if worker is not None:
+                    worker.seats.pop(seat.ref, None)
+            unit.seats.clear()
+
     def cancel(self, job: Job, *, unix_ms: int, now_s: float) -> list[Seat]:
         """Cancel ``job``; returns the seats to stop."""
         return cancel_job(job, unix_ms, now_s)
--- a/src/bulrushcove/node/desk.py
+++ b/src/bulrushcove/node/desk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -223,10 +224,10 @@
         self, holder: Holder, question: Submit
     ) -> Submitted:
         """Hand in through a VM that may hear the scheduler."""
-        for address in self._peers.known:
-            if address != holder.address:
-                return await self._submit_by(address, question)
-        return Submitted(SubmitOutcome.NOT_ACTIVE)
+        others = [*self._peers.known - {holder.address}]
+        if not others:
+            return Submitted(SubmitOutcome.NOT_ACTIVE)
+        return await self._submit_by(random.choice(others), question)
 
     async def _ask_scheduler(
         self,
--- a/src/bulrushcove/node/journal.py
+++ b/src/bulrushcove/node/journal.py
@@ -26,11 +26,15 @@
 # The store takes 32 entries a transaction: a condition and a value for each
 # write, and the condition on the tenure.
 MAX_WRITES = 15
-RETRY_S = 0.1
+RETRY_S = 0.15
 
 logger = logging.getLogger(__name__)
 
 
+class WithdrawnError(BulrushcoveError):
+    """The write was taken back before the store can have done it."""
+
+
 class TenureLostError(BulrushcoveError):
     """Another VM is the active scheduler; the write had no effect."""
 
@@ -38,6 +42,8 @@
 class _Pending(msgspec.Struct, eq=False):
     value: bytes | None
     stored: asyncio.Future[None]
+    # A call that carried it brought no answer.
+    may_be_stored: bool = False
 
 
 class Journal(Service):
@@ -56,6 +62,10 @@
         self._holder = holder
         self._clock = clock
         self._pending: dict[str, _Pending] = {}
+        # The writes of the transaction under way.
+        self._batch: dict[str, _Pending] = {}
+        self._is_calling = False
+        self._failing_since_s = 0.0
         self._news = asyncio.Event()
         self._is_deposed = False
 
@@ -64,6 +74,39 @@
         """Return how many writes wait."""
         return len(self._pending)
 
+    @property
+    def failing_s(self) -> float:
+        """Return for how long the store has taken no write."""
+        if not self._failing_since_s:
+            return 0.0
+        return self._clock.monotonic_s() - self._failing_since_s
+
+    def withdraw(self, keys: tuple[str, ...]) -> bool:
+        """Take back the writes of ``keys`` if none can have been done.
+
+        Only a store that refuses allows it: a call without an answer may
+        still be carried out.
+        """
+        found = []
+        for key in keys:
+            in_batch = self._batch.get(key)
+            if in_batch is not None and (
+                self._is_calling or in_batch.may_be_stored
+            ):
+                return False
+            found.extend(
+                pending
+                for pending in (in_batch, self._pending.get(key))
+                if pending is not None
+            )
+        for key in keys:
+            self._batch.pop(key, None)
+            self._pending.pop(key, None)
+        for pending in found:
+            if not pending.stored.done():
+                pending.stored.set_exception(WithdrawnError('taken back'))
+        return bool(found)
+
     def put(self, key: str, value: bytes | None) -> asyncio.Future[None]:
         """Write ``value`` (None: delete); the future ends when it is stored.
 
@@ -96,8 +139,8 @@
             self._news.clear()
             while self._pending and not self._is_deposed:
                 keys = tuple(self._pending)[:MAX_WRITES]
-                batch = {key: self._pending.pop(key) for key in keys}
-                await self._store_batch(batch)
+                self._batch = {key: self._pending.pop(key) for key in keys}
+                await self._store_batch(self._batch)
 
     async def _store_batch(self, batch: dict[str, _Pending]) -> None:
         while batch and not self._is_deposed:
@@ -105,12 +148,15 @@
             try:
                 answer = await self._commit(batch)
             except StoreOutcomeUnknownError as exc:
-                self._log_failure('journal.answer_lost', exc, batch)
+                self._note_failure('journal.answer_lost', exc, batch)
+                for pending in batch.values():
+                    pending.may_be_stored = True
                 continue
             except StoreError as exc:
-                self._log_failure('journal.unavailable', exc, batch)
+                self._note_failure('journal.unavailable', exc, batch)
                 await asyncio.sleep(RETRY_S)
                 continue
+            self._failing_since_s = 0.0
             if answer.written:
                 self._tenure.note_proof(asked_s)
                 self._settle(batch, answer.store_revision)
@@ -129,7 +175,11 @@
             for key, pending in batch.items()
         )
         check = Check(TENURE_KEY, self._holder.epoch)
-        return await self._store.commit(writes, (check,))
+        self._is_calling = True
+        try:
+            return await self._store.commit(writes, (check,))
+        finally:
+            self._is_calling = False
 
     def _settle(self, batch: dict[str, _Pending], revision: int) -> None:
         for key, pending in batch.items():
@@ -151,9 +201,11 @@
                 batch.pop(key)
         return True
 
-    def _log_failure(
+    def _note_failure(
         self, event: str, exc: StoreError, batch: dict[str, _Pending]
     ) -> None:
+        if not self._failing_since_s:
+            self._failing_since_s = self._clock.monotonic_s()
         log_event(
             logger,
             event,
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from ..batch.engine import Engine, Plan
-from ..batch.exceptions import RecordError
+from ..batch.exceptions import JobRefusedError, RecordError
 from ..batch.ids import QueueName
 from ..batch.model import JobSpec
 from ..batch.orders import OrderOutcome
@@ -29,7 +29,7 @@
 from ..logs import log_event
 from ..store import SharedStore, StoredValue
 from .feed import Contents, Feed
-from .journal import Journal, TenureLostError
+from .journal import Journal, TenureLostError, WithdrawnError
 from .keys import JOBS_PREFIX, PROGRESS_PREFIX, job_key, progress_key
 from .messages import Holder
 from .metrics import NodeMetrics
@@ -45,6 +45,12 @@
 # Without news the waiting work is looked at this often.
 TICK_S = 0.25
 LOAD_RETRY_S = 0.2
+# While the store takes no write, nothing can be accepted: submissions are
+# refused after this, so that callers come back when it may have returned.
+STORE_PATIENCE_S = 0.4
+STORE_CHECK_S = 0.1
+STORE_AWAY_RETRY_S = 1.0
+STORE_AWAY = 'the store takes no records now'
 # Every worker writes its entry each second or two: news are taken together,
 # well within the three seconds in which a leaving worker must be known.
 WORKERS_PAUSE_S = 0.6
@@ -111,6 +117,9 @@
         ``TenureLostError``.
         """
         engine = self.engine
+        is_away = self._journal.failing_s > STORE_PATIENCE_S
+        if is_away and spec.job not in engine.jobs:
+            raise JobRefusedError(STORE_AWAY, STORE_AWAY_RETRY_S)
         job, is_new = engine.submit(
             spec, unix_ms=self._clock.unix_ms(), now_s=self._now_s()
         )
@@ -126,7 +135,28 @@
             self._pass()
         waiting = self._submitting.get(job.id)
         if waiting is not None:
-            await asyncio.shield(waiting)
+            await self._wait_for_storing(job, waiting)
+
+    async def _wait_for_storing(
+        self, job: Job, stored: asyncio.Future[None]
+    ) -> None:
+        """Wait until ``job`` is stored; refuse it while the store is away."""
+        keys = (job_key(job.id), progress_key(job.id))
+        while not stored.done():
+            await asyncio.wait((stored,), timeout=STORE_CHECK_S)
+            is_away = self._journal.failing_s > STORE_PATIENCE_S
+            if is_away and not stored.done() and self._journal.withdraw(keys):
+                self._drop(job)
+        try:
+            await asyncio.shield(stored)
+        except WithdrawnError as exc:
+            raise JobRefusedError(STORE_AWAY, STORE_AWAY_RETRY_S) from exc
+
+    def _drop(self, job: Job) -> None:
+        """Forget a job that was never stored; nothing of it was sent."""
+        self.engine.drop(job)
+        self._log_job('job.withdrawn', job)
+        self._news.set()
 
     async def cancel(self, job_id: JobId, organisation: OrganisationId) -> bool:
         """Cancel a job, durably; false: there is no such job."""
@@ -399,7 +429,7 @@
         """Send starts once their records are stored."""
         try:
             await asyncio.gather(*(asyncio.shield(one) for one in stored))
-        except TenureLostError:
+        except (TenureLostError, WithdrawnError):
             return
         for seat in seats:
             link = self._links.get(seat.worker)
@@ -423,7 +453,7 @@
             await asyncio.gather(
                 *(asyncio.shield(self._put_progress(job)) for job in changed)
             )
-        except TenureLostError:
+        except (TenureLostError, WithdrawnError):
             return
         if worker.entry.born_unix_ms == life:
             worker.stored_end = max(worker.stored_end, number)
--- a/src/bulrushcove/node/tenure.py
+++ b/src/bulrushcove/node/tenure.py
@@ -25,8 +25,9 @@
 # Lease of the holder's record: how long a VM without power is missed.
 LEASE_MS = 2500
 RENEW_S = 0.6
-PING_S = 0.5
-PING_TIMEOUT_S = 0.6
+PING_S = 0.4
+# A round trip between the farthest VMs takes 60 ms.
+PING_TIMEOUT_S = 0.45
 # While there is no holder.
 SEARCH_S = 0.15
 # How long a scheduler acts on its last proof of tenure. Long enough to keep
