Silent workers get no longer lease; time limits follow the store's answers

Cause: each unanswered report asked for a later lease end, so a silent or reborn worker's runs were never known to have lapsed (LOST 6 on workers-reborn-behind-a-cut). A fixed 0.9 s limit held up all records at each lost answer.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -180,21 +180,27 @@
         plan.changed = list(changed.values())
         return plan
 
+    def end_life(self, worker: Worker, *, unix_ms: int, now_s: float) -> Plan:
+        """End whatever ran on ``worker``, whose process is gone."""
+        ends = [SeatEnd(seat, EndKind.LOST) for seat in worker.seats.values()]
+        worker.seats.clear()
+        worker.strays.clear()
+        # What it says next is taken as of a new scheduler.
+        worker.is_adopted = False
+        return self.end_seats(ends, unix_ms=unix_ms, now_s=now_s)
+
     def expire(self, *, unix_ms: int, now_s: float) -> Plan:
         """End what silent workers cannot be running any more."""
-        ends = []
-        for worker in self.workers.values():
+        plan = Plan()
+        for worker in tuple(self.workers.values()):
             if not worker.seats or now_s <= worker.lapses_s:
                 continue
             if worker.missed_calls or not worker.is_adopted:
-                ends.extend(
-                    SeatEnd(seat, EndKind.LOST)
-                    for seat in worker.seats.values()
-                )
-                worker.seats.clear()
-                # What it says next is taken as of a new scheduler.
-                worker.is_adopted = False
-        return self.end_seats(ends, unix_ms=unix_ms, now_s=now_s)
+                over = self.end_life(worker, unix_ms=unix_ms, now_s=now_s)
+                plan.changed.extend(over.changed)
+                plan.ended.extend(over.ended)
+                plan.stops.extend(over.stops)
+        return plan
 
     def plan(self, *, unix_ms: int, now_s: float) -> Plan:
         """Place what waits, and choose what is stopped for urgent work."""
--- a/src/bulrushcove/node/relay.py
+++ b/src/bulrushcove/node/relay.py
@@ -32,6 +32,8 @@
 RELAY_TIMEOUT_S = 1.3
 # Peers asked before a call is given up.
 MAX_RELAYS = 2
+# Single answers may be lost; after this many a peer is asked.
+MAX_UNANSWERED = 3
 
 Answer = TypeVar('Answer')
 
@@ -47,6 +49,8 @@
         self._peers = peers
         self._clock = clock
         self._direct_from_s = 0.0
+        # Changing calls in a row without an answer.
+        self._unanswered = 0
 
     @property
     def is_direct(self) -> bool:
@@ -119,15 +123,18 @@
         if self._clock.monotonic_s() >= self._direct_from_s:
             try:
                 answer = await direct()
-            except (StoreUnavailableError, StoreOutcomeUnknownError) as exc:
+            except StoreUnavailableError as exc:
                 failure = exc
                 self._note_lost(exc)
+            except StoreOutcomeUnknownError as exc:
+                # Repeating it is for the caller, who knows what that means.
+                self._unanswered += 1
+                if self._unanswered >= MAX_UNANSWERED:
+                    self._note_lost(exc)
+                raise
             else:
                 self._note_direct()
                 return answer
-        if isinstance(failure, StoreOutcomeUnknownError):
-            # Repeating it is for the caller, who knows what it would mean.
-            raise failure
         return unpack(await self._relay(call, failure))
 
     async def _relay(
@@ -156,6 +163,7 @@
         self._direct_from_s = self._clock.monotonic_s() + DIRECT_PAUSE_S
 
     def _note_direct(self) -> None:
+        self._unanswered = 0
         if self._direct_from_s:
             log_event(logger, 'store.regained')
         self._direct_from_s = 0.0
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -255,6 +255,14 @@
         if worker.missed_calls == 1:
             self._news.set()
 
+    def note_gone(self, worker: Worker) -> None:
+        """Another instance has the worker's address: its life is over."""
+        plan = self.engine.end_life(
+            worker, unix_ms=self._clock.unix_ms(), now_s=self._now_s()
+        )
+        self._apply(plan)
+        self._news.set()
+
     def note_fenced(self, worker: Worker) -> None:
         """A worker has seen a higher epoch."""
         reason = f'worker {worker.id} has seen a higher epoch'
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -20,6 +20,7 @@
 from ..batch.progress import Seat, SeatPhase
 from ..batch.workers import EndKind, Worker, WorkerReport
 from ..clock import Clock
+from ..exceptions import WorkerError
 from ..ids import Epoch
 from ..logs import log_event
 
@@ -31,6 +32,8 @@
 # Lease of a worker that leaves: once it is silent, what it ran goes on
 # elsewhere after this.
 LEAVING_LEASE_MS = 3000
+# After as many calls without an answer no longer lease is asked for.
+SILENT_CALLS = 1
 # While the outcome of an order is open.
 SHORT_WAIT_MS = 250
 # Ends are confirmed once stored; a report does not wait longer for that.
@@ -89,6 +92,9 @@
     def note_silent(self, worker: Worker) -> None:
         """A call brought no answer."""
 
+    def note_gone(self, worker: Worker) -> None:
+        """Another instance answers at the worker's address."""
+
     def note_fenced(self, worker: Worker) -> None:
         """The worker has seen a higher epoch."""
 
@@ -181,7 +187,9 @@
         await self._wait_for_storing()
         sent_s = self._clock.monotonic_s()
         lease_end_ms = None
-        if worker.is_adopted:
+        # A silent worker may carry out each call later: without longer
+        # leases it is known when its runs have lapsed.
+        if worker.is_adopted and worker.missed_calls < SILENT_CALLS:
             lease_ms = self._lease_ms
             if worker.entry.is_leaving:
                 lease_ms = min(lease_ms, LEAVING_LEASE_MS)
@@ -198,22 +206,30 @@
         except WorkerFencedError:
             self._events.note_fenced(worker)
             return False
-        except (WorkerCallError, WorkerGoneError) as exc:
-            worker.missed_calls += 1
-            log_event(
-                logger,
-                'worker.silent',
-                worker=worker.id,
-                missed=worker.missed_calls,
-                error=exc,
-            )
-            self._events.note_silent(worker)
+        except WorkerGoneError as exc:
+            self._note_silent(exc)
+            self._events.note_gone(worker)
+            return False
+        except WorkerCallError as exc:
+            self._note_silent(exc)
             return False
         is_same_life = report.born_unix_ms == worker.entry.born_unix_ms
         self.confirmed_end = stored_end if is_same_life else 0
         self._events.note_report(worker, report, sent_s)
         return True
 
+    def _note_silent(self, exc: WorkerError) -> None:
+        worker = self.worker
+        worker.missed_calls += 1
+        log_event(
+            logger,
+            'worker.silent',
+            worker=worker.id,
+            missed=worker.missed_calls,
+            error=exc,
+        )
+        self._events.note_silent(worker)
+
     async def _wait_for_storing(self) -> None:
         """Let the ends that were seen be stored, so that they are confirmed."""
         worker = self.worker
--- a/src/bulrushcove/platform/program.py
+++ b/src/bulrushcove/platform/program.py
@@ -35,8 +35,9 @@
         sys.stderr.write(f'bulrushcove-node: {exc}\n')
         sys.exit(EXIT_USAGE)
     setup_bounded_logs()
+    clock = SuspendAwareClock()
     around = Surroundings(
-        store=PlatformStore(settings.store_address),
+        store=PlatformStore(settings.store_address, clock),
         make_port=make_worker_port,
         decode_worker=decode_worker,
         workers_prefix=WORKERS_PREFIX,
@@ -46,7 +47,7 @@
         make_ready_handler=make_ready_handler,
         reload_settings=load_node_settings,
     )
-    application = NodeApplication(settings, around, SuspendAwareClock())
+    application = NodeApplication(settings, around, clock)
     worker = Worker(
         application,
         override_logging=False,
--- a/src/bulrushcove/platform/store.py
+++ b/src/bulrushcove/platform/store.py
@@ -3,15 +3,18 @@
 import base64
 import binascii
 from http import HTTPStatus
+from typing import Any
 
 import msgspec
 
+from ..clock import Clock
 from ..exceptions import (
     StoreError,
     StoreHistoryGoneError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from ..node.patience import Patience
 from ..store import (
     Changes,
     Check,
@@ -25,9 +28,6 @@
 from .exceptions import NoAnswerError, NotSentError, UndecodableError
 from .http_call import Endpoint, Reply, decode
 
-# An answer takes 4 ms and the farthest region 30 ms each way; a slow store
-# takes up to about a hundred times as long.
-CALL_TIMEOUT_S = 0.9
 # Beyond the time that a watch was asked to wait.
 WATCH_MARGIN_S = 0.7
 # Refusals that say that nothing was done.
@@ -81,9 +81,11 @@
 class PlatformStore:
     """Store port on the platform's store."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: Clock) -> None:
         """Call the store at ``address``."""
         self._endpoint = Endpoint(address)
+        self._clock = clock
+        self._patience = Patience()
 
     @property
     def calls(self) -> int:
@@ -197,14 +199,33 @@
         """End a lease and delete the keys that hang on it."""
         await self._write('DELETE', f'/api/kv-lease-end/{lease}', None)
 
+    async def _call(
+        self, method: str, path: str, *, timeout_s: float = 0, **parts: Any
+    ) -> Reply:
+        """Call within ``timeout_s``; zero: what answers usually take."""
+        if timeout_s:
+            return await self._endpoint.call(
+                method, path, timeout_s=timeout_s, **parts
+            )
+        began_s = self._clock.monotonic_s()
+        try:
+            reply = await self._endpoint.call(
+                method, path, timeout_s=self._patience.timeout_s, **parts
+            )
+        except NoAnswerError:
+            self._patience.note_silence()
+            raise
+        self._patience.note_answer(self._clock.monotonic_s() - began_s)
+        return reply
+
     async def _read(
         self,
         path: str,
         query: dict[str, str],
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float = 0,
     ) -> Reply:
         try:
-            reply = await self._endpoint.call(
+            reply = await self._call(
                 'GET', path, query=query, timeout_s=timeout_s
             )
         except (NotSentError, NoAnswerError) as exc:
@@ -221,9 +242,7 @@
         self, method: str, path: str, body: dict[str, object] | None
     ) -> Reply:
         try:
-            reply = await self._endpoint.call(
-                method, path, body=body, timeout_s=CALL_TIMEOUT_S
-            )
+            reply = await self._call(method, path, body=body)
         except NotSentError as exc:
             raise StoreUnavailableError(str(exc)) from exc
         except NoAnswerError as exc:
