--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -15,9 +15,11 @@
 from .endings import apply_end, cancel_job
 from .estimates import Estimates
 from .exceptions import JobConflictError
+from .headroom import Demand
 from .ids import PoolName, QueueName
 from .leaving import cannot_end
 from .model import JobSpec
+from .ordering import URGENT
 from .passes import Pass, make_pass
 from .policy import Standing
 from .progress import Job, JobPhase, Seat, new_job
@@ -60,6 +62,7 @@
         self.standing = Standing()
         self.estimates = Estimates()
         self.trust = Trust()
+        self.urgent_demand = Demand()
         self.reclaims: dict[int, tuple[Reclaim, float]] = {}
 
     def restore(self, jobs: Iterable[Job], lapses_s: float) -> None:
@@ -88,6 +91,8 @@
         job = new_job(spec, unix_ms, now_s)
         self.jobs[job.id] = job
         self.active[job.id] = job
+        if spec.terms.priority == URGENT:
+            self.urgent_demand.note(_accelerators(spec), now_s)
         return job, True
 
     def drop(self, job: Job) -> None:
@@ -318,6 +323,11 @@
         )
 
 
+def _accelerators(spec: JobSpec) -> int:
+    """Return what the widest step asks for at once."""
+    return max(step.task_count * step.size.accelerators for step in spec.steps)
+
+
 def _unwanted(confirmed: list[Seat]) -> list[Seat]:
     """Return runs that began though they are no longer wanted."""
     return [
@@ -339,4 +349,5 @@
             changed[unit.job.id] = unit.job
             continue
         plan.stops.extend(current.reclaim(unit))
+        current.hold(unit)
     plan.changed = list(changed.values())
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -6,7 +6,10 @@
 from typing import TYPE_CHECKING
 
 from ..ids import WorkerId
+from .headroom import GANG_PATIENCE_S, kept_workers
+from .holdback import HOLD_AFTER_S, MAX_HOLDS, soonest_places
 from .ids import PoolName
+from .model import MS_PER_S
 from .ordering import URGENT, waiting_key
 from .placement import FAR_PATIENCE_S, Candidate, find_places, take_room
 from .progress import (
@@ -24,6 +27,8 @@
 
 # Room that is being cleared is kept for its unit this long.
 RECLAIM_HOLD_S = 2.5
+# Smaller units find room among the small ones.
+MIN_HELD_ACCELERATORS = 4
 # Below this share in use a pool has room enough for tasks far from their rack.
 HALF = 0.5
 
@@ -45,6 +50,10 @@
         self._engine = engine
         self._candidates = candidates
         self._now_s = now_s
+        # Workers left to urgent work, by pool, as of the first other unit.
+        self._urgent_only: dict[PoolName, frozenset[WorkerId]] = {}
+        # Units that room is kept for.
+        self._holds = 0
         # Shapes that found no room, so that equal ones are not tried again.
         self._without_room: set[_Shape] = set()
         self._is_roomy = {
@@ -67,7 +76,7 @@
         )
         chosen = find_places(
             unit,
-            self._candidates.get(pool, []),
+            self._usable(unit),
             placed=_placed(unit),
             may_go_far=may_go_far,
         )
@@ -99,6 +108,55 @@
         take_room(found.places, unit.spec)
         return _stop(found)
 
+    def hold(self, unit: Unit) -> None:
+        """Keep room for ``unit`` where it will find it soonest."""
+        terms = unit.job.spec.terms
+        waited_s = self._now_s - unit.ready_s
+        if terms.priority == URGENT or waited_s < HOLD_AFTER_S:
+            return
+        if unit.size * unit.spec.size.accelerators < MIN_HELD_ACCELERATORS:
+            return
+        if self._holds >= MAX_HOLDS or unit.phase is not UnitPhase.WAITING:
+            return
+        self._holds += 1
+        openings = soonest_places(
+            unit,
+            self._candidates.get(terms.pool, []),
+            self._engine.workers,
+            self._engine.estimates,
+        )
+        for opening in openings:
+            opening.candidate.kept_in_s = openings[-1].in_s
+
+    def _usable(self, unit: Unit) -> list[Candidate]:
+        """Return the candidates that are not kept from ``unit``."""
+        terms = unit.job.spec.terms
+        group = self._candidates.get(terms.pool, [])
+        if terms.priority == URGENT:
+            return group
+        kept = self._kept_for_urgent(unit, group)
+        left_s = self._engine.estimates.left_ms(unit) / MS_PER_S
+        return [
+            candidate
+            for candidate in group
+            if candidate.worker not in kept
+            and (candidate.kept_in_s is None or left_s <= candidate.kept_in_s)
+        ]
+
+    def _kept_for_urgent(
+        self, unit: Unit, group: list[Candidate]
+    ) -> frozenset[WorkerId]:
+        pool = unit.job.spec.terms.pool
+        waited_s = self._now_s - unit.ready_s
+        if unit.size > 1 and waited_s > GANG_PATIENCE_S:
+            return frozenset()
+        if waited_s > FAR_PATIENCE_S and self._is_roomy.get(pool, False):
+            return frozenset()
+        if pool not in self._urgent_only:
+            rate = self._engine.urgent_demand.rate(self._now_s)
+            self._urgent_only[pool] = kept_workers(group, rate)
+        return self._urgent_only[pool]
+
     def _keep_reclaimed(self, unit: Unit) -> None:
         """Keep others off the room that is being cleared for ``unit``."""
         known = self._engine.reclaims.get(id(unit))
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -30,6 +30,8 @@
     is_suspect: bool = False
     # Takes one unit at a time.
     on_probation: bool = False
+    # Kept for a waiting unit from then on; None: for nobody.
+    kept_in_s: float | None = None
 
 
 # A worker and how many tasks it takes.
--- a/src/bulrushcove/node/desk.py
+++ b/src/bulrushcove/node/desk.py
@@ -83,6 +83,8 @@
                 raise JobConflictError(answer.message)
             if answer.outcome is SubmitOutcome.REFUSED:
                 raise JobRefusedError(answer.message, answer.retry_after_s)
+            if answer.outcome is SubmitOutcome.AWAY:
+                raise NotServingError(answer.message, answer.retry_after_s)
             if answer.outcome is SubmitOutcome.UNKNOWN:
                 may_be_taken = True
             elif self._clock.monotonic_s() > patience_s and not may_be_taken:
@@ -201,6 +203,8 @@
                 await scheduler.submit(question.spec)
         except JobRefusedError as exc:
             return Submitted(SubmitOutcome.REFUSED, str(exc), exc.retry_after_s)
+        except NotServingError as exc:
+            return Submitted(SubmitOutcome.AWAY, str(exc), exc.retry_after_s)
         except JobConflictError as exc:
             return Submitted(SubmitOutcome.CONFLICT, str(exc))
         except (TimeoutError, TenureLostError) as exc:
--- a/src/bulrushcove/node/messages.py
+++ b/src/bulrushcove/node/messages.py
@@ -55,6 +55,8 @@
     # Not accepted, and never will be.
     REFUSED = 'refused'
     CONFLICT = 'conflict'
+    # Not accepted: nothing can be stored now, whatever the load.
+    AWAY = 'away'
     # Whether it is or will be accepted is not known.
     UNKNOWN = 'unknown'
     NOT_ACTIVE = 'not-active'
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from ..batch.engine import Engine, Plan
-from ..batch.exceptions import JobRefusedError, RecordError
+from ..batch.exceptions import RecordError
 from ..batch.ids import QueueName
 from ..batch.model import JobSpec
 from ..batch.orders import OrderOutcome
@@ -28,6 +28,7 @@
 from ..ids import JobId, OrganisationId, WorkerId
 from ..logs import log_event
 from ..store import SharedStore, StoredValue
+from .exceptions import NotServingError
 from .feed import Contents, Feed
 from .journal import Journal, TenureLostError, WithdrawnError
 from .keys import JOBS_PREFIX, PROGRESS_PREFIX, job_key, progress_key
@@ -113,13 +114,13 @@
     async def submit(self, spec: JobSpec) -> None:
         """Accept ``spec``: it is stored when this returns.
 
-        Raises ``JobRefusedError``, ``JobConflictError`` or
-        ``TenureLostError``.
+        Raises ``JobRefusedError``, ``JobConflictError``,
+        ``NotServingError`` or ``TenureLostError``.
         """
         engine = self.engine
         is_away = self._journal.failing_s > STORE_PATIENCE_S
         if is_away and spec.job not in engine.jobs:
-            raise JobRefusedError(STORE_AWAY, STORE_AWAY_RETRY_S)
+            raise NotServingError(STORE_AWAY, STORE_AWAY_RETRY_S)
         job, is_new = engine.submit(
             spec, unix_ms=self._clock.unix_ms(), now_s=self._now_s()
         )
@@ -150,7 +151,7 @@
         try:
             await asyncio.shield(stored)
         except WithdrawnError as exc:
-            raise JobRefusedError(STORE_AWAY, STORE_AWAY_RETRY_S) from exc
+            raise NotServingError(STORE_AWAY, STORE_AWAY_RETRY_S) from exc
 
     def _drop(self, job: Job) -> None:
         """Forget a job that was never stored; nothing of it was sent."""
