Urgent units wait for room that frees by itself; stops are weighed against what they bring

Cause: most work thrown away came from stops for urgent jobs, some beyond any guarantee and some for room that was free half a second later.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -5,7 +5,6 @@
 records are stored before their starts are sent.
 """
 
-from collections import defaultdict
 from collections.abc import Iterable
 
 import msgspec
@@ -16,7 +15,7 @@
 from .estimates import Estimates
 from .exceptions import JobConflictError
 from .headroom import Demand
-from .ids import PoolName, QueueName
+from .ids import QueueName
 from .leaving import cannot_end
 from .model import JobSpec
 from .ordering import URGENT
@@ -254,15 +253,6 @@
             self.trust.forget(worker_id)
         return gone
 
-    def accelerators_by_pool(self) -> dict[PoolName, int]:
-        """Return the accelerators of all listed workers."""
-        totals: dict[PoolName, int] = defaultdict(int)
-        for worker in self.workers.values():
-            if worker.is_listed:
-                entry = worker.entry
-                totals[entry.pool] += entry.capacity.accelerators
-        return totals
-
     def guaranteed(self, organisation: OrganisationId) -> int:
         """Return the accelerators that ``organisation`` is guaranteed."""
         policy = self.standing.policy
@@ -271,6 +261,21 @@
                 return known.guaranteed_accelerators
         return 0
 
+    def is_guaranteed(self, job: Job) -> bool:
+        """Return whether the guarantee covers all urgent jobs like it.
+
+        Counts those of its organisation that have not ended.
+        """
+        organisation = job.spec.terms.organisation
+        needed = sum(
+            _accelerators(other.spec)
+            for other in self.active.values()
+            if not other.has_ended
+            and other.spec.terms.organisation == organisation
+            and other.spec.terms.priority == URGENT
+        )
+        return needed <= self.guaranteed(organisation)
+
     def _learn(self, end: SeatEnd, now_s: float) -> None:
         seat = end.seat
         unit = seat.unit
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -19,7 +19,7 @@
     UnitPhase,
     units_whose_turn_came,
 )
-from .reclaim import Reclaim, plan_reclaim
+from .reclaim import Reclaim, is_worth_it, plan_reclaim
 from .workers import Worker
 
 if TYPE_CHECKING:
@@ -27,6 +27,9 @@
 
 # Room that is being cleared is kept for its unit this long.
 RECLAIM_HOLD_S = 2.5
+# An urgent unit waits for room that others leave by themselves this long; it
+# still starts within its bound if they do not.
+NATURAL_WAIT_S = 0.8
 # Smaller units find room among the small ones.
 MIN_HELD_ACCELERATORS = 4
 # Below this share in use a pool has room enough for tasks far from their rack.
@@ -95,14 +98,20 @@
             return []
         if id(unit) in self._engine.reclaims:
             return []
-        found = plan_reclaim(
-            unit,
-            self._candidates.get(terms.pool, []),
-            self._engine.workers,
-            self._engine.estimates,
-        )
+        group = self._candidates.get(terms.pool, [])
+        workers = self._engine.workers
+        estimates = self._engine.estimates
+        openings = soonest_places(unit, group, workers, estimates)
+        waited_s = self._now_s - unit.ready_s
+        if openings and waited_s + openings[-1].in_s <= NATURAL_WAIT_S:
+            return []
+        found = plan_reclaim(unit, group, workers, estimates)
         if found is None:
             return []
+        if not self._engine.is_guaranteed(unit.job) and not is_worth_it(
+            unit, found, estimates
+        ):
+            return []
         until_s = self._now_s + RECLAIM_HOLD_S
         self._engine.reclaims[id(unit)] = (found, until_s)
         take_room(found.places, unit.spec)
--- a/src/bulrushcove/batch/reclaim.py
+++ b/src/bulrushcove/batch/reclaim.py
@@ -17,10 +17,13 @@
 from .progress import Seat, SeatPhase, Unit
 from .workers import Worker
 
-# Work kept by a checkpoint costs only its restart and the next start.
-RESTART_COST_CORE_S = 3.0
-# A unit this near its end is left to finish rather than stopped.
-NEARLY_DONE_S = 0.6
+# A start costs as much as this work, by the users' price list.
+START_COST_CORE_S = 3.0
+# Reading a checkpoint back takes up to this long, in which nothing is done.
+RESTORE_S = 0.6
+# Beyond its organisation's guarantee an urgent unit is worth this many times
+# its own work: then stopping others costs more than it brings.
+MAX_LOSS_TO_WORK = 4.0
 
 
 class Reclaim(msgspec.Struct, frozen=True):
@@ -70,12 +73,21 @@
 
 def loss_core_s(unit: Unit, estimates: Estimates) -> float:
     """Return the core-seconds lost when ``unit`` is stopped now."""
+    starts = START_COST_CORE_S * unit.size
     if unit.spec.writes_checkpoints:
-        return RESTART_COST_CORE_S * unit.size
+        return starts + RESTORE_S * unit.weight_cores
     queue = unit.job.spec.terms.queue
     whole_s = estimates.task_ms(queue, unit.spec) / MS_PER_S
-    left_s = estimates.left_ms(unit) / MS_PER_S
-    return (whole_s - left_s) * unit.weight_cores + RESTART_COST_CORE_S
+    left_s = min(whole_s, estimates.left_ms(unit) / MS_PER_S)
+    return starts + (whole_s - left_s) * unit.weight_cores
+
+
+def is_worth_it(unit: Unit, found: Reclaim, estimates: Estimates) -> bool:
+    """Return whether ``unit`` brings more than its victims lose."""
+    queue = unit.job.spec.terms.queue
+    work_s = estimates.task_ms(queue, unit.spec) / MS_PER_S
+    own_core_s = work_s * unit.weight_cores
+    return found.cost_core_s <= MAX_LOSS_TO_WORK * own_core_s
 
 
 def _clear(
--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -231,6 +231,10 @@
             # Stopped on its own: the end may come from one of its tasks.
             self.add_future(scheduler.stop())
 
+    async def on_shutdown(self) -> None:
+        """Close what the services used."""
+        await self._around.store.close()
+
     async def _tell_hand_over(self, holder: Holder) -> None:
         news = HandOver(holder.epoch)
         await asyncio.gather(
--- a/src/bulrushcove/node/relay.py
+++ b/src/bulrushcove/node/relay.py
@@ -113,6 +113,10 @@
             call, lambda: self.direct.end_lease(lease), lambda _reply: None
         )
 
+    async def close(self) -> None:
+        """Close the connections of the store itself."""
+        await self.direct.close()
+
     async def _run(
         self,
         call: StoreCall,
--- a/src/bulrushcove/store.py
+++ b/src/bulrushcove/store.py
@@ -130,3 +130,6 @@
 
     async def end_lease(self, lease: StoreLeaseId) -> None:
         """End a lease and delete the keys that hang on it."""
+
+    async def close(self) -> None:
+        """Close all connections."""
