--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -9,14 +9,16 @@
 
 import msgspec
 
-from ..ids import JobId, OrganisationId, WorkerId
+from ..ids import JobId, WorkerId
 from .admission import refuse_if_hopeless
 from .endings import apply_end, cancel_job
 from .estimates import Estimates
 from .exceptions import JobConflictError
+from .guarantee import widest_accelerators
 from .headroom import Demand
 from .ids import QueueName
 from .leaving import cannot_end
+from .membership import unknown_worker
 from .model import JobSpec
 from .ordering import URGENT
 from .passes import Pass, make_pass
@@ -26,15 +28,12 @@
 from .reconcile import Findings, SeatEnd, apply_report
 from .standstill import standing_still
 from .trust import Trust
-from .workers import EndKind, Worker, WorkerEntry, WorkerReport
+from .workers import EndKind, Worker, WorkerReport
 
 MS_PER_S = 1000
 # Ended jobs are shown this long, then leave memory and store. Callers are
 # promised 120 s.
 KEEP_ENDED_S = 600.0
-# A missing entry means that the worker has left, unless the store was away:
-# live workers are listed again within two seconds of its return.
-UNLISTED_GRACE_S = 2.5
 _BAD_ENDS = frozenset((EndKind.FAILED,))
 
 
@@ -91,7 +90,7 @@
         self.jobs[job.id] = job
         self.active[job.id] = job
         if spec.terms.priority == URGENT:
-            self.urgent_demand.note(_accelerators(spec), now_s)
+            self.urgent_demand.note(widest_accelerators(spec), now_s)
         return job, True
 
     def drop(self, job: Job) -> None:
@@ -118,36 +117,6 @@
             if job.phase is JobPhase.QUEUED and job.spec.terms.queue == queue
         )
 
-    def note_entry(self, entry: WorkerEntry, now_s: float) -> Worker:
-        """Take note of what a worker says of itself in the list."""
-        worker = self.workers.get(entry.worker)
-        if worker is None:
-            worker = Worker(entry=entry)
-            self.workers[entry.worker] = worker
-        born_unix_ms = worker.entry.born_unix_ms
-        if entry.born_unix_ms != born_unix_ms:
-            self.trust.forget(entry.worker)
-        if entry.is_leaving and not worker.entry.is_leaving:
-            worker.leaving_since_s = now_s
-        # Its own reports decide on which life it is in.
-        if worker.is_adopted:
-            entry = msgspec.structs.replace(entry, born_unix_ms=born_unix_ms)
-        if entry.is_leaving and worker.entry.is_leaving:
-            # The time that is left counts from the first notice.
-            entry = msgspec.structs.replace(
-                entry, leaves_in_ms=worker.entry.leaves_in_ms
-            )
-        worker.entry = entry
-        worker.is_listed = True
-        return worker
-
-    def note_unlisted(self, worker: WorkerId, now_s: float) -> None:
-        """Take note that the worker's entry is gone."""
-        known = self.workers.get(worker)
-        if known is not None and known.is_listed:
-            known.is_listed = False
-            known.unlisted_s = now_s
-
     def report(
         self,
         worker: Worker,
@@ -239,43 +208,6 @@
         for job_id in over:
             self.active.pop(job_id)
 
-    def forget_gone_workers(self, now_s: float) -> list[WorkerId]:
-        """Drop unlisted workers that hold nothing; returns their ids."""
-        gone = [
-            worker.id
-            for worker in self.workers.values()
-            if not worker.is_listed
-            and not worker.seats
-            and now_s - worker.unlisted_s > UNLISTED_GRACE_S
-        ]
-        for worker_id in gone:
-            self.workers.pop(worker_id)
-            self.trust.forget(worker_id)
-        return gone
-
-    def guaranteed(self, organisation: OrganisationId) -> int:
-        """Return the accelerators that ``organisation`` is guaranteed."""
-        policy = self.standing.policy
-        for known in policy.organisations if policy else ():
-            if known.name == organisation:
-                return known.guaranteed_accelerators
-        return 0
-
-    def is_guaranteed(self, job: Job) -> bool:
-        """Return whether the guarantee covers all urgent jobs like it.
-
-        Counts those of its organisation that have not ended.
-        """
-        organisation = job.spec.terms.organisation
-        needed = sum(
-            _accelerators(other.spec)
-            for other in self.active.values()
-            if not other.has_ended
-            and other.spec.terms.organisation == organisation
-            and other.spec.terms.priority == URGENT
-        )
-        return needed <= self.guaranteed(organisation)
-
     def _learn(self, end: SeatEnd, now_s: float) -> None:
         seat = end.seat
         unit = seat.unit
@@ -293,29 +225,12 @@
     def _restore_seat(self, seat: Seat, lapses_s: float) -> None:
         worker = self.workers.get(seat.worker)
         if worker is None:
-            worker = Worker(entry=_unknown_entry(seat.worker))
-            worker.is_listed = False
+            worker = unknown_worker(seat.worker)
             self.workers[seat.worker] = worker
         worker.lapses_s = lapses_s
         worker.seats[seat.ref] = seat
 
 
-def _unknown_entry(worker: WorkerId) -> WorkerEntry:
-    """Return a stand-in for a worker that a record names."""
-    return msgspec.convert(
-        {
-            'worker': worker,
-            'pool': '',
-            'address': '',
-            'domain': '',
-            'rack': '',
-            'labels': [],
-            'capacity': {},
-        },
-        WorkerEntry,
-    )
-
-
 def _check_same(known: JobSpec, spec: JobSpec) -> None:
     same = (
         known.steps == spec.steps
@@ -328,11 +243,6 @@
         )
 
 
-def _accelerators(spec: JobSpec) -> int:
-    """Return what the widest step asks for at once."""
-    return max(step.task_count * step.size.accelerators for step in spec.steps)
-
-
 def _unwanted(confirmed: list[Seat]) -> list[Seat]:
     """Return runs that began though they are no longer wanted."""
     return [
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..ids import WorkerId
+from .guarantee import is_guaranteed
 from .headroom import GANG_PATIENCE_S, kept_workers
 from .holdback import HOLD_AFTER_S, MAX_HOLDS, soonest_places
 from .ids import PoolName
@@ -108,9 +109,12 @@
         found = plan_reclaim(unit, group, workers, estimates)
         if found is None:
             return []
-        if not self._engine.is_guaranteed(unit.job) and not is_worth_it(
-            unit, found, estimates
-        ):
+        covered = is_guaranteed(
+            unit.job,
+            self._engine.active.values(),
+            self._engine.standing.policy,
+        )
+        if not covered and not is_worth_it(unit, found, estimates):
             return []
         until_s = self._now_s + RECLAIM_HOLD_S
         self._engine.reclaims[id(unit)] = (found, until_s)
--- a/src/bulrushcove/batch/trust.py
+++ b/src/bulrushcove/batch/trust.py
@@ -43,11 +43,11 @@
         evidence.failed_jobs.add(job)
         evidence.suspect_until_s = now_s + SUSPECT_S
         if evidence.pause_s or len(evidence.failed_jobs) >= DISTRUST_JOBS:
-            self._bar(evidence, now_s)
+            _pause(evidence, now_s)
 
     def note_standstill(self, worker: WorkerId, now_s: float) -> None:
         """Tasks make no progress on the worker."""
-        self._bar(self._evidence.setdefault(worker, _Evidence()), now_s)
+        _pause(self._evidence.setdefault(worker, _Evidence()), now_s)
 
     def is_barred(self, worker: WorkerId, now_s: float) -> bool:
         """Return whether the worker gets nothing now."""
@@ -68,9 +68,10 @@
         """The worker has begun a new life."""
         self._evidence.pop(worker, None)
 
-    def _bar(self, evidence: _Evidence, now_s: float) -> None:
-        if now_s < evidence.barred_until_s:
-            return
-        doubled_s = evidence.pause_s * 2 or FIRST_PAUSE_S
-        evidence.pause_s = min(doubled_s, MAX_PAUSE_S)
-        evidence.barred_until_s = now_s + evidence.pause_s
+
+def _pause(evidence: _Evidence, now_s: float) -> None:
+    if now_s < evidence.barred_until_s:
+        return
+    doubled_s = evidence.pause_s * 2 or FIRST_PAUSE_S
+    evidence.pause_s = min(doubled_s, MAX_PAUSE_S)
+    evidence.barred_until_s = now_s + evidence.pause_s
--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -21,7 +21,7 @@
 from ..store import SharedStore
 from ..wire import Frame
 from .desk import Desk
-from .feed import Contents, Feed
+from .feed import Entries, Feed
 from .messages import (
     CountPending,
     HandOver,
@@ -34,11 +34,12 @@
 )
 from .metrics import NodeMetrics
 from .peers import Peers
+from .registry import Registry
 from .relay import RelayedStore, serve_store_call
-from .scheduler import DecodeWorker, Scheduler
+from .roster import WorkerPorts
+from .scheduler import Scheduler
 from .settings import NodeSettings
 from .tenure import Tenure
-from .worker_link import PortFactory
 
 # Time kept of the grace for closing the connections.
 CLOSE_MARGIN_S = 0.8
@@ -69,12 +70,10 @@
     """What an adapter provides: ports, prefixes and decoders."""
 
     store: SharedStore
-    make_port: PortFactory
-    decode_worker: DecodeWorker
-    workers_prefix: str
+    ports: WorkerPorts
     operators_prefix: str
     # Returns the standing that the operators' keys describe.
-    decode_standing: Callable[[Contents, int], Standing]
+    decode_standing: Callable[[Entries, int], Standing]
     make_front: Callable[..., CallersFront]
     make_ready_handler: Callable[[Callable[[], bool]], AnswerCall]
     # Reads the settings anew after a signal.
@@ -129,7 +128,8 @@
         ready = self._around.make_ready_handler(self._is_ready)
         await self._serve(self._settings.ready_address, ready)
         await self._serve(self._settings.metrics_address, self._show_metrics)
-        for service in (self._peers, self._feed, self._tenure):
+        registry = Registry(self._settings.vm, self._store, self._peers)
+        for service in (self._peers, registry, self._feed, self._tenure):
             await self.add_runtime_dependency(service)
 
     async def on_stop(self) -> None:
@@ -192,9 +192,9 @@
         log_event(logger, 'node.reloaded', vm=settings.vm)
 
     def _note_operators(
-        self, contents: Contents, changed: frozenset[str]
+        self, entries: Entries, changed: frozenset[str]
     ) -> None:
-        news = self._around.decode_standing(contents, self._feed.revision)
+        news = self._around.decode_standing(entries, self._feed.revision)
         self._standing = newer_standing(self._standing, news)
         policy = self._standing.policy
         log_event(
@@ -214,12 +214,10 @@
             self._store,
             self._tenure,
             holder,
-            self._clock,
-            self._metrics,
+            ports=self._around.ports,
+            clock=self._clock,
+            metrics=self._metrics,
         )
-        scheduler.make_port = self._around.make_port
-        scheduler.decode_worker = self._around.decode_worker
-        scheduler.workers_prefix = self._around.workers_prefix
         scheduler.note_standing(self._standing)
         self._desk.scheduler = scheduler
         await self.add_runtime_dependency(scheduler)
--- a/src/bulrushcove/node/desk.py
+++ b/src/bulrushcove/node/desk.py
@@ -70,30 +70,30 @@
         Raises ``JobRefusedError`` and ``NotServingError`` when it is not and
         never will be, ``JobConflictError``, and ``OutcomeUnknownError``.
         """
-        patience_s = self._clock.monotonic_s() + PATIENCE_S
+        began_s = self._clock.monotonic_s()
         may_be_taken = False
-        while True:
+        while not self._is_hopeless(began_s, deadline_s, may_be_taken):
             left_s = deadline_s - self._clock.monotonic_s() - ANSWER_MARGIN_S
-            if left_s <= 0:
-                break
             answer = await self._submit_once(spec, left_s)
             if answer.outcome is SubmitOutcome.ACCEPTED:
                 return
-            if answer.outcome is SubmitOutcome.CONFLICT:
-                raise JobConflictError(answer.message)
-            if answer.outcome is SubmitOutcome.REFUSED:
-                raise JobRefusedError(answer.message, answer.retry_after_s)
-            if answer.outcome is SubmitOutcome.AWAY:
-                raise NotServingError(answer.message, answer.retry_after_s)
+            _raise_final(answer)
             if answer.outcome is SubmitOutcome.UNKNOWN:
                 may_be_taken = True
-            elif self._clock.monotonic_s() > patience_s and not may_be_taken:
-                break
             await asyncio.sleep(RETRY_S)
         if may_be_taken:
             raise OutcomeUnknownError(f'job {spec.job}: no answer in time')
         raise NotServingError('no active scheduler', NO_SCHEDULER_RETRY_S)
 
+    def _is_hopeless(
+        self, began_s: float, deadline_s: float, may_be_taken: bool
+    ) -> bool:
+        """Return whether to stop trying to hand a job in."""
+        now_s = self._clock.monotonic_s()
+        if now_s + ANSWER_MARGIN_S >= deadline_s:
+            return True
+        return not may_be_taken and now_s - began_s > PATIENCE_S
+
     async def inquire(
         self,
         job: JobId,
@@ -108,23 +108,15 @@
         can tell in time.
         """
         question = Inquiry(job, organisation, cancels)
-
-        def is_usable(answer: JobAnswer) -> bool:
-            return answer.is_known
-
         while self._clock.monotonic_s() + ANSWER_MARGIN_S < deadline_s:
             answer = await self._ask_scheduler(
                 question, JobAnswer, self.answer_inquiry, deadline_s
             )
-            if answer is not None and is_usable(answer):
+            is_known = answer is not None and answer.is_known
+            if not is_known and not cancels:
+                answer = await self._read_answer(job, organisation)
+            if answer is not None and answer.is_known:
                 return JobPhase(answer.phase) if answer.phase else None
-            if not cancels:
-                try:
-                    return await self._read_phase(job, organisation)
-                except StoreError as exc:
-                    log_event(
-                        logger, 'inquiry.store_failed', job=job, error=exc
-                    )
             await asyncio.sleep(RETRY_S)
         raise NotServingError('no active scheduler', NO_SCHEDULER_RETRY_S)
 
@@ -159,13 +151,13 @@
             )
         if question.cancels:
             try:
-                is_known = await scheduler.cancel(
+                phase = await scheduler.intake.cancel(
                     question.job, question.organisation
                 )
             except TenureLostError:
                 return JobAnswer('', is_known=False)
-            return JobAnswer(JobPhase.CANCELLED.value if is_known else '')
-        phase = scheduler.phase(question.job, question.organisation)
+        else:
+            phase = scheduler.intake.phase(question.job, question.organisation)
         return JobAnswer(phase.value if phase else '')
 
     async def answer_count(self, question: CountPending) -> PendingCount:
@@ -175,7 +167,7 @@
             return await self._forward(
                 question, PendingCount, PendingCount(None)
             )
-        return PendingCount(scheduler.pending(question.queue))
+        return PendingCount(scheduler.intake.pending(question.queue))
 
     def _active(self) -> Scheduler | None:
         """Return this VM's scheduler if it may answer."""
@@ -200,11 +192,13 @@
     ) -> Submitted:
         try:
             async with asyncio.timeout(question.wait_ms / MS_PER_S):
-                await scheduler.submit(question.spec)
-        except JobRefusedError as exc:
-            return Submitted(SubmitOutcome.REFUSED, str(exc), exc.retry_after_s)
-        except NotServingError as exc:
-            return Submitted(SubmitOutcome.AWAY, str(exc), exc.retry_after_s)
+                await scheduler.intake.submit(question.spec)
+        except (JobRefusedError, NotServingError) as exc:
+            is_refused = isinstance(exc, JobRefusedError)
+            outcome = (
+                SubmitOutcome.REFUSED if is_refused else SubmitOutcome.AWAY
+            )
+            return Submitted(outcome, str(exc), exc.retry_after_s)
         except JobConflictError as exc:
             return Submitted(SubmitOutcome.CONFLICT, str(exc))
         except (TimeoutError, TenureLostError) as exc:
@@ -228,7 +222,7 @@
         self, holder: Holder, question: Submit
     ) -> Submitted:
         """Hand in through a VM that may hear the scheduler."""
-        others = [*self._peers.known - {holder.address}]
+        others = tuple(self._peers.known - {holder.address})
         if not others:
             return Submitted(SubmitOutcome.NOT_ACTIVE)
         return await self._submit_by(random.choice(others), question)
@@ -276,17 +270,31 @@
             return otherwise
         return answer
 
-    async def _read_phase(
+    async def _read_answer(
         self, job: JobId, organisation: OrganisationId
-    ) -> JobPhase | None:
-        """Return the state that the store knows; raises ``StoreError``."""
-        accepted = await self._store.read(job_key(job))
-        if not accepted.found:
-            return None
-        submission = decode_submission(accepted.found[0].value)
-        if submission.spec.terms.organisation != organisation:
+    ) -> JobAnswer | None:
+        """Return what the store knows of a job; None: it does not answer."""
+        try:
+            accepted = await self._store.read(job_key(job))
+            known = await self._store.read(progress_key(job))
+        except StoreError as exc:
+            log_event(logger, 'inquiry.store_failed', job=job, error=exc)
             return None
-        known = await self._store.read(progress_key(job))
+        if not accepted.found:
+            return JobAnswer('')
+        terms = decode_submission(accepted.found[0].value).spec.terms
+        if terms.organisation != organisation:
+            return JobAnswer('')
         if not known.found:
-            return JobPhase.QUEUED
-        return JobPhase(decode_progress(known.found[0].value).phase)
+            return JobAnswer(JobPhase.QUEUED.value)
+        return JobAnswer(decode_progress(known.found[0].value).phase)
+
+
+def _raise_final(answer: Submitted) -> None:
+    """Raise the error of an answer that no further try changes."""
+    if answer.outcome is SubmitOutcome.CONFLICT:
+        raise JobConflictError(answer.message)
+    if answer.outcome is SubmitOutcome.REFUSED:
+        raise JobRefusedError(answer.message, answer.retry_after_s)
+    if answer.outcome is SubmitOutcome.AWAY:
+        raise NotServingError(answer.message, answer.retry_after_s)
--- a/src/bulrushcove/node/feed.py
+++ b/src/bulrushcove/node/feed.py
@@ -19,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-Contents = dict[str, bytes]
+Entries = dict[str, bytes]
 
 
 class Feed(Service):
@@ -29,16 +29,16 @@
         self,
         store: SharedStore,
         prefix: str,
-        on_change: Callable[[Contents, frozenset[str]], None],
+        on_change: Callable[[Entries, frozenset[str]], None],
         pause_s: float = 0,
     ) -> None:
-        """Call ``on_change`` with all contents and the keys that changed.
+        """Call ``on_change`` with all entries and the keys that changed.
 
         News are gathered for ``pause_s`` where they come often.
         """
         super().__init__()
-        self.contents: Contents = {}
-        # Revision up to which the contents are known; zero: never read.
+        self.entries: Entries = {}
+        # Revision up to which the entries are known; zero: never read.
         self.revision = 0
         # Whether the last read or watch was answered.
         self.is_current = False
@@ -76,10 +76,10 @@
             changed = {item.key for item in news.written}
             changed.update(item.key for item in news.removed)
             for item in news.written:
-                self.contents[item.key] = item.value
+                self.entries[item.key] = item.value
             for removed in news.removed:
                 self._remove(removed.key, news.written, removed.mod_revision)
-            self._on_change(self.contents, frozenset(changed))
+            self._on_change(self.entries, frozenset(changed))
             if self._pause_s:
                 await self.sleep(self._pause_s)
         elif loop.time() - asked_s < RETRY_S:
@@ -90,19 +90,19 @@
             item.key == key and item.mod_revision > revision for item in written
         )
         if not is_back:
-            self.contents.pop(key, None)
+            self.entries.pop(key, None)
 
     async def _reload(self) -> None:
         found = await self._store.scan(self._prefix)
         self._note_current()
-        contents = {item.key: item.value for item in found.found}
-        keys = contents.keys() | self.contents.keys()
+        entries = {item.key: item.value for item in found.found}
+        keys = entries.keys() | self.entries.keys()
         changed = frozenset(
-            key for key in keys if contents.get(key) != self.contents.get(key)
+            key for key in keys if entries.get(key) != self.entries.get(key)
         )
-        self.contents = contents
+        self.entries = entries
         self.revision = found.store_revision
-        self._on_change(contents, changed)
+        self._on_change(entries, changed)
 
     def _note_current(self) -> None:
         self.is_current = True
--- /dev/null
+++ b/src/bulrushcove/node/registry.py
@@ -0,0 +1,58 @@
+"""Where the VMs are: each writes its stream address into the store."""
+
+import logging
+
+from mode import Service
+
+from ..exceptions import StoreError
+from ..ids import VmId
+from ..logs import log_event
+from ..store import SharedStore, StoredValue, Write
+from .keys import VMS_PREFIX, vm_key
+from .peers import Peers
+
+RETRY_S = 0.15
+
+logger = logging.getLogger(__name__)
+
+
+class Registry(Service):
+    """Tells the other VMs where this one is, and learns where they are."""
+
+    def __init__(self, vm: VmId, store: SharedStore, peers: Peers) -> None:
+        """Write the address of ``vm`` once started."""
+        super().__init__()
+        self._key = vm_key(vm)
+        self._store = store
+        self._peers = peers
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            try:
+                if await self._register():
+                    return
+            except StoreError as exc:
+                log_event(
+                    logger,
+                    'vm.register_failed',
+                    level=logging.WARNING,
+                    error=exc,
+                )
+                await self.sleep(RETRY_S)
+
+    async def _register(self) -> bool:
+        """Write the address unless it stands there already."""
+        found = await self._store.scan(VMS_PREFIX)
+        self._peers.learn(tuple(_address(item) for item in found.found))
+        known = {item.key: item for item in found.found}.get(self._key)
+        address = self._peers.address.encode()
+        if known is not None and known.value == address:
+            return True
+        revision = known.mod_revision if known else 0
+        await self._store.commit((Write(self._key, address, revision),))
+        return False
+
+
+def _address(item: StoredValue) -> str:
+    return item.value.decode(errors='replace')
--- /dev/null
+++ b/src/bulrushcove/node/roster.py
@@ -0,0 +1,150 @@
+"""The workers of the deployment and the links to them."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import msgspec
+from mode import Service
+
+from ..batch.engine import Engine
+from ..batch.membership import note_entry, note_unlisted
+from ..batch.progress import Seat
+from ..batch.workers import Worker, WorkerEntry
+from ..clock import Clock
+from ..ids import Epoch, WorkerId
+from ..logs import log_event
+from ..store import SharedStore
+from .feed import Entries, Feed
+from .tasks import Tasks
+from .worker_link import LinkEvents, PortFactory, WorkerLink
+
+# Every worker writes its entry each second or two: news are taken together,
+# well within the three seconds in which a leaving worker must be known.
+WORKERS_PAUSE_S = 0.6
+
+logger = logging.getLogger(__name__)
+
+
+class WorkerPorts(msgspec.Struct, frozen=True):
+    """How an adapter reaches workers and reads their list."""
+
+    prefix: str
+    decode: Callable[[str, bytes], WorkerEntry | None]
+    make_port: PortFactory
+
+
+class Roster(Service):
+    """Follows the list of workers and speaks to each."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        store: SharedStore,
+        ports: WorkerPorts,
+        events: LinkEvents,
+        *,
+        epoch: Epoch,
+        lease_ms: int,
+        clock: Clock,
+    ) -> None:
+        """Give orders under ``epoch`` and tell ``events`` what comes back."""
+        super().__init__()
+        # Called when a worker has come, changed or gone.
+        self.on_change: Callable[[], None] = _do_nothing
+        self._engine = engine
+        self._store = store
+        self._ports = ports
+        self._events = events
+        self._epoch = epoch
+        self._lease_ms = lease_ms
+        self._clock = clock
+        self._links: dict[WorkerId, WorkerLink] = {}
+        self._tasks = Tasks()
+
+    async def on_start(self) -> None:
+        """Follow the list."""
+        feed = Feed(
+            self._store,
+            self._ports.prefix,
+            self._note_entries,
+            pause_s=WORKERS_PAUSE_S,
+        )
+        await self.add_runtime_dependency(feed)
+
+    async def on_stop(self) -> None:
+        """Give up what is in progress."""
+        self._tasks.cancel()
+
+    def link(self, worker: WorkerId) -> WorkerLink | None:
+        """Return the link to ``worker``, if there is one."""
+        return self._links.get(worker)
+
+    def order_stops(self, seats: Iterable[Seat]) -> None:
+        """Order the stop of the runs on ``seats``."""
+        for seat in seats:
+            link = self._links.get(seat.worker)
+            if link is not None:
+                link.order_stop(seat)
+
+    def drop(self, workers: Iterable[WorkerId]) -> None:
+        """Close the links to workers that are gone."""
+        for worker in workers:
+            log_event(logger, 'worker.forgotten', worker=worker)
+            link = self._links.pop(worker, None)
+            if link is not None:
+                self._tasks.spawn(link.stop())
+
+    def _note_entries(self, entries: Entries, changed: frozenset[str]) -> None:
+        for key in changed:
+            stored = entries.get(key)
+            entry = self._ports.decode(key, stored) if stored else None
+            if entry is None:
+                self._note_unlisted(key)
+            else:
+                self._note_entry(entry)
+        self.on_change()
+
+    def _note_unlisted(self, key: str) -> None:
+        worker = WorkerId(key.removeprefix(self._ports.prefix))
+        if worker in self._engine.workers:
+            log_event(logger, 'worker.unlisted', worker=worker)
+        note_unlisted(self._engine.workers, worker, self._clock.monotonic_s())
+
+    def _note_entry(self, entry: WorkerEntry) -> None:
+        known = self._engine.workers.get(entry.worker)
+        if known is not None and known.is_same_as_listed(entry):
+            return
+        log_event(
+            logger,
+            'worker.listed',
+            worker=entry.worker,
+            leaving=entry.is_leaving,
+            domain=entry.domain,
+            accelerators=entry.capacity.accelerators,
+        )
+        worker = note_entry(
+            self._engine.workers,
+            self._engine.trust,
+            entry,
+            self._clock.monotonic_s(),
+        )
+        if worker.id not in self._links:
+            self._tasks.spawn(self._open_link(worker))
+
+    async def _open_link(self, worker: Worker) -> None:
+        if worker.id in self._links:
+            return
+        link = WorkerLink(
+            worker,
+            self._ports.make_port(worker.id, worker.entry.address),
+            self._events,
+            epoch=self._epoch,
+            lease_ms=self._lease_ms,
+            clock=self._clock,
+        )
+        self._links[worker.id] = link
+        await self.add_runtime_dependency(link)
+
+
+def _do_nothing() -> None:
+    """Stand in for a handler that is set later."""
--- a/src/bulrushcove/node/succession.py
+++ b/src/bulrushcove/node/succession.py
@@ -27,7 +27,7 @@
     WAIT = 'wait'
     # Look at its record: without one, campaign.
     READ_RECORD = 'read-record'
-    # Its record stands, but it is surely or most likely gone.
+    # It is surely or most likely gone, unless other VMs hear it.
     REPLACE = 'replace'
 
 
@@ -39,8 +39,6 @@
     # Its process has ended: its port refuses, or another process answers.
     is_dead: bool = False
     idle_since_s: float = 0.0
-    # Whether some other VM hears it.
-    others_hear: bool = False
 
     def note_heard(self, *, is_active: bool, now_s: float) -> None:
         """It answered; when it ``is_active`` all is well."""
@@ -68,7 +66,7 @@
     if sight.missed_pings < MISSED_PINGS:
         return Verdict.WAIT
     silent_s = now_s - sight.silent_since_s
-    if silent_s > REPLACE_SILENT_S and not sight.others_hear:
+    if silent_s > REPLACE_SILENT_S:
         return Verdict.REPLACE
     return Verdict.READ_RECORD
 
--- a/src/bulrushcove/node/tenure.py
+++ b/src/bulrushcove/node/tenure.py
@@ -8,26 +8,21 @@
 from mode import Service
 
 from ..clock import Clock
-from ..exceptions import (
-    PeerUnreachableError,
-    StoreError,
-    StoreOutcomeUnknownError,
-)
+from ..exceptions import StoreError, StoreOutcomeUnknownError
 from ..ids import Epoch
 from ..logs import log_event
 from ..store import SharedStore, StoredValue, Write
-from .keys import TENURE_KEY, VMS_PREFIX, vm_key
-from .messages import Holder, Ping, Pong
-from .peers import PeerRefusedError, Peers
+from .holder_watch import HolderWatch
+from .keys import TENURE_KEY
+from .messages import Holder
+from .peers import Peers
 from .settings import NodeSettings
-from .succession import Sight, Verdict, campaign_delay_s, judge
+from .succession import Verdict, campaign_delay_s
 
 # Lease of the holder's record: how long a VM without power is missed.
 LEASE_MS = 2500
 RENEW_S = 0.6
 PING_S = 0.4
-# A round trip between the farthest VMs takes 60 ms.
-PING_TIMEOUT_S = 0.45
 # While there is no holder.
 SEARCH_S = 0.15
 # How long a scheduler acts on its last proof of tenure. Long enough to keep
@@ -63,9 +58,7 @@
         self._store = store
         self._peers = peers
         self._clock = clock
-        self._sight = Sight()
-        # Epoch of the last holder that is known to have ended.
-        self._over_epoch = Epoch(0)
+        self._watch = HolderWatch(settings.vm, peers, clock)
         # Epoch of the last record that was read.
         self._seen_epoch = Epoch(0)
         self._is_active = False
@@ -89,9 +82,7 @@
         """Return whether the holder answered the last ping."""
         if self._is_active:
             return True
-        sight = self._sight
-        has_answered = not sight.missed_pings and not sight.is_dead
-        return self.holder is not None and has_answered
+        return self.holder is not None and self._watch.has_answered
 
     def note_proof(self, asked_s: float) -> None:
         """Take note that a write under the record's condition succeeded."""
@@ -100,8 +91,7 @@
     def note_hand_over(self, epoch: Epoch) -> None:
         """The holder of ``epoch`` has left."""
         if self.holder is not None and self.holder.epoch == epoch:
-            self._sight.is_dead = True
-            self._over_epoch = epoch
+            self._watch.note_over(epoch)
             self.holder = None
             self._wake.set()
 
@@ -130,7 +120,6 @@
 
     @Service.task
     async def _run(self) -> None:
-        await self._register()
         while not self.should_stop:
             try:
                 pause_s = await self._step()
@@ -159,43 +148,13 @@
         if self.holder is None:
             await self._look()
             return SEARCH_S if self.holder is None else 0
-        await self._ping(self.holder)
-        verdict = judge(self._sight, self._clock.monotonic_s())
+        verdict = await self._watch.look_at(self.holder)
         if verdict is Verdict.WAIT:
             return PING_S
-        if verdict is Verdict.REPLACE and not await self._others_hear():
-            await self._look(replace=self.holder)
-        else:
-            await self._look()
+        is_over = verdict is Verdict.REPLACE
+        await self._look(replace=self.holder if is_over else None)
         return SEARCH_S
 
-    async def _register(self) -> None:
-        """Tell the other VMs where this one is, and learn where they are."""
-        address = self._peers.address.encode()
-        key = vm_key(self._settings.vm)
-        while not self.should_stop:
-            try:
-                found = await self._store.scan(VMS_PREFIX)
-                self._learn(found.found)
-                known = {item.key: item for item in found.found}.get(key)
-                if known is not None and known.value == address:
-                    return
-                revision = known.mod_revision if known else 0
-                await self._store.commit((Write(key, address, revision),))
-            except StoreError as exc:
-                log_event(
-                    logger,
-                    'vm.register_failed',
-                    level=logging.WARNING,
-                    error=exc,
-                )
-                await self.sleep(SEARCH_S)
-
-    def _learn(self, vms: tuple[StoredValue, ...]) -> None:
-        self._peers.learn(
-            tuple(item.value.decode(errors='replace') for item in vms)
-        )
-
     async def _renew(self) -> None:
         holder = self.holder
         if holder is None:
@@ -218,49 +177,6 @@
         else:
             await self.lose('its lease has ended')
 
-    async def _ping(self, holder: Holder) -> None:
-        ping = Ping(self._settings.vm, self._peers.address)
-        now_s = self._clock.monotonic_s
-        try:
-            peer, pong = await self._peers.ask(
-                holder.address, ping, Pong, PING_TIMEOUT_S
-            )
-        except PeerRefusedError:
-            # A cut may refuse as well, so the process is not surely over.
-            self._sight.is_dead = True
-            return
-        except PeerUnreachableError:
-            self._sight.note_missed(now_s())
-            return
-        if peer.incarnation != holder.incarnation:
-            self._sight.is_dead = True
-            self._over_epoch = holder.epoch
-            return
-        self._peers.learn(pong.addresses)
-        self._sight.note_heard(is_active=pong.is_active, now_s=now_s())
-
-    async def _others_hear(self) -> bool:
-        """Return whether another VM hears the holder; asks a few."""
-        holder = self.holder
-        if holder is None or self._sight.is_dead:
-            return False
-        ping = Ping(self._settings.vm, self._peers.address)
-        for address in sorted(self._peers.known)[:2]:
-            if address == holder.address:
-                continue
-            try:
-                _, pong = await self._peers.ask(
-                    address, ping, Pong, PING_TIMEOUT_S
-                )
-            except PeerUnreachableError:
-                continue
-            is_same = pong.holder is not None and (
-                pong.holder.epoch == holder.epoch
-            )
-            if is_same and pong.hears_holder:
-                return True
-        return False
-
     async def _look(self, replace: Holder | None = None) -> None:
         """Read the record; without one, or to ``replace`` it, campaign."""
         asked_s = self._clock.monotonic_s()
@@ -281,7 +197,7 @@
             return
         if self.holder is None or self.holder.epoch != holder.epoch:
             self.holder = holder
-            self._sight = Sight()
+            self._watch.restart()
             log_event(
                 logger, 'tenure.follows', holder=holder.vm, epoch=holder.epoch
             )
@@ -324,10 +240,10 @@
         if self.is_leaving:
             return
         self.predecessor_is_over = (
-            self._seen_epoch > 0 and self._seen_epoch == self._over_epoch
+            self._seen_epoch > 0 and self._seen_epoch == self._watch.over_epoch
         )
         self.holder = holder
-        self._sight = Sight()
+        self._watch.restart()
         self._is_active = True
         self._proof_s = proof_s
         log_event(
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -23,6 +23,7 @@
 from ..exceptions import WorkerError
 from ..ids import Epoch
 from ..logs import log_event
+from .tasks import Tasks
 
 # A start that is carried out later than this is refused by the worker. Long
 # enough for a worker 60 ms away, short enough to try again soon.
@@ -123,12 +124,11 @@
         self._lease_ms = lease_ms
         self._clock = clock
         self._wake = asyncio.Event()
-        self._orders: set[asyncio.Task[None]] = set()
+        self._orders = Tasks()
 
     async def on_stop(self) -> None:
         """Give up orders in progress."""
-        for order in tuple(self._orders):
-            order.cancel()
+        self._orders.cancel()
         await self.port.close()
 
     def wake(self) -> None:
@@ -137,23 +137,18 @@
 
     def order_start(self, seat: Seat, ticket: str = '') -> None:
         """Order the start of ``seat``."""
-        self._spawn(self._start(seat, ticket))
+        self._orders.spawn(self._start(seat, ticket))
 
     def order_stop(self, seat: Seat) -> None:
         """Order the stop of ``seat``."""
         if not seat.sent:
             return
         seat.phase = SeatPhase.STOPPING
-        self._spawn(self._stop(seat))
+        self._orders.spawn(self._stop(seat))
 
     def stop_stray(self, ref: RunRef) -> None:
         """Order the stop of a run that no record names."""
-        self._spawn(self._stop_stray(ref))
-
-    def _spawn(self, order: object) -> None:
-        task = asyncio.create_task(order)
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
+        self._orders.spawn(self._stop_stray(ref))
 
     @Service.task
     async def _run(self) -> None:
--- /dev/null
+++ b/src/bulrushcove/node/worker_news.py
@@ -0,0 +1,171 @@
+"""What the links tell the active scheduler, taken into its state."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+from ..batch.engine import Engine, Plan
+from ..batch.orders import OrderOutcome
+from ..batch.passes import may_start
+from ..batch.progress import Job, Seat
+from ..batch.reconcile import SeatEnd
+from ..batch.workers import EndKind, Worker, WorkerReport
+from ..clock import Clock
+from ..ids import WorkerId
+from ..logs import log_event
+from .journal import TenureLostError, WithdrawnError
+from .records import Records
+from .tasks import Tasks
+from .tenure import Tenure
+from .worker_link import WorkerLink
+
+logger = logging.getLogger(__name__)
+
+# Refusals that speak against the worker itself.
+_AGAINST_WORKER = frozenset(
+    (OrderOutcome.UNHEALTHY, OrderOutcome.OTHER_INSTANCE)
+)
+
+
+class WorkerNews:
+    """Takes in reports and fates of orders."""
+
+    def __init__(
+        self, engine: Engine, records: Records, tenure: Tenure, clock: Clock
+    ) -> None:
+        """Change ``engine`` and store what it follows from."""
+        # Set by the scheduler.
+        self.apply: Callable[[Plan], None] = _apply_nothing
+        self.find_link: Callable[[WorkerId], WorkerLink | None] = _no_link
+        self.on_change: Callable[[], None] = _do_nothing
+        self.tasks = Tasks()
+        self._engine = engine
+        self._records = records
+        self._tenure = tenure
+        self._clock = clock
+
+    def may_order(self) -> bool:
+        """Return whether orders may be given now."""
+        return self._tenure.has_authority
+
+    def may_begin(self, seat: Seat) -> bool:
+        """Return whether the start of ``seat`` is still wanted."""
+        unit = seat.unit
+        worker = self._engine.workers.get(seat.worker)
+        if worker is None or unit.is_broken or unit.job.has_ended:
+            return False
+        return self._tenure.has_authority and may_start(
+            self._engine, worker, self._clock.monotonic_s()
+        )
+
+    def note_report(
+        self, worker: Worker, report: WorkerReport, sent_s: float
+    ) -> None:
+        """Apply what a worker reported; its ends are stored, then confirmed."""
+        before = worker.seen_end
+        plan, findings = self._engine.report(
+            worker,
+            report,
+            sent_s=sent_s,
+            now_s=self._clock.monotonic_s(),
+            unix_ms=self._clock.unix_ms(),
+        )
+        for end in findings.ends:
+            _log_end(end)
+        link = self.find_link(worker.id)
+        for stray in findings.strays if link else ():
+            link.stop_stray(stray)
+        self.apply(plan)
+        if worker.seen_end != before:
+            self.tasks.spawn(
+                self._confirm(worker, worker.seen_end, plan.changed)
+            )
+        if findings.ends or findings.strays:
+            self.on_change()
+
+    def note_order_failed(self, seat: Seat, outcome: OrderOutcome) -> None:
+        """A start was refused."""
+        if outcome in _AGAINST_WORKER:
+            self._engine.trust.note_failure(
+                seat.worker, seat.unit.job.id, self._clock.monotonic_s()
+            )
+        self.note_seat_over(seat, EndKind.NEVER_STARTED)
+
+    def note_seat_over(self, seat: Seat, kind: EndKind) -> None:
+        """A run is over, or never was."""
+        worker = self._engine.workers.get(seat.worker)
+        if worker is None or worker.seats.pop(seat.ref, None) is None:
+            return
+        end = SeatEnd(seat, kind)
+        _log_end(end)
+        plan = self._engine.end_seats(
+            (end,),
+            unix_ms=self._clock.unix_ms(),
+            now_s=self._clock.monotonic_s(),
+        )
+        self.apply(plan)
+        self.on_change()
+
+    def note_silent(self, worker: Worker) -> None:
+        """A worker did not answer."""
+        if worker.missed_calls == 1:
+            self.on_change()
+
+    def note_gone(self, worker: Worker) -> None:
+        """Another instance has the worker's address: its life is over."""
+        plan = self._engine.end_life(
+            worker,
+            unix_ms=self._clock.unix_ms(),
+            now_s=self._clock.monotonic_s(),
+        )
+        self.apply(plan)
+        self.on_change()
+
+    def note_fenced(self, worker: Worker) -> None:
+        """A worker has seen a higher epoch."""
+        reason = f'worker {worker.id} has seen a higher epoch'
+        self.tasks.spawn(self._tenure.lose(reason))
+
+    async def _confirm(
+        self, worker: Worker, number: int, changed: Iterable[Job]
+    ) -> None:
+        """Confirm ends up to ``number`` once what they changed is stored."""
+        life = worker.entry.born_unix_ms
+        stored = [self._records.put_progress(job) for job in changed]
+        try:
+            await asyncio.gather(*(asyncio.shield(one) for one in stored))
+        except (TenureLostError, WithdrawnError):
+            # The ends stay listed; whoever schedules next stores them.
+            return
+        if worker.entry.born_unix_ms == life:
+            worker.stored_end = max(worker.stored_end, number)
+        link = self.find_link(worker.id)
+        if link is not None:
+            link.wake()
+
+
+def _log_end(end: SeatEnd) -> None:
+    ref = end.seat.ref
+    log_event(
+        logger,
+        'run.ended',
+        worker=end.seat.worker,
+        job=ref.task.job,
+        occurrence=ref.task.occurrence,
+        step=ref.task.step,
+        index=ref.task.index,
+        run=ref.run,
+        how=end.kind.value,
+    )
+
+
+def _apply_nothing(_plan: Plan) -> None:
+    """Stand in for a handler that is set later."""
+
+
+def _no_link(_worker: WorkerId) -> None:
+    """Stand in for a handler that is set later."""
+
+
+def _do_nothing() -> None:
+    """Stand in for a handler that is set later."""
--- a/src/bulrushcove/platform/callers.py
+++ b/src/bulrushcove/platform/callers.py
@@ -6,12 +6,14 @@
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from math import ceil
+from types import MappingProxyType
 from typing import Protocol
 
 import msgspec
 from aiohttp import web
 
 from ..batch.exceptions import (
+    BatchError,
     InvalidJobError,
     JobConflictError,
     JobRefusedError,
@@ -28,10 +30,15 @@
 )
 from ..batch.progress import JobPhase
 from ..clock import MS_PER_S, Clock
+from ..exceptions import BulrushcoveError
 from ..ids import JobId, OrganisationId, RackId
 from ..logs import log_event
-from ..node.exceptions import NotServingError, OutcomeUnknownError
-from .exceptions import UndecodableError
+from ..node.exceptions import (
+    NodeError,
+    NotServingError,
+    OutcomeUnknownError,
+)
+from .exceptions import TooLargeError, UndecodableError
 from .http_call import decode
 
 DEADLINE_HEADER = 'X-Deadline-Ms'
@@ -46,6 +53,20 @@
 logger = logging.getLogger(__name__)
 
 
+# Errors that are not listed are about the submission itself.
+_STATUSES = MappingProxyType(
+    {
+        # Neither is accepted, so that it never runs.
+        JobRefusedError: HTTPStatus.TOO_MANY_REQUESTS,
+        NotServingError: HTTPStatus.SERVICE_UNAVAILABLE,
+        # It may be accepted: the caller sends the same id again.
+        OutcomeUnknownError: HTTPStatus.GATEWAY_TIMEOUT,
+        JobConflictError: HTTPStatus.CONFLICT,
+        TooLargeError: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    }
+)
+
+
 class CallersDesk(Protocol):
     """Answers what callers ask; errors as its methods say."""
 
@@ -157,25 +178,10 @@
         organisation = _organisation(policy, queue, request)
         if organisation is None:
             return _refusal(HTTPStatus.UNAUTHORIZED, 'unknown credential')
-        rest = request.path.removeprefix(queue.prefix)
         try:
-            return await self._dispatch(
-                request, policy, queue, organisation, rest
-            )
-        except JobRefusedError as exc:
-            return _refusal(
-                HTTPStatus.TOO_MANY_REQUESTS, str(exc), exc.retry_after_s
-            )
-        except NotServingError as exc:
-            return _refusal(
-                HTTPStatus.SERVICE_UNAVAILABLE, str(exc), exc.retry_after_s
-            )
-        except OutcomeUnknownError as exc:
-            return _refusal(HTTPStatus.GATEWAY_TIMEOUT, str(exc))
-        except JobConflictError as exc:
-            return _refusal(HTTPStatus.CONFLICT, str(exc))
-        except (InvalidJobError, UndecodableError) as exc:
-            return _refusal(HTTPStatus.BAD_REQUEST, str(exc))
+            return await self._dispatch(request, policy, queue, organisation)
+        except (BatchError, NodeError, UndecodableError) as exc:
+            return _refusal_for(exc)
 
     async def _dispatch(
         self,
@@ -183,9 +189,9 @@
         policy: Policy,
         queue: Queue,
         organisation: OrganisationId,
-        rest: str,
     ) -> web.Response:
         deadline_s = self._deadline_s(request)
+        rest = request.path.removeprefix(queue.prefix)
         if not rest and request.method == 'GET':
             count = await self._desk.count_pending(queue.name, deadline_s)
             return _json({'pending': count})
@@ -194,11 +200,6 @@
         job = JobId(rest)
         if request.method == 'POST':
             body = await _read_body(request, policy.max_body_bytes)
-            if body is None:
-                return _refusal(
-                    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    f'body over {policy.max_body_bytes} bytes',
-                )
             spec = decode_job(job, body, queue, organisation)
             await self._desk.submit(spec, deadline_s)
             return _json({})
@@ -210,9 +211,7 @@
             cancels=request.method == 'DELETE',
             deadline_s=deadline_s,
         )
-        if phase is None:
-            return _refusal(HTTPStatus.GONE, f'no job {job}')
-        return _json({'state': phase.value})
+        return _job_answer(job, phase)
 
     def _deadline_s(self, request: web.BaseRequest) -> float:
         given = request.headers.get(DEADLINE_HEADER, '')
@@ -274,17 +273,29 @@
     return OrganisationId('') if queue.is_public else None
 
 
-async def _read_body(
-    request: web.BaseRequest, limit_bytes: int
-) -> bytes | None:
+async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
     body = b''
     async for chunk in request.content.iter_any():
         body += chunk
         if len(body) > limit_bytes:
-            return None
+            raise TooLargeError(f'body is over {limit_bytes} bytes')
     return body
 
 
+def _job_answer(job: JobId, phase: JobPhase | None) -> web.Response:
+    if phase is None:
+        return _refusal(HTTPStatus.GONE, f'no job {job}')
+    return _json({'state': phase.value})
+
+
+def _refusal_for(exc: BulrushcoveError) -> web.Response:
+    retry_after_s = 0.0
+    if isinstance(exc, JobRefusedError | NotServingError):
+        retry_after_s = exc.retry_after_s
+    status = _STATUSES.get(type(exc), HTTPStatus.BAD_REQUEST)
+    return _refusal(status, str(exc), retry_after_s)
+
+
 def _json(body: dict[str, object]) -> web.Response:
     return web.Response(
         body=msgspec.json.encode(body), content_type='application/json'
--- a/src/bulrushcove/platform/exceptions.py
+++ b/src/bulrushcove/platform/exceptions.py
@@ -17,3 +17,7 @@
 
 class UndecodableError(BulrushcoveError):
     """A message does not have the published form."""
+
+
+class TooLargeError(UndecodableError):
+    """A message is over the operators' limit."""
--- a/src/bulrushcove/platform/operators.py
+++ b/src/bulrushcove/platform/operators.py
@@ -21,15 +21,18 @@
 
 logger = logging.getLogger(__name__)
 
+# Fields of several words are joined by hyphens on the wire.
+_HYPHENS = 'kebab'
 
-class _Advice(msgspec.Struct, rename='kebab'):
+
+class _Advice(msgspec.Struct, rename=_HYPHENS):
     decision_ms: int = 0
     # For each worker named.
     period_ms: int = 0
     validity_ms: int = 0
 
 
-class _Route(msgspec.Struct, rename='kebab'):
+class _Route(msgspec.Struct, rename=_HYPHENS):
     """A route is a queue; its service is the pool that runs its tasks."""
 
     name: str
@@ -47,27 +50,27 @@
     advice: _Advice | None = None
 
 
-class _Service(msgspec.Struct, rename='kebab'):
+class _Service(msgspec.Struct, rename=_HYPHENS):
     name: str
     enforces_capacity: bool = False
     standby: bool = False
 
 
-class _Limits(msgspec.Struct, rename='kebab'):
+class _Limits(msgspec.Struct, rename=_HYPHENS):
     max_body_bytes: int = 262_144
 
 
-class _Guaranteed(msgspec.Struct, rename='kebab'):
+class _Guaranteed(msgspec.Struct, rename=_HYPHENS):
     gpu: int = 0
 
 
-class _Tenant(msgspec.Struct, rename='kebab'):
+class _Tenant(msgspec.Struct, rename=_HYPHENS):
     name: str
     api_keys: list[str] = []
     guaranteed: _Guaranteed | None = None
 
 
-class _Config(msgspec.Struct, rename='kebab'):
+class _Config(msgspec.Struct, rename=_HYPHENS):
     version: int
     routes: list[_Route]
     services: list[_Service]
@@ -75,14 +78,14 @@
     tenants: list[_Tenant] = []
 
 
-class _Capacity(msgspec.Struct, rename='kebab'):
+class _Capacity(msgspec.Struct, rename=_HYPHENS):
     # Thousandths of a core.
     cpu: int
     mem_mb: int
     gpu: int = 0
 
 
-class _Server(msgspec.Struct, rename='kebab'):
+class _Server(msgspec.Struct, rename=_HYPHENS):
     service: str
     address: str
     zone: str
--- a/src/bulrushcove/platform/program.py
+++ b/src/bulrushcove/platform/program.py
@@ -9,7 +9,8 @@
 from ..ids import WorkerId
 from ..logs import setup_bounded_logs
 from ..node.application import NodeApplication, Surroundings
-from ..node.feed import Contents
+from ..node.feed import Entries
+from ..node.roster import WorkerPorts
 from .callers import Front, make_ready_handler
 from .exceptions import UndecodableError
 from .operators import (
@@ -38,9 +39,7 @@
     clock = SuspendAwareClock()
     around = Surroundings(
         store=PlatformStore(settings.store_address, clock),
-        make_port=make_worker_port,
-        decode_worker=decode_worker,
-        workers_prefix=WORKERS_PREFIX,
+        ports=WorkerPorts(WORKERS_PREFIX, decode_worker, make_worker_port),
         operators_prefix=OPERATORS_PREFIX,
         decode_standing=decode_standing,
         make_front=Front,
@@ -62,10 +61,10 @@
     return WorkerConnection(WorkerId(worker), address)
 
 
-def decode_standing(contents: Contents, revision: int) -> Standing:
+def decode_standing(entries: Entries, revision: int) -> Standing:
     """Return what the operators' keys say as of ``revision``."""
-    stored = contents.get(POLICY_KEY)
-    closed = (closed_domain(key) for key in contents)
+    stored = entries.get(POLICY_KEY)
+    closed = (closed_domain(key) for key in entries)
     return Standing(
         policy=decode_policy(stored) if stored else None,
         closed_domains=frozenset(domain for domain in closed if domain),
--- a/src/bulrushcove/platform/workers.py
+++ b/src/bulrushcove/platform/workers.py
@@ -1,6 +1,7 @@
 """Orders to workers and their reports."""
 
 from http import HTTPStatus
+from types import MappingProxyType
 
 import msgspec
 
@@ -24,13 +25,15 @@
 REPORT_MARGIN_S = 0.8
 INSTANCE_HEADER = 'X-Expect-Instance'
 
-_REFUSED = {
-    'fence': OrderOutcome.FENCED,
-    'old': OrderOutcome.OLD_RUN,
-    'late': OrderOutcome.TOO_LATE,
-    'room': OrderOutcome.NO_ROOM,
-    'ticket': OrderOutcome.NO_TICKET,
-}
+_REFUSED = MappingProxyType(
+    {
+        'fence': OrderOutcome.FENCED,
+        'old': OrderOutcome.OLD_RUN,
+        'late': OrderOutcome.TOO_LATE,
+        'room': OrderOutcome.NO_ROOM,
+        'ticket': OrderOutcome.NO_TICKET,
+    }
+)
 _UNHEALTHY = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
