--- a/src/bulrushcove/batch/headroom.py
+++ b/src/bulrushcove/batch/headroom.py
@@ -10,6 +10,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Sequence
+from itertools import chain, zip_longest
 
 from ..ids import RackId, WorkerId
 from .placement import Candidate
@@ -56,13 +57,15 @@
         racks[candidate.rack].append(candidate)
     for group in racks.values():
         group.sort(key=_emptiest_first)
+    # One worker of each rack in turn.
+    in_turn = chain.from_iterable(zip_longest(*racks.values()))
     kept: set[WorkerId] = set()
-    while wanted > 0 and any(racks.values()):
-        for group in racks.values():
-            if group and wanted > 0:
-                candidate = group.pop(0)
-                kept.add(candidate.worker)
-                wanted -= max(1, candidate.capacity.accelerators)
+    for kept_one in in_turn:
+        if wanted <= 0:
+            break
+        if kept_one is not None:
+            kept.add(kept_one.worker)
+            wanted -= max(1, kept_one.capacity.accelerators)
     return frozenset(kept)
 
 
--- a/src/bulrushcove/batch/holdback.py
+++ b/src/bulrushcove/batch/holdback.py
@@ -10,14 +10,15 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
+from itertools import repeat
 
 import msgspec
 
 from ..ids import RackId
 from .estimates import Estimates
-from .model import MS_PER_S
+from .model import MS_PER_S, TaskSize
 from .placement import Candidate, fitting_tasks
-from .progress import Seat, Unit
+from .progress import Unit
 from .workers import Worker
 
 # Units that wait less are not worth keeping room for.
@@ -44,25 +45,35 @@
     Runs are expected to end as estimated. A gang that wants one rack, or a
     unit whose data is in one, is given that rack.
     """
-    step = unit.spec
     groups: dict[RackId, list[Opening]] = defaultdict(list)
-    in_one_rack = bool(step.near_rack) or (step.same_rack and unit.size > 1)
-    for candidate in candidates:
-        if step.near_rack and candidate.rack != step.near_rack:
-            continue
-        rack = candidate.rack if in_one_rack else RackId('')
-        groups[rack].extend(
-            _openings(unit, candidate, workers[candidate.worker], estimates)
+    for candidate in _near(unit, candidates):
+        openings = _openings(
+            unit, candidate, workers[candidate.worker], estimates
         )
-    best: list[Opening] = []
+        groups[_group_of(unit, candidate)].extend(openings)
+    choices = []
     for group in groups.values():
-        group.sort(key=lambda opening: opening.in_s)
-        chosen = group[: unit.size]
-        if len(chosen) < unit.size:
-            continue
-        if not best or chosen[-1].in_s < best[-1].in_s:
-            best = chosen
-    return best
+        group.sort(key=_wait_of)
+        if len(group) >= unit.size:
+            choices.append(group[: unit.size])
+    return min(choices, key=lambda choice: choice[-1].in_s, default=[])
+
+
+def _near(unit: Unit, candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates in the rack of the unit's data, if it has one."""
+    near_rack = unit.spec.near_rack
+    if not near_rack:
+        return list(candidates)
+    return [one for one in candidates if one.rack == near_rack]
+
+
+def _group_of(unit: Unit, candidate: Candidate) -> RackId:
+    is_tight = unit.spec.same_rack and unit.size > 1
+    return candidate.rack if is_tight else RackId('')
+
+
+def _wait_of(opening: Opening) -> float:
+    return opening.in_s
 
 
 def _openings(
@@ -73,17 +84,22 @@
         return []
     openings: list[Opening] = []
     future = msgspec.structs.replace(candidate)
-    waits: list[tuple[float, Seat | None]] = [(0.0, None)]
-    waits.extend(
-        (estimates.left_ms(seat.unit) / MS_PER_S, seat)
-        for seat in worker.seats.values()
-    )
-    waits.sort(key=lambda pair: pair[0])
-    for in_s, seat in waits:
-        if seat is not None:
-            future.room = future.room.plus(seat.unit.spec.room)
+    for in_s, freed in _releases(worker, estimates):
+        future.room = future.room.plus(freed)
         more = fitting_tasks(future, unit.spec) - len(openings)
-        openings.extend(Opening(candidate, in_s) for _ in range(more))
+        openings.extend(repeat(Opening(candidate, in_s), max(0, more)))
         if len(openings) >= unit.size:
             break
     return openings
+
+
+def _releases(
+    worker: Worker, estimates: Estimates
+) -> list[tuple[float, TaskSize]]:
+    """Return when how much room comes free, beginning with now."""
+    releases = [
+        (estimates.left_ms(seat.unit) / MS_PER_S, seat.unit.spec.room)
+        for seat in worker.seats.values()
+    ]
+    releases.sort(key=lambda release: release[0])
+    return [(0.0, TaskSize()), *releases]
--- a/src/bulrushcove/batch/leaving.py
+++ b/src/bulrushcove/batch/leaving.py
@@ -22,18 +22,23 @@
 
 def cannot_end(engine: Engine, now_s: float) -> list[Seat]:
     """Return the seats whose worker will be gone before they end."""
-    doomed = []
+    doomed: list[Seat] = []
     for worker in engine.workers.values():
-        if not worker.entry.is_leaving or not worker.is_listed:
-            continue
-        stays_s = _stays_s(worker, now_s)
-        for seat in worker.seats.values():
-            left_s = engine.estimates.left_ms(seat.unit) / MS_PER_S
-            if seat.phase is SeatPhase.LIVE and left_s > stays_s:
-                doomed.append(seat)
+        if worker.entry.is_leaving and worker.is_listed:
+            stays_s = _stays_s(worker, now_s)
+            doomed.extend(
+                seat
+                for seat in worker.seats.values()
+                if _is_doomed(engine, seat, stays_s)
+            )
     return doomed
 
 
+def _is_doomed(engine: Engine, seat: Seat, stays_s: float) -> bool:
+    left_s = engine.estimates.left_ms(seat.unit) / MS_PER_S
+    return seat.phase is SeatPhase.LIVE and left_s > stays_s
+
+
 def _stays_s(worker: Worker, now_s: float) -> float:
     announced_s = worker.entry.leaves_in_ms / MS_PER_S
     return worker.leaving_since_s + announced_s + STAYS_LONGER_S - now_s
--- a/src/bulrushcove/batch/model.py
+++ b/src/bulrushcove/batch/model.py
@@ -136,7 +136,8 @@
         raise InvalidJobError('a job needs at least one step')
     for number, step in enumerate(spec.steps):
         _check_step(number, step)
-    tasks = sum(step.task_count for step in spec.steps) * spec.occurrences
+    counts = [each.task_count for each in spec.steps]
+    tasks = sum(counts) * spec.occurrences
     if tasks > MAX_TASKS:
         raise InvalidJobError(f'{tasks} tasks are over the limit {MAX_TASKS}')
 
--- a/src/bulrushcove/batch/ordering.py
+++ b/src/bulrushcove/batch/ordering.py
@@ -24,18 +24,15 @@
 ) -> tuple[float, ...]:
     """Return the sort key of a waiting unit; lower goes first."""
     job = unit.job
-    terms = job.spec.terms
+    priority = job.spec.terms.priority
     objective_s = estimates.objective_s(job)
     left_s = estimates.left_ms(unit) / MS_PER_S
-    finish_s = now_s + left_s - job.accepted_s
-    lateness = _lateness(finish_s, objective_s)
+    lateness = _lateness(now_s + left_s - job.accepted_s, objective_s)
     due_s = job.accepted_s + objective_s - left_s
-    is_urgent = terms.priority == URGENT
-    rank = URGENT if is_urgent else 1 + lateness
-    begun = 0 if job.has_begun else 1
+    rank = URGENT if priority == URGENT else 1 + lateness
     if lateness == _ON_TIME:
-        return (rank, lateness, terms.priority, due_s, begun)
-    return (rank, lateness, terms.priority, unit.weight_cores, due_s)
+        return (rank, lateness, priority, due_s, not job.has_begun)
+    return (rank, lateness, priority, unit.weight_cores, due_s)
 
 
 def _lateness(finish_s: float, objective_s: float) -> int:
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -231,15 +231,12 @@
 def may_start(engine: Engine, worker: Worker, now_s: float) -> bool:
     """Return whether ``worker`` is given new work."""
     entry = worker.entry
-    return (
-        worker.is_listed
-        and worker.is_adopted
-        and not worker.missed_calls
-        and not entry.is_leaving
-        and not worker.strays
-        and entry.domain not in engine.standing.closed_domains
-        and not engine.trust.is_barred(worker.id, now_s)
-    )
+    answers = worker.is_adopted and not worker.missed_calls
+    stays = worker.is_listed and not entry.is_leaving
+    if not answers or not stays or worker.strays:
+        return False
+    is_open = entry.domain not in engine.standing.closed_domains
+    return is_open and not engine.trust.is_barred(worker.id, now_s)
 
 
 def _candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
@@ -269,17 +266,11 @@
 
 def _shape(unit: Unit) -> _Shape:
     spec = unit.spec
+    # The limit a worker depends on where the job's other tasks are.
     own = unit.job.id if spec.max_per_worker else ''
-    return (
-        unit.job.spec.terms.pool,
-        unit.size,
-        spec.size,
-        spec.required_label,
-        spec.near_rack,
-        spec.same_rack and unit.size > 1,
-        spec.max_per_worker,
-        own,
-    )
+    is_tight = spec.same_rack and unit.size > 1
+    where = (spec.required_label, spec.near_rack, is_tight)
+    return (unit.job.spec.terms.pool, unit.size, spec.size, where, own)
 
 
 def _stop(found: Reclaim) -> list[Seat]:
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
+from itertools import repeat
 
 import msgspec
 
@@ -95,8 +96,8 @@
     """Return the groups of workers to try, the best first."""
     step = unit.spec
     by_rack: dict[RackId, list[_Fit]] = defaultdict(list)
-    for candidate, count in usable:
-        by_rack[candidate.rack].append((candidate, count))
+    for fit in usable:
+        by_rack[fit[0].rack].append(fit)
     racks = {candidate.rack for candidate in candidates}
     is_tight = step.same_rack and unit.size > 1
     if step.near_rack in racks:
@@ -104,11 +105,7 @@
         return [*choices, usable] if may_go_far else choices
     if not is_tight:
         return [usable]
-    full = [
-        group
-        for group in by_rack.values()
-        if sum(count for _, count in group) >= unit.size
-    ]
+    full = [group for group in by_rack.values() if _total(group) >= unit.size]
     full.sort(key=_room_of)
     if may_go_far or not _any_rack_could_hold(unit, candidates):
         return [*full, usable]
@@ -128,6 +125,10 @@
     return any(total >= unit.size for total in totals.values())
 
 
+def _total(group: list[_Fit]) -> int:
+    return sum(count for _, count in group)
+
+
 def _room_of(group: list[_Fit]) -> float:
     return sum(candidate.room.weight_cores for candidate, _ in group)
 
@@ -135,7 +136,7 @@
 def _fill(
     group: list[_Fit], step: StepSpec, size: int
 ) -> list[Candidate] | None:
-    if sum(count for _, count in group) < size:
+    if _total(group) < size:
         return None
     needed = step.room
     free_by_rack = _free_by_rack(group)
@@ -146,7 +147,7 @@
     group = sorted(group, key=fit)
     chosen: list[Candidate] = []
     for candidate, count in group:
-        chosen.extend([candidate] * min(count, size - len(chosen)))
+        chosen.extend(repeat(candidate, min(count, size - len(chosen))))
         if len(chosen) == size:
             return chosen
     return None
--- a/src/bulrushcove/batch/reclaim.py
+++ b/src/bulrushcove/batch/reclaim.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
+from itertools import repeat
 
 import msgspec
 
@@ -34,6 +35,13 @@
     cost_core_s: float
 
 
+class _Victim(msgspec.Struct):
+    """A unit and its seats on one worker."""
+
+    unit: Unit
+    seats: list[Seat]
+
+
 class _Option(msgspec.Struct):
     """One worker and the units to stop so that tasks fit there."""
 
@@ -57,8 +65,9 @@
     groups: dict[RackId, list[Candidate]] = defaultdict(list)
     for candidate in candidates:
         groups[candidate.rack].append(candidate)
-    if step.near_rack in groups:
-        found = _clear(unit, groups[step.near_rack], workers, estimates)
+    near = groups.get(step.near_rack)
+    if near is not None:
+        found = _clear(unit, near, workers, estimates)
         if found is not None:
             return found
     elif step.same_rack and unit.size > 1:
@@ -108,7 +117,8 @@
         count = _count(option, unit)
         if not count:
             continue
-        places.extend([option.candidate] * min(count, unit.size - len(places)))
+        missing = unit.size - len(places)
+        places.extend(repeat(option.candidate, min(count, missing)))
         chosen.update((id(victim), victim) for victim in option.victims)
         if len(places) == unit.size:
             victims = tuple(chosen.values())
@@ -134,30 +144,30 @@
         return option
     worker = workers[candidate.worker]
     victims = _victims(unit, worker, estimates)
-    for victim, seats in victims:
-        option.victims.append(victim)
-        option.cost_core_s += loss_core_s(victim, estimates)
-        for seat in seats:
+    for victim in victims:
+        option.victims.append(victim.unit)
+        option.cost_core_s += loss_core_s(victim.unit, estimates)
+        for seat in victim.seats:
             option.room = option.room.plus(seat.unit.spec.room)
         if step.room.fits(option.room):
             return option
     return None
 
 
-def _victims(
-    unit: Unit, worker: Worker, estimates: Estimates
-) -> list[tuple[Unit, list[Seat]]]:
+def _victims(unit: Unit, worker: Worker, estimates: Estimates) -> list[_Victim]:
     priority = unit.job.spec.terms.priority
-    by_unit: dict[int, tuple[Unit, list[Seat]]] = {}
+    by_unit: dict[int, _Victim] = {}
     for seat in worker.seats.values():
         terms = seat.unit.job.spec.terms
         if terms.priority <= priority or seat.phase is SeatPhase.STOPPING:
             continue
         if seat.unit.spec.is_service and not seat.unit.spec.max_absent:
             continue
-        by_unit.setdefault(id(seat.unit), (seat.unit, []))[1].append(seat)
+        victim = by_unit.setdefault(id(seat.unit), _Victim(seat.unit, []))
+        victim.seats.append(seat)
     return sorted(
-        by_unit.values(), key=lambda pair: loss_core_s(pair[0], estimates)
+        by_unit.values(),
+        key=lambda victim: loss_core_s(victim.unit, estimates),
     )
 
 
--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -3,10 +3,9 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Protocol
 
-import aioprometheus
 import msgspec
 from aiohttp import web
 from mode import Service
@@ -22,6 +21,7 @@
 from ..wire import Frame
 from .desk import Desk
 from .feed import Entries, Feed
+from .http_ports import AnswerCall, open_port, show_metrics
 from .messages import (
     CountPending,
     HandOver,
@@ -47,12 +47,6 @@
 BALANCER_S = 2.3
 IDLE_CHECK_S = 0.05
 HAND_OVER_TIMEOUT_S = 0.3
-# A VM whose news from the operators is older says that it is not ready.
-KEEP_ALIVE_S = 75.0
-BACKLOG = 1024
-
-AnswerCall = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 logger = logging.getLogger(__name__)
 
 
@@ -111,7 +105,7 @@
         self._feed = Feed(
             self._store, around.operators_prefix, self._note_operators
         )
-        self._runners: list[web.ServerRunner] = []
+        self._ports: list[web.ServerRunner] = []
 
     async def on_start(self) -> None:
         """Start the services, those that others need first."""
@@ -124,10 +118,13 @@
             domain=self._settings.domain,
             incarnation=self._peers.hello.incarnation,
         )
-        await self._serve(self._settings.callers_address, self._front.handle)
         ready = self._around.make_ready_handler(self._is_ready)
-        await self._serve(self._settings.ready_address, ready)
-        await self._serve(self._settings.metrics_address, self._show_metrics)
+        for address, handler in (
+            (self._settings.callers_address, self._front.handle),
+            (self._settings.ready_address, ready),
+            (self._settings.metrics_address, show_metrics(self._metrics)),
+        ):
+            self._ports.append(await open_port(address, handler))
         registry = Registry(self._settings.vm, self._store, self._peers)
         for service in (self._peers, registry, self._feed, self._tenure):
             await self.add_runtime_dependency(service)
@@ -147,10 +144,14 @@
             if stayed_s > BALANCER_S and not self._front.in_progress:
                 break
             await asyncio.sleep(IDLE_CHECK_S)
-        for runner in self._runners:
-            await runner.cleanup()
+        for port in self._ports:
+            await port.cleanup()
         log_event(logger, 'node.stopped', vm=self._settings.vm)
 
+    async def on_shutdown(self) -> None:
+        """Close what the services used."""
+        await self._around.store.close()
+
     def _is_ready(self) -> bool:
         return (
             not self._is_leaving
@@ -158,27 +159,6 @@
             and (self._feed.is_current or self._tenure.hears_holder)
         )
 
-    async def _serve(self, address: str, handler: AnswerCall) -> None:
-        server = web.Server(
-            handler, keepalive_timeout=KEEP_ALIVE_S, access_log=None
-        )
-        runner = web.ServerRunner(
-            server, handle_signals=False, shutdown_timeout=CLOSE_MARGIN_S / 2
-        )
-        await runner.setup()
-        host, _, port = address.rpartition(':')
-        site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
-        await site.start()
-        self._runners.append(runner)
-
-    async def _show_metrics(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
-        body, headers = aioprometheus.render(
-            self._metrics.registry.registry, [request.headers.get('Accept', '')]
-        )
-        return web.Response(body=body, headers=headers)
-
     def _reload(self) -> None:
         try:
             settings = self._around.reload_settings()
@@ -223,16 +203,13 @@
         await self.add_runtime_dependency(scheduler)
 
     async def _end_scheduling(self, _reason: str) -> None:
-        scheduler, self._desk.scheduler = self._desk.scheduler, None
+        scheduler = self._desk.scheduler
+        self._desk.scheduler = None
         if scheduler is not None:
             await self.remove_dependency(scheduler)
             # Stopped on its own: the end may come from one of its tasks.
             self.add_future(scheduler.stop())
 
-    async def on_shutdown(self) -> None:
-        """Close what the services used."""
-        await self._around.store.close()
-
     async def _tell_hand_over(self, holder: Holder) -> None:
         news = HandOver(holder.epoch)
         await asyncio.gather(
--- a/src/bulrushcove/node/desk.py
+++ b/src/bulrushcove/node/desk.py
@@ -31,7 +31,7 @@
     SubmitOutcome,
     Submitted,
 )
-from .peers import Peers
+from .peers import PeerNotReachedError, Peers
 from .scheduler import Scheduler
 from .tenure import Tenure
 
@@ -85,15 +85,6 @@
             raise OutcomeUnknownError(f'job {spec.job}: no answer in time')
         raise NotServingError('no active scheduler', NO_SCHEDULER_RETRY_S)
 
-    def _is_hopeless(
-        self, began_s: float, deadline_s: float, may_be_taken: bool
-    ) -> bool:
-        """Return whether to stop trying to hand a job in."""
-        now_s = self._clock.monotonic_s()
-        if now_s + ANSWER_MARGIN_S >= deadline_s:
-            return True
-        return not may_be_taken and now_s - began_s > PATIENCE_S
-
     async def inquire(
         self,
         job: JobId,
@@ -139,7 +130,7 @@
             return await self._submit_here(scheduler, question)
         if question.may_forward and self._tenure.holder is not None:
             forwarded = msgspec.structs.replace(question, may_forward=False)
-            return await self._submit_to(self._tenure.holder, forwarded)
+            return await self._submit_by(self._tenure.holder.address, forwarded)
         return Submitted(SubmitOutcome.NOT_ACTIVE)
 
     async def answer_inquiry(self, question: Inquiry) -> JobAnswer:
@@ -169,6 +160,15 @@
             )
         return PendingCount(scheduler.intake.pending(question.queue))
 
+    def _is_hopeless(
+        self, began_s: float, deadline_s: float, may_be_taken: bool
+    ) -> bool:
+        """Return whether to stop trying to hand a job in."""
+        now_s = self._clock.monotonic_s()
+        if now_s + ANSWER_MARGIN_S >= deadline_s:
+            return True
+        return not may_be_taken and now_s - began_s > PATIENCE_S
+
     def _active(self) -> Scheduler | None:
         """Return this VM's scheduler if it may answer."""
         scheduler = self.scheduler
@@ -182,7 +182,7 @@
             return await self.answer_submit(question)
         holder = self._tenure.holder
         if holder is not None and self._tenure.hears_holder:
-            return await self._submit_to(holder, question)
+            return await self._submit_by(holder.address, question)
         if holder is not None:
             return await self._submit_around(holder, question)
         return Submitted(SubmitOutcome.NOT_ACTIVE)
@@ -205,15 +205,14 @@
             return Submitted(SubmitOutcome.UNKNOWN, repr(exc))
         return Submitted(SubmitOutcome.ACCEPTED)
 
-    async def _submit_to(self, holder: Holder, question: Submit) -> Submitted:
-        return await self._submit_by(holder.address, question)
-
     async def _submit_by(self, address: str, question: Submit) -> Submitted:
         timeout_s = min(QUESTION_TIMEOUT_S, question.wait_ms / MS_PER_S)
         try:
             _, answer = await self._peers.ask(
                 address, question, Submitted, timeout_s
             )
+        except PeerNotReachedError as exc:
+            return Submitted(SubmitOutcome.NOT_ACTIVE, str(exc))
         except PeerUnreachableError as exc:
             return Submitted(SubmitOutcome.UNKNOWN, str(exc))
         return answer
--- /dev/null
+++ b/src/bulrushcove/node/http_ports.py
@@ -0,0 +1,44 @@
+"""HTTP ports of the node program."""
+
+from collections.abc import Awaitable, Callable
+
+import aioprometheus
+from aiohttp import web
+
+from .metrics import NodeMetrics
+
+# Idle connections of callers are kept longer than they keep them.
+KEEP_ALIVE_S = 75.0
+# Connections that wait to be accepted; a burst opens hundreds at once.
+BACKLOG = 1024
+# Time for connections to end when a port is closed.
+CLOSE_S = 0.4
+
+AnswerCall = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+async def open_port(address: str, handler: AnswerCall) -> web.ServerRunner:
+    """Serve ``handler`` at ``address``, a pair host:port."""
+    server = web.Server(
+        handler, keepalive_timeout=KEEP_ALIVE_S, access_log=None
+    )
+    runner = web.ServerRunner(
+        server, handle_signals=False, shutdown_timeout=CLOSE_S
+    )
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+    await site.start()
+    return runner
+
+
+def show_metrics(metrics: NodeMetrics) -> AnswerCall:
+    """Return the handler that shows ``metrics``."""
+
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        body, headers = aioprometheus.render(
+            metrics.registry.registry, [request.headers.get('Accept', '')]
+        )
+        return web.Response(body=body, headers=headers)
+
+    return answer
--- a/src/bulrushcove/node/journal.py
+++ b/src/bulrushcove/node/journal.py
@@ -145,29 +145,34 @@
     async def _store_batch(self, batch: dict[str, _Pending]) -> None:
         while batch and not self._is_deposed:
             asked_s = self._clock.monotonic_s()
-            try:
-                answer = await self._commit(batch)
-            except StoreOutcomeUnknownError as exc:
-                self._note_failure('journal.answer_lost', exc, batch)
-                for pending in batch.values():
-                    pending.may_be_stored = True
+            answer = await self._try(batch)
+            if answer is None:
                 continue
-            except StoreError as exc:
-                self._note_failure('journal.unavailable', exc, batch)
-                await asyncio.sleep(RETRY_S)
-                continue
-            self._failing_since_s = 0.0
             if answer.written:
                 self._tenure.note_proof(asked_s)
                 self._settle(batch, answer.store_revision)
-                return
-            if not self._learn(batch, answer):
+            elif not self._learn(batch, answer):
                 self._fail(batch)
                 self._depose()
                 await self._tenure.lose('another scheduler has written')
-                return
         self._fail(batch)
 
+    async def _try(self, batch: dict[str, _Pending]) -> WriteAnswer | None:
+        """Return the store's answer; None: to be tried again."""
+        try:
+            answer = await self._commit(batch)
+        except StoreOutcomeUnknownError as exc:
+            self._note_failure('journal.answer_lost', exc, batch)
+            for pending in batch.values():
+                pending.may_be_stored = True
+            return None
+        except StoreError as exc:
+            self._note_failure('journal.unavailable', exc, batch)
+            await asyncio.sleep(RETRY_S)
+            return None
+        self._failing_since_s = 0.0
+        return answer
+
     async def _commit(self, batch: dict[str, _Pending]) -> WriteAnswer:
         self.transactions += 1
         writes = tuple(
@@ -194,9 +199,10 @@
         if tenure is None or tenure.mod_revision != self._holder.epoch:
             return False
         for key, pending in tuple(batch.items()):
-            found: StoredValue | None = current.get(key)
-            self.revisions[key] = found.mod_revision if found else 0
-            if (found.value if found else None) == pending.value:
+            found = current.get(key, _absent(key))
+            self.revisions[key] = found.mod_revision
+            stands = found.value if found.mod_revision else None
+            if stands == pending.value:
                 _resolve(pending)
                 batch.pop(key)
         return True
@@ -227,6 +233,10 @@
         batch.clear()
 
 
+def _absent(key: str) -> StoredValue:
+    return StoredValue(key, b'', 0)
+
+
 def _resolve(pending: _Pending) -> None:
     if not pending.stored.done():
         pending.stored.set_result(None)
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -13,6 +13,7 @@
 from ..messages import Hello, MessageType
 from ..streams import StreamServer
 from ..wire import Frame
+from .tasks import Tasks
 
 CONNECT_TIMEOUT_S = 0.4
 # An unused stream is closed after this.
@@ -24,7 +25,11 @@
 logger = logging.getLogger(__name__)
 
 
-class PeerRefusedError(PeerUnreachableError):
+class PeerNotReachedError(PeerUnreachableError):
+    """There is no stream to the peer: nothing was sent."""
+
+
+class PeerRefusedError(PeerNotReachedError):
     """Nothing listens at the peer's address: its process is gone."""
 
 
@@ -41,7 +46,7 @@
         self._on_frame = on_frame
         self._open: dict[str, Connection] = {}
         self._locks: dict[str, asyncio.Lock] = {}
-        self._readers: set[asyncio.Task[None]] = set()
+        self._readers = Tasks()
 
     async def on_start(self) -> None:
         """Accept streams."""
@@ -53,8 +58,7 @@
         """Close all streams."""
         for connection in tuple(self._open.values()):
             connection.close()
-        for reader in tuple(self._readers):
-            reader.cancel()
+        self._readers.cancel()
 
     def learn(self, addresses: tuple[str, ...]) -> None:
         """Take note of other VMs."""
@@ -105,16 +109,15 @@
         except ConnectionRefusedError as exc:
             raise PeerRefusedError(f'{address}: {exc}') from exc
         except (OSError, EOFError, WireError) as exc:
-            raise PeerUnreachableError(f'{address}: {exc!r}') from exc
-        task = asyncio.create_task(self._serve(address, connection))
-        self._readers.add(task)
-        task.add_done_callback(self._readers.discard)
+            raise PeerNotReachedError(f'{address}: {exc!r}') from exc
+        self._readers.spawn(self._serve(address, connection))
         return connection
 
     async def _serve(self, address: str, connection: Connection) -> None:
         try:
             await connection.run(IDLE_S)
-        except (TimeoutError, OSError, EOFError, WireError) as exc:
+        except (OSError, EOFError, WireError) as exc:
+            # Silence ends a stream as a TimeoutError, which is an OSError.
             log_event(
                 logger,
                 'peer.stream_closed',
--- a/src/bulrushcove/node/records.py
+++ b/src/bulrushcove/node/records.py
@@ -109,7 +109,7 @@
                 error=exc,
             )
     found = (*jobs.found, *progress.found)
-    return Loaded(restored, {item.key: item.mod_revision for item in found})
+    return Loaded(restored, {one.key: one.mod_revision for one in found})
 
 
 def log_job(event: str, job: Job) -> None:
--- a/src/bulrushcove/node/relay.py
+++ b/src/bulrushcove/node/relay.py
@@ -24,7 +24,7 @@
     WriteAnswer,
 )
 from .messages import StoreCall, StoreFailure, StoreOperation, StoreReply
-from .peers import Peers
+from .peers import PeerNotReachedError, Peers
 
 # After a failure the store is tried directly again after this.
 DIRECT_PAUSE_S = 1.5
@@ -147,20 +147,29 @@
         candidates = list(self._peers.known)
         random.shuffle(candidates)
         for address in candidates[:MAX_RELAYS]:
-            try:
-                _, reply = await self._peers.ask(
-                    address, call, StoreReply, RELAY_TIMEOUT_S
-                )
-            except PeerUnreachableError as exc:
-                if call.operation in _CHANGING:
-                    raise StoreOutcomeUnknownError(str(exc)) from exc
-                continue
-            if reply.failure is StoreFailure.UNAVAILABLE:
-                continue
-            _raise_failure(reply)
-            return reply
+            reply = await self._relay_by(address, call)
+            if reply.failure is not StoreFailure.UNAVAILABLE:
+                _raise_failure(reply)
+                return reply
         raise StoreUnavailableError(f'no VM reaches the store: {failure}')
 
+    async def _relay_by(self, address: str, call: StoreCall) -> StoreReply:
+        try:
+            _, reply = await self._peers.ask(
+                address, call, StoreReply, RELAY_TIMEOUT_S
+            )
+        except PeerNotReachedError as exc:
+            return StoreReply(StoreFailure.UNAVAILABLE, str(exc))
+        except PeerUnreachableError as exc:
+            may_be_done = call.operation in _CHANGING
+            failure = (
+                StoreFailure.UNKNOWN
+                if may_be_done
+                else StoreFailure.UNAVAILABLE
+            )
+            return StoreReply(failure, str(exc))
+        return reply
+
     def _note_lost(self, exc: StoreError) -> None:
         if not self._direct_from_s:
             log_event(logger, 'store.lost', level=logging.WARNING, error=exc)
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -168,13 +168,10 @@
         worker = self.worker
         if not self._events.may_order():
             return False
-        return bool(
-            not worker.is_adopted
-            or worker.seats
-            or worker.strays
-            or worker.missed_calls
-            or worker.seen_end > self.confirmed_end
-        )
+        holds_something = bool(worker.seats or worker.strays)
+        is_open = not worker.is_adopted or worker.missed_calls > 0
+        has_ends = worker.seen_end > self.confirmed_end
+        return holds_something or is_open or has_ends
 
     async def _call(self) -> bool:
         """Ask for one report; returns whether it came."""
