--- a/src/bulrushcove/node/intake.py
+++ b/src/bulrushcove/node/intake.py
@@ -77,9 +77,11 @@
                 unix_ms=self._clock.unix_ms(),
                 now_s=self._clock.monotonic_s(),
             )
-            log_job('job.cancelled', job)
-            stored = self._records.put_progress(job)
+            self._records.put_end(job)
             self.stop(stops)
+        # Also a repeated call is answered only when no successor forgets it.
+        stored = self._records.end_of(job.id)
+        if stored is not None:
             await asyncio.shield(stored)
         return job.phase
 
--- a/src/bulrushcove/node/records.py
+++ b/src/bulrushcove/node/records.py
@@ -44,7 +44,7 @@
         # Submissions that are not stored yet.
         self._submitting: dict[JobId, Stored] = {}
         # Jobs whose end is not stored yet.
-        self._ending: set[JobId] = set()
+        self._ending: dict[JobId, Stored] = {}
 
     def put_submission(self, job: Job) -> None:
         """Store what was accepted."""
@@ -63,9 +63,13 @@
     def put_end(self, job: Job) -> None:
         """Store the end of ``job``; until then it is shown as running."""
         log_job('job.ended', job)
-        self._ending.add(job.id)
         stored = self.put_progress(job)
-        stored.add_done_callback(lambda _: self._ending.discard(job.id))
+        self._ending[job.id] = stored
+        stored.add_done_callback(lambda _: self._ending.pop(job.id, None))
+
+    def end_of(self, job: JobId) -> Stored | None:
+        """Return the write of a job's end while it is under way."""
+        return self._ending.get(job)
 
     def shown_phase(self, job: Job) -> JobPhase:
         """Return the state that no successor can take back."""
