--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 BIN = $(VENV)/bin
 SEED ?= 1
 SECONDS ?= 60
+JOBS ?= 4
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
@@ -16,8 +17,9 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
+# Test files run side by side; most of their time is waiting.
 test: venv
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile
 
 lint: venv
 	$(BIN)/ruff format --check $(SOURCES)
@@ -31,7 +33,7 @@
 # Re-pins every dependency after pyproject.toml changed.
 lock: venv
 	$(BIN)/python -m pip install --quiet pip-tools
-	$(BIN)/pip-compile --quiet --extra dev --strip-extras --no-emit-index-url --no-emit-trusted-host --no-header -o requirements.lock pyproject.toml
+	$(BIN)/pip-compile --quiet --extra dev --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host --no-header -o requirements.lock pyproject.toml
 
 demo: venv
 	$(BIN)/python -m dev.demo --seed=$(SEED)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -11,7 +11,7 @@
 
 
 def test_every_metric_is_on_the_page():
-    sources = (ROOT / 'src' / 'bulrushcove').glob('*.py')
+    sources = (ROOT / 'src' / 'bulrushcove').rglob('*.py')
     named = {
         name
         for source in sources
--- a/tests/test_operating_pages.py
+++ b/tests/test_operating_pages.py
@@ -11,7 +11,7 @@
 COMMAND = re.compile(r'^ +(bulrushcove .+)$', re.MULTILINE)
 
 
-@pytest.mark.parametrize('page', ['OPERATING.md', 'CONFIGURATION.md'])
+@pytest.mark.parametrize('page', ['OPERATIONS.md', 'CONFIGURATION.md'])
 def test_every_command_on_the_page_exists(page):
     text = (DOCS / page).read_text(encoding='utf-8')
     commands = COMMAND.findall(text)
