--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,11 @@
 SEED ?= 1
 SECONDS ?= 60
 JOBS ?= 4
+SEEDS ?= 10
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo soak measure measure-path measure-capacity
+.PHONY: venv test lint format lock demo soak node-soak measure measure-path measure-capacity
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -42,6 +43,10 @@
 soak: venv
 	$(BIN)/python -m dev.soak --seconds=$(SECONDS) --seed=$(SEED) --requests=400 --jobs=24
 
+# Random faults on the node program; a seed each 25 s.
+node-soak: venv
+	$(BIN)/python -m dev.node_soak --first=$(SEED) --seeds=$(SEEDS)
+
 # What the entry adds to a request, beside a bare forwarder.
 measure-path: venv
 	$(BIN)/python -m dev.measure_path
--- a/dev/platform_standin/deployment.py
+++ b/dev/platform_standin/deployment.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from dev.launch.ports import choose_ports
+from dev.platform_standin.proxy import Proxy
 from dev.platform_standin.store import StandinStore
 from dev.platform_standin.worker import StandinWorker
 
@@ -89,6 +90,8 @@
         self.streams = f'{HOST}:{ports[2]}'
         self.metrics = f'{HOST}:{ports[3]}'
         self.process: asyncio.subprocess.Process | None = None
+        # Its own path to the store.
+        self.proxy: Proxy | None = None
         self._ports = ports
         self._store = store
         folder = Path(tempfile.mkdtemp(prefix='bulrushcove-'))
@@ -111,6 +114,11 @@
                 stderr=log,
             )
 
+    def send_signal(self, how: signal.Signals) -> None:
+        """Send a signal to the process if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(how)
+
     async def stop(self, how: signal.Signals = signal.SIGTERM) -> None:
         """End the process by signal and wait for it."""
         if self.process is None or self.process.returncode is not None:
@@ -155,7 +163,7 @@
 
     async def __aenter__(self) -> 'Deployment':
         """Start everything and wait until the nodes are ready."""
-        ports = choose_ports(1 + len(self.workers) + 4 * self._count)
+        ports = choose_ports(1 + len(self.workers) + 5 * self._count)
         store = f'{HOST}:{ports.pop()}'
         await self._serve(self.store.application(), store)
         for worker in self.workers:
@@ -166,7 +174,11 @@
         self.configure(CONFIG)
         for number in range(self._count):
             own = [ports.pop() for _ in range(4)]
-            self.nodes.append(Node(f'vm-{number}', own, store))
+            proxy = Proxy(ports.pop(), int(store.partition(':')[2]))
+            await proxy.start()
+            node = Node(f'vm-{number}', own, f'{HOST}:{proxy.port}')
+            node.proxy = proxy
+            self.nodes.append(node)
         self.http = aiohttp.ClientSession()
         seeds = [node.streams for node in self.nodes]
         for node in self.nodes:
@@ -184,6 +196,7 @@
         """End everything that was started."""
         for node in self.nodes:
             await node.stop(signal.SIGKILL)
+            await node.proxy.close()
         if self.http is not None:
             await self.http.close()
         for runner in self._runners:
--- a/dev/platform_standin/worker.py
+++ b/dev/platform_standin/worker.py
@@ -31,6 +31,8 @@
         self.ended: list[list[Any]] = []
         # Every run that ever began: task, run, fence.
         self.begun: list[tuple[str, int, int]] = []
+        # What happened when: seconds, 'begin' or how it ended, task, run.
+        self.history: list[tuple[float, str, str, int]] = []
         # Starts that are carried out and not answered.
         self.lose_answers = 0
         # Each start fails at once.
@@ -64,6 +66,7 @@
             return self._refuse('old')
         self._deadline_ms = max(self._deadline_ms, body['deadline-ms'])
         self.begun.append((*key, body['fence']))
+        self.history.append((time.time(), 'begin', *key))
         self.running[key] = StandinRun(
             body['task'], body['run'], time.time(), float(body['spec'])
         )
@@ -122,6 +125,7 @@
 
     def _end(self, key: tuple[str, int], how: str) -> None:
         self.running.pop(key)
+        self.history.append((time.time(), how, *key))
         self._numbers += 1
         self.ended.append([self._numbers, *key, how, ''])
 
