A VM that the store turns away asks the peer that reached it last

Cause: its calls went to two peers at random, some gone or turned away too (incident inc-8c2e). Ruled out: the store itself, which answered others.

--- a/src/bulrushcove/node/relay.py
+++ b/src/bulrushcove/node/relay.py
@@ -49,6 +49,8 @@
         self._peers = peers
         self._clock = clock
         self._direct_from_s = 0.0
+        # The peer that reached the store last.
+        self._good_relay = ''
         # Changing calls in a row without an answer.
         self._unanswered = 0
 
@@ -146,11 +148,15 @@
     ) -> StoreReply:
         candidates = list(self._peers.known)
         random.shuffle(candidates)
+        # Some peers are gone, and some are turned away as well.
+        candidates.sort(key=lambda address: address != self._good_relay)
         for address in candidates[:MAX_RELAYS]:
             reply = await self._relay_by(address, call)
             if reply.failure is not StoreFailure.UNAVAILABLE:
+                self._good_relay = address
                 _raise_failure(reply)
                 return reply
+        self._good_relay = ''
         raise StoreUnavailableError(f'no VM reaches the store: {failure}')
 
     async def _relay_by(self, address: str, call: StoreCall) -> StoreReply:
