--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -1,6 +1,5 @@
 """Stored form of a job: the submission, written once, and its progress."""
 
-from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -103,13 +102,6 @@
     return job
 
 
-def queued_or_stored_phase(records: Mapping[str, bytes], key: str) -> JobPhase:
-    """Return the phase stored under ``key``; queued without a record."""
-    if key not in records:
-        return JobPhase.QUEUED
-    return JobPhase(decode_progress(records[key]).phase)
-
-
 def _unit_record(unit: Unit) -> UnitRecord:
     workers: tuple[str, ...] = ()
     if unit.seats:
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -1,14 +1,13 @@
 """A worker as the scheduler sees it: room, lease and evidence."""
 
-from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
 
 from ..ids import DomainName, RackId, WorkerId
-from .ids import PoolName, RunRef, TaskRef
+from .ids import PoolName, RunRef
 from .model import MS_PER_S, TaskSize
-from .progress import Seat, SeatPhase
+from .progress import Seat
 
 # A worker's steady clock may run this much slow, as its owners state.
 CLOCK_DRIFT = 0.02
@@ -144,15 +143,3 @@
     def _note_lapse(self) -> None:
         left_s = max(0, self.granted_ms - self.clock_ms) / MS_PER_S
         self.lapses_s = self.clock_read_s + left_s / (1 - CLOCK_DRIFT)
-
-
-def known_runs(seats: Iterable[Seat]) -> set[TaskRef]:
-    """Return the tasks of ``seats``."""
-    return {seat.ref.task for seat in seats}
-
-
-def live_seats(worker: Worker) -> list[Seat]:
-    """Return the seats whose runs are known to go on."""
-    return [
-        seat for seat in worker.seats.values() if seat.phase is SeatPhase.LIVE
-    ]
--- a/src/bulrushcove/node/settings.py
+++ b/src/bulrushcove/node/settings.py
@@ -10,7 +10,6 @@
 
     vm: VmId
     domain: DomainName
-    region: str
     ip: str
     # Pairs host:port.
     callers_address: str
@@ -21,12 +20,8 @@
     # Streams of a few VMs, possibly gone.
     seed_addresses: tuple[str, ...]
     store_address: str
-    machines_address: str
-    advice_address: str
     # Longest lease that a worker grants.
     max_lease_ms: int
-    # A stopped run is gone within this time.
-    stop_ms: int
     # Time from the request to stop to the end of the process by force.
     grace_ms: int
     min_store_lease_ms: int
--- a/src/bulrushcove/platform/http_call.py
+++ b/src/bulrushcove/platform/http_call.py
@@ -56,7 +56,6 @@
 
     def __init__(self, address: str) -> None:
         """Call ``address``, a pair host:port; connects on first use."""
-        self.calls = 0
         self._base = f'http://{address}'
         self._session: _Session | None = None
 
@@ -71,7 +70,6 @@
         headers: Mapping[str, str] | None = None,
     ) -> Reply:
         """Return the answer; raises ``NotSentError``, ``NoAnswerError``."""
-        self.calls += 1
         if self._session is None:
             self._session = _Session()
         session = self._session
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -29,27 +29,19 @@
 
 class _Bounds(msgspec.Struct, rename='kebab'):
     max_hold_ms: int = 6000
-    stop_ms: int = 1000
     grace_s: float = 6.0
 
 
-class _Cloud(msgspec.Struct, rename='kebab'):
-    address: str = ''
-
-
 class _Settings(msgspec.Struct, rename='kebab'):
     node: str
     ip: str
     zone: str
-    region: str
     # First and last port that is free for streams between VMs.
     internal_ports: tuple[int, int]
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
-    advice: str = ''
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    cloud: _Cloud = msgspec.field(default_factory=_Cloud)
 
 
 def load_node_settings() -> NodeSettings:
@@ -76,7 +68,6 @@
     return NodeSettings(
         vm=VmId(found.node),
         domain=DomainName(found.zone),
-        region=found.region,
         ip=found.ip,
         callers_address=found.listen.front,
         ready_address=found.listen.ready,
@@ -84,10 +75,7 @@
         metrics_address=f'{found.ip}:{last_port}',
         seed_addresses=tuple(found.seeds),
         store_address=found.platform.address,
-        machines_address=found.cloud.address,
-        advice_address=found.advice,
         max_lease_ms=found.bounds.max_hold_ms,
-        stop_ms=found.bounds.stop_ms,
         grace_ms=int(found.bounds.grace_s * MS_PER_S),
         min_store_lease_ms=found.platform.min_ttl_ms,
     )
--- a/src/bulrushcove/platform/store.py
+++ b/src/bulrushcove/platform/store.py
@@ -87,11 +87,6 @@
         self._clock = clock
         self._patience = Patience()
 
-    @property
-    def calls(self) -> int:
-        """Return how many calls were made."""
-        return self._endpoint.calls
-
     async def close(self) -> None:
         """Close all connections."""
         await self._endpoint.close()
--- a/src/bulrushcove/platform/workers.py
+++ b/src/bulrushcove/platform/workers.py
@@ -63,11 +63,6 @@
         self._endpoint = Endpoint(address)
         self._headers = {INSTANCE_HEADER: worker}
 
-    @property
-    def calls(self) -> int:
-        """Return how many calls were made."""
-        return self._endpoint.calls
-
     async def close(self) -> None:
         """Close all connections."""
         await self._endpoint.close()
