--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -16,7 +16,7 @@
 from .exceptions import JobConflictError
 from .guarantee import widest_accelerators
 from .headroom import Demand
-from .ids import QueueName
+from .ids import QueueName, UnitRef
 from .leaving import cannot_end
 from .membership import unknown_worker
 from .model import JobSpec
@@ -65,7 +65,8 @@
         self.estimates = Estimates()
         self.trust = Trust()
         self.urgent_demand = Demand()
-        self.reclaims: dict[int, tuple[Reclaim, float]] = {}
+        # Room that is being cleared, and until when it is kept.
+        self.reclaims: dict[UnitRef, tuple[Reclaim, float]] = {}
 
     def restore(self, jobs: Iterable[Job], lapses_s: float) -> None:
         """Take over ``jobs``; what runs unseen has lapsed by ``lapses_s``."""
--- a/src/bulrushcove/batch/ids.py
+++ b/src/bulrushcove/batch/ids.py
@@ -17,6 +17,15 @@
     index: int
 
 
+class UnitRef(NamedTuple):
+    """One unit of one occurrence of a job: a whole gang, or one task."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    index: int
+
+
 class RunRef(NamedTuple):
     """One start of a task; the numbers of a task's runs only grow."""
 
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -89,7 +89,7 @@
             self._keep_reclaimed(unit)
             return []
         take_room(chosen, unit.spec)
-        self._engine.reclaims.pop(id(unit), None)
+        self._engine.reclaims.pop(unit.ref, None)
         return self._seat(unit, chosen)
 
     def reclaim(self, unit: Unit) -> list[Seat]:
@@ -97,7 +97,7 @@
         terms = unit.job.spec.terms
         if terms.priority != URGENT or unit.phase is not UnitPhase.WAITING:
             return []
-        if id(unit) in self._engine.reclaims:
+        if unit.ref in self._engine.reclaims:
             return []
         group = self._candidates.get(terms.pool, [])
         workers = self._engine.workers
@@ -117,7 +117,7 @@
         if not covered and not is_worth_it(unit, found, estimates):
             return []
         until_s = self._now_s + RECLAIM_HOLD_S
-        self._engine.reclaims[id(unit)] = (found, until_s)
+        self._engine.reclaims[unit.ref] = (found, until_s)
         take_room(found.places, unit.spec)
         return _stop(found)
 
@@ -172,13 +172,10 @@
 
     def _keep_reclaimed(self, unit: Unit) -> None:
         """Keep others off the room that is being cleared for ``unit``."""
-        known = self._engine.reclaims.get(id(unit))
+        known = self._engine.reclaims.get(unit.ref)
         if known is None:
             return
-        found, until_s = known
-        if self._now_s > until_s:
-            self._engine.reclaims.pop(id(unit))
-            return
+        found, _ = known
         wanted = {place.worker for place in found.places}
         by_worker = {
             candidate.worker: candidate
@@ -211,6 +208,11 @@
 
 def make_pass(engine: Engine, *, unix_ms: int, now_s: float) -> Pass:
     """Return a pass over what waits now."""
+    engine.reclaims = {
+        ref: known
+        for ref, known in engine.reclaims.items()
+        if now_s <= known[1]
+    }
     waiting = [
         unit
         for job in engine.active.values()
--- a/src/bulrushcove/batch/progress.py
+++ b/src/bulrushcove/batch/progress.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..ids import JobId, WorkerId
-from .ids import RunRef, TaskRef
+from .ids import RunRef, TaskRef, UnitRef
 from .model import JobSpec, StepSpec
 
 # Index of a unit that is a whole gang.
@@ -95,6 +95,11 @@
     ready_s: float = 0.0
     placed_s: float = 0.0
 
+    @property
+    def ref(self) -> UnitRef:
+        """Return the name of the unit."""
+        return UnitRef(self.job.id, self.occurrence, self.step, self.index)
+
     @property
     def spec(self) -> StepSpec:
         """Return the unit's step."""
--- a/src/bulrushcove/node/tenure.py
+++ b/src/bulrushcove/node/tenure.py
@@ -49,7 +49,7 @@
         # Called when this VM becomes, and ceases to be, the active scheduler.
         self.on_won: Callable[[Holder], Awaitable[None]] = _ignore
         self.on_lost: Callable[[str], Awaitable[None]] = _ignore
-        # Set when this VM has a holder to turn to.
+        # Whether this VM stops, and so campaigns no more.
         self.is_leaving = False
         # Whether the holder before is known to have ended, so that it can
         # give no more orders or leases.
@@ -226,15 +226,24 @@
             return
         epoch = Epoch(answer.store_revision)
         if before is not None:
-            await self._end_lease_of(before)
+            self.add_future(self._end_lease_of(before))
         await self._begin(msgspec.structs.replace(record, epoch=epoch), asked_s)
 
     async def _end_lease_of(self, before: Holder) -> None:
-        """Let the holder before learn at its next renewal."""
-        try:
-            await self._store.end_lease(before.lease)
-        except StoreError as exc:
-            log_event(logger, 'tenure.lease_left', holder=before.vm, error=exc)
+        """Let the holder before learn at its next renewal.
+
+        While its lease lives it takes each renewal for a proof.
+        """
+        while not self.should_stop:
+            try:
+                await self._store.end_lease(before.lease)
+            except StoreError as exc:
+                log_event(
+                    logger, 'tenure.lease_left', holder=before.vm, error=exc
+                )
+                await self.sleep(RENEW_S)
+            else:
+                return
 
     async def _begin(self, holder: Holder, proof_s: float) -> None:
         if self.is_leaving:
