One copy of the milliseconds of a second, and of the set-up of logs

Found by reading the change: batch and platform each named MS_PER_S anew, and the bounded logs repeated what setup_logs does to the root logger. Behaviour is unchanged. Run: lint of src, tests and dev; the batch, node, platform-message and log tests (139 passed). The whole suite was not run.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from ..clock import MS_PER_S
 from ..ids import JobId, WorkerId
 from .admission import refuse_if_hopeless
 from .endings import apply_end, cancel_job
@@ -30,7 +31,6 @@
 from .trust import Trust
 from .workers import EndKind, Worker, WorkerReport
 
-MS_PER_S = 1000
 # Ended jobs are shown this long, then leave memory and store. Callers are
 # promised 120 s.
 KEEP_ENDED_S = 600.0
--- a/src/bulrushcove/batch/estimates.py
+++ b/src/bulrushcove/batch/estimates.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
+from ..clock import MS_PER_S
 from .ids import QueueName
-from .model import MS_PER_S, StepSpec
+from .model import StepSpec
 from .progress import Job, Unit, UnitPhase
 
 # Runs after which the mean of a queue goes before the declared time.
--- a/src/bulrushcove/batch/leaving.py
+++ b/src/bulrushcove/batch/leaving.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from .model import MS_PER_S
+from ..clock import MS_PER_S
 from .progress import Seat, SeatPhase
 
 if TYPE_CHECKING:
--- a/src/bulrushcove/batch/model.py
+++ b/src/bulrushcove/batch/model.py
@@ -7,7 +7,6 @@
 from .ids import PoolName, QueueName
 
 MILLICORES_PER_CORE = 1000
-MS_PER_S = 1000
 # Weight of an accelerator in core-seconds, from the users' price list.
 CORES_PER_ACCELERATOR = 8
 # Most tasks in all occurrences of one job; bounds its record to a megabyte.
--- a/src/bulrushcove/batch/ordering.py
+++ b/src/bulrushcove/batch/ordering.py
@@ -5,8 +5,8 @@
 smallest first, so that late large jobs never hold up many small ones.
 """
 
+from ..clock import MS_PER_S
 from .estimates import Estimates
-from .model import MS_PER_S
 from .progress import Unit
 
 URGENT = 0
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -5,12 +5,12 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from ..clock import MS_PER_S
 from ..ids import WorkerId
 from .guarantee import is_guaranteed
 from .headroom import GANG_PATIENCE_S, kept_workers
 from .holdback import HOLD_AFTER_S, MAX_HOLDS, soonest_places
 from .ids import PoolName
-from .model import MS_PER_S
 from .ordering import URGENT, waiting_key
 from .placement import FAR_PATIENCE_S, Candidate, find_places, take_room
 from .progress import (
--- a/src/bulrushcove/batch/reclaim.py
+++ b/src/bulrushcove/batch/reclaim.py
@@ -11,9 +11,10 @@
 
 import msgspec
 
+from ..clock import MS_PER_S
 from ..ids import RackId
 from .estimates import Estimates
-from .model import MS_PER_S, TaskSize
+from .model import TaskSize
 from .placement import Candidate, fitting_tasks
 from .progress import Seat, SeatPhase, Unit
 from .workers import Worker
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
+from ..clock import MS_PER_S
 from ..ids import DomainName, RackId, WorkerId
 from .ids import PoolName, RunRef
-from .model import MS_PER_S, TaskSize
+from .model import TaskSize
 from .progress import Seat
 
 # A worker's steady clock may run this much slow, as its owners state.
--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -34,13 +34,7 @@
     """Send every log line of the process to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(make_formatter(settings))
-    root = logging.getLogger()
-    root.handlers = [handler]
-    root.setLevel(settings.level.upper())
-    # What the service library says of each start and stop is for debugging.
-    mode.Service.mundane_level = 'debug'
-    # Its access line would repeat the request events.
-    logging.getLogger('aiohttp.access').setLevel(logging.WARNING)
+    _install(handler, settings.level)
 
 
 def make_formatter(settings: LogSettings) -> logging.Formatter:
@@ -125,8 +119,14 @@
     """Send every log line to standard output, bounded, as key=value pairs."""
     handler = BoundedHandler(sys.stdout.fileno())
     handler.setFormatter(make_formatter(LogSettings()))
+    _install(handler, level)
+
+
+def _install(handler: logging.Handler, level: str) -> None:
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level.upper())
+    # What the service library says of each start and stop is for debugging.
     mode.Service.mundane_level = 'debug'
+    # Its access line would repeat the request events.
     logging.getLogger('aiohttp.access').setLevel(logging.WARNING)
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
+from ..clock import MS_PER_S
 from ..ids import DomainName, VmId
 from ..node.settings import NodeSettings
 from .exceptions import UndecodableError
 
 PATH_VARIABLE = 'BULRUSHCOVE_CONFIG'
-MS_PER_S = 1000
 
 
 class _Listen(msgspec.Struct, rename='kebab'):
