--- /dev/null
+++ b/dev/platform_standin/deployment.py
@@ -0,0 +1,282 @@
+"""A whole deployment on loopback: the store, workers and node programs."""
+
+import asyncio
+import base64
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import Mapping
+from pathlib import Path
+from types import MappingProxyType, TracebackType
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from dev.launch.ports import choose_ports
+from dev.platform_standin.store import StandinStore
+from dev.platform_standin.worker import StandinWorker
+
+ROOT = Path(__file__).parents[2]
+HOST = '127.0.0.1'
+QUEUE_HOST = 'queue.example'
+PREFIX = '/work/'
+CREDENTIAL = 'key-1'
+READY_WAIT_S = 20.0
+POLL_S = 0.05
+GRACE_S = 6.0
+
+CONFIG: MappingProxyType[str, Any] = MappingProxyType(
+    {
+        'version': 3,
+        'routes': [
+            {
+                'name': 'r-1',
+                'host': QUEUE_HOST,
+                'prefix': PREFIX,
+                'service': 'pool',
+                'target-duration-ms': 1500,
+                'priority': 1,
+                'max-attempts': 3,
+                'stretch': 3.0,
+                'public': False,
+            }
+        ],
+        'services': [{'name': 'pool', 'enforces-capacity': False}],
+        'limits': {'max-body-bytes': 10_000},
+        'tenants': [
+            {
+                'name': 'mill',
+                'api-keys': [CREDENTIAL],
+                'guaranteed': {'gpu': 8},
+            },
+            {'name': 'other', 'api-keys': ['key-2']},
+        ],
+    }
+)
+
+
+SETTINGS = """
+node = "{name}"
+role = "node"
+ip = "{host}"
+zone = "a"
+region = "north"
+internal-ports = [{first_port}, {last_port}]
+seeds = [{seeds}]
+[listen]
+front = "{front}"
+ready = "{ready}"
+[platform]
+address = "{store}"
+[bounds]
+max-hold-ms = 6000
+stop-ms = 400
+grace-s = {grace_s}
+"""
+
+
+class Node:
+    """One node program as a process of its own."""
+
+    def __init__(self, name: str, ports: list[int], store: str) -> None:
+        """Describe the process; ``start`` runs it."""
+        self.name = name
+        self.front = f'{HOST}:{ports[0]}'
+        self.ready = f'{HOST}:{ports[1]}'
+        self.streams = f'{HOST}:{ports[2]}'
+        self.metrics = f'{HOST}:{ports[3]}'
+        self.process: asyncio.subprocess.Process | None = None
+        self._ports = ports
+        self._store = store
+        folder = Path(tempfile.mkdtemp(prefix='bulrushcove-'))
+        self.log = folder / 'log'
+        self._settings = folder / 'settings.toml'
+
+    async def start(self, seeds: list[str]) -> None:
+        """Run the process."""
+        self._settings.write_text(self._document(seeds), encoding='utf-8')
+        environment = {
+            **os.environ,
+            'BULRUSHCOVE_CONFIG': str(self._settings),
+        }
+        with self.log.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / 'src' / 'bulrushcove_node.py'),
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    async def stop(self, how: signal.Signals = signal.SIGTERM) -> None:
+        """End the process by signal and wait for it."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.process.send_signal(how)
+        try:
+            async with asyncio.timeout(GRACE_S + 2):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+    def _document(self, seeds: list[str]) -> str:
+        listed = ', '.join(f'"{seed}"' for seed in seeds)
+        return SETTINGS.format(
+            name=self.name,
+            host=HOST,
+            first_port=self._ports[2],
+            last_port=self._ports[3],
+            seeds=listed,
+            front=self.front,
+            ready=self.ready,
+            store=self._store,
+            grace_s=GRACE_S,
+        )
+
+
+class Deployment:
+    """The parts of a deployment; an asynchronous context manager."""
+
+    def __init__(self, nodes: int = 2, workers: int = 2) -> None:
+        """Prepare so many node programs and workers."""
+        self.store = StandinStore()
+        self.workers = [
+            StandinWorker(f'w-{number}') for number in range(workers)
+        ]
+        self.nodes: list[Node] = []
+        self._count = nodes
+        self._runners: list[web.AppRunner] = []
+        self._addresses: dict[str, str] = {}
+        self.http: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> 'Deployment':
+        """Start everything and wait until the nodes are ready."""
+        ports = choose_ports(1 + len(self.workers) + 4 * self._count)
+        store = f'{HOST}:{ports.pop()}'
+        await self._serve(self.store.application(), store)
+        for worker in self.workers:
+            address = f'{HOST}:{ports.pop()}'
+            self._addresses[worker.worker] = address
+            await self._serve(worker.application(), address)
+            self.list_worker(worker)
+        self.configure(CONFIG)
+        for number in range(self._count):
+            own = [ports.pop() for _ in range(4)]
+            self.nodes.append(Node(f'vm-{number}', own, store))
+        self.http = aiohttp.ClientSession()
+        seeds = [node.streams for node in self.nodes]
+        for node in self.nodes:
+            await node.start(seeds)
+        for node in self.nodes:
+            await self.wait_ready(node)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End everything that was started."""
+        for node in self.nodes:
+            await node.stop(signal.SIGKILL)
+        if self.http is not None:
+            await self.http.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def configure(self, config: Mapping[str, Any]) -> None:
+        """Write the operators' configuration."""
+        self.store.put('op/config', json.dumps(dict(config)).encode())
+
+    def list_worker(
+        self, worker: StandinWorker, state: str = 'ready', **others: Any
+    ) -> None:
+        """Write the entry of ``worker``."""
+        entry = {
+            'service': 'pool',
+            'address': self._addresses[worker.worker],
+            'zone': 'a',
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold-remaining-ms': 0,
+            'seq': 1,
+            'capacity': {'cpu': 32_000, 'mem-mb': 64_000, 'gpu': 8},
+            'labels': ['a', 'r-1'],
+            'born': worker.born_unix_ms,
+            **others,
+        }
+        self.store.put(f'servers/{worker.worker}', json.dumps(entry).encode())
+
+    async def wait_ready(self, node: Node) -> None:
+        """Wait until the balancer would send callers to ``node``."""
+        async with asyncio.timeout(READY_WAIT_S):
+            is_ready = await self._is_ready(node)
+            while not is_ready:
+                await asyncio.sleep(POLL_S)
+                is_ready = await self._is_ready(node)
+
+    async def call(
+        self, method: str, job: str, *, node: int = 0, **parts: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Call a node as a client does; returns status and body."""
+        headers = {
+            'Host': QUEUE_HOST,
+            'X-Credential': parts.pop('credential', CREDENTIAL),
+            'X-Deadline-Ms': '3000',
+        }
+        url = f'http://{self.nodes[node].front}{PREFIX}{job}'
+        async with self.http.request(
+            method, url, headers=headers, **parts
+        ) as response:
+            return response.status, await response.json()
+
+    async def submit(
+        self, job: str, *, node: int = 0, lasts_s: float = 0.2, **step: Any
+    ) -> int:
+        """Hand in a job of one step; returns the status."""
+        step = {'count': 1, 'cpu': 1000, 'mem-mb': 100, 'gpu': 1, **step}
+        body = {'spec': str(lasts_s), 'steps': [step]}
+        status, _ = await self.call('POST', job, node=node, json=body)
+        return status
+
+    async def wait_state(
+        self, job: str, wanted: str, *, node: int = 0, within_s: float = 15.0
+    ) -> None:
+        """Wait until ``job`` is shown as ``wanted``."""
+        seen = None
+        try:
+            async with asyncio.timeout(within_s):
+                while seen != wanted:
+                    _, body = await self.call('GET', job, node=node)
+                    seen = body.get('state')
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError as exc:
+            raise AssertionError(f'{job}: {seen}, not {wanted}') from exc
+
+    def holder(self) -> Node:
+        """Return the node that the store names as active scheduler."""
+        stored = self.store.items['bulrushcove/tenure']['value']
+        text = base64.b64decode(stored)
+        return next(
+            node for node in self.nodes if node.streams.encode() in text
+        )
+
+    async def _is_ready(self, node: Node) -> bool:
+        try:
+            async with self.http.get(f'http://{node.ready}/api/ready') as got:
+                return got.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _serve(self, application: web.Application, address: str) -> None:
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        host, _, port = address.rpartition(':')
+        await web.TCPSite(runner, host, int(port)).start()
+        self._runners.append(runner)
--- /dev/null
+++ b/dev/platform_standin/worker.py
@@ -0,0 +1,139 @@
+"""A worker over HTTP: starts, stops, reports and leases."""
+
+import asyncio
+import time
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+MS_PER_S = 1000
+TICK_S = 0.01
+
+
+class StandinRun(msgspec.Struct):
+    """One run and how far it is."""
+
+    task: str
+    run: int
+    began_s: float
+    lasts_s: float
+
+
+class StandinWorker:
+    """Runs tasks for as long as their payload says, in seconds."""
+
+    def __init__(self, worker: str) -> None:
+        """Be ``worker``, and run nothing."""
+        self.worker = worker
+        self.born_unix_ms = int(time.time() * MS_PER_S)
+        self.running: dict[tuple[str, int], StandinRun] = {}
+        self.ended: list[list[Any]] = []
+        # Every run that ever began: task, run, fence.
+        self.begun: list[tuple[str, int, int]] = []
+        # Starts that are carried out and not answered.
+        self.lose_answers = 0
+        # Each start fails at once.
+        self.fails_all = False
+        self._fence = 0
+        self._deadline_ms = 0
+        self._numbers = 0
+        self._stopped: dict[str, int] = {}
+
+    def application(self) -> web.Application:
+        """Return the HTTP interface."""
+        application = web.Application()
+        application.router.add_post('/api/run-start', self._start)
+        application.router.add_post('/api/run-stop', self._stop)
+        application.router.add_post('/api/hold', self._hold)
+        return application
+
+    @property
+    def clock_ms(self) -> int:
+        """Return the steady clock since the worker's start."""
+        return int(time.time() * MS_PER_S) - self.born_unix_ms
+
+    async def _start(self, request: web.Request) -> web.Response:
+        body = await self._admit(request)
+        key = (body['task'], body['run'])
+        if key in self.running:
+            return self._answer()
+        if body['deadline-ms'] < self.clock_ms:
+            return self._refuse('late')
+        if body['run'] <= self._stopped.get(body['task'], 0):
+            return self._refuse('old')
+        self._deadline_ms = max(self._deadline_ms, body['deadline-ms'])
+        self.begun.append((*key, body['fence']))
+        self.running[key] = StandinRun(
+            body['task'], body['run'], time.time(), float(body['spec'])
+        )
+        if self.fails_all:
+            self._end(key, 'failed')
+        if self.lose_answers:
+            self.lose_answers -= 1
+            request.transport.close()
+        return self._answer()
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        body = await self._admit(request)
+        key = (body['task'], body['run'])
+        task, run = key
+        self._stopped[task] = max(self._stopped.get(task, 0), run)
+        if key in self.running:
+            self._end(key, 'stopped')
+        return self._answer()
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        body = await self._admit(request)
+        self._deadline_ms = max(self._deadline_ms, body.get('deadline-ms', 0))
+        self.ended = [
+            row for row in self.ended if row[0] > body['acked-through']
+        ]
+        end_s = time.time() + body.get('wait-ms', 0) / MS_PER_S
+        self._advance()
+        while not self.ended and time.time() < end_s:
+            await asyncio.sleep(TICK_S)
+            self._advance()
+        rows = [
+            [run.task, run.run, '', self._percent(run), 0]
+            for run in self.running.values()
+        ]
+        return self._answer(running=rows, ended=self.ended)
+
+    async def _admit(self, request: web.Request) -> dict[str, Any]:
+        if request.headers.get('X-Expect-Instance') != self.worker:
+            raise web.HTTPMisdirectedRequest()
+        body = await request.json()
+        if body.get('fence', 0) < self._fence:
+            raise web.HTTPConflict(
+                text=msgspec.json.encode(
+                    {'clock-ms': self.clock_ms, 'reason': 'fence'}
+                ).decode()
+            )
+        self._fence = body['fence']
+        return body
+
+    def _advance(self) -> None:
+        for key, run in tuple(self.running.items()):
+            if self.clock_ms > self._deadline_ms:
+                self._end(key, 'lapsed')
+            elif time.time() - run.began_s >= run.lasts_s:
+                self._end(key, 'done')
+
+    def _end(self, key: tuple[str, int], how: str) -> None:
+        self.running.pop(key)
+        self._numbers += 1
+        self.ended.append([self._numbers, *key, how, ''])
+
+    def _percent(self, run: StandinRun) -> int:
+        return int(100 * (time.time() - run.began_s) / max(run.lasts_s, 1e-3))
+
+    def _answer(self, **fields: Any) -> web.Response:
+        return web.json_response(
+            {'clock-ms': self.clock_ms, 'born': self.born_unix_ms, **fields}
+        )
+
+    def _refuse(self, reason: str) -> web.Response:
+        return web.json_response(
+            {'clock-ms': self.clock_ms, 'reason': reason}, status=409
+        )
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -23,9 +23,9 @@
 from .ordering import URGENT
 from .passes import Pass, make_pass
 from .policy import Standing
-from .progress import Job, JobPhase, Seat, new_job
+from .progress import Job, JobPhase, Seat, SeatPhase, new_job
 from .reclaim import Reclaim
-from .reconcile import Findings, SeatEnd, apply_report
+from .reconcile import Findings, SeatEnd, apply_report, confirm_seat
 from .standstill import standing_still
 from .trust import Trust
 from .workers import EndKind, Worker, WorkerReport
@@ -129,13 +129,24 @@
         """Apply a worker's report; the plan holds what follows from it."""
         findings = apply_report(worker, report, sent_s=sent_s, now_s=now_s)
         plan = self.end_seats(findings.ends, unix_ms=unix_ms, now_s=now_s)
-        plan.stops.extend(_unwanted(findings.confirmed))
-        for seat in findings.confirmed:
-            if seat.unit.job.phase is JobPhase.QUEUED:
-                seat.unit.job.phase = JobPhase.RUNNING
-                plan.changed.append(seat.unit.job)
+        begun = self.confirm(findings.confirmed, now_s)
+        plan.stops.extend(begun.stops)
+        plan.changed.extend(begun.changed)
         return plan, findings
 
+    def confirm(self, seats: Iterable[Seat], now_s: float) -> Plan:
+        """Take note that the runs of ``seats`` go on."""
+        plan = Plan()
+        for seat in seats:
+            confirm_seat(seat, now_s)
+            job = seat.unit.job
+            if job.phase is JobPhase.QUEUED:
+                job.phase = JobPhase.RUNNING
+                plan.changed.append(job)
+            if _is_unwanted(seat):
+                plan.stops.append(seat)
+        return plan
+
     def end_seats(
         self, ends: Iterable[SeatEnd], *, unix_ms: int, now_s: float
     ) -> Plan:
@@ -243,15 +254,13 @@
         )
 
 
-def _unwanted(confirmed: list[Seat]) -> list[Seat]:
-    """Return runs that began though they are no longer wanted."""
-    return [
-        seat
-        for seat in confirmed
-        if seat.unit.is_broken
-        or seat.unit.job.phase is JobPhase.CANCELLED
-        or seat.unit.job.phase is JobPhase.FAILED
-    ]
+def _is_unwanted(seat: Seat) -> bool:
+    """Return whether a run began though its job or its gang is over."""
+    if seat.phase is SeatPhase.STOPPING:
+        return False
+    phase = seat.unit.job.phase
+    is_given_up = phase in {JobPhase.CANCELLED, JobPhase.FAILED}
+    return is_given_up or seat.unit.is_broken
 
 
 def _run_pass(current: Pass, plan: Plan) -> None:
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -94,11 +94,8 @@
         findings.strays.append(running.ref)
         return
     if seat.confirmed_s is None:
-        seat.confirmed_s = now_s
-        seat.progress_s = now_s
         findings.confirmed.append(seat)
-    if seat.phase is SeatPhase.ORDERED:
-        seat.phase = SeatPhase.LIVE
+    confirm_seat(seat, now_s)
     if running.percent > seat.percent:
         seat.percent = running.percent
         seat.progress_s = now_s
@@ -106,6 +103,15 @@
         seat.unit.checkpoint = running.checkpoint
 
 
+def confirm_seat(seat: Seat, now_s: float) -> None:
+    """Take note that the run on ``seat`` was known to go on at ``now_s``."""
+    if seat.confirmed_s is None:
+        seat.confirmed_s = now_s
+        seat.progress_s = now_s
+    if seat.phase is SeatPhase.ORDERED:
+        seat.phase = SeatPhase.LIVE
+
+
 def _is_over(seat: Seat, clock_ms: int, sent_s: float) -> bool:
     if seat.confirmed_s is not None and seat.confirmed_s < sent_s:
         return True
--- a/src/bulrushcove/node/journal.py
+++ b/src/bulrushcove/node/journal.py
@@ -27,6 +27,8 @@
 # write, and the condition on the tenure.
 MAX_WRITES = 15
 RETRY_S = 0.15
+# How long a failure speaks for the store when no write is tried.
+FAILURE_FRESH_S = 1.0
 
 logger = logging.getLogger(__name__)
 
@@ -66,6 +68,7 @@
         self._batch: dict[str, _Pending] = {}
         self._is_calling = False
         self._failing_since_s = 0.0
+        self._failed_s = 0.0
         self._news = asyncio.Event()
         self._is_deposed = False
 
@@ -76,10 +79,17 @@
 
     @property
     def failing_s(self) -> float:
-        """Return for how long the store has taken no write."""
-        if not self._failing_since_s:
-            return 0.0
-        return self._clock.monotonic_s() - self._failing_since_s
+        """Return for how long the store has taken no write.
+
+        Without a write to try, a failure tells for a moment only.
+        """
+        now_s = self._clock.monotonic_s()
+        is_trying = bool(self._batch or self._pending)
+        is_fresh = now_s - self._failed_s < FAILURE_FRESH_S
+        if self._failing_since_s and (is_trying or is_fresh):
+            return now_s - self._failing_since_s
+        self._failing_since_s = 0.0
+        return 0.0
 
     def withdraw(self, keys: tuple[str, ...]) -> bool:
         """Take back the writes of ``keys`` if none can have been done.
@@ -210,8 +220,8 @@
     def _note_failure(
         self, event: str, exc: StoreError, batch: dict[str, _Pending]
     ) -> None:
-        if not self._failing_since_s:
-            self._failing_since_s = self._clock.monotonic_s()
+        self._failed_s = self._clock.monotonic_s()
+        self._failing_since_s = self._failing_since_s or self._failed_s
         log_event(
             logger,
             event,
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -84,6 +84,9 @@
     ) -> None:
         """A report has come."""
 
+    def note_started(self, seat: Seat) -> None:
+        """A worker has carried out a start."""
+
     def note_order_failed(self, seat: Seat, outcome: OrderOutcome) -> None:
         """A start was surely not carried out."""
 
@@ -271,11 +274,7 @@
         answer = await self.port.start(self._epoch, order)
         self._log_order('run.start', seat, answer)
         if answer.outcome is OrderOutcome.DONE:
-            if seat.confirmed_s is None:
-                seat.confirmed_s = self._clock.monotonic_s()
-                seat.progress_s = seat.confirmed_s
-            if seat.phase is SeatPhase.ORDERED:
-                seat.phase = SeatPhase.LIVE
+            self._events.note_started(seat)
         elif answer.outcome is OrderOutcome.FENCED:
             self._events.note_fenced(worker)
         elif answer.outcome in NEVER_RUNS:
--- a/src/bulrushcove/node/worker_news.py
+++ b/src/bulrushcove/node/worker_news.py
@@ -83,6 +83,10 @@
         if findings.ends or findings.strays:
             self.on_change()
 
+    def note_started(self, seat: Seat) -> None:
+        """A worker has carried out a start."""
+        self.apply(self._engine.confirm((seat,), self._clock.monotonic_s()))
+
     def note_order_failed(self, seat: Seat, outcome: OrderOutcome) -> None:
         """A start was refused."""
         if outcome in _AGAINST_WORKER:
--- /dev/null
+++ b/tests/batch_builders.py
@@ -0,0 +1,164 @@
+"""Jobs, workers and engines for tests of the batch layer."""
+
+from bulrushcove.batch.engine import Engine
+from bulrushcove.batch.ids import PoolName, QueueName
+from bulrushcove.batch.membership import note_entry
+from bulrushcove.batch.model import JobSpec, QueueTerms, StepSpec, TaskSize
+from bulrushcove.batch.policy import Organisation, Policy, Standing
+from bulrushcove.batch.workers import (
+    EndedTask,
+    RunningTask,
+    WorkerEntry,
+    WorkerReport,
+)
+from bulrushcove.ids import DomainName, JobId, OrganisationId, RackId, WorkerId
+
+POOL = PoolName('pool')
+ORGANISATION = OrganisationId('mill')
+
+
+def size(accelerators=1, cpu=1000, memory=100):
+    return TaskSize(cpu, memory, accelerators)
+
+
+def step(count=1, accelerators=1, **others):
+    return StepSpec(task_count=count, size=size(accelerators), **others)
+
+
+def job_spec(name, *steps, priority=1, attempts=3, **others):
+    terms = QueueTerms(
+        queue=QueueName(f'queue-{priority}'),
+        pool=POOL,
+        organisation=others.pop('organisation', ORGANISATION),
+        priority=priority,
+        max_attempts=attempts,
+        stretch=3.0,
+        target_ms=1500,
+    )
+    return JobSpec(
+        job=JobId(name),
+        payload='work',
+        steps=steps or (step(),),
+        terms=terms,
+        **others,
+    )
+
+
+def entry(name, rack='r1', domain='a', accelerators=8, **others):
+    return WorkerEntry(
+        worker=WorkerId(name),
+        pool=POOL,
+        address=f'{name}:80',
+        domain=DomainName(domain),
+        rack=RackId(rack),
+        labels=frozenset(others.pop('labels', (rack,))),
+        capacity=TaskSize(32_000, 64_000, accelerators),
+        born_unix_ms=others.pop('born_unix_ms', 1),
+        **others,
+    )
+
+
+def report(clock_ms=1000, running=(), ended=(), born_unix_ms=1):
+    return WorkerReport(
+        clock_ms=clock_ms,
+        born_unix_ms=born_unix_ms,
+        running=tuple(RunningTask(*row) for row in running),
+        ended=tuple(EndedTask(*row) for row in ended),
+    )
+
+
+def standing(guaranteed=0, closed=()):
+    policy = Policy(
+        version=1,
+        queues=(),
+        organisations=(
+            Organisation(name=ORGANISATION, guaranteed_accelerators=guaranteed),
+        ),
+        pools=(),
+        max_body_bytes=1000,
+    )
+    return Standing(policy=policy, closed_domains=frozenset(closed))
+
+
+class Bench:
+    """An engine whose workers do what they are told at once."""
+
+    def __init__(self, *entries, guaranteed=0):
+        self.engine = Engine()
+        self.engine.standing = standing(guaranteed)
+        self.now_s = 100.0
+        self.clock_ms = 1000
+        for one in entries:
+            self.list(one)
+
+    def list(self, one):
+        worker = note_entry(
+            self.engine.workers, self.engine.trust, one, self.now_s
+        )
+        if not worker.is_adopted:
+            self.report(one.worker)
+        return worker
+
+    def report(self, name, running=(), ended=(), **others):
+        worker = self.engine.workers[name]
+        return self.engine.report(
+            worker,
+            report(self.clock_ms, running, ended, **others),
+            sent_s=self.now_s,
+            now_s=self.now_s,
+            unix_ms=self.unix_ms,
+        )
+
+    @property
+    def unix_ms(self):
+        return int(self.now_s * 1000)
+
+    def submit(self, spec):
+        job, _ = self.engine.submit(
+            spec, unix_ms=self.unix_ms, now_s=self.now_s
+        )
+        return job
+
+    def plan(self):
+        return self.engine.plan(unix_ms=self.unix_ms, now_s=self.now_s)
+
+    def start_all(self):
+        """Place what fits and have the workers confirm the starts."""
+        plan = self.plan()
+        for seat in plan.starts:
+            seat.sent = True
+            seat.start_deadline_ms = self.clock_ms + 1500
+        self.confirm()
+        return plan
+
+    def confirm(self):
+        for name, worker in self.engine.workers.items():
+            refs = [(seat.ref, '', 0) for seat in worker.seats.values()]
+            self.report(name, running=refs)
+
+    def advance(self, seconds):
+        self.now_s += seconds
+        self.clock_ms += int(seconds * 1000)
+
+    def end(self, seat, kind, checkpoint=''):
+        """Have the worker of ``seat`` list its end."""
+        worker = self.engine.workers[seat.worker]
+        others = [
+            (other.ref, '', other.percent)
+            for other in worker.seats.values()
+            if other is not seat
+        ]
+        number = worker.seen_end + 1
+        return self.report(
+            seat.worker,
+            running=others,
+            ended=[(number, seat.ref, kind, checkpoint)],
+        )
+
+
+def racks(count=3, workers=4, **others):
+    return [
+        entry(f'w{rack}{place}', rack=f'r{rack}', **others)
+        for rack in range(count)
+        for place in range(workers)
+    ]
--- /dev/null
+++ b/tests/fake_shared_store.py
@@ -0,0 +1,79 @@
+"""Shared store in memory: the fake store with watches and conditions."""
+
+from fake_store import FakeStore, StoreFault
+
+from bulrushcove.exceptions import StoreOutcomeUnknownError
+from bulrushcove.store import Changes, Removed, Write, WriteAnswer
+
+MS_PER_S = 1000
+
+
+class FakeSharedStore(FakeStore):
+    """Implements ``store.SharedStore`` with the faults of ``FakeStore``.
+
+    late_commits: commits that lost their answer and have not arrived yet.
+    """
+
+    def __init__(self, clock=None):
+        super().__init__(clock)
+        self.late_commits = []
+        self.removed = {}
+        self.closed = False
+
+    async def watch(self, prefix, after, wait_ms):
+        await self._begin()
+        found = await self.scan(prefix)
+        return Changes(
+            written=tuple(
+                item for item in found.found if item.mod_revision > after
+            ),
+            removed=tuple(
+                Removed(key, revision)
+                for key, revision in self.removed.items()
+                if key.startswith(prefix) and revision > after
+            ),
+            store_revision=self.store_revision,
+        )
+
+    async def commit(self, writes, checks=()):
+        fault = await self._begin()
+        if fault is StoreFault.LATE_WRITE:
+            self.late_commits.append((writes, checks))
+        if fault in {StoreFault.LATE_WRITE, StoreFault.LOSE_WRITE}:
+            raise StoreOutcomeUnknownError('commit: no answer')
+        answer = self._commit(writes, checks)
+        if fault is StoreFault.LOSE_ANSWER:
+            raise StoreOutcomeUnknownError('commit: no answer')
+        return answer
+
+    def deliver_commits(self):
+        """Let the commits arrive that were on the way, oldest first."""
+        while self.late_commits:
+            self._commit(*self.late_commits.pop(0))
+
+    async def grant_lease(self, ttl_ms):
+        return await super().grant_lease(ttl_ms / MS_PER_S)
+
+    async def renew_lease(self, lease):
+        return bool(await super().renew_lease(lease))
+
+    async def end_lease(self, lease):
+        await self.revoke_lease(lease)
+
+    async def close(self):
+        self.closed = True
+
+    def _commit(self, writes: tuple[Write, ...], checks) -> WriteAnswer:
+        conditions = [(write.key, write.expected_revision) for write in writes]
+        conditions.extend((check.key, check.revision) for check in checks)
+        if any(self._revision(key) != wanted for key, wanted in conditions):
+            current = [
+                self.values[key] for key, _ in conditions if key in self.values
+            ]
+            return WriteAnswer(False, 0, tuple(current))
+        return self._write(writes)
+
+    def _put(self, write):
+        super()._put(write)
+        if write.value is None:
+            self.removed[write.key] = self.store_revision
--- /dev/null
+++ b/tests/test_node_journal.py
@@ -0,0 +1,179 @@
+"""Records of the active scheduler, on a store that misbehaves."""
+
+import asyncio
+
+import pytest
+from fake_shared_store import FakeSharedStore
+from fake_store import StoreFault
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bulrushcove.clock import ManualClock
+from bulrushcove.ids import Epoch, IncarnationId, VmId
+from bulrushcove.node import journal as journal_module
+from bulrushcove.node.journal import (
+    Journal,
+    TenureLostError,
+    WithdrawnError,
+)
+from bulrushcove.node.keys import TENURE_KEY
+from bulrushcove.node.messages import Holder
+from bulrushcove.store import StoreLeaseId, Write
+
+TIMEOUT_S = 5
+
+
+class Tenure:
+    """Stands in for the tenure: remembers what it was told."""
+
+    def __init__(self):
+        self.proofs = []
+        self.lost = ''
+
+    def note_proof(self, asked_s):
+        self.proofs.append(asked_s)
+
+    async def lose(self, reason):
+        self.lost = reason
+
+
+async def open_journal(store, clock=None):
+    answer = await store.commit((Write(TENURE_KEY, b'me', 0),))
+    holder = Holder(
+        VmId('vm'),
+        IncarnationId('i'),
+        'a:1',
+        StoreLeaseId(0),
+        Epoch(answer.store_revision),
+    )
+    journal = Journal(store, Tenure(), holder, clock or ManualClock())
+    await journal.start()
+    return journal
+
+
+async def stored(future):
+    async with asyncio.timeout(TIMEOUT_S):
+        await asyncio.shield(future)
+
+
+async def test_writes_of_one_moment_share_a_transaction():
+    store = FakeSharedStore()
+    journal = await open_journal(store)
+    futures = [journal.put(f'k{number}', b'v') for number in range(10)]
+    for future in futures:
+        await stored(future)
+    assert journal.transactions == 1
+    await journal.stop()
+
+
+async def test_the_newest_value_of_a_key_is_what_is_stored():
+    store = FakeSharedStore()
+    journal = await open_journal(store)
+    first = journal.put('k', b'1')
+    second = journal.put('k', b'2')
+    await stored(first)
+    await stored(second)
+    assert store.values['k'].value == b'2'
+    assert journal.transactions == 1
+    await journal.stop()
+
+
+@pytest.mark.parametrize(
+    'fault', [StoreFault.LOSE_ANSWER, StoreFault.LOSE_WRITE, StoreFault.DOWN]
+)
+async def test_a_failed_write_is_repeated_until_it_stands(fault, monkeypatch):
+    monkeypatch.setattr(journal_module, 'RETRY_S', 0)
+    store = FakeSharedStore()
+    journal = await open_journal(store)
+    store.script.extend([fault, fault])
+    await stored(journal.put('k', b'1'))
+    assert store.values['k'].value == b'1'
+    await journal.stop()
+
+
+async def run_against(faults, values):
+    """Write ``values`` to one key in turn, then deliver what was late."""
+    store = FakeSharedStore()
+    journal = await open_journal(store)
+    store.script.extend(faults)
+    for value in values:
+        await stored(journal.put('k', value))
+        store.deliver_commits()
+        assert store.values['k'].value == value
+    await journal.stop()
+
+
+@given(
+    faults=st.lists(
+        st.sampled_from(
+            (
+                StoreFault.NONE,
+                StoreFault.LOSE_ANSWER,
+                StoreFault.LOSE_WRITE,
+                StoreFault.LATE_WRITE,
+            )
+        ),
+        max_size=12,
+    ),
+    count=st.integers(1, 5),
+)
+def test_a_late_write_never_undoes_a_newer_one(faults, count):
+    values = [f'{number}'.encode() for number in range(count)]
+    asyncio.run(run_against(faults, values))
+
+
+async def test_without_conditions_a_late_write_undoes_a_newer_one():
+    """The control: the same store, written to without conditions."""
+    store = FakeSharedStore()
+    store.script.append(StoreFault.LATE_WRITE)
+    with pytest.raises(Exception, match='no answer'):
+        await store.commit((Write('k', b'old', 0),))
+    await store.commit((Write('k', b'new', 0),))
+    (writes, _) = store.late_commits.pop()
+    revision = store.values['k'].mod_revision
+    store._commit((Write('k', writes[0].value, revision),), ())
+    assert store.values['k'].value == b'old'
+
+
+async def test_a_deposed_scheduler_writes_nothing():
+    store = FakeSharedStore()
+    journal = await open_journal(store)
+    revision = store.values[TENURE_KEY].mod_revision
+    await store.commit((Write(TENURE_KEY, b'other', revision),))
+    with pytest.raises(TenureLostError):
+        await stored(journal.put('k', b'1'))
+    with pytest.raises(TenureLostError):
+        await stored(journal.put('k', b'2'))
+    assert 'k' not in store.values
+    assert journal._tenure.lost
+    await journal.stop()
+
+
+async def test_a_refused_write_can_be_withdrawn_and_never_happens():
+    clock = ManualClock()
+    store = FakeSharedStore(clock)
+    journal = await open_journal(store, clock)
+    store.down = True
+    future = journal.put('k', b'1')
+    await asyncio.sleep(0.05)
+    clock.advance(1)
+    assert journal.failing_s == 1
+    assert journal.withdraw(('k',))
+    with pytest.raises(WithdrawnError):
+        await stored(future)
+    store.down = False
+    await stored(journal.put('other', b'1'))
+    assert 'k' not in store.values
+    await journal.stop()
+
+
+async def test_a_write_without_an_answer_cannot_be_withdrawn():
+    store = FakeSharedStore()
+    journal = await open_journal(store)
+    store.script.append(StoreFault.LATE_WRITE)
+    store.script.extend((StoreFault.DOWN, StoreFault.DOWN))
+    future = journal.put('k', b'1')
+    await asyncio.sleep(0.05)
+    assert not journal.withdraw(('k',))
+    await stored(future)
+    await journal.stop()
--- /dev/null
+++ b/tests/test_node_worker_link.py
@@ -0,0 +1,205 @@
+"""Orders to one worker, and what follows from answers that do not come."""
+
+import asyncio
+
+import pytest
+from batch_builders import Bench, entry, job_spec, report
+
+from bulrushcove.batch.orders import (
+    OrderAnswer,
+    OrderOutcome,
+    WorkerCallError,
+    WorkerGoneError,
+)
+from bulrushcove.batch.progress import SeatPhase
+from bulrushcove.clock import ManualClock
+from bulrushcove.ids import Epoch
+from bulrushcove.node import worker_link as link_module
+from bulrushcove.node.worker_link import WorkerLink
+
+LEASE_MS = 8000
+
+
+class Port:
+    """A worker that answers what the test says."""
+
+    def __init__(self):
+        self.leases = []
+        self.stops = []
+        self.starts = []
+        self.reports = [report()]
+        self.start_outcome = OrderOutcome.DONE
+
+    async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
+        self.leases.append(lease_end_ms)
+        await asyncio.sleep(0)
+        answer = self.reports[0]
+        if len(self.reports) > 1:
+            self.reports.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def start(self, epoch, order):
+        self.starts.append(order)
+        return OrderAnswer(self.start_outcome, 1000)
+
+    async def stop(self, epoch, ref):
+        self.stops.append(ref)
+        return OrderAnswer(OrderOutcome.DONE, 1000)
+
+    async def close(self):
+        """Nothing is open."""
+
+
+class Events:
+    """Takes note of what the link tells."""
+
+    def __init__(self, bench):
+        self.bench = bench
+        self.told = []
+        self.wanted = True
+
+    def may_order(self):
+        return True
+
+    def may_begin(self, seat):
+        return self.wanted
+
+    def note_report(self, worker, news, sent_s):
+        worker.is_adopted = True
+        worker.note_clock(news.clock_ms, self.bench.now_s)
+
+    def note_started(self, seat):
+        self.bench.engine.confirm((seat,), self.bench.now_s)
+
+    def note_order_failed(self, seat, outcome):
+        self.told.append(outcome)
+
+    def note_seat_over(self, seat, kind):
+        self.told.append(kind.value)
+
+    def note_silent(self, worker):
+        self.told.append('silent')
+
+    def note_gone(self, worker):
+        self.told.append('gone')
+        worker.seats.clear()
+
+    def note_fenced(self, worker):
+        self.told.append('fenced')
+
+
+class Rig:
+    """A link to one worker on which one run was placed."""
+
+    def __init__(self):
+        self.bench = Bench(entry('w1'))
+        self.bench.submit(job_spec('job'))
+        self.seat = self.bench.plan().starts[0]
+        self.worker = self.bench.engine.workers['w1']
+        self.port = Port()
+        self.events = Events(self.bench)
+        self.link = WorkerLink(
+            self.worker,
+            self.port,
+            self.events,
+            epoch=Epoch(7),
+            lease_ms=LEASE_MS,
+            clock=ManualClock(self.bench.now_s),
+        )
+
+
+@pytest.fixture
+async def rig(monkeypatch):
+    monkeypatch.setattr(link_module, 'RETRY_S', 0.001)
+    monkeypatch.setattr(link_module, 'MAX_RETRY_S', 0.001)
+    made = Rig()
+    yield made
+    await made.link.stop()
+
+
+async def settle():
+    await asyncio.sleep(0.05)
+
+
+async def test_a_start_carries_a_deadline_after_which_it_is_refused(rig):
+    rig.link.order_start(rig.seat)
+    await settle()
+    (order,) = rig.port.starts
+    assert order.deadline_ms == rig.seat.start_deadline_ms
+    assert rig.seat.phase is SeatPhase.LIVE
+
+
+async def test_an_unanswered_start_is_stopped(rig):
+    rig.port.start_outcome = OrderOutcome.UNKNOWN
+    rig.link.order_start(rig.seat)
+    await settle()
+    assert rig.port.stops == [rig.seat.ref]
+    assert rig.seat.stop_confirmed_s is not None
+
+
+@pytest.mark.parametrize(
+    'outcome', [OrderOutcome.NO_ROOM, OrderOutcome.UNHEALTHY]
+)
+async def test_a_refused_start_frees_its_seat(rig, outcome):
+    rig.port.start_outcome = outcome
+    rig.link.order_start(rig.seat)
+    await settle()
+    assert rig.events.told == [outcome]
+
+
+async def test_a_start_that_is_no_longer_wanted_is_not_sent(rig):
+    rig.events.wanted = False
+    rig.link.order_start(rig.seat)
+    await settle()
+    assert rig.port.starts == []
+    assert rig.events.told == ['never-started']
+
+
+async def test_a_fenced_start_ends_the_tenure(rig):
+    rig.port.start_outcome = OrderOutcome.FENCED
+    rig.link.order_start(rig.seat)
+    await settle()
+    assert rig.events.told == ['fenced']
+
+
+async def test_a_silent_worker_is_given_no_longer_lease(rig):
+    rig.port.reports = [WorkerCallError('silent')]
+    await rig.link.start()
+    await settle()
+    first, *others = rig.port.leases
+    assert first is not None
+    assert len(others) > 3
+    assert set(others) == {None}
+    assert rig.worker.granted_ms == first
+
+
+async def test_a_worker_that_answers_again_gets_its_lease(rig):
+    rig.port.reports = [WorkerCallError('silent'), report(), report()]
+    await rig.link.start()
+    await settle()
+    assert rig.port.leases[1] is None
+    assert rig.port.leases[2] is not None
+
+
+async def test_another_instance_at_the_address_is_told(rig):
+    rig.port.reports = [WorkerGoneError('another')]
+    await rig.link.start()
+    await settle()
+    assert 'gone' in rig.events.told
+
+
+async def test_a_leaving_worker_gets_short_leases(rig):
+    rig.bench.list(entry('w1', is_leaving=True, leaves_in_ms=3000))
+    await rig.link.start()
+    await settle()
+    longest = max(lease for lease in rig.port.leases if lease)
+    assert longest <= rig.bench.clock_ms + link_module.LEAVING_LEASE_MS
+
+
+async def test_nothing_is_asked_of_an_idle_worker(rig):
+    rig.worker.seats.clear()
+    await rig.link.start()
+    await settle()
+    assert rig.port.leases == []
--- /dev/null
+++ b/tests/test_platform_messages.py
@@ -0,0 +1,145 @@
+"""The adapter decodes what the platform's pages publish."""
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from bulrushcove.batch.ids import TaskRef
+from bulrushcove.batch.policy import find_organisation, find_queue
+from bulrushcove.ids import JobId
+from bulrushcove.platform.exceptions import UndecodableError
+from bulrushcove.platform.operators import (
+    closed_domain,
+    decode_policy,
+    decode_worker,
+)
+from bulrushcove.platform.program import decode_standing
+from bulrushcove.platform.settings import decode_node_settings
+from bulrushcove.platform.workers import parse_task, task_name
+
+SOURCES = Path(__file__).parents[1] / 'src' / 'bulrushcove'
+WIRE_NAMES = re.compile(
+    'kv-(txn|range|key|watch|lease)|run-(start|stop)|acked-through'
+    '|current-rev|X-(Fence-Token|Expect-Instance|Credential)|minion'
+    '|mem-mb|api-keys|op/config|servers/'
+)
+SETTINGS = """
+node = "front-a-1"
+ip = "10.1.0.19"
+zone = "a"
+region = "north"
+internal-ports = [7000, 7015]
+seeds = ["10.1.0.19:8526"]
+discovery = "platform"
+something-new = [1, 2]
+[listen]
+front = "10.1.0.19:8521"
+ready = "10.1.0.19:8523"
+control = "10.1.0.19:8526"
+[platform]
+address = "10.200.1.7:8524"
+[bounds]
+max-hold-ms = 10000
+stop-ms = 400
+grace-s = 6
+"""
+ENTRY = (
+    b'{"service":"p","address":"10.128.0.9:8080","zone":"a","version":"v1",'
+    b'"slots":8,"state":"ready","cold-remaining-ms":0,"seq":4,"capacity":'
+    b'{"cpu":16000,"mem-mb":32768,"gpu":2},"labels":["a","r1-3"],"born":7}'
+)
+CONFIG = (
+    b'{"version":7,"routes":[{"name":"r-1","host":"Q.example","prefix":"/a/",'
+    b'"service":"p","priority":0,"max-attempts":4,"stretch":1.5,'
+    b'"target-duration-ms":600,"public":false},{"name":"r-2","host":'
+    b'"q.example","prefix":"/a/b/","service":"p","public":true}],'
+    b'"services":[{"name":"p","enforces-capacity":true}],"limits":'
+    b'{"max-body-bytes":9},"tenants":[{"name":"t","api-keys":["k"],'
+    b'"guaranteed":{"gpu":32}}]}'
+)
+
+
+def test_the_platforms_names_stay_in_the_adapter():
+    strangers = [
+        str(path.relative_to(SOURCES))
+        for path in SOURCES.rglob('*.py')
+        if path.parent.name != 'platform'
+        and WIRE_NAMES.search(path.read_text(encoding='utf-8'))
+    ]
+    assert strangers == []
+
+
+def test_settings_are_decoded():
+    settings = decode_node_settings(tomllib.loads(SETTINGS))
+    assert settings.vm == 'front-a-1'
+    assert settings.streams_address == '10.1.0.19:8526'
+    assert settings.metrics_address == '10.1.0.19:7015'
+    assert (settings.max_lease_ms, settings.grace_ms) == (10_000, 6000)
+
+
+@pytest.mark.parametrize('missing', ['node', 'listen', 'platform'])
+def test_missing_settings_are_named(missing):
+    document = tomllib.loads(SETTINGS)
+    document.pop(missing)
+    with pytest.raises(UndecodableError, match=missing):
+        decode_node_settings(document)
+
+
+def test_a_configuration_is_decoded():
+    policy = decode_policy(CONFIG)
+    assert policy.version == 7
+    queue = find_queue(policy, 'q.example', '/a/b/x')
+    assert (queue.name, queue.is_public) == ('r-2', True)
+    assert find_queue(policy, 'q.example', '/a/x').name == 'r-1'
+    assert find_queue(policy, 'other.example', '/a/x') is None
+    assert find_organisation(policy, 'k').guaranteed_accelerators == 32
+    assert find_organisation(policy, '') is None
+
+
+@pytest.mark.parametrize('stored', [b'', b'{"version":"x"}', b'\xff'])
+def test_an_unreadable_configuration_changes_nothing(stored):
+    assert decode_policy(stored) is None
+    assert decode_standing({'op/config': stored}, 5).policy is None
+
+
+def test_closed_domains_are_read_from_their_keys():
+    standing = decode_standing({'op/evacuate/a': b'{}', 'op/wave/1': b''}, 5)
+    assert standing.closed_domains == {'a'}
+    assert closed_domain('op/config') is None
+
+
+def test_a_workers_entry_is_decoded():
+    entry = decode_worker('servers/i-1', ENTRY)
+    assert (entry.worker, entry.rack, entry.domain) == ('i-1', 'r1-3', 'a')
+    assert entry.capacity.accelerators == 2
+    assert entry.born_unix_ms == 7
+    assert not entry.is_leaving
+
+
+@pytest.mark.parametrize(
+    ('old', 'new'),
+    [
+        (b'"slots":8,', b''),
+        (b'"state":"ready"', b'"state":"resting"'),
+        (b'"labels":["a","r1-3"]', b'"labels":"a"'),
+        (b'"cpu":16000', b'"cpu":"many"'),
+        (b'10.128.0.9:8080', b'nowhere'),
+        (b'{', b'\xff'),
+    ],
+)
+def test_entries_of_other_writers_name_no_worker(old, new):
+    assert decode_worker('servers/i-1', ENTRY.replace(old, new)) is None
+
+
+def test_task_names_are_read_as_they_are_written():
+    task = TaskRef(JobId('5c0e7a21d94b36f8'), 0, 1, 17)
+    assert task_name(task) == '5c0e7a21d94b36f8.0.1.17'
+    assert parse_task(task_name(task)) == task
+
+
+@pytest.mark.parametrize('name', ['', 'a.b', 'a.0.1.x', 'a.0.1.2.3'])
+def test_other_names_name_no_task(name):
+    with pytest.raises(UndecodableError):
+        parse_task(name)
