--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -1,4 +1,6 @@
 import signal
+import subprocess
+import sys
 import tomllib
 
 import psutil
@@ -36,6 +38,34 @@
     assert len(set(choose_ports(100))) == 100
 
 
+def test_ports_of_two_choices_differ_before_they_are_bound():
+    assert not set(choose_ports(100)) & set(choose_ports(100))
+
+
+def test_processes_that_choose_at_once_get_different_ports():
+    """Two suites on one machine once chose the same port before binding it."""
+    script = (
+        'import sys; from dev.launch.ports import choose_ports;'
+        'print(*choose_ports(3000), flush=True);'
+        'sys.stdin.read()'
+    )
+    choosers = [
+        subprocess.Popen(
+            (sys.executable, '-c', script),
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for _ in range(3)
+    ]
+    chosen = [set(chooser.stdout.readline().split()) for chooser in choosers]
+    for chooser in choosers:
+        chooser.communicate('')
+    assert [len(ports) for ports in chosen] == [3000] * 3
+    assert not (chosen[0] & chosen[1] | chosen[0] & chosen[2])
+    assert not chosen[1] & chosen[2]
+
+
 def test_settings_file_is_valid(tmp_path):
     cluster = Cluster(OPTIONS, tmp_path)
     vm = cluster.entry_vms[0]
