Unanswered starts are sent again; a silent holder is replaced sooner; orders in a module of their own

A start is idempotent under its run number and deadline, so it is sent again after 0.35 s, up to three times; refusals of a repeated start do not count as 'never ran', since the copy before may have run. Ruled out: longer limits (the answers are lost, not slow).

--- a/dev/launch/ports.py
+++ b/dev/launch/ports.py
@@ -62,7 +62,8 @@
     starts = list(range(LOWEST_PORT, highest - BLOCK_PORTS, BLOCK_PORTS))
     random.SystemRandom().shuffle(starts)
     for start in starts:
-        if start not in _owned and (block := _acquire(start)) is not None:
+        block = None if start in _owned else _acquire(start)
+        if block is not None:
             _owned[start] = block
             yield block
 
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -234,13 +234,17 @@
 
 def may_start(engine: Engine, worker: Worker, now_s: float) -> bool:
     """Return whether ``worker`` is given new work."""
-    entry = worker.entry
     answers = worker.is_adopted and not worker.missed_calls
-    stays = worker.is_listed and not entry.is_leaving
-    if not answers or not stays or worker.strays:
+    if not answers or worker.strays or not stays(engine, worker):
         return False
-    is_open = entry.domain not in engine.standing.closed_domains
-    return is_open and not engine.trust.is_barred(worker.id, now_s)
+    return not engine.trust.is_barred(worker.id, now_s)
+
+
+def stays(engine: Engine, worker: Worker) -> bool:
+    """Return whether ``worker`` is neither leaving nor out of service."""
+    entry = worker.entry
+    is_listed = worker.is_listed and not entry.is_leaving
+    return is_listed and entry.domain not in engine.standing.closed_domains
 
 
 def _candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
--- a/src/bulrushcove/node/holder_watch.py
+++ b/src/bulrushcove/node/holder_watch.py
@@ -9,7 +9,7 @@
 from .succession import Sight, Verdict, judge
 
 # A round trip between the farthest VMs takes 60 ms.
-PING_TIMEOUT_S = 0.45
+PING_TIMEOUT_S = 0.3
 # Other VMs asked before a silent holder is replaced.
 MAX_WITNESSES = 2
 
--- a/src/bulrushcove/node/roster.py
+++ b/src/bulrushcove/node/roster.py
@@ -16,7 +16,8 @@
 from ..store import SharedStore
 from .feed import Entries, Feed
 from .tasks import Tasks
-from .worker_link import LinkEvents, PortFactory, WorkerLink
+from .worker_link import WorkerLink
+from .worker_orders import LinkEvents, PortFactory
 
 # Every worker writes its entry each second or two: news are taken together,
 # well within the three seconds in which a leaving worker must be known.
@@ -84,7 +85,7 @@
         for seat in seats:
             link = self._links.get(seat.worker)
             if link is not None:
-                link.order_stop(seat)
+                link.orders.order_stop(seat)
 
     def drop(self, workers: Iterable[WorkerId]) -> None:
         """Close the links to workers that are gone."""
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -192,4 +192,4 @@
             if link is None:
                 self._worker_news.note_seat_over(seat, EndKind.NEVER_STARTED)
             else:
-                link.order_start(seat)
+                link.orders.order_start(seat)
--- a/src/bulrushcove/node/succession.py
+++ b/src/bulrushcove/node/succession.py
@@ -11,7 +11,7 @@
 # Pings without an answer after which the record is read.
 MISSED_PINGS = 2
 # A holder whose record stands but whom nobody hears is replaced after this.
-REPLACE_SILENT_S = 0.6
+REPLACE_SILENT_S = 0.35
 # A holder that lives but is not active yet may be loading its records.
 LOADING_S = 3.0
 # Time ahead of a campaign per second of round trip to the store, so that the
--- a/src/bulrushcove/node/tenure.py
+++ b/src/bulrushcove/node/tenure.py
@@ -22,7 +22,7 @@
 # Lease of the holder's record: how long a VM without power is missed.
 LEASE_MS = 2500
 RENEW_S = 0.6
-PING_S = 0.4
+PING_S = 0.25
 # While there is no holder.
 SEARCH_S = 0.15
 # How long a scheduler acts on its last proof of tenure. Long enough to keep
--- a/src/bulrushcove/node/worker_news.py
+++ b/src/bulrushcove/node/worker_news.py
@@ -6,8 +6,8 @@
 
 from ..batch.engine import Engine, Plan
 from ..batch.orders import OrderOutcome
-from ..batch.passes import may_start
-from ..batch.progress import Job, Seat
+from ..batch.passes import may_start, stays
+from ..batch.progress import Job, Seat, SeatPhase
 from ..batch.reconcile import SeatEnd
 from ..batch.workers import EndKind, Worker, WorkerReport
 from ..clock import Clock
@@ -50,13 +50,19 @@
 
     def may_begin(self, seat: Seat) -> bool:
         """Return whether the start of ``seat`` is still wanted."""
-        unit = seat.unit
         worker = self._engine.workers.get(seat.worker)
-        if worker is None or unit.is_broken or unit.job.has_ended:
+        if worker is None or not self._is_wanted(seat):
             return False
-        return self._tenure.has_authority and may_start(
-            self._engine, worker, self._clock.monotonic_s()
-        )
+        return may_start(self._engine, worker, self._clock.monotonic_s())
+
+    def may_repeat(self, seat: Seat) -> bool:
+        """Return whether an unanswered start of ``seat`` is sent again.
+
+        Unlike a first start it is not held back by a missing report.
+        """
+        worker = self._engine.workers.get(seat.worker)
+        is_open = seat.phase is SeatPhase.ORDERED and self._is_wanted(seat)
+        return is_open and worker is not None and stays(self._engine, worker)
 
     def note_report(
         self, worker: Worker, report: WorkerReport, sent_s: float
@@ -74,7 +80,7 @@
             _log_end(end)
         link = self.find_link(worker.id)
         for stray in findings.strays if link else ():
-            link.stop_stray(stray)
+            link.orders.stop_stray(stray)
         self.apply(plan)
         if worker.seen_end != before:
             self.tasks.spawn(
@@ -130,6 +136,11 @@
         reason = f'worker {worker.id} has seen a higher epoch'
         self.tasks.spawn(self._tenure.lose(reason))
 
+    def _is_wanted(self, seat: Seat) -> bool:
+        unit = seat.unit
+        is_given_up = unit.is_broken or unit.job.has_ended
+        return self._tenure.has_authority and not is_given_up
+
     async def _confirm(
         self, worker: Worker, number: int, changed: Iterable[Job]
     ) -> None:
--- /dev/null
+++ b/src/bulrushcove/node/worker_orders.py
@@ -0,0 +1,246 @@
+"""Orders to one worker: starts and stops, and answers that do not come."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from ..batch.ids import RunRef
+from ..batch.orders import (
+    NEVER_RUNS,
+    OrderAnswer,
+    OrderOutcome,
+    StartOrder,
+)
+from ..batch.progress import Seat, SeatPhase, StopReason, mark_stops
+from ..batch.workers import EndKind, Worker, WorkerReport
+from ..clock import Clock
+from ..ids import Epoch
+from ..logs import log_event
+from .tasks import Tasks
+
+# A start that is carried out later than this is refused by the worker. Long
+# enough for a worker 60 ms away, short enough to try again soon.
+START_TTL_MS = 1500
+# Sends of one start; an unanswered one is repeated, since stopping a member
+# stops its whole gang. All fit into the time in which a gang gathers.
+MAX_STARTS = 3
+# Pause before an order without an answer is repeated; doubles.
+LOST_RETRY_S = 0.05
+# Time between two orders to stop the same run, where the worker answered.
+STOP_AGAIN_S = 0.7
+
+# After an order without an answer these do not tell that it was never carried
+# out: the next report does.
+_MAY_HAVE_RUN = frozenset(
+    (
+        OrderOutcome.OLD_RUN,
+        OrderOutcome.TOO_LATE,
+        OrderOutcome.NO_ROOM,
+        OrderOutcome.UNHEALTHY,
+        OrderOutcome.NOT_SENT,
+        OrderOutcome.INVALID,
+    )
+)
+
+logger = logging.getLogger(__name__)
+
+
+class WorkerPort(Protocol):
+    """Calls to one worker."""
+
+    async def report(
+        self,
+        epoch: Epoch,
+        *,
+        stored_end: int,
+        lease_end_ms: int | None,
+        wait_ms: int,
+    ) -> WorkerReport:
+        """Renew the lease and return what runs and has ended."""
+
+    async def start(self, epoch: Epoch, order: StartOrder) -> OrderAnswer:
+        """Order the start of a run."""
+
+    async def stop(self, epoch: Epoch, ref: RunRef) -> OrderAnswer:
+        """Order the stop of a run."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class LinkEvents(Protocol):
+    """What the scheduler hears from its links."""
+
+    def may_order(self) -> bool:
+        """Return whether orders may be given now."""
+
+    def may_begin(self, seat: Seat) -> bool:
+        """Return whether the start of ``seat`` is still wanted."""
+
+    def may_repeat(self, seat: Seat) -> bool:
+        """Return whether an unanswered start of ``seat`` is sent again."""
+
+    def note_report(
+        self, worker: Worker, report: WorkerReport, sent_s: float
+    ) -> None:
+        """A report has come."""
+
+    def note_started(self, seat: Seat) -> None:
+        """A worker has carried out a start."""
+
+    def note_order_failed(self, seat: Seat, outcome: OrderOutcome) -> None:
+        """A start was surely not carried out."""
+
+    def note_seat_over(self, seat: Seat, kind: EndKind) -> None:
+        """A run is over, or never was."""
+
+    def note_silent(self, worker: Worker) -> None:
+        """A call brought no answer."""
+
+    def note_gone(self, worker: Worker) -> None:
+        """Another instance answers at the worker's address."""
+
+    def note_fenced(self, worker: Worker) -> None:
+        """The worker has seen a higher epoch."""
+
+
+PortFactory = Callable[[str, str], WorkerPort]
+
+
+class WorkerOrders:
+    """Sends the orders of the active scheduler to one worker."""
+
+    def __init__(
+        self,
+        worker: Worker,
+        port: WorkerPort,
+        events: LinkEvents,
+        *,
+        epoch: Epoch,
+        clock: Clock,
+    ) -> None:
+        """Give orders to ``worker`` under ``epoch``."""
+        self.worker = worker
+        # Wakes what waits for the outcome of an order.
+        self.on_outcome: Callable[[], None] = _do_nothing
+        self._port = port
+        self._events = events
+        self._epoch = epoch
+        self._clock = clock
+        self._tasks = Tasks()
+
+    def cancel(self) -> None:
+        """Give up orders in progress."""
+        self._tasks.cancel()
+
+    def order_start(self, seat: Seat, ticket: str = '') -> None:
+        """Order the start of ``seat``."""
+        self._tasks.spawn(self._start(seat, ticket))
+
+    def order_stop(self, seat: Seat) -> None:
+        """Order the stop of ``seat``."""
+        if not seat.sent:
+            return
+        seat.phase = SeatPhase.STOPPING
+        self._tasks.spawn(self._stop(seat))
+
+    def stop_stray(self, ref: RunRef) -> None:
+        """Order the stop of a run that no record names."""
+        self._tasks.spawn(self._stop_stray(ref))
+
+    async def _start(self, seat: Seat, ticket: str) -> None:
+        worker = self.worker
+        if not self._events.may_begin(seat):
+            self._events.note_seat_over(seat, EndKind.NEVER_STARTED)
+            return
+        now_s = self._clock.monotonic_s()
+        deadline_ms = worker.clock_at(now_s) + START_TTL_MS
+        seat.start_deadline_ms = deadline_ms
+        seat.sent = True
+        worker.note_grant(deadline_ms)
+        unit = seat.unit
+        order = StartOrder(
+            ref=seat.ref,
+            payload=unit.job.spec.payload,
+            deadline_ms=deadline_ms,
+            checkpoint=unit.checkpoint,
+            ticket=ticket,
+        )
+        await self._send_start(seat, order)
+        self.on_outcome()
+
+    async def _send_start(self, seat: Seat, order: StartOrder) -> None:
+        """Send ``order`` until it is answered, a few times at most."""
+        for sent_before in range(MAX_STARTS):
+            if sent_before and not self._events.may_repeat(seat):
+                break
+            answer = await self._port.start(self._epoch, order)
+            self._log_order('run.start', seat, answer)
+            if answer.outcome is not OrderOutcome.UNKNOWN:
+                self._note_start_answer(seat, answer, bool(sent_before))
+                return
+        if seat.phase is SeatPhase.ORDERED:
+            # A stop that is confirmed makes a late start impossible.
+            mark_stops((seat,), StopReason.START_UNANSWERED)
+            self.order_stop(seat)
+
+    def _note_start_answer(
+        self, seat: Seat, answer: OrderAnswer, is_repeated: bool
+    ) -> None:
+        outcome = answer.outcome
+        if outcome is OrderOutcome.DONE:
+            self._events.note_started(seat)
+        elif outcome is OrderOutcome.FENCED:
+            self._events.note_fenced(self.worker)
+        elif is_repeated and outcome in _MAY_HAVE_RUN:
+            log_event(logger, 'run.start_open', worker=seat.worker)
+        elif outcome in NEVER_RUNS:
+            self._events.note_order_failed(seat, outcome)
+
+    async def _stop(self, seat: Seat) -> None:
+        lost_pause_s = LOST_RETRY_S
+        while seat.ref in self.worker.seats:
+            answer = await self._port.stop(self._epoch, seat.ref)
+            self._log_order('run.stop', seat, answer)
+            if answer.outcome is OrderOutcome.DONE:
+                seat.stop_confirmed_s = self._clock.monotonic_s()
+                break
+            if answer.outcome is OrderOutcome.FENCED:
+                self._events.note_fenced(self.worker)
+                break
+            is_lost = answer.outcome is OrderOutcome.UNKNOWN
+            await asyncio.sleep(lost_pause_s if is_lost else STOP_AGAIN_S)
+            lost_pause_s = min(2 * lost_pause_s, STOP_AGAIN_S)
+        self.on_outcome()
+
+    async def _stop_stray(self, ref: RunRef) -> None:
+        answer = await self._port.stop(self._epoch, ref)
+        log_event(
+            logger,
+            'run.stray_stopped',
+            worker=self.worker.id,
+            job=ref.task.job,
+            run=ref.run,
+            outcome=answer.outcome.value,
+        )
+        self.on_outcome()
+
+    def _log_order(self, event: str, seat: Seat, answer: OrderAnswer) -> None:
+        ref = seat.ref
+        log_event(
+            logger,
+            event,
+            worker=seat.worker,
+            job=ref.task.job,
+            occurrence=ref.task.occurrence,
+            step=ref.task.step,
+            index=ref.task.index,
+            run=ref.run,
+            reason=seat.stop_reason.value if seat.stop_reason else None,
+            outcome=answer.outcome.value,
+        )
+
+
+def _do_nothing() -> None:
+    """Stand in for a handler that is set later."""
--- a/src/bulrushcove/platform/workers.py
+++ b/src/bulrushcove/platform/workers.py
@@ -19,10 +19,11 @@
 from .exceptions import CallError, NotSentError, UndecodableError
 from .http_call import Endpoint, Reply, decode
 
-# The farthest worker is 60 ms away and back; a healthy one answers at once.
-ORDER_TIMEOUT_S = 0.8
+# The farthest worker is 60 ms away and back, and as much for a connection; a
+# healthy one answers at once.
+ORDER_TIMEOUT_S = 0.35
 # Beyond the time that a report was asked to wait for an end.
-REPORT_MARGIN_S = 0.8
+REPORT_MARGIN_S = 0.4
 INSTANCE_HEADER = 'X-Expect-Instance'
 
 _REFUSED = MappingProxyType(
--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -32,10 +32,11 @@
 
 def last_try_s(spec, noticed_s=0.4):
     """Return when a caller that comes at the outage's begin tries last."""
-    now_s = noticed_s
-    for _ in range(TRIES - 1):
-        now_s += outage_retry_s(spec, Estimates(), now_s)
-    return now_s
+    tries_s = [noticed_s]
+    while len(tries_s) < TRIES:
+        wait_s = outage_retry_s(spec, Estimates(), tries_s[-1])
+        tries_s.append(tries_s[-1] + wait_s)
+    return tries_s[-1]
 
 
 def test_a_patient_job_outlasts_an_outage_of_nine_seconds():
--- a/tests/test_launcher.py
+++ b/tests/test_launcher.py
@@ -61,7 +61,7 @@
     chosen = [set(chooser.stdout.readline().split()) for chooser in choosers]
     for chooser in choosers:
         chooser.communicate('')
-    assert [len(ports) for ports in chosen] == [3000] * 3
+    assert [len(ports) for ports in chosen] == [3000, 3000, 3000]
     assert not (chosen[0] & chosen[1] | chosen[0] & chosen[2])
     assert not chosen[1] & chosen[2]
 
--- a/tests/test_node_journal.py
+++ b/tests/test_node_journal.py
@@ -106,9 +106,10 @@
 
     monkeypatch.setattr(store, 'commit', slow_commit)
     # Each lost answer is followed by a read that is answered.
-    store.script.extend([StoreFault.LOSE_WRITE, StoreFault.NONE] * 4)
+    for _ in range(4):
+        store.script.extend([StoreFault.LOSE_WRITE, StoreFault.NONE])
     await stored(journal.put('k', b'1'))
-    assert seen == [0] * 5
+    assert seen == [0, 0, 0, 0, 0]
     await journal.stop()
 
 
--- a/tests/test_node_scheduler.py
+++ b/tests/test_node_scheduler.py
@@ -23,6 +23,7 @@
 
     def __init__(self):
         self.started = []
+        self.orders = self
 
     def order_start(self, seat):
         self.started.append(seat.unit.job.id)
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -15,6 +15,7 @@
 from bulrushcove.clock import ManualClock
 from bulrushcove.ids import Epoch
 from bulrushcove.node import worker_link as link_module
+from bulrushcove.node import worker_orders as orders_module
 from bulrushcove.node.worker_link import WorkerLink
 
 LEASE_MS = 8000
@@ -29,6 +30,8 @@
         self.starts = []
         self.reports = [report()]
         self.start_outcome = OrderOutcome.DONE
+        # What the first starts get before that.
+        self.first_outcomes = []
 
     async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
         self.leases.append(lease_end_ms)
@@ -42,6 +45,8 @@
 
     async def start(self, epoch, order):
         self.starts.append(order)
+        if self.first_outcomes:
+            return OrderAnswer(self.first_outcomes.pop(0), 1000)
         return OrderAnswer(self.start_outcome, 1000)
 
     async def stop(self, epoch, ref):
@@ -66,6 +71,9 @@
     def may_begin(self, seat):
         return self.wanted
 
+    def may_repeat(self, seat):
+        return self.wanted
+
     def note_report(self, worker, news, sent_s):
         worker.is_adopted = True
         worker.note_clock(news.clock_ms, self.bench.now_s)
@@ -113,6 +121,7 @@
 @pytest.fixture
 async def rig(monkeypatch):
     monkeypatch.setattr(link_module, 'RETRY_S', 0.001)
+    monkeypatch.setattr(orders_module, 'LOST_RETRY_S', 0.001)
     monkeypatch.setattr(link_module, 'MAX_RETRY_S', 0.001)
     made = Rig()
     yield made
@@ -124,7 +133,7 @@
 
 
 async def test_a_start_carries_a_deadline_after_which_it_is_refused(rig):
-    rig.link.order_start(rig.seat)
+    rig.link.orders.order_start(rig.seat)
     await settle()
     (order,) = rig.port.starts
     assert order.deadline_ms == rig.seat.start_deadline_ms
@@ -133,25 +142,65 @@
 
 async def test_an_unanswered_start_is_stopped(rig):
     rig.port.start_outcome = OrderOutcome.UNKNOWN
-    rig.link.order_start(rig.seat)
+    rig.link.orders.order_start(rig.seat)
     await settle()
     assert rig.port.stops == [rig.seat.ref]
     assert rig.seat.stop_confirmed_s is not None
 
 
+async def test_a_start_whose_answer_is_lost_is_sent_again(rig):
+    """Stopping it would stop its whole gang."""
+    rig.port.first_outcomes = [OrderOutcome.UNKNOWN]
+    rig.link.orders.order_start(rig.seat)
+    await settle()
+    first, second = rig.port.starts
+    # A copy that arrives late is refused: the deadline is the first one's.
+    assert first == second
+    assert rig.port.stops == []
+    assert rig.seat.phase is SeatPhase.LIVE
+
+
+@pytest.mark.parametrize(
+    'outcome', [OrderOutcome.OLD_RUN, OrderOutcome.UNHEALTHY]
+)
+async def test_a_repeated_start_that_is_refused_may_have_run(rig, outcome):
+    """The copy without an answer may have begun and ended: a report tells."""
+    rig.port.first_outcomes = [OrderOutcome.UNKNOWN]
+    rig.port.start_outcome = outcome
+    rig.link.orders.order_start(rig.seat)
+    await settle()
+    assert rig.events.told == []
+    assert rig.seat.ref in rig.worker.seats
+
+
+async def test_an_unanswered_start_is_not_repeated_once_given_up(rig):
+    rig.port.first_outcomes = [OrderOutcome.UNKNOWN]
+    start = rig.port.start
+
+    async def give_up(epoch, order):
+        rig.events.wanted = False
+        return await start(epoch, order)
+
+    rig.port.start = give_up
+    rig.link.orders.order_start(rig.seat)
+    await settle()
+    assert len(rig.port.starts) == 1
+    assert rig.port.stops == [rig.seat.ref]
+
+
 @pytest.mark.parametrize(
     'outcome', [OrderOutcome.NO_ROOM, OrderOutcome.UNHEALTHY]
 )
 async def test_a_refused_start_frees_its_seat(rig, outcome):
     rig.port.start_outcome = outcome
-    rig.link.order_start(rig.seat)
+    rig.link.orders.order_start(rig.seat)
     await settle()
     assert rig.events.told == [outcome]
 
 
 async def test_a_start_that_is_no_longer_wanted_is_not_sent(rig):
     rig.events.wanted = False
-    rig.link.order_start(rig.seat)
+    rig.link.orders.order_start(rig.seat)
     await settle()
     assert rig.port.starts == []
     assert rig.events.told == ['never-started']
@@ -159,7 +208,7 @@
 
 async def test_a_fenced_start_ends_the_tenure(rig):
     rig.port.start_outcome = OrderOutcome.FENCED
-    rig.link.order_start(rig.seat)
+    rig.link.orders.order_start(rig.seat)
     await settle()
     assert rig.events.told == ['fenced']
 
