Filling tasks are slowed beside serving ones; services keep enough tasks at work

Serving tasks report the tail of their response times. Where it nears its target, the tasks that fill the same worker are slowed, then halted, and get their speed back in steps (batch/pacing.py); stops for urgent work leave as many tasks of a service at work as its step asks for (batch/availability.py). Found on the way: a service at full work was taken for one about to end, so that urgent work waited for it. No deployment that we have plays such steps: proved by tests of the decisions and against the stand-in worker only.

--- a/dev/platform_standin/worker.py
+++ b/dev/platform_standin/worker.py
@@ -37,6 +37,10 @@
         self.lose_answers = 0
         # Each start fails at once.
         self.fails_all = False
+        # Ordered pace by task and run; it is noted, not kept to.
+        self.paces: dict[tuple[str, int], int] = {}
+        # Load that each run reports, by task.
+        self.loads: dict[str, int] = {}
         self._fence = 0
         self._deadline_ms = 0
         self._numbers = 0
@@ -48,6 +52,7 @@
         application.router.add_post('/api/run-start', self._start)
         application.router.add_post('/api/run-stop', self._stop)
         application.router.add_post('/api/hold', self._hold)
+        application.router.add_post('/api/pace', self._pace)
         return application
 
     @property
@@ -98,11 +103,22 @@
             await asyncio.sleep(TICK_S)
             self._advance()
         rows = [
-            [run.task, run.run, '', self._percent(run), 0]
+            [
+                run.task,
+                run.run,
+                '',
+                self._percent(run),
+                self.loads.get(run.task, 0),
+            ]
             for run in self.running.values()
         ]
         return self._answer(running=rows, ended=self.ended)
 
+    async def _pace(self, request: web.Request) -> web.Response:
+        body = await self._admit(request)
+        self.paces[(body['task'], body['run'])] = body['percent']
+        return self._answer()
+
     async def _admit(self, request: web.Request) -> dict[str, Any]:
         if request.headers.get('X-Expect-Instance') != self.worker:
             raise web.HTTPMisdirectedRequest()
--- /dev/null
+++ b/src/bulrushcove/batch/availability.py
@@ -0,0 +1,46 @@
+"""How many tasks of a service step may be kept away at once.
+
+Answers planned stops of several tasks of one service at the same moment: a
+task that is not at work for whatever cause counts as away.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from .progress import Seat, SeatPhase, Unit
+from .workers import FULL_PACE_PERCENT
+
+
+def keeps_available(victims: Iterable[Unit]) -> bool:
+    """Return whether stopping all ``victims`` leaves enough tasks at work."""
+    services = [unit for unit in victims if unit.spec.is_service]
+    stopped = Counter(_step(unit) for unit in services)
+    return all(
+        _away_beside(unit, services) + stopped[_step(unit)]
+        <= unit.spec.max_absent
+        for unit in services
+    )
+
+
+def _away_beside(unit: Unit, stopped: list[Unit]) -> int:
+    """Return how many tasks of the unit's step are away already."""
+    return sum(
+        1
+        for other in unit.job.units
+        if _step(other) == _step(unit)
+        and other not in stopped
+        and not _is_at_work(other)
+    )
+
+
+def _is_at_work(unit: Unit) -> bool:
+    seats = unit.seats.values()
+    return bool(seats) and all(map(_serves_fully, seats))
+
+
+def _serves_fully(seat: Seat) -> bool:
+    return seat.phase is SeatPhase.LIVE and seat.percent >= FULL_PACE_PERCENT
+
+
+def _step(unit: Unit) -> tuple[str, int, int]:
+    return (unit.job.id, unit.occurrence, unit.step)
--- a/src/bulrushcove/batch/estimates.py
+++ b/src/bulrushcove/batch/estimates.py
@@ -67,7 +67,9 @@
     def left_ms(self, unit: Unit) -> float:
         """Return the expected milliseconds until ``unit`` is done."""
         whole_ms = self.task_ms(unit.job.spec.terms.queue, unit.spec)
-        if unit.phase is not UnitPhase.ACTIVE or not unit.seats:
+        is_running = unit.phase is UnitPhase.ACTIVE and unit.seats
+        # At full work a service shows 100 percent and goes on.
+        if unit.spec.is_service or not is_running:
             return whole_ms
         seats = unit.seats.values()
         percent = min(seat.percent for seat in seats)
--- /dev/null
+++ b/src/bulrushcove/batch/pacing.py
@@ -0,0 +1,76 @@
+"""How fast tasks that fill idle room may work beside tasks that serve.
+
+Answers serving tasks whose response times rise because of what fills their
+worker, by amounts that change within seconds: the filling tasks are slowed
+before the tail passes its target, halted when it does, and get their speed
+back in steps while it stays well below.
+"""
+
+from collections.abc import Iterator
+
+from .progress import Seat, SeatPhase
+from .workers import FULL_PACE_PERCENT, Worker
+
+# Shares of the target: above the first filling tasks are slowed, below the
+# second they are given speed back.
+SLOW_ABOVE = 0.75
+RAISE_BELOW = 0.5
+RAISE_STEP_PERCENT = 25
+# A tail follows a change of pace within this; reports are half a second means.
+SETTLE_S = 1.0
+
+
+def is_shared(worker: Worker) -> bool:
+    """Return whether serving and filling tasks run side by side."""
+    seats = worker.seats.values()
+    return any(map(_serves, seats)) and any(map(_fills, seats))
+
+
+def pace_changes(worker: Worker, now_s: float) -> list[Seat]:
+    """Return the filling seats that do not have the worker's pace yet.
+
+    Decides first on that pace, in percent, from the tails last reported.
+    """
+    wanted = _wanted_percent(worker, now_s)
+    if wanted != worker.pace_percent:
+        worker.pace_percent = wanted
+        worker.paced_s = now_s
+    return [
+        seat
+        for seat in worker.seats.values()
+        if _fills(seat) and seat.pace_percent != wanted
+    ]
+
+
+def _wanted_percent(worker: Worker, now_s: float) -> int:
+    share = max(_tail_shares(worker), default=0.0)
+    if share >= 1:
+        return 0
+    if share > SLOW_ABOVE:
+        return _after(worker, now_s, worker.pace_percent // 2)
+    if share < RAISE_BELOW:
+        raised = worker.pace_percent + RAISE_STEP_PERCENT
+        return _after(worker, now_s, min(FULL_PACE_PERCENT, raised))
+    return worker.pace_percent
+
+
+def _after(worker: Worker, now_s: float, percent: int) -> int:
+    """Return ``percent`` once the change before has shown its effect."""
+    has_settled = now_s - worker.paced_s >= SETTLE_S
+    return percent if has_settled else worker.pace_percent
+
+
+def _tail_shares(worker: Worker) -> Iterator[float]:
+    for seat in worker.seats.values():
+        if _serves(seat):
+            yield seat.load / seat.unit.spec.target_tail_ms
+
+
+def _serves(seat: Seat) -> bool:
+    spec = seat.unit.spec
+    has_target = spec.is_service and spec.target_tail_ms > 0
+    return has_target and seat.phase is SeatPhase.LIVE
+
+
+def _fills(seat: Seat) -> bool:
+    return seat.unit.spec.fills_idle and seat.phase is SeatPhase.LIVE
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -23,7 +23,7 @@
     units_whose_turn_came,
 )
 from .reclaim import Reclaim, is_worth_it, plan_reclaim
-from .workers import Worker
+from .workers import FULL_PACE_PERCENT, Worker
 
 if TYPE_CHECKING:
     from .engine import Engine
@@ -257,6 +257,7 @@
         capacity=entry.capacity,
         is_suspect=engine.trust.is_suspect(worker.id, now_s),
         on_probation=engine.trust.is_on_probation(worker.id),
+        is_paced=worker.pace_percent < FULL_PACE_PERCENT,
     )
 
 
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -31,6 +31,8 @@
     is_suspect: bool = False
     # Takes one unit at a time.
     on_probation: bool = False
+    # Whether tasks that fill idle room are slowed there.
+    is_paced: bool = False
     # Kept for a waiting unit from then on; None: for nobody.
     kept_in_s: float | None = None
 
@@ -43,6 +45,8 @@
     """Return how many tasks of ``step`` the candidate takes now."""
     if step.required_label and step.required_label not in candidate.labels:
         return 0
+    if step.fills_idle and candidate.is_paced:
+        return 0
     most = _times(candidate.room, step.room)
     if step.max_per_worker:
         most = min(most, step.max_per_worker - placed)
--- a/src/bulrushcove/batch/progress.py
+++ b/src/bulrushcove/batch/progress.py
@@ -74,6 +74,10 @@
     # When the worker confirmed a stop.
     stop_confirmed_s: float | None = None
     percent: int = 0
+    # As last reported; see ``RunningTask.load``.
+    load: float = 0
+    # Pace that the worker has confirmed.
+    pace_percent: int = 100
     # When percent last grew.
     progress_s: float = 0.0
     # Whether the start was handed to the worker link.
--- a/src/bulrushcove/batch/reclaim.py
+++ b/src/bulrushcove/batch/reclaim.py
@@ -13,7 +13,9 @@
 
 from ..clock import MS_PER_S
 from ..ids import RackId
+from .availability import keeps_available
 from .estimates import Estimates
+from .ids import UnitRef
 from .model import TaskSize
 from .placement import Candidate, fitting_tasks
 from .progress import Seat, SeatPhase, Unit
@@ -106,7 +108,7 @@
     workers: dict[str, Worker],
     estimates: Estimates,
 ) -> Reclaim | None:
-    chosen: dict[int, Unit] = {}
+    chosen: dict[UnitRef, Unit] = {}
     places: list[Candidate] = []
     options = [
         option
@@ -116,11 +118,12 @@
     options.sort(key=lambda option: option.cost_core_s)
     for option in options:
         count = _count(option, unit)
-        if not count:
+        extended = chosen | {victim.ref: victim for victim in option.victims}
+        if not count or not keeps_available(extended.values()):
             continue
         missing = unit.size - len(places)
         places.extend(repeat(option.candidate, min(count, missing)))
-        chosen.update((id(victim), victim) for victim in option.victims)
+        chosen = extended
         if len(places) == unit.size:
             victims = tuple(chosen.values())
             cost = sum(loss_core_s(victim, estimates) for victim in victims)
@@ -162,8 +165,6 @@
         terms = seat.unit.job.spec.terms
         if terms.priority <= priority or seat.phase is SeatPhase.STOPPING:
             continue
-        if seat.unit.spec.is_service and not seat.unit.spec.max_absent:
-            continue
         victim = by_unit.setdefault(id(seat.unit), _Victim(seat.unit, []))
         victim.seats.append(seat)
     return sorted(
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -96,6 +96,7 @@
     if seat.confirmed_s is None:
         findings.confirmed.append(seat)
     confirm_seat(seat, now_s)
+    seat.load = running.load
     if running.percent > seat.percent:
         seat.percent = running.percent
         seat.progress_s = now_s
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -12,6 +12,8 @@
 
 # A worker's steady clock may run this much slow, as its owners state.
 CLOCK_DRIFT = 0.02
+# A task works at this share of its speed unless it is slowed.
+FULL_PACE_PERCENT = 100
 
 
 class EndKind(Enum):
@@ -56,6 +58,9 @@
     ref: RunRef
     checkpoint: str
     percent: int
+    # Of a serving task the tail of its response times in milliseconds, of
+    # another the processor time in use; over the last half second, roughly.
+    load: float = 0
 
 
 class EndedTask(msgspec.Struct, frozen=True):
@@ -103,6 +108,9 @@
     # Calls without a usable answer since the last good one.
     missed_calls: int = 0
     heard_s: float = 0.0
+    # Pace of the tasks that fill idle room, and when it last changed.
+    pace_percent: int = FULL_PACE_PERCENT
+    paced_s: float = 0.0
 
     @property
     def id(self) -> WorkerId:
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -10,6 +10,7 @@
     WorkerFencedError,
     WorkerGoneError,
 )
+from ..batch.pacing import is_shared
 from ..batch.progress import SeatPhase
 from ..batch.workers import Worker
 from ..clock import Clock
@@ -27,6 +28,9 @@
 SILENT_CALLS = 1
 # While the outcome of an order is open.
 SHORT_WAIT_MS = 250
+# Where tails of serving tasks must be followed; the figures are of the last
+# half second.
+SHARED_WAIT_MS = 500
 # Ends are confirmed once stored; a report does not wait longer for that.
 STORING_WAIT_S = 0.4
 # Single answers get lost: the first repetition follows soon.
@@ -173,4 +177,6 @@
             seat.phase is not SeatPhase.LIVE for seat in worker.seats.values()
         ):
             return SHORT_WAIT_MS
+        if is_shared(worker):
+            return SHARED_WAIT_MS
         return REPORT_WAIT_MS if worker.seats else 0
--- a/src/bulrushcove/node/worker_news.py
+++ b/src/bulrushcove/node/worker_news.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable, Iterable
 
 from ..batch.engine import Engine, Plan
+from ..batch.ids import RunRef
 from ..batch.orders import OrderOutcome
+from ..batch.pacing import pace_changes
 from ..batch.passes import may_start, stays
 from ..batch.progress import Job, Seat, SeatPhase
 from ..batch.reconcile import SeatEnd
@@ -79,8 +81,8 @@
         for end in findings.ends:
             _log_end(end)
         link = self.find_link(worker.id)
-        for stray in findings.strays if link else ():
-            link.orders.stop_stray(stray)
+        if link is not None:
+            self._order_in_place(link, findings.strays)
         self.apply(plan)
         if worker.seen_end != before:
             self.tasks.spawn(
@@ -141,6 +143,16 @@
         is_given_up = unit.is_broken or unit.job.has_ended
         return self._tenure.has_authority and not is_given_up
 
+    def _order_in_place(
+        self, link: WorkerLink, strays: Iterable[RunRef]
+    ) -> None:
+        """Give the orders that rest on a report alone, not on a record."""
+        for stray in strays:
+            link.orders.stop_stray(stray)
+        worker = link.worker
+        for seat in pace_changes(worker, self._clock.monotonic_s()):
+            link.orders.order_pace(seat, worker.pace_percent)
+
     async def _confirm(
         self, worker: Worker, number: int, changed: Iterable[Job]
     ) -> None:
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -65,6 +65,11 @@
     async def stop(self, epoch: Epoch, ref: RunRef) -> OrderAnswer:
         """Order the stop of a run."""
 
+    async def pace(
+        self, epoch: Epoch, ref: RunRef, percent: int
+    ) -> OrderAnswer:
+        """Order at which share of its speed a run works."""
+
     async def close(self) -> None:
         """Close all connections."""
 
@@ -145,6 +150,10 @@
         seat.phase = SeatPhase.STOPPING
         self._tasks.spawn(self._stop(seat))
 
+    def order_pace(self, seat: Seat, percent: int) -> None:
+        """Order that the run of ``seat`` works at ``percent`` of its speed."""
+        self._tasks.spawn(self._pace(seat, percent))
+
     def stop_stray(self, ref: RunRef) -> None:
         """Order the stop of a run that no record names."""
         self._tasks.spawn(self._stop_stray(ref))
@@ -214,6 +223,23 @@
             lost_pause_s = min(2 * lost_pause_s, STOP_AGAIN_S)
         self.on_outcome()
 
+    async def _pace(self, seat: Seat, percent: int) -> None:
+        answer = await self._port.pace(self._epoch, seat.ref, percent)
+        # Without an answer the order is repeated after the next report.
+        if answer.outcome is OrderOutcome.DONE:
+            seat.pace_percent = percent
+        elif answer.outcome is OrderOutcome.FENCED:
+            self._events.note_fenced(self.worker)
+        log_event(
+            logger,
+            'run.pace',
+            worker=seat.worker,
+            job=seat.ref.task.job,
+            run=seat.run,
+            percent=percent,
+            outcome=answer.outcome.value,
+        )
+
     async def _stop_stray(self, ref: RunRef) -> None:
         answer = await self._port.stop(self._epoch, ref)
         log_event(
--- a/src/bulrushcove/platform/workers.py
+++ b/src/bulrushcove/platform/workers.py
@@ -120,6 +120,18 @@
         }
         return await self._order('/api/run-stop', body)
 
+    async def pace(
+        self, epoch: Epoch, ref: RunRef, percent: int
+    ) -> OrderAnswer:
+        """Order at which share of its speed a run works."""
+        body: dict[str, object] = {
+            'task': task_name(ref.task),
+            'run': ref.run,
+            'percent': percent,
+            'fence': epoch,
+        }
+        return await self._order('/api/pace', body)
+
     async def _order(self, path: str, body: dict[str, object]) -> OrderAnswer:
         try:
             reply = await self._call(path, body, ORDER_TIMEOUT_S)
@@ -198,10 +210,12 @@
 
 def _running(row: list[str | int | float | None]) -> RunningTask:
     task, run, checkpoint, percent = row[:4]
+    load = row[4] if len(row) > 4 else 0
     return RunningTask(
         RunRef(parse_task(str(task)), int(run)),
         str(checkpoint or ''),
         int(percent or 0),
+        float(load or 0),
     )
 
 
--- /dev/null
+++ b/tests/test_batch_pacing.py
@@ -0,0 +1,124 @@
+"""Serving tasks keep their response times beside tasks that fill."""
+
+import pytest
+from batch_builders import Bench, entry, job_spec, step
+
+from bulrushcove.batch.availability import keeps_available
+from bulrushcove.batch.pacing import SETTLE_S, is_shared, pace_changes
+from bulrushcove.batch.progress import SeatPhase
+
+TARGET_MS = 100
+# Harm that lasts this long is more than users of a serving task accept.
+IMPACT_S = 4.0
+REPORT_S = 0.5
+
+
+def shared_bench():
+    """Return a bench whose only worker serves and is filled."""
+    bench = Bench(entry('w1'))
+    serving = step(is_service=True, target_tail_ms=TARGET_MS)
+    bench.submit(job_spec('serving', serving))
+    bench.submit(job_spec('filling', step(2, fills_idle=True), priority=2))
+    bench.start_all()
+    return bench
+
+
+def seats_of(bench, name):
+    return [
+        seat
+        for seat in bench.engine.workers['w1'].seats.values()
+        if seat.unit.job.id == name
+    ]
+
+
+def follow(bench, tail_ms):
+    """Report a tail; the worker takes on the pace that is ordered."""
+    bench.advance(REPORT_S)
+    worker = bench.engine.workers['w1']
+    for seat in seats_of(bench, 'serving'):
+        seat.load = tail_ms
+    for seat in pace_changes(worker, bench.now_s):
+        seat.pace_percent = worker.pace_percent
+    return worker.pace_percent
+
+
+def test_a_worker_that_serves_and_fills_is_shared():
+    bench = shared_bench()
+    assert is_shared(bench.engine.workers['w1'])
+    assert not is_shared(Bench(entry('w1')).engine.workers['w1'])
+
+
+def test_filling_tasks_halt_when_the_tail_is_over_its_target():
+    bench = shared_bench()
+    assert follow(bench, TARGET_MS) == 0
+    assert {seat.pace_percent for seat in seats_of(bench, 'filling')} == {0}
+    # The serving task itself is never slowed.
+    assert seats_of(bench, 'serving')[0].pace_percent == 100
+
+
+@pytest.mark.parametrize('harm_per_percent', [0.4, 1.0, 3.0])
+def test_harm_never_lasts(harm_per_percent):
+    """The tail grows with the pace of what fills, by an unknown amount."""
+    bench = shared_bench()
+    pace = 100
+    over_s = worst_s = 0
+    for _ in range(60):
+        tail_ms = 40 + harm_per_percent * pace
+        over_s = over_s + REPORT_S if tail_ms > TARGET_MS and pace else 0
+        worst_s = max(worst_s, over_s)
+        pace = follow(bench, tail_ms)
+    assert worst_s < IMPACT_S / 2
+
+
+def test_filling_tasks_get_their_speed_back_in_steps():
+    bench = shared_bench()
+    follow(bench, TARGET_MS)
+    paces = [follow(bench, 10) for _ in range(12)]
+    assert paces[0] < 100
+    assert paces == sorted(paces)
+    assert paces[-1] == 100
+    assert SETTLE_S >= 2 * REPORT_S
+
+
+def test_no_more_filling_tasks_come_to_a_slowed_worker():
+    bench = shared_bench()
+    follow(bench, TARGET_MS)
+    bench.submit(job_spec('more', step(fills_idle=True), priority=2))
+    assert bench.plan().starts == []
+
+
+def service_units(bench, max_absent, count=3):
+    spec = step(count, is_service=True, max_absent=max_absent)
+    job = bench.submit(job_spec('service', spec, priority=2))
+    bench.start_all()
+    for unit in job.units:
+        for seat in unit.seats.values():
+            seat.phase = SeatPhase.LIVE
+            seat.percent = 100
+    return job.units
+
+
+@pytest.mark.parametrize(
+    ('max_absent', 'stopped', 'allowed'),
+    [(0, 1, False), (1, 1, True), (1, 2, False), (2, 2, True)],
+)
+def test_no_more_tasks_are_stopped_than_may_be_away(
+    max_absent, stopped, allowed
+):
+    units = service_units(Bench(entry('w1')), max_absent)
+    assert keeps_available(units[:stopped]) is allowed
+
+
+def test_a_task_that_only_starts_up_counts_as_away():
+    units = service_units(Bench(entry('w1')), 1)
+    next(iter(units[2].seats.values())).percent = 40
+    assert not keeps_available(units[:1])
+
+
+def test_urgent_work_displaces_only_what_may_be_away():
+    bench = Bench(entry('w1', accelerators=3), guaranteed=8)
+    service_units(bench, 1)
+    bench.submit(job_spec('urgent', step(2), priority=0))
+    bench.advance(1)
+    stops = bench.plan().stops
+    assert len(stops) == 1
