Queues with advice: tickets of the placement adviser, one question at a time

Starts on such queues were all refused for want of a ticket, so their jobs never ran. Tickets and the next question are decided in batch/advice.py, asked by node/advisory.py through platform/adviser.py. Test on real processes with a stand-in adviser: three tasks run on the allowed worker only.

--- a/dev/platform_standin/deployment.py
+++ b/dev/platform_standin/deployment.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from dev.launch.ports import choose_ports
+from dev.platform_standin.adviser import StandinAdviser
 from dev.platform_standin.proxy import Proxy
 from dev.platform_standin.store import StandinStore
 from dev.platform_standin.worker import StandinWorker
@@ -67,6 +68,7 @@
 region = "north"
 internal-ports = [{first_port}, {last_port}]
 seeds = [{seeds}]
+advice = "{adviser}"
 [listen]
 front = "{front}"
 ready = "{ready}"
@@ -82,7 +84,9 @@
 class Node:
     """One node program as a process of its own."""
 
-    def __init__(self, name: str, ports: list[int], store: str) -> None:
+    def __init__(
+        self, name: str, ports: list[int], store: str, adviser: str
+    ) -> None:
         """Describe the process; ``start`` runs it."""
         self.name = name
         self.front = f'{HOST}:{ports[0]}'
@@ -94,6 +98,7 @@
         self.proxy: Proxy | None = None
         self._ports = ports
         self._store = store
+        self._adviser = adviser
         folder = Path(tempfile.mkdtemp(prefix='bulrushcove-'))
         self.log = folder / 'log'
         self._settings = folder / 'settings.toml'
@@ -142,6 +147,7 @@
             front=self.front,
             ready=self.ready,
             store=self._store,
+            adviser=self._adviser,
             grace_s=GRACE_S,
         )
 
@@ -152,6 +158,7 @@
     def __init__(self, nodes: int = 2, workers: int = 2) -> None:
         """Prepare so many node programs and workers."""
         self.store = StandinStore()
+        self.adviser = StandinAdviser()
         self.workers = [
             StandinWorker(f'w-{number}') for number in range(workers)
         ]
@@ -163,7 +170,9 @@
 
     async def __aenter__(self) -> 'Deployment':
         """Start everything and wait until the nodes are ready."""
-        ports = choose_ports(1 + len(self.workers) + 5 * self._count)
+        ports = choose_ports(2 + len(self.workers) + 5 * self._count)
+        adviser = f'{HOST}:{ports.pop()}'
+        await self._serve(self.adviser.application(), adviser)
         store = f'{HOST}:{ports.pop()}'
         await self._serve(self.store.application(), store)
         for worker in self.workers:
@@ -176,7 +185,8 @@
             own = [ports.pop() for _ in range(4)]
             proxy = Proxy(ports.pop(), int(store.partition(':')[2]))
             await proxy.start()
-            node = Node(f'vm-{number}', own, f'{HOST}:{proxy.port}')
+            through = f'{HOST}:{proxy.port}'
+            node = Node(f'vm-{number}', own, through, adviser)
             node.proxy = proxy
             self.nodes.append(node)
         self.http = aiohttp.ClientSession()
--- a/dev/platform_standin/worker.py
+++ b/dev/platform_standin/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -37,6 +38,8 @@
         self.lose_answers = 0
         # Each start fails at once.
         self.fails_all = False
+        # The ticket that a start of a step must carry; None: starts need none.
+        self.ticket_of: Callable[[str, str], str] | None = None
         # Ordered pace by task and run; it is noted, not kept to.
         self.paces: dict[tuple[str, int], int] = {}
         # Load that each run reports, by task.
@@ -67,6 +70,10 @@
             return self._answer()
         if body['deadline-ms'] < self.clock_ms:
             return self._refuse('late')
+        if self.ticket_of is not None:
+            step = body['task'].rpartition('.')[0]
+            if body.get('ticket') != self.ticket_of(step, self.worker):
+                return self._refuse('ticket')
         if body['run'] <= self._stopped.get(body['task'], 0):
             return self._refuse('old')
         self._deadline_ms = max(self._deadline_ms, body['deadline-ms'])
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -12,6 +12,7 @@
 from ..clock import MS_PER_S
 from ..ids import JobId, WorkerId
 from .admission import refuse_if_hopeless
+from .advice import Question, Tickets
 from .endings import apply_end, cancel_job
 from .estimates import Estimates
 from .exceptions import JobConflictError
@@ -54,6 +55,8 @@
     ended: list[Job] = msgspec.field(default_factory=list)
     starts: list[Seat] = msgspec.field(default_factory=list)
     stops: list[Seat] = msgspec.field(default_factory=list)
+    # Of the unit that goes first among those that need advice to be placed.
+    question: Question | None = None
 
     def starts_of(self, job: Job) -> list[Seat]:
         """Return the starts that rest on the record of ``job``."""
@@ -72,6 +75,7 @@
         self.standing = Standing()
         self.estimates = Estimates()
         self.trust = Trust()
+        self.tickets = Tickets()
         self.urgent_demand = Demand()
         # Room that is being cleared, and until when it is kept.
         self.reclaims: dict[UnitRef, tuple[Reclaim, float]] = {}
@@ -210,6 +214,7 @@
         plan.stops.extend(still)
         doomed = cannot_end(self, now_s)
         plan.stops.extend(mark_stops(doomed, StopReason.WORKER_LEAVES))
+        plan.question = current.question()
         return plan
 
     def forget_ended(self, now_s: float) -> list[JobId]:
@@ -233,6 +238,7 @@
         ]
         for job_id in over:
             self.active.pop(job_id)
+            self.tickets.forget(job_id)
 
     def _learn(self, end: SeatEnd, now_s: float) -> None:
         seat = end.seat
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -7,12 +7,14 @@
 
 from ..clock import MS_PER_S
 from ..ids import WorkerId
+from .advice import Question, step_of
 from .guarantee import is_guaranteed
 from .headroom import GANG_PATIENCE_S, kept_workers
 from .holdback import HOLD_AFTER_S, MAX_HOLDS, soonest_places
 from .ids import PoolName
 from .ordering import URGENT, waiting_key
 from .placement import FAR_PATIENCE_S, Candidate, find_places, take_room
+from .policy import find_adviser
 from .progress import (
     Seat,
     SeatPhase,
@@ -101,7 +103,7 @@
             return []
         if unit.ref in self._engine.reclaims:
             return []
-        group = self._candidates.get(terms.pool, [])
+        group = self._open_to(unit)
         workers = self._engine.workers
         estimates = self._engine.estimates
         openings = soonest_places(unit, group, workers, estimates)
@@ -136,18 +138,50 @@
         self._holds += 1
         openings = soonest_places(
             unit,
-            self._candidates.get(terms.pool, []),
+            self._open_to(unit),
             self._engine.workers,
             self._engine.estimates,
         )
         for opening in openings:
             opening.candidate.kept_in_s = openings[-1].in_s
 
+    def question(self) -> Question | None:
+        """Return what the adviser is to be asked next, for what still waits."""
+        for unit in self.waiting:
+            if unit.phase is UnitPhase.WAITING and needs_advice(unit):
+                found = self._question_for(unit)
+                if found is not None:
+                    return found
+        return None
+
+    def _question_for(self, unit: Unit) -> Question | None:
+        adviser = find_adviser(
+            self._engine.standing.policy, unit.job.spec.terms.queue
+        )
+        group = self._candidates.get(unit.job.spec.terms.pool, [])
+        workers = [self._engine.workers[one.worker] for one in group]
+        return self._engine.tickets.question(
+            unit, adviser, workers, self._now_s
+        )
+
+    def _open_to(self, unit: Unit) -> list[Candidate]:
+        """Return the candidates that the queue's policy allows ``unit``."""
+        group = self._candidates.get(unit.job.spec.terms.pool, [])
+        if not needs_advice(unit):
+            return group
+        find = self._engine.tickets.find
+        workers = self._engine.workers
+        step = step_of(unit)
+        return [
+            candidate
+            for candidate in group
+            if find(step, workers[candidate.worker], self._now_s)
+        ]
+
     def _usable(self, unit: Unit) -> list[Candidate]:
         """Return the candidates that are not kept from ``unit``."""
-        terms = unit.job.spec.terms
-        group = self._candidates.get(terms.pool, [])
-        if terms.priority == URGENT:
+        group = self._open_to(unit)
+        if unit.job.spec.terms.priority == URGENT:
             return group
         kept = self._kept_for_urgent(unit, group)
         left_s = self._engine.estimates.left_ms(unit) / MS_PER_S
@@ -247,6 +281,11 @@
     return is_listed and entry.domain not in engine.standing.closed_domains
 
 
+def needs_advice(unit: Unit) -> bool:
+    """Return whether starts of ``unit`` need a ticket."""
+    return unit.job.spec.terms.needs_advice
+
+
 def _candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
     entry = worker.entry
     return Candidate(
@@ -275,8 +314,10 @@
 
 def _shape(unit: Unit) -> _Shape:
     spec = unit.spec
-    # The limit a worker depends on where the job's other tasks are.
-    own = unit.job.id if spec.max_per_worker else ''
+    # The limit a worker depends on where the job's other tasks are, and
+    # advice is given to each step.
+    is_special = spec.max_per_worker or needs_advice(unit)
+    own = step_of(unit) if is_special else ''
     is_tight = spec.same_rack and unit.size > 1
     where = (spec.required_label, spec.near_rack, is_tight)
     return (unit.job.spec.terms.pool, unit.size, spec.size, where, own)
--- a/src/bulrushcove/batch/policy.py
+++ b/src/bulrushcove/batch/policy.py
@@ -15,6 +15,16 @@
     validity_ms: int
 
 
+# Times of an adviser that no queue describes; they only bound the wait.
+DEFAULT_DECISION_MS = 500
+DEFAULT_PER_WORKER_MS = 20
+UNKNOWN_ADVISER = Adviser(
+    decision_ms=DEFAULT_DECISION_MS,
+    per_worker_ms=DEFAULT_PER_WORKER_MS,
+    validity_ms=0,
+)
+
+
 class Queue(msgspec.Struct, frozen=True, kw_only=True):
     """A queue and the address that callers reach it by."""
 
@@ -78,6 +88,17 @@
     return None
 
 
+def find_adviser(policy: Policy | None, name: QueueName) -> Adviser:
+    """Return how the placement adviser answers for the queue ``name``.
+
+    Jobs of a queue that is no longer configured are finished all the same.
+    """
+    for queue in policy.queues if policy else ():
+        if queue.name == name and queue.adviser is not None:
+            return queue.adviser
+    return UNKNOWN_ADVISER
+
+
 def grant_terms(queue: Queue, organisation: OrganisationId) -> QueueTerms:
     """Return what ``queue`` grants a job that it accepts now."""
     return QueueTerms(
--- /dev/null
+++ b/src/bulrushcove/node/advisory.py
@@ -0,0 +1,80 @@
+"""Questions to the placement adviser, one at a time.
+
+The adviser handles the calls of one VM in turn, so that a second question
+would only wait there, behind what may be less urgent.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from ..batch.advice import Advice, Question
+from ..batch.engine import Engine
+from ..clock import Clock
+from ..exceptions import BulrushcoveError
+from ..logs import log_event
+from .tasks import Tasks
+
+# After a question without an answer the next one waits this long.
+RETRY_S = 0.3
+
+logger = logging.getLogger(__name__)
+
+
+class AdviserError(BulrushcoveError):
+    """The adviser gave no usable answer."""
+
+
+AskAdviser = Callable[[Question], Awaitable[Advice]]
+
+
+class Advisory:
+    """Asks what the passes want to know, and keeps the tickets."""
+
+    def __init__(self, engine: Engine, ask: AskAdviser, clock: Clock) -> None:
+        """Ask by ``ask``, which raises ``AdviserError``."""
+        # Called when there are new tickets, or another question may be asked.
+        self.on_change: Callable[[], None] = _do_nothing
+        self.tasks = Tasks()
+        self._engine = engine
+        self._ask = ask
+        self._clock = clock
+        self._is_asking = False
+
+    def ask(self, question: Question | None) -> None:
+        """Ask ``question`` unless another one is under way."""
+        if question is not None and not self._is_asking:
+            self._is_asking = True
+            self.tasks.spawn(self._run(question))
+
+    async def _run(self, question: Question) -> None:
+        asked_s = self._clock.monotonic_s()
+        try:
+            advice = await self._ask(question)
+        except AdviserError as exc:
+            self._log('advice.failed', question, error=exc)
+            await asyncio.sleep(RETRY_S)
+        else:
+            self._log('advice.given', question, allowed=len(advice.tickets))
+            self._engine.tickets.note_advice(
+                question, advice, self._engine.workers, asked_s
+            )
+        finally:
+            self._is_asking = False
+        self.on_change()
+
+    def _log(self, event: str, question: Question, **fields: object) -> None:
+        step = question.step
+        log_event(
+            logger,
+            event,
+            job=step.job,
+            occurrence=step.occurrence,
+            step=step.step,
+            asked=len(question.workers),
+            **fields,
+        )
+
+
+def _do_nothing() -> None:
+    """Stand in for a handler that is set later."""
--- a/src/bulrushcove/node/roster.py
+++ b/src/bulrushcove/node/roster.py
@@ -14,6 +14,7 @@
 from ..ids import Epoch, WorkerId
 from ..logs import log_event
 from ..store import SharedStore
+from .advisory import AskAdviser
 from .feed import Entries, Feed
 from .tasks import Tasks
 from .worker_link import WorkerLink
@@ -27,11 +28,12 @@
 
 
 class WorkerPorts(msgspec.Struct, frozen=True):
-    """How an adapter reaches workers and reads their list."""
+    """How an adapter reaches workers, their list and their adviser."""
 
     prefix: str
     decode: Callable[[str, bytes], WorkerEntry | None]
     make_port: PortFactory
+    ask_adviser: AskAdviser
 
 
 class Roster(Service):
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -5,6 +5,7 @@
 
 from mode import Service
 
+from ..batch.advice import step_of
 from ..batch.engine import Engine, Plan
 from ..batch.membership import forget_gone
 from ..batch.policy import Standing
@@ -14,6 +15,7 @@
 from ..exceptions import StoreError
 from ..logs import log_event
 from ..store import SharedStore
+from .advisory import Advisory
 from .intake import Intake
 from .journal import Journal, TenureLostError, WithdrawnError
 from .messages import Holder
@@ -79,6 +81,7 @@
             lease_ms=self._lease_ms,
             clock=clock,
         )
+        self._advisory = Advisory(self.engine, ports.ask_adviser, clock)
         self.intake = Intake(self.engine, self._records, clock, metrics)
         self._connect()
 
@@ -90,6 +93,7 @@
         """Give up what is in progress."""
         self._tasks.cancel()
         self._worker_news.tasks.cancel()
+        self._advisory.tasks.cancel()
 
     def note_standing(self, standing: Standing) -> None:
         """The operators have changed something."""
@@ -102,6 +106,7 @@
         self._worker_news.find_link = self._roster.link
         self._worker_news.on_change = self._news.set
         self._roster.on_change = self._news.set
+        self._advisory.on_change = self._news.set
         self.intake.place = self._pass
         self.intake.stop = self._roster.order_stops
 
@@ -167,6 +172,7 @@
             unix_ms=self._clock.unix_ms(), now_s=self._clock.monotonic_s()
         )
         self._apply(plan)
+        self._advisory.ask(plan.question)
 
     def _apply(self, plan: Plan) -> None:
         """Store what has changed, then give the orders of ``plan``."""
@@ -189,7 +195,16 @@
             return
         for seat in seats:
             link = self._roster.link(seat.worker)
-            if link is None:
+            ticket = self._ticket(seat)
+            is_allowed = ticket or not seat.unit.job.spec.terms.needs_advice
+            if link is None or not is_allowed:
                 self._worker_news.note_seat_over(seat, EndKind.NEVER_STARTED)
             else:
-                link.orders.order_start(seat)
+                link.orders.order_start(seat, ticket)
+
+    def _ticket(self, seat: Seat) -> str:
+        worker = self.engine.workers.get(seat.worker)
+        if worker is None:
+            return ''
+        now_s = self._clock.monotonic_s()
+        return self.engine.tickets.find(step_of(seat.unit), worker, now_s)
--- a/src/bulrushcove/node/settings.py
+++ b/src/bulrushcove/node/settings.py
@@ -20,6 +20,8 @@
     # Streams of a few VMs, possibly gone.
     seed_addresses: tuple[str, ...]
     store_address: str
+    # Placement adviser; empty: there is none.
+    adviser_address: str
     # Longest lease that a worker grants.
     max_lease_ms: int
     # Time from the request to stop to the end of the process by force.
--- a/src/bulrushcove/node/worker_news.py
+++ b/src/bulrushcove/node/worker_news.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from ..batch.advice import step_of
 from ..batch.engine import Engine, Plan
 from ..batch.ids import RunRef
 from ..batch.orders import OrderOutcome
@@ -101,6 +102,8 @@
             self._engine.trust.note_failure(
                 seat.worker, seat.unit.job.id, self._clock.monotonic_s()
             )
+        if outcome is OrderOutcome.NO_TICKET:
+            self._engine.tickets.drop(step_of(seat.unit), seat.worker)
         self.note_seat_over(seat, EndKind.NEVER_STARTED)
 
     def note_seat_over(self, seat: Seat, kind: EndKind) -> None:
--- a/src/bulrushcove/platform/program.py
+++ b/src/bulrushcove/platform/program.py
@@ -11,6 +11,7 @@
 from ..node.application import NodeApplication, Surroundings
 from ..node.feed import Entries
 from ..node.roster import WorkerPorts
+from .adviser import AdviserConnection
 from .callers import Front, make_ready_handler
 from .exceptions import UndecodableError
 from .operators import (
@@ -39,7 +40,12 @@
     clock = SuspendAwareClock()
     around = Surroundings(
         store=PlatformStore(settings.store_address, clock),
-        ports=WorkerPorts(WORKERS_PREFIX, decode_worker, make_worker_port),
+        ports=WorkerPorts(
+            WORKERS_PREFIX,
+            decode_worker,
+            make_worker_port,
+            AdviserConnection(settings.adviser_address).ask,
+        ),
         operators_prefix=OPERATORS_PREFIX,
         decode_standing=decode_standing,
         make_front=Front,
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -41,6 +41,8 @@
     listen: _Listen
     platform: _Store
     seeds: list[str] = []
+    # Address of the placement adviser.
+    advice: str = ''
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -75,6 +77,7 @@
         metrics_address=f'{found.ip}:{last_port}',
         seed_addresses=tuple(found.seeds),
         store_address=found.platform.address,
+        adviser_address=found.advice,
         max_lease_ms=found.bounds.max_hold_ms,
         grace_ms=int(found.bounds.grace_s * MS_PER_S),
         min_store_lease_ms=found.platform.min_ttl_ms,
--- a/tests/test_batch_pacing.py
+++ b/tests/test_batch_pacing.py
@@ -50,7 +50,7 @@
 
 def test_filling_tasks_halt_when_the_tail_is_over_its_target():
     bench = shared_bench()
-    assert follow(bench, TARGET_MS) == 0
+    assert not follow(bench, TARGET_MS)
     assert {seat.pace_percent for seat in seats_of(bench, 'filling')} == {0}
     # The serving task itself is never slowed.
     assert seats_of(bench, 'serving')[0].pace_percent == 100
@@ -61,7 +61,8 @@
     """The tail grows with the pace of what fills, by an unknown amount."""
     bench = shared_bench()
     pace = 100
-    over_s = worst_s = 0
+    over_s = 0
+    worst_s = 0
     for _ in range(60):
         tail_ms = 40 + harm_per_percent * pace
         over_s = over_s + REPORT_S if tail_ms > TARGET_MS and pace else 0
@@ -84,7 +85,7 @@
     bench = shared_bench()
     follow(bench, TARGET_MS)
     bench.submit(job_spec('more', step(fills_idle=True), priority=2))
-    assert bench.plan().starts == []
+    assert not bench.plan().starts
 
 
 def service_units(bench, max_absent, count=3):
--- a/tests/test_node_scheduler.py
+++ b/tests/test_node_scheduler.py
@@ -6,10 +6,14 @@
 import pytest
 from batch_builders import Bench, entry, job_spec
 from fake_shared_store import FakeSharedStore
+from test_batch_advice import advised
 
+from bulrushcove.batch.advice import Advice
 from bulrushcove.clock import ManualClock
 from bulrushcove.ids import Epoch, IncarnationId, VmId
 from bulrushcove.metrics import new_metrics
+from bulrushcove.node import advisory as advisory_module
+from bulrushcove.node.advisory import AdviserError
 from bulrushcove.node.journal import TenureLostError, WithdrawnError
 from bulrushcove.node.messages import Holder
 from bulrushcove.node.metrics import NodeMetrics
@@ -25,7 +29,7 @@
         self.started = []
         self.orders = self
 
-    def order_start(self, seat):
+    def order_start(self, seat, ticket):
         self.started.append(seat.unit.job.id)
 
 
@@ -41,15 +45,23 @@
             FakeSharedStore(),
             SimpleNamespace(has_authority=True, predecessor_is_over=True),
             holder,
-            ports=WorkerPorts('', lambda *_: None, lambda *_: None),
+            ports=WorkerPorts(
+                '', lambda *_: None, lambda *_: None, self.ask_adviser
+            ),
             clock=ManualClock(),
             metrics=NodeMetrics(new_metrics()),
         )
         self.link = Link()
+        self.questions = []
+        self.advice = None
         self.records = {}
         self.scheduler._roster.link = lambda worker: self.link
         self.scheduler._records.put_progress = self.put
 
+    async def ask_adviser(self, question):
+        self.questions.append(question)
+        return self.advice
+
     def put(self, job):
         future = asyncio.get_running_loop().create_future()
         self.records[job.id] = future
@@ -73,3 +85,37 @@
     rig.records['kept'].set_result(None)
     await settle()
     assert rig.link.started == ['kept']
+
+
+async def test_one_question_at_a_time_is_asked():
+    bench = Bench(entry('w1'))
+    for name in ('first', 'second'):
+        bench.submit(advised(name))
+    rig = Rig()
+    rig.advice = Advice({'w1': 'leave'}, 3.0)
+    question = bench.plan().question
+    rig.scheduler._advisory.ask(question)
+    rig.scheduler._advisory.ask(question)
+    await settle()
+    assert rig.questions == [question]
+    rig.scheduler._advisory.ask(question)
+    await settle()
+    assert len(rig.questions) == 2
+
+
+async def test_an_adviser_that_fails_is_asked_again(monkeypatch):
+    monkeypatch.setattr(advisory_module, 'RETRY_S', 0)
+    bench = Bench(entry('w1'))
+    bench.submit(advised('job'))
+    rig = Rig()
+    asked = []
+
+    async def fail(question):
+        asked.append(question)
+        raise AdviserError('away')
+
+    rig.scheduler._advisory._ask = fail
+    for _ in range(2):
+        rig.scheduler._advisory.ask(bench.plan().question)
+        await settle()
+    assert len(asked) == 2
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -10,6 +10,7 @@
 
 JOB = '5c0e7a21d94b36f8'
 OTHER_JOB = '5c0e7a21d94b36f9'
+ADVICE = {'decision-ms': 50, 'period-ms': 5, 'validity-ms': 3000}
 # Time of a configuration, and of a closed domain, to be in force.
 CONFIG_BOUND_S = 3.0
 CLOSED_BOUND_S = 5.0
@@ -185,3 +186,18 @@
         async with deployment.http.get(url) as response:
             text = await response.text()
         assert 'bulrushcove_jobs_accepted_total{queue="r-1"} 1' in text
+
+
+async def test_a_queue_with_advice_runs_where_it_is_allowed():
+    route = {**CONFIG['routes'][0], 'advice': ADVICE}
+    async with Deployment() as deployment:
+        allowed, barred = deployment.workers
+        deployment.adviser.allowed = {allowed.worker}
+        for worker in deployment.workers:
+            worker.ticket_of = deployment.adviser.ticket
+        deployment.configure({**CONFIG, 'version': 4, 'routes': [route]})
+        await asyncio.sleep(CONFIG_BOUND_S)
+        assert await deployment.submit(JOB, count=3) == 200
+        await deployment.wait_state(JOB, 'succeeded')
+        assert len(allowed.begun) == 3
+        assert barred.begun == []
