Passes look at each worker once: what ends when, and what a stop loses

Cause (dev.node_speed, 200 jobs waiting on a full deployment): for each urgent unit a pass looked at every seat of every worker, so that one pass took 0.93 s of a fast core at 24 workers, and the loop answered nobody meanwhile. Both answers are now kept for the length of a pass, equal units are not searched for again until room changes, and a pass clears room for eight units.

--- /dev/null
+++ b/dev/node_speed.py
@@ -0,0 +1,166 @@
+"""What the active scheduler's decisions cost at the sizes of a deployment.
+
+Fills workers with running tasks, lets more jobs wait than there is room for,
+and times a pass, a report of one worker and a take-over.
+"""
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+from absl import app, flags
+
+from bulrushcove.batch.engine import Engine
+from bulrushcove.batch.ids import PoolName, QueueName
+from bulrushcove.batch.membership import note_entry
+from bulrushcove.batch.model import (
+    JobSpec,
+    QueueTerms,
+    StepSpec,
+    TaskSize,
+)
+from bulrushcove.batch.records import encode_progress
+from bulrushcove.batch.workers import RunningTask, WorkerEntry, WorkerReport
+from bulrushcove.ids import DomainName, JobId, OrganisationId, RackId, WorkerId
+
+SIZES = flags.DEFINE_list('workers', ['24', '176', '740'], 'Workers.')
+TASKS = flags.DEFINE_integer('tasks', 26, 'Running tasks on each worker.')
+WAITING = flags.DEFINE_integer('waiting', 200, 'Jobs that wait for room.')
+
+REPEATS = 5
+MS_PER_S = 1000
+BYTES_PER_MB = 1_000_000
+CAPACITY = TaskSize(32_000, 64_000, 8)
+RACK_WORKERS = 20
+DOMAINS = 6
+ORGANISATIONS = 86
+POOL = PoolName('pool')
+UNIX_MS = 1_000_000
+# Too little to tell a rate: tasks are expected to last as declared.
+PERCENT = 5
+
+
+class Cost(msgspec.Struct, frozen=True):
+    """Cost of the decisions at one size."""
+
+    workers: int
+    tasks: int
+    pass_ms: float
+    report_ms: float
+    record_ms: float
+    memory_mb: float
+
+
+def measure(workers: int, per_worker: int, waiting: int) -> Cost:
+    """Return the cost with ``waiting`` jobs beyond what runs."""
+    gc.collect()
+    tracemalloc.start()
+    engine = _filled(workers, per_worker)
+    memory_mb = tracemalloc.get_traced_memory()[0] / BYTES_PER_MB
+    tracemalloc.stop()
+    chooser = random.Random(workers)
+    for number in range(waiting):
+        _submit(engine, f'waiting-{number}', _waiting_step(chooser), chooser)
+    worker = next(iter(engine.workers.values()))
+    job = next(iter(engine.jobs.values()))
+    return Cost(
+        workers,
+        workers * per_worker,
+        _time_ms(lambda: engine.plan(unix_ms=UNIX_MS, now_s=10.0)),
+        _time_ms(lambda: _report(engine, worker.id, now_s=10.0)),
+        _time_ms(lambda: encode_progress(job)),
+        memory_mb,
+    )
+
+
+def _filled(workers: int, per_worker: int) -> Engine:
+    engine = Engine()
+    for number in range(workers):
+        entry = WorkerEntry(
+            worker=WorkerId(f'w-{number:04}'),
+            pool=POOL,
+            address=f'10.0.0.{number}:80',
+            domain=DomainName(f'domain-{number % DOMAINS}'),
+            rack=RackId(f'rack-{number // RACK_WORKERS}'),
+            labels=frozenset(),
+            capacity=CAPACITY,
+            born_unix_ms=1,
+        )
+        note_entry(engine.workers, engine.trust, entry, 0.0)
+        _report(engine, entry.worker, now_s=0.0)
+    chooser = random.Random(workers)
+    # Small enough that all run, and so many that nothing more fits.
+    size = TaskSize(CAPACITY.cpu_millicores // per_worker, 100, 0)
+    for number in range(workers):
+        step = StepSpec(task_count=per_worker, size=size, estimated_ms=5000)
+        _submit(engine, f'running-{number}', step, chooser)
+    engine.plan(unix_ms=UNIX_MS, now_s=0.0)
+    for worker in engine.workers:
+        _report(engine, worker, now_s=0.0)
+    return engine
+
+
+def _waiting_step(chooser: random.Random) -> StepSpec:
+    accelerators = chooser.choice((1, 2, 4, 8))
+    return StepSpec(
+        task_count=chooser.choice((1, 4, 16, 64)),
+        size=TaskSize(4000, 4000, accelerators),
+        estimated_ms=chooser.randrange(1000, 9000),
+        is_gang=chooser.choice((True, True, False)),
+        same_rack=chooser.choice((True, False)),
+    )
+
+
+def _submit(
+    engine: Engine, name: str, step: StepSpec, chooser: random.Random
+) -> None:
+    organisation = chooser.randrange(ORGANISATIONS)
+    terms = QueueTerms(
+        queue=QueueName('queue'),
+        pool=POOL,
+        organisation=OrganisationId(f'organisation-{organisation}'),
+        priority=chooser.choice((0, 1, 2)),
+        stretch=3.0,
+        target_ms=1500,
+    )
+    spec = JobSpec(job=JobId(name), payload='x', steps=(step,), terms=terms)
+    engine.submit(spec, unix_ms=UNIX_MS, now_s=0.0)
+
+
+def _report(engine: Engine, worker: WorkerId, *, now_s: float) -> None:
+    known = engine.workers[worker]
+    running = tuple(RunningTask(ref, '', PERCENT) for ref in known.seats)
+    report = WorkerReport(
+        clock_ms=1000, born_unix_ms=1, running=running, ended=()
+    )
+    engine.report(known, report, sent_s=now_s, now_s=now_s, unix_ms=UNIX_MS)
+
+
+def _time_ms(work: Callable[[], object]) -> float:
+    """Return the shortest of a few runs of ``work``."""
+    times = []
+    for _ in range(REPEATS):
+        began_s = time.perf_counter()
+        work()
+        times.append((time.perf_counter() - began_s) * MS_PER_S)
+    return min(times)
+
+
+def main(_arguments: list[str]) -> None:
+    """Print a table, a row for each size."""
+    print('| workers | tasks | pass ms | report ms | record ms | state MB |')
+    print('|---|---|---|---|---|---|')
+    for workers in map(int, SIZES.value):
+        cost = measure(workers, TASKS.value, WAITING.value)
+        print(
+            f'| {cost.workers} | {cost.tasks} | {cost.pass_ms:.1f} '
+            f'| {cost.report_ms:.2f} | {cost.record_ms:.2f} '
+            f'| {cost.memory_mb:.1f} |'
+        )
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -55,6 +55,8 @@
     ended: list[Job] = msgspec.field(default_factory=list)
     starts: list[Seat] = msgspec.field(default_factory=list)
     stops: list[Seat] = msgspec.field(default_factory=list)
+    # Whether another pass is to follow at once.
+    is_partial: bool = False
     # Of the unit that goes first among those that need advice to be placed.
     question: Question | None = None
 
@@ -215,6 +217,7 @@
         doomed = cannot_end(self, now_s)
         plan.stops.extend(mark_stops(doomed, StopReason.WORKER_LEAVES))
         plan.question = current.question()
+        plan.is_partial = current.is_partial
         return plan
 
     def forget_ended(self, now_s: float) -> list[JobId]:
--- a/src/bulrushcove/batch/holdback.py
+++ b/src/bulrushcove/batch/holdback.py
@@ -8,19 +8,17 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Sequence
 from itertools import repeat
 
 import msgspec
 
-from ..clock import MS_PER_S
 from ..ids import RackId
-from .estimates import Estimates
-from .model import TaskSize
+from .outlook import Outlook
 from .placement import Candidate, fitting_tasks
 from .progress import Unit
-from .workers import Worker
 
 # Units that wait less are not worth keeping room for.
 HOLD_AFTER_S = 0.3
@@ -38,19 +36,17 @@
 def soonest_places(
     unit: Unit,
     candidates: Sequence[Candidate],
-    workers: dict[str, Worker],
-    estimates: Estimates,
+    outlook: Outlook,
+    horizon_s: float = math.inf,
 ) -> list[Opening]:
-    """Return where the whole unit fits first; empty: nowhere.
+    """Return where the whole unit fits first; empty: not within the horizon.
 
     Runs are expected to end as estimated. A gang that wants one rack, or a
     unit whose data is in one, is given that rack.
     """
     groups: dict[RackId, list[Opening]] = defaultdict(list)
     for candidate in _near(unit, candidates):
-        openings = _openings(
-            unit, candidate, workers[candidate.worker], estimates
-        )
+        openings = _openings(unit, candidate, outlook, horizon_s)
         groups[_group_of(unit, candidate)].extend(openings)
     choices = []
     for group in groups.values():
@@ -78,29 +74,19 @@
 
 
 def _openings(
-    unit: Unit, candidate: Candidate, worker: Worker, estimates: Estimates
+    unit: Unit, candidate: Candidate, outlook: Outlook, horizon_s: float
 ) -> list[Opening]:
     """Return when ``candidate`` has room for one, two and more tasks."""
     if candidate.on_probation or candidate.kept_in_s is not None:
         return []
     openings: list[Opening] = []
     future = msgspec.structs.replace(candidate)
-    for in_s, freed in _releases(worker, estimates):
+    for in_s, freed in outlook.releases(candidate.worker):
+        if in_s > horizon_s:
+            break
         future.room = future.room.plus(freed)
         more = fitting_tasks(future, unit.spec) - len(openings)
         openings.extend(repeat(Opening(candidate, in_s), max(0, more)))
         if len(openings) >= unit.size:
             break
     return openings
-
-
-def _releases(
-    worker: Worker, estimates: Estimates
-) -> list[tuple[float, TaskSize]]:
-    """Return when how much room comes free, beginning with now."""
-    releases = [
-        (estimates.left_ms(seat.unit) / MS_PER_S, seat.unit.spec.room)
-        for seat in worker.seats.values()
-    ]
-    releases.sort(key=lambda release: release[0])
-    return [(0.0, TaskSize()), *releases]
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from ..clock import MS_PER_S
-from ..ids import WorkerId
+from ..ids import OrganisationId, WorkerId
 from .advice import Question, step_of
 from .guarantee import is_guaranteed
 from .headroom import GANG_PATIENCE_S, kept_workers
 from .holdback import HOLD_AFTER_S, MAX_HOLDS, soonest_places
 from .ids import PoolName
 from .ordering import URGENT, waiting_key
+from .outlook import Outlook
 from .placement import FAR_PATIENCE_S, Candidate, find_places, take_room
 from .policy import find_adviser
 from .progress import (
@@ -35,6 +37,9 @@
 # An urgent unit waits for room that others leave by themselves this long; it
 # still starts within its bound if they do not.
 NATURAL_WAIT_S = 0.8
+# Units that room is cleared for in one pass. The next pass follows at once;
+# what arrived meanwhile is answered between them.
+MAX_RECLAIMS = 8
 # Smaller units find room among the small ones.
 MIN_HELD_ACCELERATORS = 4
 # Below this share in use a pool has room enough for tasks far from their rack.
@@ -64,6 +69,17 @@
         self._holds = 0
         # Shapes that found no room, so that equal ones are not tried again.
         self._without_room: set[_Shape] = set()
+        self._outlook = Outlook(engine.workers, engine.estimates)
+        # Grows whenever room is taken or kept: what was found out for a shape
+        # holds for equal ones until then.
+        self._changes = 0
+        self._soonest: dict[_Shape, tuple[int, float]] = {}
+        self._declined: dict[_Shape, int] = {}
+        self._covered: dict[OrganisationId, bool] = {}
+        # Reclaims that this pass may still decide on, and whether it left
+        # some to the next one.
+        self._reclaims_left = MAX_RECLAIMS
+        self.is_partial = False
         self._is_roomy = {
             pool: _used_share(group) < HALF
             for pool, group in candidates.items()
@@ -103,26 +119,16 @@
             return []
         if unit.ref in self._engine.reclaims:
             return []
-        group = self._open_to(unit)
-        workers = self._engine.workers
-        estimates = self._engine.estimates
-        openings = soonest_places(unit, group, workers, estimates)
         waited_s = self._now_s - unit.ready_s
-        if openings and waited_s + openings[-1].in_s <= NATURAL_WAIT_S:
+        if waited_s + self._soonest_s(unit) <= NATURAL_WAIT_S:
             return []
-        found = plan_reclaim(unit, group, workers, estimates)
+        found = self._find_reclaim(unit)
         if found is None:
             return []
-        covered = is_guaranteed(
-            unit.job,
-            self._engine.active.values(),
-            self._engine.standing.policy,
-        )
-        if not covered and not is_worth_it(unit, found, estimates):
-            return []
         until_s = self._now_s + RECLAIM_HOLD_S
         self._engine.reclaims[unit.ref] = (found, until_s)
         take_room(found.places, unit.spec)
+        self._changes += 1
         return _stop(found)
 
     def hold(self, unit: Unit) -> None:
@@ -139,11 +145,11 @@
         openings = soonest_places(
             unit,
             self._open_to(unit),
-            self._engine.workers,
-            self._engine.estimates,
+            self._outlook,
         )
         for opening in openings:
             opening.candidate.kept_in_s = openings[-1].in_s
+        self._changes += 1
 
     def question(self) -> Question | None:
         """Return what the adviser is to be asked next, for what still waits."""
@@ -178,6 +184,51 @@
             if find(step, workers[candidate.worker], self._now_s)
         ]
 
+    def _soonest_s(self, unit: Unit) -> float:
+        """Return in how many seconds there is room for ``unit`` by itself.
+
+        Infinite when that is later than it may wait.
+        """
+        shape = _shape(unit)
+        changes, in_s = self._soonest.get(shape, (-1, math.inf))
+        if changes != self._changes:
+            group = self._open_to(unit)
+            openings = soonest_places(
+                unit, group, self._outlook, NATURAL_WAIT_S
+            )
+            in_s = openings[-1].in_s if openings else math.inf
+            self._soonest[shape] = (self._changes, in_s)
+        return in_s
+
+    def _find_reclaim(self, unit: Unit) -> Reclaim | None:
+        """Return what to stop for ``unit``; None: nothing, or not now."""
+        terms = unit.job.spec.terms
+        key = (_shape(unit), terms.queue, terms.organisation)
+        if self._declined.get(key) == self._changes:
+            return None
+        if not self._reclaims_left:
+            self.is_partial = True
+            return None
+        found = plan_reclaim(unit, self._open_to(unit), self._outlook)
+        if found is not None and self._is_justified(unit, found):
+            self._reclaims_left -= 1
+            return found
+        self._declined[key] = self._changes
+        return None
+
+    def _is_justified(self, unit: Unit, found: Reclaim) -> bool:
+        """Return whether its guarantee, or its worth, speaks for ``unit``."""
+        organisation = unit.job.spec.terms.organisation
+        if organisation not in self._covered:
+            self._covered[organisation] = is_guaranteed(
+                unit.job,
+                self._engine.active.values(),
+                self._engine.standing.policy,
+            )
+        if self._covered[organisation]:
+            return True
+        return is_worth_it(unit, found, self._engine.estimates)
+
     def _usable(self, unit: Unit) -> list[Candidate]:
         """Return the candidates that are not kept from ``unit``."""
         group = self._open_to(unit)
@@ -233,11 +284,13 @@
         unit.is_broken = False
         unit.placed_s = self._now_s
         unit.job.has_begun = True
+        self._changes += 1
         for index, candidate in zip(unit.indices, chosen, strict=True):
             seat = Seat(
                 unit=unit, index=index, run=unit.run, worker=candidate.worker
             )
             unit.seats[index] = seat
+            self._outlook.forget(candidate.worker)
             self._engine.workers[candidate.worker].seats[seat.ref] = seat
         return list(unit.seats.values())
 
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -15,6 +15,8 @@
 from .model import StepSpec, TaskSize
 from .progress import Unit
 
+# Tasks that a worker takes of a size that needs nothing.
+MOST_TASKS = 1_000_000
 # How long a unit waits for its rack while other racks have plenty of room.
 FAR_PATIENCE_S = 2.0
 
@@ -180,14 +182,15 @@
 
 
 def _times(room: TaskSize, needed: TaskSize) -> int:
-    most = 1_000_000
-    for have, want in (
-        (room.cpu_millicores, needed.cpu_millicores),
-        (room.memory_mb, needed.memory_mb),
-        (room.accelerators, needed.accelerators),
-    ):
-        if want:
-            most = min(most, have // want)
-        elif have < 0:
-            return 0
+    """Return how many tasks of size ``needed`` fit into ``room``."""
+    # One step a resource: passes over a full deployment spend their time here.
+    most = _share(MOST_TASKS, room.cpu_millicores, needed.cpu_millicores)
+    most = _share(most, room.memory_mb, needed.memory_mb)
+    most = _share(most, room.accelerators, needed.accelerators)
     return max(most, 0)
+
+
+def _share(most: int, have: int, want: int) -> int:
+    if want:
+        return min(most, have // want)
+    return most if have >= 0 else 0
--- a/src/bulrushcove/batch/reclaim.py
+++ b/src/bulrushcove/batch/reclaim.py
@@ -17,14 +17,10 @@
 from .estimates import Estimates
 from .ids import UnitRef
 from .model import TaskSize
+from .outlook import Outlook
 from .placement import Candidate, fitting_tasks
-from .progress import Seat, SeatPhase, Unit
-from .workers import Worker
+from .progress import Unit
 
-# A start costs as much as this work, by the users' price list.
-START_COST_CORE_S = 3.0
-# Reading a checkpoint back takes up to this long, in which nothing is done.
-RESTORE_S = 0.6
 # Beyond its organisation's guarantee an urgent unit is worth this many times
 # its own work: then stopping others costs more than it brings.
 MAX_LOSS_TO_WORK = 4.0
@@ -38,13 +34,6 @@
     cost_core_s: float
 
 
-class _Victim(msgspec.Struct):
-    """A unit and its seats on one worker."""
-
-    unit: Unit
-    seats: list[Seat]
-
-
 class _Option(msgspec.Struct):
     """One worker and the units to stop so that tasks fit there."""
 
@@ -57,8 +46,7 @@
 def plan_reclaim(
     unit: Unit,
     candidates: Sequence[Candidate],
-    workers: dict[str, Worker],
-    estimates: Estimates,
+    outlook: Outlook,
 ) -> Reclaim | None:
     """Return the cheapest way to make room for ``unit``; None: there is none.
 
@@ -70,28 +58,15 @@
         groups[candidate.rack].append(candidate)
     near = groups.get(step.near_rack)
     if near is not None:
-        found = _clear(unit, near, workers, estimates)
+        found = _clear(unit, near, outlook)
         if found is not None:
             return found
     elif step.same_rack and unit.size > 1:
-        plans = [
-            _clear(unit, group, workers, estimates) for group in groups.values()
-        ]
+        plans = [_clear(unit, group, outlook) for group in groups.values()]
         possible = [plan for plan in plans if plan is not None]
         if possible:
             return min(possible, key=lambda plan: plan.cost_core_s)
-    return _clear(unit, candidates, workers, estimates)
-
-
-def loss_core_s(unit: Unit, estimates: Estimates) -> float:
-    """Return the core-seconds lost when ``unit`` is stopped now."""
-    starts = START_COST_CORE_S * unit.size
-    if unit.spec.writes_checkpoints:
-        return starts + RESTORE_S * unit.weight_cores
-    queue = unit.job.spec.terms.queue
-    whole_s = estimates.task_ms(queue, unit.spec) / MS_PER_S
-    left_s = min(whole_s, estimates.left_ms(unit) / MS_PER_S)
-    return starts + (whole_s - left_s) * unit.weight_cores
+    return _clear(unit, candidates, outlook)
 
 
 def is_worth_it(unit: Unit, found: Reclaim, estimates: Estimates) -> bool:
@@ -105,15 +80,14 @@
 def _clear(
     unit: Unit,
     candidates: Sequence[Candidate],
-    workers: dict[str, Worker],
-    estimates: Estimates,
+    outlook: Outlook,
 ) -> Reclaim | None:
     chosen: dict[UnitRef, Unit] = {}
     places: list[Candidate] = []
     options = [
         option
         for candidate in candidates
-        if (option := _option(unit, candidate, workers, estimates))
+        if (option := _option(unit, candidate, outlook))
     ]
     options.sort(key=lambda option: option.cost_core_s)
     for option in options:
@@ -126,7 +100,7 @@
         chosen = extended
         if len(places) == unit.size:
             victims = tuple(chosen.values())
-            cost = sum(loss_core_s(victim, estimates) for victim in victims)
+            cost = sum(outlook.loss_core_s(victim) for victim in victims)
             return Reclaim(tuple(places), victims, cost)
     return None
 
@@ -134,8 +108,7 @@
 def _option(
     unit: Unit,
     candidate: Candidate,
-    workers: dict[str, Worker],
-    estimates: Estimates,
+    outlook: Outlook,
 ) -> _Option | None:
     """Return the fewest victims with which one more task fits."""
     step = unit.spec
@@ -146,11 +119,10 @@
     option = _Option(candidate, [], candidate.room, 0)
     if fitting_tasks(candidate, step):
         return option
-    worker = workers[candidate.worker]
-    victims = _victims(unit, worker, estimates)
-    for victim in victims:
+    priority = unit.job.spec.terms.priority
+    for victim in outlook.victims(candidate.worker, priority):
         option.victims.append(victim.unit)
-        option.cost_core_s += loss_core_s(victim.unit, estimates)
+        option.cost_core_s += victim.loss_core_s
         for seat in victim.seats:
             option.room = option.room.plus(seat.unit.spec.room)
         if step.room.fits(option.room):
@@ -158,21 +130,6 @@
     return None
 
 
-def _victims(unit: Unit, worker: Worker, estimates: Estimates) -> list[_Victim]:
-    priority = unit.job.spec.terms.priority
-    by_unit: dict[int, _Victim] = {}
-    for seat in worker.seats.values():
-        terms = seat.unit.job.spec.terms
-        if terms.priority <= priority or seat.phase is SeatPhase.STOPPING:
-            continue
-        victim = by_unit.setdefault(id(seat.unit), _Victim(seat.unit, []))
-        victim.seats.append(seat)
-    return sorted(
-        by_unit.values(),
-        key=lambda victim: loss_core_s(victim.unit, estimates),
-    )
-
-
 def _count(option: _Option, unit: Unit) -> int:
     probe = msgspec.structs.replace(option.candidate, room=option.room)
     return fitting_tasks(probe, unit.spec)
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -173,6 +173,8 @@
         )
         self._apply(plan)
         self._advisory.ask(plan.question)
+        if plan.is_partial:
+            self._news.set()
 
     def _apply(self, plan: Plan) -> None:
         """Store what has changed, then give the orders of ``plan``."""
