--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,12 @@
 BIN = $(VENV)/bin
 SEED ?= 1
 SECONDS ?= 60
-JOBS ?= 0
+JOBS ?= 3
 SEEDS ?= 10
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo soak node-soak measure measure-path measure-capacity
+.PHONY: venv test lint format lock demo soak node-soak measure measure-path measure-capacity measure-node
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -18,8 +18,7 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
-# One file after the other; JOBS=4 runs files side by side, where two clusters
-# that start at the same moment may choose the same port.
+# Files run side by side; JOBS=0 runs one after the other.
 test: venv
 	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile
 
@@ -56,6 +55,10 @@
 measure: venv
 	$(BIN)/python -m dev.measure --seed=$(SEED)
 
-# Slopes for docs/CAPACITY.md.
+# Slopes for docs/CAPACITY-DAEMONS.md.
 measure-capacity: venv
 	$(BIN)/python -m dev.measure_capacity
+
+# What the node program's decisions cost at 24, 176 and 740 workers.
+measure-node: venv
+	$(BIN)/python -m dev.node_speed
--- a/dev/capacity_page.py
+++ b/dev/capacity_page.py
@@ -1,4 +1,4 @@
-"""Works docs/CAPACITY.md out from measured slopes and encoded sizes."""
+"""Works docs/CAPACITY-DAEMONS.md out from measured slopes and encoded sizes."""
 
 from typing import NamedTuple
 
@@ -9,7 +9,7 @@
 # Queued, attempt recorded, start recorded, running, ended, acknowledged.
 WRITES_A_JOB = 6
 
-HEAD = """# Capacity
+HEAD = """# Capacity of the daemons with a platform of their own
 
 Written by `make measure-capacity` at commit {commit}; do not edit. The slopes
 below were measured on one machine with stand-ins. Each row takes them to the
--- a/dev/measure_capacity.py
+++ b/dev/measure_capacity.py
@@ -25,7 +25,7 @@
     'report', 'reports/capacity.md', 'File for the table.'
 )
 PAGE = flags.DEFINE_string(
-    'page', 'docs/CAPACITY.md', 'File for the page at the target size.'
+    'page', 'docs/CAPACITY-DAEMONS.md', 'File for the page at the target size.'
 )
 START_S = 3
 
