--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import msgspec
@@ -72,6 +72,8 @@
     make_ready_handler: Callable[[Callable[[], bool]], AnswerCall]
     # Reads the settings anew after a signal.
     reload_settings: Callable[[], NodeSettings]
+    # Closes all connections to the surroundings.
+    close: Callable[[], Awaitable[None]]
 
 
 class NodeApplication(Service):
@@ -150,7 +152,7 @@
 
     async def on_shutdown(self) -> None:
         """Close what the services used."""
-        await self._around.store.close()
+        await self._around.close()
 
     def _is_ready(self) -> bool:
         return (
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -37,6 +37,7 @@
         OrderOutcome.OLD_RUN,
         OrderOutcome.TOO_LATE,
         OrderOutcome.NO_ROOM,
+        OrderOutcome.NO_TICKET,
         OrderOutcome.UNHEALTHY,
         OrderOutcome.NOT_SENT,
         OrderOutcome.INVALID,
--- a/src/bulrushcove/platform/program.py
+++ b/src/bulrushcove/platform/program.py
@@ -38,19 +38,27 @@
         sys.exit(EXIT_USAGE)
     setup_bounded_logs()
     clock = SuspendAwareClock()
+    store = PlatformStore(settings.store_address, clock)
+    adviser = AdviserConnection(settings.adviser_address)
+
+    async def close() -> None:
+        await store.close()
+        await adviser.close()
+
     around = Surroundings(
-        store=PlatformStore(settings.store_address, clock),
+        store=store,
         ports=WorkerPorts(
             WORKERS_PREFIX,
             decode_worker,
             make_worker_port,
-            AdviserConnection(settings.adviser_address).ask,
+            adviser.ask,
         ),
         operators_prefix=OPERATORS_PREFIX,
         decode_standing=decode_standing,
         make_front=Front,
         make_ready_handler=make_ready_handler,
         reload_settings=load_node_settings,
+        close=close,
     )
     application = NodeApplication(settings, around, clock)
     worker = Worker(
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -161,7 +161,8 @@
 
 
 @pytest.mark.parametrize(
-    'outcome', [OrderOutcome.OLD_RUN, OrderOutcome.UNHEALTHY]
+    'outcome',
+    [OrderOutcome.OLD_RUN, OrderOutcome.UNHEALTHY, OrderOutcome.NO_TICKET],
 )
 async def test_a_repeated_start_that_is_refused_may_have_run(rig, outcome):
     """The copy without an answer may have begun and ended: a report tells."""
