Filling work is tried where equal work found no room; an open start is logged with its job

Found by reading the change: filling tasks have the shape of others that need the same, but not their room. Its test fails without the change.

--- a/src/bulrushcove/batch/shapes.py
+++ b/src/bulrushcove/batch/shapes.py
@@ -14,5 +14,5 @@
     is_special = spec.max_per_worker or needs_advice(unit)
     own = step_of(unit) if is_special else ''
     is_tight = spec.same_rack and unit.size > 1
-    where = (spec.required_label, spec.near_rack, is_tight)
+    where = (spec.required_label, spec.near_rack, is_tight, spec.fills_idle)
     return (unit.job.spec.terms.pool, unit.size, spec.size, where, own)
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -204,7 +204,7 @@
         elif outcome is OrderOutcome.FENCED:
             self._events.note_fenced(self.worker)
         elif is_repeated and outcome in _MAY_HAVE_RUN:
-            log_event(logger, 'run.start_open', worker=seat.worker)
+            self._log_order('run.start_open', seat, answer)
         elif outcome in NEVER_RUNS:
             self._events.note_order_failed(seat, outcome)
 
--- a/tests/test_batch_pacing.py
+++ b/tests/test_batch_pacing.py
@@ -4,6 +4,7 @@
 from batch_builders import Bench, entry, job_spec, step
 
 from bulrushcove.batch.availability import keeps_available
+from bulrushcove.batch.model import StepSpec, TaskSize
 from bulrushcove.batch.pacing import SETTLE_S, is_shared, pace_changes
 from bulrushcove.batch.progress import SeatPhase
 
@@ -88,6 +89,18 @@
     assert not bench.plan().starts
 
 
+def test_filling_work_finds_room_where_equal_work_finds_none():
+    """It takes no processor time that others count on."""
+    bench = Bench(entry('w1'))
+    whole = TaskSize(32_000, 100, 1)
+    bench.submit(job_spec('full', StepSpec(task_count=1, size=whole)))
+    bench.start_all()
+    for name, fills in (('equal', False), ('filling', True)):
+        wanted = StepSpec(task_count=1, size=whole, fills_idle=fills)
+        bench.submit(job_spec(name, wanted))
+    assert {seat.unit.job.id for seat in bench.plan().starts} == {'filling'}
+
+
 def service_units(bench, max_absent, count=3):
     spec = step(count, is_service=True, max_absent=max_absent)
     job = bench.submit(job_spec('service', spec, priority=2))
