One copy of a unit's step, and of the seats that no stop was sent to

Found by reading the change: availability named a step anew beside the adviser's step_of, and passes repeated what endings does to find the seats that are not stopping. Behaviour is unchanged. The whole suite was not run.

--- a/src/bulrushcove/batch/availability.py
+++ b/src/bulrushcove/batch/availability.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from .advice import step_of
 from .progress import Seat, SeatPhase, Unit
 from .workers import FULL_PACE_PERCENT
 
@@ -14,9 +15,9 @@
 def keeps_available(victims: Iterable[Unit]) -> bool:
     """Return whether stopping all ``victims`` leaves enough tasks at work."""
     services = [unit for unit in victims if unit.spec.is_service]
-    stopped = Counter(_step(unit) for unit in services)
+    stopped = Counter(step_of(unit) for unit in services)
     return all(
-        _away_beside(unit, services) + stopped[_step(unit)]
+        _away_beside(unit, services) + stopped[step_of(unit)]
         <= unit.spec.max_absent
         for unit in services
     )
@@ -27,7 +28,7 @@
     return sum(
         1
         for other in unit.job.units
-        if _step(other) == _step(unit)
+        if step_of(other) == step_of(unit)
         and other not in stopped
         and not _is_at_work(other)
     )
@@ -40,7 +41,3 @@
 
 def _serves_fully(seat: Seat) -> bool:
     return seat.phase is SeatPhase.LIVE and seat.percent >= FULL_PACE_PERCENT
-
-
-def _step(unit: Unit) -> tuple[str, int, int]:
-    return (unit.job.id, unit.occurrence, unit.step)
--- a/src/bulrushcove/batch/endings.py
+++ b/src/bulrushcove/batch/endings.py
@@ -4,12 +4,12 @@
     Job,
     JobPhase,
     Seat,
-    SeatPhase,
     StopReason,
     Unit,
     UnitPhase,
     is_complete,
     mark_stops,
+    not_stopping,
 )
 from .reconcile import SeatEnd
 from .workers import EndKind
@@ -51,7 +51,7 @@
     if kind in _NEUTRAL or unit.phase is not UnitPhase.ACTIVE:
         return []
     unit.is_broken = True
-    return mark_stops(_not_stopping(unit), StopReason.GANG_BROKEN)
+    return mark_stops(not_stopping(unit), StopReason.GANG_BROKEN)
 
 
 def _close_run(unit: Unit, now_s: float) -> None:
@@ -89,13 +89,5 @@
     """Return what still runs for a job that failed or was cancelled."""
     if job.phase not in {JobPhase.FAILED, JobPhase.CANCELLED}:
         return []
-    seats = [seat for unit in job.units for seat in _not_stopping(unit)]
+    seats = [seat for unit in job.units for seat in not_stopping(unit)]
     return mark_stops(seats, StopReason.JOB_ENDED)
-
-
-def _not_stopping(unit: Unit) -> list[Seat]:
-    return [
-        seat
-        for seat in unit.seats.values()
-        if seat.phase is not SeatPhase.STOPPING
-    ]
--- a/src/bulrushcove/batch/passes.py
+++ b/src/bulrushcove/batch/passes.py
@@ -18,11 +18,11 @@
 from .policy import find_adviser
 from .progress import (
     Seat,
-    SeatPhase,
     StopReason,
     Unit,
     UnitPhase,
     mark_stops,
+    not_stopping,
     units_whose_turn_came,
 )
 from .reclaim import Reclaim
@@ -299,11 +299,7 @@
     stops = []
     for victim in found.victims:
         victim.is_broken = True
-        stops.extend(
-            seat
-            for seat in victim.seats.values()
-            if seat.phase is not SeatPhase.STOPPING
-        )
+        stops.extend(not_stopping(victim))
     return mark_stops(stops, StopReason.DISPLACED)
 
 
--- a/src/bulrushcove/batch/progress.py
+++ b/src/bulrushcove/batch/progress.py
@@ -154,6 +154,15 @@
         return self.size * self.spec.size.weight_cores
 
 
+def not_stopping(unit: Unit) -> list[Seat]:
+    """Return the seats of ``unit`` that no stop was sent to."""
+    return [
+        seat
+        for seat in unit.seats.values()
+        if seat.phase is not SeatPhase.STOPPING
+    ]
+
+
 class Job(msgspec.Struct, eq=False, kw_only=True):
     """One accepted job."""
 
