Bound the pings to the leader and let large VMs lead

Cause: each VM pinged the leader four times a second and each pong listed all VMs, so the leader's work and bytes grew with the square of their number: 388 pings/s of 2 KB at 97 VMs, 1,200 of 6 KB at 300, more than the 20 Mbit/s link of a small VM.

Change: the interval between pings grows with the number of VMs (large VMs ping more often), pongs carry eight addresses, a watch of the leader record tells followers of a new leader, large VMs campaign half a second ahead of small ones, a campaign reads the record again before it writes, and VMs asked about a silent leader ping it before they reply.

Ruled out: a change to who polls the workers (read in the log: the leader was replaced while it opened connections, before it had placed anything).

--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -39,6 +39,7 @@
 from .relayed_store import RelayedStore, serve_store_call
 from .scheduler import Scheduler
 from .settings import NodeSettings
+from .store_keys import LEADER_KEY
 from .worker_registry import WorkerAdapter
 
 # Part of the stop grace period that is reserved for closing connections.
@@ -47,6 +48,9 @@
 BALANCER_REMOVAL_S = 2.3
 IDLE_CHECK_INTERVAL_S = 0.05
 HAND_OVER_TIMEOUT_S = 0.3
+# Followers learn of a new leader from a watch; pings cover a watch that fails.
+LEADER_WATCH_WAIT_MS = 5000
+LEADER_WATCH_RETRY_S = 1.0
 logger = logging.getLogger(__name__)
 
 
@@ -132,12 +136,20 @@
             ),
         ):
             self._servers.append(await start_http_server(address, handler))
+        leader_record = PrefixCache(
+            self._store,
+            LEADER_KEY,
+            lambda *_: self._leadership.handle_record_changed(),
+            watch_wait_ms=LEADER_WATCH_WAIT_MS,
+            retry_interval_s=LEADER_WATCH_RETRY_S,
+        )
         registry = AddressRegistry(self._settings.vm, self._store, self._peers)
         for service in (
             self._peers,
             registry,
             self._operator_entries,
             self._leadership,
+            leader_record,
         ):
             await self.add_runtime_dependency(service)
 
@@ -269,7 +281,9 @@
         if frame.kind == Ping.__name__:
             ping = parse_message(Ping, frame.fields)
             self._peers.add_addresses((ping.address,))
-            return self._make_pong()
+            if ping.checks_leader:
+                return self._make_pong(await self._leadership.check_leader())
+            return self._make_pong(self._leadership.is_leader_reachable)
         if frame.kind == HandOver.__name__:
             hand_over = parse_message(HandOver, frame.fields)
             self._leadership.handle_hand_over(hand_over.epoch)
@@ -294,10 +308,10 @@
 
         return None
 
-    def _make_pong(self) -> Pong:
+    def _make_pong(self, hears_holder: bool) -> Pong:
         return Pong(
             holder=self._leadership.leader,
             is_active=self._leadership.has_authority,
-            hears_holder=self._leadership.is_leader_reachable,
-            addresses=tuple(self._peers.known_addresses),
+            hears_holder=hears_holder,
+            addresses=self._peers.sample_addresses(),
         )
--- a/src/bulrushcove/node/failover.py
+++ b/src/bulrushcove/node/failover.py
@@ -16,6 +16,18 @@
 # A leader that responds without authority may renew its lease again, or learn
 # only now that its record was written.
 INACTIVE_TIMEOUT_S = 3.0
+# Shortest interval between two pings of one follower.
+PING_INTERVAL_S = 0.25
+# The followers of a large deployment share these rates, so that the leader's
+# work does not grow with their number. VMs that should lead ping more often.
+LARGE_VM_PINGS_PER_S = 120.0
+SMALL_VM_PINGS_PER_S = 40.0
+MAX_PING_INTERVAL_S = 3.0
+# A VM with less CPU than this has trouble to lead hundreds of workers.
+SMALL_VM_CORES = 0.75
+# Extra delay before a small VM campaigns, so that larger ones go first even
+# when they are far from the store.
+SMALL_VM_DELAY_S = 0.5
 # Delay before a campaign, per second of round trip to the store, so that the
 # VM nearest to the store goes first.
 DELAY_PER_ROUND_TRIP = 5.0
@@ -38,6 +50,7 @@
 
     missed_pings: int = 0
     silent_since_s: float = 0.0
+    last_pong_at_s: float = 0.0
     # Presumed from a refused connection, another process at its address or a
     # hand-over; other VMs are not asked then.
     is_dead: bool = False
@@ -48,6 +61,7 @@
         """Record a pong, in which the leader reports ``is_active``."""
         self.missed_pings = 0
         self.silent_since_s = 0.0
+        self.last_pong_at_s = now_s
         self.is_dead = False
         if is_active:
             self.idle_since_s = 0.0
@@ -79,6 +93,28 @@
     return FailoverAction.READ_RECORD
 
 
-def campaign_delay_s(round_trip_s: float) -> float:
-    """Return the delay that lets VMs nearer to the store campaign first."""
-    return min(MAX_DELAY_S, round_trip_s * DELAY_PER_ROUND_TRIP)
+def campaign_delay_s(round_trip_s: float, cpu_cores: float) -> float:
+    """Return how long a VM waits before it campaigns.
+
+    Larger VMs campaign first, and among them those nearer to the store.
+    """
+    delay_s = min(MAX_DELAY_S, round_trip_s * DELAY_PER_ROUND_TRIP)
+    if _is_small(cpu_cores):
+        delay_s += SMALL_VM_DELAY_S
+    return delay_s
+
+
+def ping_interval_s(vm_count: int, cpu_cores: float) -> float:
+    """Return the interval between the pings of a VM to a healthy leader.
+
+    It grows with ``vm_count``, the number of VMs that ping the leader.
+    """
+    pings_per_s = (
+        SMALL_VM_PINGS_PER_S if _is_small(cpu_cores) else LARGE_VM_PINGS_PER_S
+    )
+    interval_s = max(PING_INTERVAL_S, vm_count / pings_per_s)
+    return min(MAX_PING_INTERVAL_S, interval_s)
+
+
+def _is_small(cpu_cores: float) -> bool:
+    return cpu_cores < SMALL_VM_CORES
--- a/src/bulrushcove/node/leader_monitor.py
+++ b/src/bulrushcove/node/leader_monitor.py
@@ -1,10 +1,21 @@
 """Health checks of the leader, directly and through other VMs."""
 
+import asyncio
+import random
+
+import msgspec
+
 from ..clock import Clock
 from ..exceptions import PeerUnreachableError
 from ..ids import Epoch, VmId
 from ..messages import Hello
-from .failover import FailoverAction, LeaderObservation, choose_action
+from .failover import (
+    PING_INTERVAL_S,
+    FailoverAction,
+    LeaderObservation,
+    choose_action,
+    ping_interval_s,
+)
 from .messages import LeaderRecord, Ping, Pong
 from .peers import PeerRefusedError, Peers
 
@@ -12,6 +23,10 @@
 PING_TIMEOUT_S = 0.3
 # Other VMs asked whether they reach a silent leader before it is replaced.
 MAX_PEERS_ASKED = 2
+# How long they have to respond; they may have to ping the leader first.
+PEER_CHECK_TIMEOUT_S = 0.65
+# A pong this recent shows that the leader is reachable.
+RECENT_PONG_S = 0.5
 
 
 class LeaderMonitor:
@@ -25,6 +40,8 @@
         self._clock = clock
         self._ping = Ping(vm, peers.address)
         self._observation = LeaderObservation()
+        # The ping in progress on behalf of other VMs.
+        self._peer_check: asyncio.Task[bool] | None = None
 
     @property
     def is_responsive(self) -> bool:
@@ -33,6 +50,13 @@
             not self._observation.missed_pings and not self._observation.is_dead
         )
 
+    def ping_interval_s(self, cpu_cores: float) -> float:
+        """Return the time until this VM, of ``cpu_cores``, pings again."""
+        if self._observation.missed_pings:
+            return PING_INTERVAL_S
+        vm_count = len(self._peers.known_addresses) + 1
+        return ping_interval_s(vm_count, cpu_cores)
+
     def reset(self) -> None:
         """Forget past observations, for a new leader."""
         self._observation = LeaderObservation()
@@ -44,6 +68,40 @@
 
     async def check(self, leader: LeaderRecord) -> FailoverAction:
         """Ping ``leader`` and return what to do about it."""
+        await self._ping_leader(leader)
+        action = choose_action(self._observation, self._clock.monotonic_s())
+        if (
+            action is FailoverAction.REPLACE
+            and await self._is_reachable_by_others(leader)
+        ):
+            return FailoverAction.READ_RECORD
+        return action
+
+    async def is_reachable(self, leader: LeaderRecord) -> bool:
+        """Return whether ``leader`` responds, on behalf of another VM.
+
+        Pings it unless it has just responded. Requests at the same time share
+        one ping.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s - self._observation.last_pong_at_s < RECENT_PONG_S:
+            return True
+        check = self._peer_check
+        if check is None or check.done():
+            check = asyncio.create_task(self._responds(leader))
+            self._peer_check = check
+        return await asyncio.shield(check)
+
+    async def _responds(self, leader: LeaderRecord) -> bool:
+        """Ping ``leader`` without recording the result."""
+        try:
+            peer, pong = await self._ask(leader.address)
+        except PeerUnreachableError:
+            return False
+        return peer.incarnation == leader.incarnation and pong.is_active
+
+    async def _ping_leader(self, leader: LeaderRecord) -> None:
+        """Ping ``leader`` and record the result."""
         try:
             peer, pong = await self._ask(leader.address)
         except PeerRefusedError:
@@ -60,13 +118,6 @@
                 self._observation.record_pong(
                     is_active=pong.is_active, now_s=self._clock.monotonic_s()
                 )
-        action = choose_action(self._observation, self._clock.monotonic_s())
-        if (
-            action is FailoverAction.REPLACE
-            and await self._is_reachable_by_others(leader)
-        ):
-            return FailoverAction.READ_RECORD
-        return action
 
     async def _is_reachable_by_others(self, leader: LeaderRecord) -> bool:
         """Return whether one of a few other VMs reaches ``leader``.
@@ -75,16 +126,26 @@
         """
         if self._observation.is_dead:
             return False
-        others = self._peers.known_addresses - {leader.address}
-        for address in sorted(others)[:MAX_PEERS_ASKED]:
-            try:
-                _, pong = await self._ask(address)
-            except PeerUnreachableError:
-                continue
-            leader_epoch = pong.holder.epoch if pong.holder else None
-            if leader_epoch == leader.epoch and pong.hears_holder:
-                return True
-        return False
+        others = sorted(self._peers.known_addresses - {leader.address})
+        asked = random.sample(others, min(MAX_PEERS_ASKED, len(others)))
+        responses = await asyncio.gather(
+            *(self._is_reachable_by(address, leader) for address in asked)
+        )
+        return any(responses)
+
+    async def _is_reachable_by(
+        self, address: str, leader: LeaderRecord
+    ) -> bool:
+        """Return whether the VM at ``address`` reaches ``leader``."""
+        ping = msgspec.structs.replace(self._ping, checks_leader=True)
+        try:
+            _, pong = await self._peers.request(
+                address, ping, Pong, PEER_CHECK_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return False
+        leader_epoch = pong.holder.epoch if pong.holder else None
+        return leader_epoch == leader.epoch and pong.hears_holder
 
     async def _ask(self, address: str) -> tuple[Hello, Pong]:
         return await self._peers.request(
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -4,32 +4,26 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import msgspec
 from mode import Service
 
 from ..clock import Clock
-from ..exceptions import StoreError, StoreOutcomeUnknownError
+from ..exceptions import StoreError
 from ..ids import Epoch
 from ..logs import log_event
-from ..store import StoredValue, WatchableStore, Write
+from ..store import WatchableStore
 from .failover import FailoverAction, campaign_delay_s
 from .leader_monitor import LeaderMonitor
+from .leader_records import LeaderRecordStore
 from .messages import LeaderRecord
 from .peers import Peers
 from .settings import NodeSettings
-from .store_keys import LEADER_KEY
 
-# Store lease of the leader's record. After a power loss of the leader's VM the
-# record disappears when it expires.
-RECORD_LEASE_MS = 2500
 RENEW_INTERVAL_S = 0.6
-PING_INTERVAL_S = 0.25
 # Interval between reads of the record while no leader is known.
 SEARCH_INTERVAL_S = 0.15
 # How long the leader acts on its last confirmation. Long enough to keep
 # running tasks alive through an outage of the store.
 AUTHORITY_TTL_S = 12.0
-_INITIAL_ROUND_TRIP_S = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -63,13 +57,14 @@
         self._store = store
         self._peers = peers
         self._clock = clock
+        self._records = LeaderRecordStore(settings, store, peers, clock)
         self._monitor = LeaderMonitor(settings.vm, peers, clock)
         # Epoch of the last record read that another VM wrote.
         self._last_read_epoch = Epoch(0)
         self._is_leader = False
         self._confirmed_at_s = 0.0
-        self._round_trip_s = _INITIAL_ROUND_TRIP_S
         self._wake = asyncio.Event()
+        self._has_record_changed = False
 
     @property
     def is_leader(self) -> bool:
@@ -92,6 +87,13 @@
             return True
         return self.leader is not None and self._monitor.is_responsive
 
+    async def check_leader(self) -> bool:
+        """Return whether the leader is this VM or responds now."""
+        leader = self.leader
+        if self._is_leader or leader is None:
+            return self._is_leader
+        return await self._monitor.is_reachable(leader)
+
     def confirm(self, sent_at_s: float) -> None:
         """Record that a store call sent at ``sent_at_s`` confirmed leadership.
 
@@ -107,6 +109,11 @@
             self.leader = None
             self._wake.set()
 
+    def handle_record_changed(self) -> None:
+        """Read the leader record again: it was written or removed."""
+        self._has_record_changed = True
+        self._wake.set()
+
     async def step_down(self, reason: str) -> None:
         """Stop being the leader; does nothing if this VM is not."""
         if not self._is_leader:
@@ -146,26 +153,20 @@
                     error=exc,
                 )
                 pause_s = SEARCH_INTERVAL_S
-            await self._sleep(pause_s)
-
-    async def _sleep(self, pause_s: float) -> None:
-        self._wake.clear()
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._wake.wait()
-        except TimeoutError:
-            return
+            await _wait(self._wake, pause_s)
+            self._wake.clear()
 
     async def _step(self) -> float:
         if self._is_leader:
             await self._renew()
             return RENEW_INTERVAL_S
-        if self.leader is None:
+        if self.leader is None or self._has_record_changed:
+            self._has_record_changed = False
             await self._read_record()
             return SEARCH_INTERVAL_S if self.leader is None else 0
         action = await self._monitor.check(self.leader)
         if action is FailoverAction.WAIT:
-            return PING_INTERVAL_S
+            return self._monitor.ping_interval_s(self._settings.cpu_cores)
         should_replace = action is FailoverAction.REPLACE
         await self._read_record(replace=self.leader if should_replace else None)
         return SEARCH_INTERVAL_S
@@ -200,13 +201,10 @@
         Campaigns if there is no record, or if it still is ``replace``.
         """
         sent_at_s = self._clock.monotonic_s()
-        scan = await self._store.read(LEADER_KEY)
-        self._round_trip_s = self._clock.monotonic_s() - sent_at_s
-        record = scan.found[0] if scan.found else None
-        if record is None:
+        leader = await self._records.read()
+        if leader is None:
             await self._campaign(None)
             return
-        leader = _decode_record(record)
         if leader.incarnation == self._peers.hello.incarnation:
             # This VM's own write took effect, but its response was lost.
             await self._become_leader(leader, sent_at_s)
@@ -225,49 +223,17 @@
     async def _campaign(self, previous: LeaderRecord | None) -> None:
         if self.is_draining:
             return
-        await self.sleep(campaign_delay_s(self._round_trip_s))
-        lease = await self._store.grant_lease(
-            max(RECORD_LEASE_MS, self._settings.min_store_lease_ms)
-        )
-        hello = self._peers.hello
-        record = LeaderRecord(
-            hello.vm, hello.incarnation, self._peers.address, lease
+        delay_s = campaign_delay_s(
+            self._records.round_trip_s, self._settings.cpu_cores
         )
-        expected = previous.epoch if previous else 0
+        await self.sleep(delay_s)
         sent_at_s = self._clock.monotonic_s()
-        write = Write(
-            LEADER_KEY, msgspec.msgpack.encode(record), expected, lease
-        )
-        try:
-            response = await self._store.commit((write,))
-        except StoreOutcomeUnknownError:
-            # The next read finds the record if the write took effect.
-            return
-        if not response.written:
-            await self._store.end_lease(lease)
+        record = await self._records.replace(previous)
+        if record is None:
             return
-        epoch = Epoch(response.store_revision)
         if previous is not None:
-            self.add_future(self._end_previous_lease(previous))
-        await self._become_leader(
-            msgspec.structs.replace(record, epoch=epoch), sent_at_s
-        )
-
-    async def _end_previous_lease(self, previous: LeaderRecord) -> None:
-        """End the previous leader's lease so that its next renewal fails.
-
-        As long as its lease lives, each renewal confirms its leadership.
-        """
-        while not self.should_stop:
-            try:
-                await self._store.end_lease(previous.lease)
-            except StoreError as exc:
-                log_event(
-                    logger, 'tenure.lease_left', holder=previous.vm, error=exc
-                )
-                await self.sleep(RENEW_INTERVAL_S)
-            else:
-                return
+            self.add_future(self._records.end_lease(previous))
+        await self._become_leader(record, sent_at_s)
 
     async def _become_leader(
         self, leader: LeaderRecord, confirmed_at_s: float
@@ -286,17 +252,18 @@
             logger,
             'tenure.won',
             epoch=leader.epoch,
-            round_trip_ms=round(self._round_trip_s * 1000),
+            round_trip_ms=round(self._records.round_trip_s * 1000),
         )
         await self.on_gained(leader)
 
 
-def _decode_record(record: StoredValue) -> LeaderRecord:
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait until ``event`` is set, at most ``timeout_s``."""
     try:
-        leader = msgspec.msgpack.decode(record.value, type=LeaderRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
-        raise StoreError(f'cannot decode the leader record: {exc}') from exc
-    return msgspec.structs.replace(leader, epoch=Epoch(record.mod_revision))
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return
 
 
 async def _do_nothing(_event: object) -> None:
--- a/src/bulrushcove/node/messages.py
+++ b/src/bulrushcove/node/messages.py
@@ -33,6 +33,9 @@
 
     vm: VmId
     address: str
+    # Whether the peer is to check that it reaches the leader before it
+    # responds.
+    checks_leader: bool = False
 
 
 class Pong(msgspec.Struct, frozen=True):
@@ -44,7 +47,7 @@
     is_active: bool = False
     # Whether the leader is the responding VM or answered its last ping.
     hears_holder: bool = False
-    # Stream addresses of the VMs that it knows.
+    # Stream addresses of some VMs that it knows.
     addresses: tuple[str, ...] = ()
 
 
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -19,6 +20,8 @@
 # A stream on which no frame arrives for this long is closed.
 IDLE_TIMEOUT_S = 8.0
 STREAM_BACKLOG = 256
+# Addresses that a VM passes on at a time; the list of all VMs is in the store.
+SAMPLE_SIZE = 8
 
 FrameHandler = Callable[[Hello, Frame], Awaitable[msgspec.Struct | None]]
 
@@ -65,6 +68,11 @@
         self.known_addresses.update(addresses)
         self.known_addresses.discard(self.address)
 
+    def sample_addresses(self) -> tuple[str, ...]:
+        """Return a few random addresses of other VMs."""
+        known = tuple(self.known_addresses)
+        return tuple(random.sample(known, min(SAMPLE_SIZE, len(known))))
+
     async def request(
         self,
         address: str,
--- a/src/bulrushcove/node/prefix_cache.py
+++ b/src/bulrushcove/node/prefix_cache.py
@@ -31,11 +31,14 @@
         prefix: str,
         on_change: Callable[[Entries, frozenset[str]], None],
         batching_delay_s: float = 0,
+        watch_wait_ms: int = WATCH_WAIT_MS,
+        retry_interval_s: float = RETRY_INTERVAL_S,
     ) -> None:
         """Call ``on_change`` with all entries and the keys that changed.
 
         After each change the next watch starts ``batching_delay_s`` later, so
-        that frequent changes are reported together.
+        that frequent changes are reported together. A watch without changes
+        ends after ``watch_wait_ms``.
         """
         super().__init__()
         self.entries: Entries = {}
@@ -47,6 +50,8 @@
         self._prefix = prefix
         self._on_change = on_change
         self._batching_delay_s = batching_delay_s
+        self._watch_wait_ms = watch_wait_ms
+        self._retry_interval_s = retry_interval_s
 
     @Service.task
     async def _run(self) -> None:
@@ -60,7 +65,7 @@
                 self.revision = 0
             except StoreError as exc:
                 self._record_failure(exc)
-                await self.sleep(RETRY_INTERVAL_S)
+                await self.sleep(self._retry_interval_s)
 
     async def _update(self) -> None:
         if not self.revision:
@@ -69,7 +74,7 @@
         loop = asyncio.get_running_loop()
         sent_at_s = loop.time()
         changes = await self._store.watch(
-            self._prefix, self.revision, WATCH_WAIT_MS
+            self._prefix, self.revision, self._watch_wait_ms
         )
         self._record_success()
         if changes.written or changes.removed:
--- a/src/bulrushcove/node/settings.py
+++ b/src/bulrushcove/node/settings.py
@@ -28,3 +28,5 @@
     # Time from the stop request until the process is killed.
     stop_grace_ms: int
     min_store_lease_ms: int
+    # CPU of the VM, in cores of the reference speed.
+    cpu_cores: float = 1.0
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -37,6 +37,13 @@
     grace_s: float = 6.0
 
 
+class _Limits(msgspec.Struct, rename='kebab'):
+    # Share of one core. The field ``cores`` is how many times as fast as the
+    # reference that core is, not a number of cores.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Settings(msgspec.Struct, rename='kebab'):
     # The platform's node is a VM and its zone a failure domain.
     node: str
@@ -51,6 +58,7 @@
     # Address of the placement adviser.
     advice: str = ''
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def load_node_settings() -> NodeSettings:
@@ -89,4 +97,5 @@
         max_lease_ms=decoded.bounds.max_hold_ms,
         stop_grace_ms=int(decoded.bounds.grace_s * MS_PER_S),
         min_store_lease_ms=decoded.platform.min_ttl_ms,
+        cpu_cores=decoded.limits.cpu_share * decoded.limits.cores,
     )
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -11,6 +11,9 @@
 from bulrushcove.clock import ManualClock
 from bulrushcove.hello import NODE_ROLE, make_hello
 from bulrushcove.ids import Epoch, IncarnationId, VmId
+from bulrushcove.node import failover as failover_module
+from bulrushcove.node import leader_monitor as monitor_module
+from bulrushcove.node import leader_records as records_module
 from bulrushcove.node import leadership as leadership_module
 from bulrushcove.node.leadership import AUTHORITY_TTL_S, Leadership
 from bulrushcove.node.messages import LeaderRecord, Pong
@@ -18,7 +21,9 @@
 from bulrushcove.node.store_keys import LEADER_KEY
 from bulrushcove.store import Write
 
-SETTINGS = SimpleNamespace(vm=VmId('vm-1'), min_store_lease_ms=1000)
+SETTINGS = SimpleNamespace(
+    vm=VmId('vm-1'), min_store_lease_ms=1000, cpu_cores=1.0
+)
 WAIT_S = 5
 
 
@@ -78,8 +83,11 @@
 
 @pytest.fixture
 async def rig(monkeypatch):
-    for name in ('RENEW_INTERVAL_S', 'PING_INTERVAL_S', 'SEARCH_INTERVAL_S'):
+    monkeypatch.setattr(records_module, 'END_LEASE_RETRY_S', 0.005)
+    for name in ('RENEW_INTERVAL_S', 'SEARCH_INTERVAL_S'):
         monkeypatch.setattr(leadership_module, name, 0.005)
+    for module in (failover_module, monitor_module):
+        monkeypatch.setattr(module, 'PING_INTERVAL_S', 0.005)
     created = Rig()
     yield created
     await created.leadership.stop()
@@ -94,7 +102,13 @@
 
 async def test_own_record_is_found_after_a_lost_response(rig):
     rig.store.scripted_faults.extend(
-        (StoreFault.NONE, StoreFault.NONE, StoreFault.LOSE_RESPONSE)
+        # The record is read twice and a lease granted before the commit.
+        (
+            StoreFault.NONE,
+            StoreFault.NONE,
+            StoreFault.NONE,
+            StoreFault.LOSE_RESPONSE,
+        )
     )
     await rig.leadership.start()
     await rig.wait_gained()
@@ -170,3 +184,55 @@
     follower.leadership.leader = leader
     follower.leadership.handle_hand_over(leader.epoch)
     assert follower.leadership.leader is None
+
+
+async def test_a_changed_record_is_read_before_the_next_ping(rig):
+    """Followers of a large deployment ping seldom; the watch tells them."""
+    rig.peers.known_addresses = {f'vm-{number}:1' for number in range(300)}
+    other = await rig.other_leader()
+    hello = msgspec.structs.replace(
+        make_hello('vm-0', 'a', NODE_ROLE), incarnation=other.incarnation
+    )
+    rig.peers.response = (hello, Pong(other, is_active=True))
+    await rig.leadership.start()
+    await asyncio.sleep(0.05)
+    rig.store.values.pop(LEADER_KEY)
+    await asyncio.sleep(0.05)
+    assert not rig.gained.is_set()
+    rig.leadership.handle_record_changed()
+    await rig.wait_gained()
+
+
+async def test_a_vm_does_not_campaign_after_another_has_won(rig, monkeypatch):
+    """Of many VMs that campaign at once, one writes to the store."""
+    monkeypatch.setattr(leadership_module, 'campaign_delay_s', lambda *_: 0.05)
+    await rig.leadership.start()
+    await asyncio.sleep(0.02)
+    other = await rig.other_leader()
+    grants = []
+    grant_lease = rig.store.grant_lease
+
+    async def count_grants(ttl_ms):
+        grants.append(ttl_ms)
+        return await grant_lease(ttl_ms)
+
+    rig.store.grant_lease = count_grants
+    hello = msgspec.structs.replace(
+        make_hello('vm-0', 'a', NODE_ROLE), incarnation=other.incarnation
+    )
+    rig.peers.response = (hello, Pong(other, is_active=True))
+    await asyncio.sleep(0.3)
+    assert rig.leadership.leader.epoch == other.epoch
+    assert grants == []
+
+
+async def test_a_check_for_a_peer_pings_a_leader_not_heard_of_lately(rig):
+    other = await rig.other_leader()
+    rig.leadership.leader = other
+    hello = msgspec.structs.replace(
+        make_hello('vm-0', 'a', NODE_ROLE), incarnation=other.incarnation
+    )
+    rig.peers.response = (hello, Pong(other, is_active=True))
+    assert await rig.leadership.check_leader()
+    rig.peers.response = None
+    assert not await rig.leadership.check_leader()
--- a/tests/test_node_succession.py
+++ b/tests/test_node_succession.py
@@ -14,6 +14,7 @@
     LeaderObservation,
     campaign_delay_s,
     choose_action,
+    ping_interval_s,
 )
 
 
@@ -70,7 +71,23 @@
     ('near_s', 'far_s'), [(0.008, 0.07), (0.01, 0.03), (0.0, 0.065)]
 )
 def test_the_vm_nearest_to_the_store_campaigns_first(near_s, far_s):
-    assert campaign_delay_s(near_s) < campaign_delay_s(far_s)
+    assert campaign_delay_s(near_s, 1.0) < campaign_delay_s(far_s, 1.0)
+
+
+def test_a_large_vm_campaigns_before_a_small_one_nearer_to_the_store():
+    """A small VM that leads hundreds of workers is taken for dead."""
+    assert campaign_delay_s(0.1, 2.15) < campaign_delay_s(0.004, 0.516)
+
+
+@pytest.mark.parametrize('vm_count', [7, 44, 97, 300])
+def test_pings_to_the_leader_do_not_grow_with_the_deployment(vm_count):
+    """Each VM once pinged four times a second, 1,200 times at 300 VMs."""
+    large_count = vm_count // 5
+    small_count = vm_count - large_count
+    pings_per_s = large_count / ping_interval_s(vm_count, 2.15)
+    pings_per_s += small_count / ping_interval_s(vm_count, 0.516)
+    assert pings_per_s <= 110
+    assert ping_interval_s(vm_count, 2.15) <= 2.5
 
 
 def test_timeout_grows_with_a_slow_store():
