Trace the partial gang of 48 s: the check, not the scheduler

The lease of the task ran out after 8 s, with the one on the other worker. The check takes the end of the lease for a worker that is still frozen, but the present for one that has thawed and not yet acted, so it counted the frozen time as running.

--- a/tests/test_domain_machine.py
+++ b/tests/test_domain_machine.py
@@ -13,7 +13,13 @@
 
 from bulrushcove import domain_jobs, outcomes
 from bulrushcove.states import DomainState, JobState
-from tests.domain_bench import WORKERS, Bench, late_starts, violations
+from tests.domain_bench import (
+    WORKERS,
+    Bench,
+    late_starts,
+    starts,
+    violations,
+)
 
 MAX_JOBS = 6
 SETTLE_S = 120
@@ -168,6 +174,20 @@
         self.bench.close()
 
 
+def test_a_worker_that_thaws_ran_nothing_beyond_its_lease():
+    """The part on a frozen worker ends with its lease, not when it thaws."""
+    bench = Bench()
+    bench.submit('job', tasks=2, run_ms=20_000)
+    bench.run_for(1)
+    assert len(starts(bench)) == 2
+    bench.frozen_workers.add('w1')
+    bench.run_for(60)
+    assert not list(violations(bench))
+    bench.run(bench.end_faults())
+    assert not list(violations(bench))
+    bench.close()
+
+
 def run_machine(examples, steps, **options):
     run_state_machine_as_test(
         DomainMachine,
