Survive unexpected errors in a report, a pass or a store entry

Operators of similar systems told of one malformed message that took a process down.

Change: the error is logged with its traceback (unexpected_error) and affects that worker's poll, that pass or that update alone.

Ruled out: frames between VMs (their handlers run in tasks of their own) and callers' requests (aiohttp answers 500).

--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -63,6 +63,13 @@
     logger.log(level, event, extra=fields)
 
 
+def log_unexpected_error(
+    logger: logging.Logger, exc: Exception, **fields: Any
+) -> None:
+    """Log an error that no other handler expected, with its traceback."""
+    logger.error('unexpected_error', exc_info=exc, extra=fields)
+
+
 def _serialize_key_value(pairs: dict[str, Any], **_options: Any) -> str:
     return ' '.join(
         f'{key}={_quote(str(field))}'
--- a/src/bulrushcove/node/prefix_cache.py
+++ b/src/bulrushcove/node/prefix_cache.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from ..exceptions import StoreError, StoreHistoryGoneError
-from ..logs import log_event
+from ..logs import log_event, log_unexpected_error
 from ..store import WatchableStore
 
 # A watch on a dead connection never returns events. Changes must be seen within
@@ -92,7 +92,7 @@
                 self.entries[item.key] = item.value
             for removed in changes.removed:
                 self._remove(removed.key, changes.written, removed.mod_revision)
-            self._on_change(self.entries, frozenset(changed))
+            self._report(frozenset(changed))
             if self._batching_delay_s:
                 await self.sleep(self._batching_delay_s)
         elif loop.time() - sent_at_s < RETRY_INTERVAL_S:
@@ -115,7 +115,14 @@
         )
         self.entries = entries
         self.revision = scan.store_revision
-        self._on_change(entries, changed)
+        self._report(changed)
+
+    def _report(self, changed: frozenset[str]) -> None:
+        """Report ``changed``; an error of the reader ends no later update."""
+        try:
+            self._on_change(self.entries, changed)
+        except Exception as exc:
+            log_unexpected_error(logger, exc, prefix=self._prefix)
 
     def _record_success(self) -> None:
         self.is_current = True
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -13,7 +13,7 @@
 from ..batch.workers import EndKind
 from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
-from ..logs import log_event
+from ..logs import log_event, log_unexpected_error
 from ..store import WatchableStore
 from .advice_requests import AdviceRequester
 from .background_tasks import BackgroundTasks
@@ -134,7 +134,7 @@
         await self.add_runtime_dependency(self._worker_registry)
         while not self.should_stop:
             await self._wait_for_changes()
-            self._tick()
+            self._tick_safely()
 
     async def _load_jobs(self) -> None:
         """Restore all jobs from the store; scheduling starts only after it.
@@ -171,6 +171,16 @@
         await asyncio.sleep(max(BATCHING_DELAY_S, pause_s))
         self._has_changes.clear()
 
+    def _tick_safely(self) -> None:
+        """Run a pass; after an unexpected error the leader lives on.
+
+        Running work keeps its leases, and its ends are still stored.
+        """
+        try:
+            self._tick()
+        except Exception as exc:
+            log_unexpected_error(logger, exc, epoch=self._epoch)
+
     def _tick(self) -> None:
         engine = self.engine
         now_s = self._clock.monotonic_s()
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -16,7 +16,7 @@
 from ..clock import Clock
 from ..exceptions import WorkerError
 from ..ids import Epoch
-from ..logs import log_event
+from ..logs import log_event, log_unexpected_error
 from .worker_orders import LinkEventHandler, WorkerClient, WorkerOrders
 
 # How long the worker may hold a report back until a run ends. Half of the
@@ -99,7 +99,7 @@
                 self._wake.clear()
                 await self._wake.wait()
                 continue
-            has_report = await self._poll()
+            has_report = await self._poll_safely()
             self.was_polled.set()
             if has_report:
                 retry_delay_s = RETRY_S
@@ -114,6 +114,14 @@
         has_unacknowledged_ends = worker.processed_end > self.acknowledged_end
         return has_runs or is_state_unknown or has_unacknowledged_ends
 
+    async def _poll_safely(self) -> bool:
+        """Poll the worker; an unexpected error affects this worker alone."""
+        try:
+            return await self._poll()
+        except Exception as exc:
+            log_unexpected_error(logger, exc, worker=self.worker.id)
+            return False
+
     async def _poll(self) -> bool:
         """Request one report; return whether it was received."""
         worker = self.worker
--- a/tests/domain_bench.py
+++ b/tests/domain_bench.py
@@ -378,7 +378,7 @@
         self.out_since_s = self.clock.monotonic_s() if is_out else None
 
     async def end_faults(self):
-        """End every fault; a worker that thaws first ends its expired leases."""
+        """End every fault; thawing workers first end their expired leases."""
         for worker in self.frozen_workers:
             self.tasks[worker].advance()
         self.frozen_workers.clear()
--- a/tests/test_node_scheduler.py
+++ b/tests/test_node_scheduler.py
@@ -16,6 +16,7 @@
 from bulrushcove.ids import Epoch, IncarnationId, VmId
 from bulrushcove.metrics import new_metrics
 from bulrushcove.node import advice_requests as advisory_module
+from bulrushcove.node import scheduler as scheduler_module
 from bulrushcove.node.advice_requests import AdviserError
 from bulrushcove.node.messages import LeaderRecord
 from bulrushcove.node.metrics import NodeMetrics
@@ -125,3 +126,23 @@
         harness.scheduler._advice_requester.submit(bench.plan().advice_request)
         await settle()
     assert len(requests_sent) == 2
+
+
+async def test_an_unexpected_error_in_a_pass_ends_no_later_pass(monkeypatch):
+    """One job that cannot be placed must not take the process down."""
+    monkeypatch.setattr(scheduler_module, 'MAX_PASS_INTERVAL_S', 0.005)
+    harness = Harness()
+    errors = [KeyError('unexpected')]
+    ticked = asyncio.Event()
+
+    def fail_once():
+        if errors:
+            raise errors.pop()
+        ticked.set()
+
+    harness.scheduler._tick = fail_once
+    await harness.scheduler.start()
+    async with asyncio.timeout(1):
+        await ticked.wait()
+    assert not harness.scheduler.crashed
+    await harness.scheduler.stop()
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -307,3 +307,20 @@
     await harness.link.start()
     await harness.link.stop()
     assert harness.link.was_polled.is_set()
+
+
+async def test_an_unexpected_error_in_a_report_ends_no_other_poll(harness):
+    """One report that cannot be handled once took the process down."""
+    handle_report = harness.event_handler.handle_report
+    errors = [KeyError('unexpected')]
+
+    def fail_once(*arguments):
+        if errors:
+            raise errors.pop()
+        handle_report(*arguments)
+
+    harness.event_handler.handle_report = fail_once
+    await harness.link.start()
+    await settle()
+    assert harness.worker.has_reported
+    assert not harness.link.crashed
