Close the stream to a leader that was replaced

Cause: a request that a leader left unanswered is waited for until it times out (1.2 s), also when the caller's VM knows by then that another VM leads. A VM without power answers nothing, so each request in flight at its loss cost its caller these 1.2 s.

Change: when the leader record names another VM, the stream to the previous one is closed, its pending requests fail at once and are sent to the new leader. An accepted job stays accepted: the previous leader's writes are conditional on its record, and the outcome stays unknown until the new leader has answered.

Ruled out: a shorter time limit for requests, which would repeat requests to a leader that is only slow.

--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -217,6 +217,10 @@
             await self._campaign(leader)
             return
         if self.leader is None or self.leader.epoch != leader.epoch:
+            if self.leader is not None:
+                # Requests that the previous leader left unanswered are sent
+                # again at once; it can no longer accept a job.
+                self._peers.close_stream(self.leader.address)
             self.leader = leader
             self._monitor.reset()
             log_event(
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -99,6 +99,12 @@
             self._drop(address, connection)
             raise
 
+    def close_stream(self, address: str) -> None:
+        """Close the stream to ``address``; pending requests fail at once."""
+        connection = self._connections.get(address)
+        if connection is not None:
+            self._drop(address, connection)
+
     async def _connect(self, address: str) -> Connection:
         lock = self._locks.setdefault(address, asyncio.Lock())
         async with lock:
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -38,6 +38,10 @@
         self.address = 'vm-1:1'
         self.known_addresses = set()
         self.response = None
+        self.closed_streams = []
+
+    def close_stream(self, address):
+        self.closed_streams.append(address)
 
     async def request(self, address, message, response_type, timeout_s):
         if self.response is None:
@@ -243,3 +247,14 @@
     assert await rig.leadership.check_leader()
     rig.peers.response = None
     assert not await rig.leadership.check_leader()
+
+
+async def test_requests_to_a_replaced_leader_are_not_waited_for(rig):
+    """A leader without power answers nothing for seconds."""
+    replaced = await rig.other_leader()
+    rig.leadership.leader = msgspec.structs.replace(
+        replaced, address='vm-9:1', epoch=Epoch(0)
+    )
+    await rig.leadership._read_record()
+    assert rig.leadership.leader.epoch == replaced.epoch
+    assert rig.peers.closed_streams == ['vm-9:1']
