Poll new workers by the size of the VM, and past silent ones

Cause: a new leader polls 24 workers for the first time at a time, and each holds its place until it has answered (130 ms at the largest distance) or its poll has timed out (0.4 s).

Change: 48 polls a core at a time, at least 24 as before; a worker that has not answered after 0.2 s no longer holds up the next one.

Ruled out: no limit at all. A VM of half a core was late for all polls then.

--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -83,6 +83,7 @@
             self._worker_events,
             epoch=leader.epoch,
             lease_ms=self._lease_ms,
+            cpu_cores=settings.cpu_cores,
             clock=clock,
         )
         self._advice_requester = AdviceRequester(
--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -24,9 +24,14 @@
 # Every worker rewrites its entry each second or two, so changes are processed
 # in batches. A draining worker must be noticed within 3 s.
 ENTRY_BATCHING_DELAY_S = 0.6
-# Workers of which a new leader awaits the first response at the same time. A
-# small VM opens this many connections within the time limit of the polls.
-MAX_FIRST_POLLS = 24
+# First polls that a new leader sends at the same time, per core. A small VM of
+# half a core opens its share of connections within the time limit of a poll.
+FIRST_POLLS_PER_CORE = 48
+MIN_FIRST_POLLS = 24
+# A worker at the largest distance responds within this. Later, a silent worker
+# costs no CPU, so the next one is polled: a domain without power must not delay
+# the workers of the others.
+FIRST_POLL_SLOT_S = 0.2
 
 logger = logging.getLogger(__name__)
 
@@ -53,9 +58,13 @@
         *,
         epoch: Epoch,
         lease_ms: int,
+        cpu_cores: float,
         clock: Clock,
     ) -> None:
-        """Send orders with ``epoch`` and report to ``event_handler``."""
+        """Send orders with ``epoch`` and report to ``event_handler``.
+
+        The number of first polls at a time depends on ``cpu_cores``.
+        """
         super().__init__()
         # Called when a worker is listed, changed or unlisted.
         self.on_change: Callable[[], None] = _do_nothing
@@ -67,7 +76,7 @@
         self._lease_ms = lease_ms
         self._clock = clock
         self._links: dict[WorkerId, WorkerLink] = {}
-        self._first_polls = asyncio.Semaphore(MAX_FIRST_POLLS)
+        self._first_polls = asyncio.Semaphore(first_poll_limit(cpu_cores))
         self._tasks = BackgroundTasks()
 
     async def on_start(self) -> None:
@@ -161,7 +170,7 @@
             link = self._make_link(worker)
             self._links[worker.id] = link
             await self.add_runtime_dependency(link)
-            await link.was_polled.wait()
+            await _wait_for_first_poll(link)
 
     def _make_link(self, worker: Worker) -> WorkerLink:
         return WorkerLink(
@@ -174,5 +183,19 @@
         )
 
 
+def first_poll_limit(cpu_cores: float) -> int:
+    """Return how many first polls a VM of ``cpu_cores`` sends at a time."""
+    return max(MIN_FIRST_POLLS, round(cpu_cores * FIRST_POLLS_PER_CORE))
+
+
+async def _wait_for_first_poll(link: WorkerLink) -> None:
+    """Wait until ``link`` was polled, at most ``FIRST_POLL_SLOT_S``."""
+    try:
+        async with asyncio.timeout(FIRST_POLL_SLOT_S):
+            await link.was_polled.wait()
+    except TimeoutError:
+        return
+
+
 def _do_nothing() -> None:
     """Stand in for a handler that is set later."""
--- a/tests/test_node_scheduler.py
+++ b/tests/test_node_scheduler.py
@@ -48,7 +48,7 @@
             VmId('vm'), IncarnationId('i'), 'a:1', StoreLeaseId(0), Epoch(1)
         )
         self.scheduler = Scheduler(
-            SimpleNamespace(max_lease_ms=6000),
+            SimpleNamespace(max_lease_ms=6000, cpu_cores=1.0),
             FakeWatchableStore(),
             SimpleNamespace(has_authority=True, has_previous_leader_ended=True),
             leader,
--- /dev/null
+++ b/tests/test_node_worker_registry.py
@@ -0,0 +1,105 @@
+"""A new leader polls the listed workers a limited number at a time."""
+
+import asyncio
+
+import pytest
+from batch_builders import Bench, entry, report
+from fake_watchable_store import FakeWatchableStore
+from test_node_worker_link import FakeWorkerClient, RecordingEventHandler
+
+from bulrushcove.clock import ManualClock
+from bulrushcove.ids import Epoch
+from bulrushcove.node import worker_registry as registry_module
+from bulrushcove.node.worker_registry import (
+    WorkerAdapter,
+    WorkerRegistry,
+    first_poll_limit,
+)
+from bulrushcove.store import Write
+
+WORKERS = 60
+SMALL_VM_CORES = 0.5
+
+
+class SilentWorkerClient(FakeWorkerClient):
+    """A client of a worker that lost power: no call ever returns."""
+
+    async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
+        await asyncio.Event().wait()
+
+
+class Deployment:
+    """Workers in the store; those whose name starts with ``dark`` are silent."""
+
+    def __init__(self):
+        bench = Bench()
+        self.engine = bench.engine
+        self.store = FakeWatchableStore(ManualClock())
+        self.registry = WorkerRegistry(
+            self.engine,
+            self.store,
+            WorkerAdapter('', self.decode, self.make_client, lambda _: None),
+            RecordingEventHandler(bench),
+            epoch=Epoch(1),
+            lease_ms=8000,
+            cpu_cores=SMALL_VM_CORES,
+            clock=ManualClock(),
+        )
+
+    def decode(self, key, encoded):
+        return entry(key)
+
+    def make_client(self, worker, address):
+        if worker.startswith('dark'):
+            return SilentWorkerClient()
+        client = FakeWorkerClient()
+        client.reports = [report()]
+        return client
+
+    async def list_workers(self, *names):
+        for name in names:
+            await self.store.commit((Write(name, b'entry', 0),))
+
+    def reported(self):
+        return [
+            worker.id
+            for worker in self.engine.workers.values()
+            if worker.has_reported
+        ]
+
+
+@pytest.fixture
+async def deployment(monkeypatch):
+    monkeypatch.setattr(registry_module, 'FIRST_POLL_SLOT_S', 0.01)
+    deployment = Deployment()
+    yield deployment
+    await deployment.registry.stop()
+
+
+async def test_a_domain_without_power_does_not_delay_the_other_workers(
+    deployment,
+):
+    """At 1,500 workers a leader needed 5 s to serve after such a loss."""
+    await deployment.list_workers(
+        *(f'dark-{number}' for number in range(WORKERS)),
+        *(f'well-{number}' for number in range(WORKERS)),
+    )
+    await deployment.registry.start()
+    await asyncio.sleep(0.5)
+    assert len(deployment.reported()) == WORKERS
+
+
+async def test_polls_of_silent_workers_are_limited_at_first(deployment):
+    await deployment.list_workers(
+        *(f'dark-{number}' for number in range(WORKERS))
+    )
+    await deployment.registry.start()
+    await asyncio.sleep(0.005)
+    links = deployment.registry._links
+    assert 0 < len(links) <= first_poll_limit(SMALL_VM_CORES)
+
+
+def test_a_large_vm_polls_more_workers_at_a_time():
+    """1,500 workers at a distance of 60 ms took 8 s with 24 at a time."""
+    assert first_poll_limit(0.1) == first_poll_limit(SMALL_VM_CORES) == 24
+    assert first_poll_limit(2.15) > 100
