--- a/tests/test_node_worker_registry.py
+++ b/tests/test_node_worker_registry.py
@@ -29,7 +29,7 @@
 
 
 class Deployment:
-    """Workers in the store; those whose name starts with ``dark`` are silent."""
+    """Workers in the store; those named ``dark-...`` are silent."""
 
     def __init__(self):
         bench = Bench()
