Rank the workers once for all tasks of a wide step

Cause: each single task searched and sorted all workers.

Change: the workers that fit are ranked once for a step, rack by rack, and its tasks fill them in this order; each is checked again for free capacity and a reservation before it is used. How many tasks fit a worker is remembered by free capacity, the starts of a plan are grouped by job once, and the lease of runs moves to the settings module.

Ruled out: passes of a limited number of tasks, each of which would compare all workers again.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -65,13 +65,12 @@
     # Request for the first waiting unit that lacks tickets.
     advice_request: AdviceRequest | None = None
 
-    def starts_for_job(self, job: Job) -> list[Allocation]:
-        """Return the starts that must wait until ``job`` is stored."""
-        return [
-            allocation
-            for allocation in self.starts
-            if allocation.unit.job is job
-        ]
+    def starts_by_job(self) -> dict[JobId, list[Allocation]]:
+        """Return the starts that must wait until their job is stored."""
+        starts: dict[JobId, list[Allocation]] = {}
+        for allocation in self.starts:
+            starts.setdefault(allocation.unit.job.id, []).append(allocation)
+        return starts
 
 
 class Engine:
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -7,7 +7,8 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from itertools import repeat
+from functools import lru_cache
+from itertools import chain, repeat
 
 import msgspec
 
@@ -17,6 +18,9 @@
 
 # Limit for tasks that require no resources.
 MAX_TASKS_PER_WORKER = 1_000_000
+# Pairs of free capacity and requirements that are remembered: the workers of a
+# pool have few different values.
+COUNT_CACHE_SIZE = 4096
 # After this time a unit in a lightly loaded pool may run outside its preferred
 # rack and in the headroom; in other pools it waits on for its rack.
 REMOTE_RACK_WAIT_S = 2.0
@@ -87,10 +91,46 @@
     one as long as some rack would hold it when empty.
     """
     step = unit.spec
+    usable = _fitting_candidates(step, candidates, placed)
+    for group in _rack_groups(unit, usable, candidates, allows_remote_rack):
+        chosen = _fill_group(group, step, unit.size)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def rank_candidates(
+    unit: Unit, candidates: Sequence[Candidate], *, allows_remote_rack: bool
+) -> list[Candidate]:
+    """Return the candidates that fit the single task ``unit``, best first.
+
+    Equal tasks that are placed one after the other fill the candidates in this
+    order: a worker that was just used, and then its rack, is a better fit than
+    before. The step must not limit the tasks of a worker.
+    """
+    step = unit.spec
+    usable = _fitting_candidates(step, candidates, {})
+    for group in _rack_groups(unit, usable, candidates, allows_remote_rack):
+        if group:
+            return _rack_by_rack(_sort_best_fit(group, step))
+    return []
+
+
+def deduct_requirements(chosen: Iterable[Candidate], step: StepSpec) -> None:
+    """Deduct the requirements of one task from each entry of ``chosen``."""
+    for candidate in chosen:
+        candidate.free = candidate.free.minus(step.requirements)
+
+
+def _fitting_candidates(
+    step: StepSpec,
+    candidates: Sequence[Candidate],
+    placed: dict[WorkerId, int],
+) -> list[_Fit]:
     needed = step.requirements
     # Most candidates of a full pool are too small: two comparisons are
     # cheaper than a call.
-    usable = [
+    return [
         (candidate, count)
         for candidate in candidates
         if candidate.free.accelerators >= needed.accelerators
@@ -101,17 +141,6 @@
             )
         )
     ]
-    for group in _rack_groups(unit, usable, candidates, allows_remote_rack):
-        chosen = _fill_group(group, step, unit.size)
-        if chosen is not None:
-            return chosen
-    return None
-
-
-def deduct_requirements(chosen: Iterable[Candidate], step: StepSpec) -> None:
-    """Deduct the requirements of one task from each entry of ``chosen``."""
-    for candidate in chosen:
-        candidate.free = candidate.free.minus(step.requirements)
 
 
 def _rack_groups(
@@ -145,16 +174,11 @@
     """Return whether the gang would fit into some rack if it were empty."""
     totals: dict[RackId, int] = defaultdict(int)
     step = unit.spec
-    # Computed once for the workers of equal capacity.
-    limits: dict[TaskSize, int] = {}
     for candidate in candidates:
         if step.required_label in candidate.labels or not step.required_label:
-            limit = limits.get(candidate.capacity)
-            if limit is None:
-                limit = _count_fitting(candidate.capacity, step.requirements)
-                if step.max_per_worker:
-                    limit = min(limit, step.max_per_worker)
-                limits[candidate.capacity] = limit
+            limit = _count_fitting(candidate.capacity, step.requirements)
+            if step.max_per_worker:
+                limit = min(limit, step.max_per_worker)
             totals[candidate.rack] += limit
     return any(total >= unit.size for total in totals.values())
 
@@ -172,19 +196,30 @@
 ) -> list[Candidate] | None:
     if _total_tasks(group) < size:
         return None
+    chosen: list[Candidate] = []
+    for candidate, count in _sort_best_fit(group, step):
+        chosen.extend(repeat(candidate, min(count, size - len(chosen))))
+        if len(chosen) == size:
+            return chosen
+    return None
+
+
+def _sort_best_fit(group: list[_Fit], step: StepSpec) -> list[_Fit]:
     needed = step.requirements
     free_by_rack = _free_by_rack(group)
 
     def sort_key(pair: _Fit) -> tuple[float, ...]:
         return _best_fit_key(pair[0], needed, free_by_rack[pair[0].rack])
 
-    group = sorted(group, key=sort_key)
-    chosen: list[Candidate] = []
-    for candidate, count in group:
-        chosen.extend(repeat(candidate, min(count, size - len(chosen))))
-        if len(chosen) == size:
-            return chosen
-    return None
+    return sorted(group, key=sort_key)
+
+
+def _rack_by_rack(ranked: list[_Fit]) -> list[Candidate]:
+    """Return the candidates of ``ranked``, all of a rack in succession."""
+    racks: dict[tuple[bool, RackId], list[Candidate]] = defaultdict(list)
+    for candidate, _ in ranked:
+        racks[candidate.is_suspect, candidate.rack].append(candidate)
+    return list(chain.from_iterable(racks.values()))
 
 
 def _free_by_rack(group: list[_Fit]) -> dict[RackId, int]:
@@ -210,6 +245,7 @@
     return (candidate.is_suspect, rack_free, *free_amounts)
 
 
+@lru_cache(maxsize=COUNT_CACHE_SIZE)
 def _count_fitting(free: TaskSize, needed: TaskSize) -> int:
     """Return how many tasks that require ``needed`` fit into ``free``."""
     # The scarcest resource first: passes over a full deployment spend their
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from ..clock import MS_PER_S
 from ..ids import WorkerId
-from .advice import AdviceRequest, needs_advice, step_ref_of
+from .advice import AdviceRequest, StepRef, needs_advice, step_ref_of
 from .backfill_reservation import (
     MAX_RESERVATIONS,
     RESERVE_AFTER_S,
@@ -29,8 +29,10 @@
 from .placement import (
     REMOTE_RACK_WAIT_S,
     Candidate,
+    count_fitting_tasks,
     deduct_requirements,
     find_placement,
+    rank_candidates,
 )
 from .policy import find_adviser
 from .preemption_decider import PreemptionDecider
@@ -76,6 +78,8 @@
         self._examined: dict[Shape, Sequence[Candidate]] = {}
         # Number of units with a backfill reservation in this pass.
         self._reservation_count = 0
+        # Candidates for the next single tasks of a step, the best first.
+        self._ranked: dict[StepRef, deque[Candidate]] = {}
         # Shapes that did not fit, so that equal units are not tried again.
         self._unplaceable: set[Shape] = set()
         self._forecast = CapacityForecast(engine.workers, engine.estimates)
@@ -93,18 +97,7 @@
         if shape in self._unplaceable:
             self._deduct_preempted_capacity(unit)
             return []
-        pool = unit.job.spec.terms.pool
-        waited_s = self._now_s - unit.ready_since_s
-        allows_remote_rack = (
-            waited_s >= REMOTE_RACK_WAIT_S
-            and self._is_lightly_loaded.get(pool, False)
-        )
-        chosen = find_placement(
-            unit,
-            self._usable_candidates(unit),
-            placed=_count_placed_tasks(unit),
-            allows_remote_rack=allows_remote_rack,
-        )
+        chosen = self._choose_candidates(unit)
         if chosen is None:
             self._unplaceable.add(shape)
             self._deduct_preempted_capacity(unit)
@@ -168,6 +161,48 @@
                     return request
         return None
 
+    def _choose_candidates(self, unit: Unit) -> list[Candidate] | None:
+        """Return a candidate for each task of ``unit``; None if none fit."""
+        if unit.size == 1 and not unit.spec.max_per_worker:
+            candidate = self._choose_ranked(unit)
+            return [candidate] if candidate else None
+        return find_placement(
+            unit,
+            self._usable_candidates(unit),
+            placed=_count_placed_tasks(unit),
+            allows_remote_rack=self._allows_remote_rack(unit),
+        )
+
+    def _choose_ranked(self, unit: Unit) -> Candidate | None:
+        """Return the best candidate for a single task; None if there is none.
+
+        Candidates are ranked once for the tasks of a step, which may be
+        hundreds, and again when none of them fits any more.
+        """
+        step = step_ref_of(unit)
+        ranked = self._ranked.get(step)
+        while ranked:
+            fits = count_fitting_tasks(ranked[0], unit.spec)
+            if fits and self._may_use(unit, ranked[0]):
+                return ranked[0]
+            ranked.popleft()
+        ranked = deque(
+            rank_candidates(
+                unit,
+                self._usable_candidates(unit),
+                allows_remote_rack=self._allows_remote_rack(unit),
+            )
+        )
+        self._ranked[step] = ranked
+        return ranked[0] if ranked else None
+
+    def _allows_remote_rack(self, unit: Unit) -> bool:
+        waited_s = self._now_s - unit.ready_since_s
+        pool = unit.job.spec.terms.pool
+        return waited_s >= REMOTE_RACK_WAIT_S and self._is_lightly_loaded.get(
+            pool, False
+        )
+
     def _make_advice_request(self, unit: Unit) -> AdviceRequest | None:
         adviser = find_adviser(
             self._engine.desired_state.policy, unit.job.spec.terms.queue
@@ -220,12 +255,20 @@
             candidate
             for candidate in group
             if candidate.worker not in headroom
-            and (
-                candidate.reserved_after_s is None
-                or remaining_s <= candidate.reserved_after_s
-            )
+            and _ends_before_reservation(candidate, remaining_s)
         ]
 
+    def _may_use(self, unit: Unit, candidate: Candidate) -> bool:
+        """Return whether ``unit`` may still use a ranked candidate.
+
+        It may have been reserved since it was ranked.
+        """
+        is_urgent = unit.job.spec.terms.priority == URGENT
+        if is_urgent or candidate.reserved_after_s is None:
+            return True
+        remaining_s = self._engine.estimates.remaining_ms(unit) / MS_PER_S
+        return _ends_before_reservation(candidate, remaining_s)
+
     def _headroom_workers(
         self, unit: Unit, group: list[Candidate]
     ) -> frozenset[WorkerId]:
@@ -342,6 +385,12 @@
     )
 
 
+def _ends_before_reservation(candidate: Candidate, remaining_s: float) -> bool:
+    """Return whether a unit ends before the candidate's reservation begins."""
+    reserved_after_s = candidate.reserved_after_s
+    return reserved_after_s is None or remaining_s <= reserved_after_s
+
+
 def _count_placed_tasks(unit: Unit) -> dict[WorkerId, int]:
     """Return how many tasks of the unit's step run on each worker.
 
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -22,14 +22,11 @@
 from .leadership import AUTHORITY_TTL_S, Leadership
 from .messages import LeaderRecord
 from .metrics import NodeMetrics
-from .settings import NodeSettings
+from .settings import NodeSettings, run_lease_ms
 from .store_writer import LeadershipLostError, StoreWriter, WriteWithdrawnError
 from .worker_events import WorkerEventHandler
 from .worker_registry import WorkerAdapter, WorkerRegistry
 
-# Lease of a worker's runs. Long enough to outlast a failover; a longer lease
-# delays the restart of a lost worker's tasks elsewhere.
-LEASE_MS = 8000
 # A worker's clock may run slow, which prolongs a lease by up to this factor.
 LEASE_DRIFT_FACTOR = 1.02
 # Changes within this time are handled by one scheduling pass.
@@ -67,7 +64,7 @@
         self._epoch = leader.epoch
         self._clock = clock
         self._metrics = metrics
-        self._lease_ms = min(LEASE_MS, settings.max_lease_ms)
+        self._lease_ms = run_lease_ms(settings.max_lease_ms)
         self._store_writer = StoreWriter(store, leadership, leader, clock)
         self._records = JobRecords(self._store_writer)
         self._has_changes = asyncio.Event()
@@ -82,8 +79,7 @@
             worker_adapter,
             self._worker_events,
             epoch=leader.epoch,
-            lease_ms=self._lease_ms,
-            cpu_cores=settings.cpu_cores,
+            settings=settings,
             clock=clock,
         )
         self._advice_requester = AdviceRequester(
@@ -224,10 +220,11 @@
 
         Starts are sent once their job's record is stored, stops at once.
         """
+        starts = plan.starts_by_job()
         for job in plan.changed:
             write = self._records.write_progress(job)
             # One task per job: a job may be withdrawn while others are stored.
-            allocations = plan.starts_for_job(job)
+            allocations = starts.get(job.id)
             if allocations:
                 self._tasks.spawn(self._send_starts(allocations, write))
         for ended in plan.ended:
--- a/src/bulrushcove/node/settings.py
+++ b/src/bulrushcove/node/settings.py
@@ -4,6 +4,10 @@
 
 from ..ids import DomainName, VmId
 
+# Lease of a worker's runs. Long enough to outlast a failover; a longer lease
+# delays the restart of a lost worker's tasks elsewhere.
+LEASE_MS = 8000
+
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of one node process; addresses are ``host:port``."""
@@ -30,3 +34,8 @@
     min_store_lease_ms: int
     # CPU of the VM, in cores of the reference speed.
     cpu_cores: float = 1.0
+
+
+def run_lease_ms(max_lease_ms: int) -> int:
+    """Return the lease of runs, of which workers grant ``max_lease_ms``."""
+    return min(LEASE_MS, max_lease_ms)
--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -18,6 +18,7 @@
 from .advice_requests import RequestAdvice
 from .background_tasks import BackgroundTasks
 from .prefix_cache import Entries, PrefixCache
+from .settings import NodeSettings, run_lease_ms
 from .worker_link import WorkerLink
 from .worker_orders import LinkEventHandler, WorkerClientFactory
 
@@ -57,13 +58,12 @@
         event_handler: LinkEventHandler,
         *,
         epoch: Epoch,
-        lease_ms: int,
-        cpu_cores: float,
+        settings: NodeSettings,
         clock: Clock,
     ) -> None:
         """Send orders with ``epoch`` and report to ``event_handler``.
 
-        The number of first polls at a time depends on ``cpu_cores``.
+        ``settings`` has the CPU of this VM and the longest lease.
         """
         super().__init__()
         # Called when a worker is listed, changed or unlisted.
@@ -73,10 +73,12 @@
         self._worker_adapter = worker_adapter
         self._event_handler = event_handler
         self._epoch = epoch
-        self._lease_ms = lease_ms
+        self._lease_ms = run_lease_ms(settings.max_lease_ms)
         self._clock = clock
         self._links: dict[WorkerId, WorkerLink] = {}
-        self._first_polls = asyncio.Semaphore(first_poll_limit(cpu_cores))
+        self._first_polls = asyncio.Semaphore(
+            first_poll_limit(settings.cpu_cores)
+        )
         self._tasks = BackgroundTasks()
 
     async def on_start(self) -> None:
--- a/tests/test_node_worker_registry.py
+++ b/tests/test_node_worker_registry.py
@@ -1,6 +1,7 @@
 """A new leader polls the listed workers a limited number at a time."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from batch_builders import Bench, entry, report
@@ -41,8 +42,9 @@
             WorkerAdapter('', self.decode, self.make_client, lambda _: None),
             RecordingEventHandler(bench),
             epoch=Epoch(1),
-            lease_ms=8000,
-            cpu_cores=SMALL_VM_CORES,
+            settings=SimpleNamespace(
+                max_lease_ms=8000, cpu_cores=SMALL_VM_CORES
+            ),
             clock=ManualClock(),
         )
 
