Tell callers when the outcome of a cancellation is unknown

Cause: a cancellation that the leader received and did not answer was reported as 503, the status of a request that had no effect, though the job may be cancelled; on the leader's own VM it waited for its write without end while the store was away.

Change: such a cancellation is answered 504 before the deadline; 503 only if nothing was sent.

The first, second and last new test fail without the change (the last one hung for 240 s).

--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -108,19 +108,21 @@
 
         Returns None for an unknown job. Raises ``ServiceUnavailableError`` if
         neither the leader nor, unless ``should_cancel``, the store responds
-        before the deadline. A cancellation may still take effect then.
+        before the deadline, and ``OutcomeUnknownError`` if the job may be
+        cancelled all the same.
         """
         request = Inquiry(job, organisation, should_cancel)
+        may_be_cancelled = False
         while self._clock.monotonic_s() + RESPONSE_MARGIN_S < deadline_s:
-            response = await self._request_leader(
-                request, JobAnswer, self.handle_inquiry, deadline_s
-            )
-            is_known = response is not None and response.is_known
-            if not is_known and not should_cancel:
-                response = await self._read_stored_state(job, organisation)
+            response = await self._inquire(request, deadline_s)
             if response is not None and response.is_known:
                 return JobPhase(response.phase) if response.phase else None
+            may_be_cancelled |= should_cancel and response is not None
             await asyncio.sleep(RETRY_S)
+        if may_be_cancelled:
+            raise OutcomeUnknownError(
+                f'job {job}: the cancellation was not confirmed in time'
+            )
         raise ServiceUnavailableError(
             'no leader is available', NO_LEADER_RETRY_AFTER_S
         )
@@ -134,7 +136,10 @@
         request = CountPending(queue)
         while self._clock.monotonic_s() + RESPONSE_MARGIN_S < deadline_s:
             response = await self._request_leader(
-                request, PendingCount, self.handle_count_pending, deadline_s
+                request,
+                self.handle_count_pending,
+                PendingCount(None),
+                deadline_s,
             )
             if response is not None and response.count is not None:
                 return response.count
@@ -255,29 +260,60 @@
             return Submitted(SubmitOutcome.NOT_LEADER)
         return await self._submit_to(random.choice(others), request)
 
+    async def _inquire(
+        self, request: Inquiry, deadline_s: float
+    ) -> JobAnswer | None:
+        """Ask the leader about a job, and the store if it does not answer.
+
+        Returns None if no request was sent and the store failed. The answer is
+        not known if the leader may have cancelled the job.
+        """
+        answer = await self._request_leader(
+            request,
+            self.handle_inquiry,
+            JobAnswer('', is_known=False),
+            deadline_s,
+        )
+        if request.cancels or (answer is not None and answer.is_known):
+            return answer
+        return await _read_stored_state(
+            self._store, request.job, request.organisation
+        )
+
     async def _request_leader(
         self,
         request: msgspec.Struct,
-        answer_type: type[Answer],
         handle_locally: Callable[[msgspec.Struct], Awaitable[Answer]],
+        unanswered: Answer,
         deadline_s: float,
     ) -> Answer | None:
+        """Return the leader's answer to ``request``.
+
+        Returns ``unanswered`` if the leader received the request, or may have
+        received it, and did not answer in time; None if nothing was sent.
+        """
+        left_s = deadline_s - self._clock.monotonic_s()
         if self._leading_scheduler() is not None:
-            return await handle_locally(request)
+            try:
+                async with asyncio.timeout(left_s - RESPONSE_MARGIN_S):
+                    return await handle_locally(request)
+            except TimeoutError:
+                return unanswered
         leader = self._leadership.leader
         if leader is None:
             return None
-        left_s = deadline_s - self._clock.monotonic_s()
         try:
-            _, response = await self._peers.request(
+            _, answer = await self._peers.request(
                 leader.address,
                 request,
-                answer_type,
+                type(unanswered),
                 min(REQUEST_TIMEOUT_S, left_s),
             )
-        except PeerUnreachableError:
+        except PeerNotConnectedError:
             return None
-        return response
+        except PeerUnreachableError:
+            return unanswered
+        return answer
 
     async def _forward(
         self,
@@ -301,24 +337,25 @@
             return fallback
         return response
 
-    async def _read_stored_state(
-        self, job: JobId, organisation: OrganisationId
-    ) -> JobAnswer | None:
-        """Return the state of a job as stored; None if the store fails."""
-        try:
-            submission = await self._store.read(job_key(job))
-            progress = await self._store.read(progress_key(job))
-        except StoreError as exc:
-            log_event(logger, 'inquiry.store_failed', job=job, error=exc)
-            return None
-        if not submission.found:
-            return JobAnswer('')
-        terms = decode_submission(submission.found[0].value).spec.terms
-        if terms.organisation != organisation:
-            return JobAnswer('')
-        if not progress.found:
-            return JobAnswer(JobPhase.QUEUED.value)
-        return JobAnswer(decode_progress(progress.found[0].value).phase)
+
+async def _read_stored_state(
+    store: WatchableStore, job: JobId, organisation: OrganisationId
+) -> JobAnswer | None:
+    """Return the state of a job as stored; None if the store fails."""
+    try:
+        submission = await store.read(job_key(job))
+        progress = await store.read(progress_key(job))
+    except StoreError as exc:
+        log_event(logger, 'inquiry.store_failed', job=job, error=exc)
+        return None
+    if not submission.found:
+        return JobAnswer('')
+    terms = decode_submission(submission.found[0].value).spec.terms
+    if terms.organisation != organisation:
+        return JobAnswer('')
+    if not progress.found:
+        return JobAnswer(JobPhase.QUEUED.value)
+    return JobAnswer(decode_progress(progress.found[0].value).phase)
 
 
 def _raise_if_final(response: Submitted) -> None:
--- /dev/null
+++ b/tests/test_node_job_request_router.py
@@ -0,0 +1,119 @@
+"""What callers are told while the leader does not answer."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from fake_watchable_store import FakeWatchableStore
+
+from bulrushcove.batch.job_state import JobPhase
+from bulrushcove.clock import SystemClock
+from bulrushcove.exceptions import PeerUnreachableError
+from bulrushcove.ids import JobId, OrganisationId
+from bulrushcove.node import job_request_router as router_module
+from bulrushcove.node.exceptions import (
+    OutcomeUnknownError,
+    ServiceUnavailableError,
+)
+from bulrushcove.node.job_request_router import JobRequestRouter
+from bulrushcove.node.messages import JobAnswer
+from bulrushcove.node.peers import PeerNotConnectedError
+
+JOB = JobId('a' * 16)
+DEADLINE_S = 0.3
+
+
+class FakePeers:
+    """Gives the responses of the leader, or its errors, in turn."""
+
+    def __init__(self):
+        self.known_addresses = {'vm-2:1'}
+        self.responses = []
+
+    async def request(self, address, message, response_type, timeout_s):
+        response = self.responses[0]
+        if len(self.responses) > 1:
+            self.responses.pop(0)
+        if isinstance(response, Exception):
+            raise response
+        return None, response
+
+
+class Rig:
+    """A VM that follows a leader on another VM, or leads itself."""
+
+    def __init__(self):
+        self.peers = FakePeers()
+        self.leadership = SimpleNamespace(
+            leader=SimpleNamespace(address='vm-2:1'),
+            is_leader_reachable=True,
+            has_authority=True,
+        )
+        self.clock = SystemClock()
+        self.router = JobRequestRouter(
+            self.leadership,
+            self.peers,
+            FakeWatchableStore(self.clock),
+            self.clock,
+        )
+
+    async def cancel(self):
+        return await self.router.query_job(
+            JOB,
+            OrganisationId('mill'),
+            should_cancel=True,
+            deadline_s=self.clock.monotonic_s() + DEADLINE_S,
+        )
+
+
+@pytest.fixture
+def rig(monkeypatch):
+    monkeypatch.setattr(router_module, 'RETRY_S', 0.01)
+    return Rig()
+
+
+async def test_a_cancellation_without_an_answer_is_of_unknown_outcome(rig):
+    """503 would tell the caller that the job was not cancelled."""
+    rig.peers.responses = [
+        PeerUnreachableError('no response'),
+        PeerNotConnectedError('the leader is gone'),
+    ]
+    with pytest.raises(OutcomeUnknownError, match='not confirmed'):
+        await rig.cancel()
+
+
+async def test_a_leader_that_could_not_confirm_may_have_cancelled(rig):
+    """It lost its leadership while it stored the end of the job."""
+    rig.peers.responses = [JobAnswer('', is_known=False)]
+    with pytest.raises(OutcomeUnknownError):
+        await rig.cancel()
+
+
+async def test_a_cancellation_that_was_not_sent_had_no_effect(rig):
+    rig.peers.responses = [PeerNotConnectedError('refused')]
+    with pytest.raises(ServiceUnavailableError):
+        await rig.cancel()
+
+
+async def test_a_later_answer_confirms_a_cancellation(rig):
+    rig.peers.responses = [
+        PeerUnreachableError('no response'),
+        JobAnswer(JobPhase.CANCELLED.value),
+    ]
+    assert await rig.cancel() is JobPhase.CANCELLED
+
+
+async def test_the_leader_itself_answers_before_the_deadline(rig):
+    """While the store is away it waited for its own write without end."""
+
+    async def wait_for_the_store(job, organisation):
+        await asyncio.Event().wait()
+
+    rig.router.scheduler = SimpleNamespace(
+        is_loaded=True,
+        job_requests=SimpleNamespace(cancel=wait_for_the_store),
+    )
+    started_at_s = rig.clock.monotonic_s()
+    with pytest.raises(OutcomeUnknownError):
+        await rig.cancel()
+    assert rig.clock.monotonic_s() - started_at_s <= DEADLINE_S
