Send no stop without authority

Cause: starts and polls check that this VM still may act as the leader; stops, stops of orphans and throttling did not. A process that was paused for longer than its authority lasts could stop a run that a new leader had adopted, at a worker that the new leader had not polled yet.

Change: these orders check it too. A stop that is wanted is sent once authority is back; the others follow from the next report.

The new test fails without the change (two stops sent).

--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -48,6 +48,8 @@
         OrderOutcome.INVALID,
     )
 )
+# Outcomes after which a stop is not sent again.
+_STOP_ANSWERED = frozenset((OrderOutcome.DONE, OrderOutcome.FENCED))
 
 logger = logging.getLogger(__name__)
 
@@ -253,22 +255,31 @@
     async def _stop(self, allocation: Allocation) -> None:
         retry_delay_s = UNANSWERED_RETRY_S
         while allocation.ref in self.worker.allocations:
-            reply = await self._client.stop(self._epoch, allocation.ref)
-            self._log_order('run.stop', allocation, reply)
-            if reply.outcome is OrderOutcome.DONE:
-                allocation.stop_confirmed_at_s = self._clock.monotonic_s()
+            outcome = await self._send_stop(allocation)
+            if outcome in _STOP_ANSWERED:
                 break
-            if reply.outcome is OrderOutcome.FENCED:
-                self._event_handler.handle_fenced(self.worker)
-                break
-            is_unanswered = reply.outcome is OrderOutcome.UNKNOWN
+            is_unanswered = outcome is OrderOutcome.UNKNOWN
             await asyncio.sleep(
                 retry_delay_s if is_unanswered else STOP_RETRY_S
             )
             retry_delay_s = min(2 * retry_delay_s, STOP_RETRY_S)
         self.on_outcome()
 
+    async def _send_stop(self, allocation: Allocation) -> OrderOutcome:
+        """Send one stop, if this VM has the authority to send orders."""
+        if not self._event_handler.may_send_orders():
+            return OrderOutcome.NOT_SENT
+        reply = await self._client.stop(self._epoch, allocation.ref)
+        self._log_order('run.stop', allocation, reply)
+        if reply.outcome is OrderOutcome.DONE:
+            allocation.stop_confirmed_at_s = self._clock.monotonic_s()
+        elif reply.outcome is OrderOutcome.FENCED:
+            self._event_handler.handle_fenced(self.worker)
+        return reply.outcome
+
     async def _throttle(self, allocation: Allocation, percent: int) -> None:
+        if not self._event_handler.may_send_orders():
+            return
         reply = await self._client.throttle(
             self._epoch, allocation.ref, percent
         )
@@ -288,6 +299,9 @@
         )
 
     async def _stop_orphan(self, ref: RunRef) -> None:
+        # A leader without authority may take a new leader's run for an orphan.
+        if not self._event_handler.may_send_orders():
+            return
         reply = await self._client.stop(self._epoch, ref)
         log_event(
             logger,
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -65,12 +65,13 @@
         self.events = []
         self.is_wanted = True
         self.is_late = False
+        self.has_authority = True
 
     def was_late_since(self, since_s):
         return self.is_late
 
     def may_send_orders(self):
-        return True
+        return self.has_authority
 
     def is_start_wanted(self, allocation):
         return self.is_wanted
@@ -324,3 +325,20 @@
     await settle()
     assert harness.worker.has_reported
     assert not harness.link.crashed
+
+
+async def test_a_process_that_was_paused_stops_nothing_without_authority(
+    harness, monkeypatch
+):
+    """Another VM may lead by then and go on with the run."""
+    monkeypatch.setattr(orders_module, 'STOP_RETRY_S', 0.001)
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    harness.event_handler.has_authority = False
+    harness.link.orders.order_stop(harness.allocation)
+    harness.link.orders.stop_orphan(harness.allocation.ref)
+    await settle()
+    assert harness.client.stops == []
+    harness.event_handler.has_authority = True
+    await settle()
+    assert harness.client.stops == [harness.allocation.ref]
