Keep a shared stream open when one request on it times out

Change: a stream is closed only after 0.25 s without a frame. A submission that cannot be stored in the time left is refused before it is sent; it was told that it may have been accepted.

Ruled out: a stream for each request; every VM would open hundreds.

Both stream tests and the router test fail without the change.

--- a/src/bulrushcove/connection.py
+++ b/src/bulrushcove/connection.py
@@ -40,6 +40,8 @@
     ) -> None:
         """Wrap an open stream; ``run`` handles its frames."""
         self.peer: Hello | None = None
+        # Loop time at which the last frame arrived; zero: none has.
+        self.received_at_s = 0.0
         self._reader = reader
         self._writer = writer
         self._on_frame = on_frame
@@ -71,6 +73,7 @@
             while True:
                 async with asyncio.timeout(idle_timeout_s):
                     frame = await read_frame(self._reader)
+                self.received_at_s = asyncio.get_running_loop().time()
                 self._dispatch(frame)
         finally:
             self.close()
--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -41,6 +41,9 @@
 RETRY_S = 0.1
 # Part of the caller's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_S = 0.15
+# A submission with less time left than this cannot be stored in time: a leader
+# and a store in the same domain need about 10 ms.
+MIN_SUBMIT_TIME_S = 0.05
 # How long a submission waits for a leader before it is refused.
 MAX_LEADER_WAIT_S = 1.2
 # Retry time given to callers while there is no leader.
@@ -93,7 +96,8 @@
                 f'job {spec.job}: no response before the deadline'
             )
         raise ServiceUnavailableError(
-            'no leader is available', NO_LEADER_RETRY_AFTER_S
+            'no leader accepted the job in time',
+            NO_LEADER_RETRY_AFTER_S,
         )
 
     async def query_job(
@@ -197,7 +201,7 @@
         One that may be accepted is retried until the deadline.
         """
         now_s = self._clock.monotonic_s()
-        if now_s + RESPONSE_MARGIN_S >= deadline_s:
+        if now_s + RESPONSE_MARGIN_S + MIN_SUBMIT_TIME_S > deadline_s:
             return True
         return not may_be_accepted and now_s - started_at_s > MAX_LEADER_WAIT_S
 
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -19,6 +19,9 @@
 CONNECT_TIMEOUT_S = 0.4
 # A stream on which no frame arrives for this long is closed.
 IDLE_TIMEOUT_S = 8.0
+# A stream that delivered a frame within this time is alive, although a request
+# on it timed out. Shorter than the time limit of a ping.
+MAX_SILENCE_S = 0.25
 STREAM_BACKLOG = 256
 # Addresses that a VM passes on at a time; the list of all VMs is in the store.
 SAMPLE_SIZE = 8
@@ -90,13 +93,15 @@
         peer = connection.peer
         if peer is None:
             raise PeerUnreachableError(f'{address}: peer sent no hello')
+        sent_at_s = asyncio.get_running_loop().time()
         try:
             return peer, await connection.request(
                 message, response_type, timeout_s
             )
         except PeerUnreachableError:
-            # The stream may be dead; the next request opens a new one.
-            self._drop(address, connection)
+            if _is_silent(connection, sent_at_s):
+                # The stream may be dead; the next request opens a new one.
+                self._drop(address, connection)
             raise
 
     def close_stream(self, address: str) -> None:
@@ -149,3 +154,14 @@
         if self._connections.get(address) is connection:
             self._connections.pop(address)
         connection.close()
+
+
+def _is_silent(connection: Connection, sent_at_s: float) -> bool:
+    """Return whether nothing arrived for too long on ``connection``.
+
+    Other requests share the stream and fail with it, so a request with a short
+    time limit, or one that its receiver cannot answer yet, must not close it.
+    """
+    heard_at_s = max(sent_at_s, connection.received_at_s)
+    now_s = asyncio.get_running_loop().time()
+    return now_s - heard_at_s >= MAX_SILENCE_S
--- a/tests/test_node_job_request_router.py
+++ b/tests/test_node_job_request_router.py
@@ -117,3 +117,13 @@
     with pytest.raises(OutcomeUnknownError):
         await rig.cancel()
     assert rig.clock.monotonic_s() - started_at_s <= DEADLINE_S
+
+
+async def test_a_submission_without_time_is_refused_before_it_is_sent(rig):
+    """It was sent with 5 ms left and reported as possibly accepted."""
+    rig.peers.responses = [PeerUnreachableError('no response')]
+    left_s = router_module.RESPONSE_MARGIN_S + 0.005
+    with pytest.raises(ServiceUnavailableError, match='in time'):
+        await rig.router.submit(
+            SimpleNamespace(job=JOB), rig.clock.monotonic_s() + left_s
+        )
--- /dev/null
+++ b/tests/test_node_peers.py
@@ -0,0 +1,89 @@
+"""Streams between VMs that several requests share."""
+
+import asyncio
+
+import pytest
+from test_streams import HOST, find_free_port, make_hello
+
+from bulrushcove.exceptions import PeerUnreachableError
+from bulrushcove.messages import (
+    Acknowledged,
+    ConfigurationRequest,
+    parse_message,
+)
+from bulrushcove.node.peers import MAX_SILENCE_S, Peers
+
+# Handled by the peer until it is released, like a write to a slow store.
+SLOW = ConfigurationRequest(1)
+FAST = ConfigurationRequest(0)
+
+
+class Rig:
+    """A VM and a peer that leaves some requests open."""
+
+    def __init__(self):
+        self.is_released = asyncio.Event()
+        self.is_mute = False
+        # Each stream brings a hello of its own.
+        self.hellos = []
+        self.address = f'{HOST}:{find_free_port()}'
+        self.peer = Peers(make_hello('a'), self.address, self.handle)
+        own_address = f'{HOST}:{find_free_port()}'
+        self.peers = Peers(make_hello('b'), own_address, self.handle)
+
+    async def handle(self, hello, frame):
+        if not any(known is hello for known in self.hellos):
+            self.hellos.append(hello)
+        message = parse_message(ConfigurationRequest, frame.fields)
+        if self.is_mute or message == SLOW:
+            await self.is_released.wait()
+        return Acknowledged()
+
+    async def request(self, message, timeout_s):
+        _, response = await self.peers.request(
+            self.address, message, Acknowledged, timeout_s
+        )
+        return response
+
+
+@pytest.fixture
+async def rig():
+    rig = Rig()
+    for service in (rig.peer, rig.peers):
+        await service.start()
+    yield rig
+    rig.is_released.set()
+    for service in (rig.peers, rig.peer):
+        await service.stop()
+
+
+async def test_a_short_request_does_not_fail_the_others(rig):
+    """A submission with 5 ms left closed the stream to the leader."""
+    pending = asyncio.create_task(rig.request(SLOW, 2))
+    await rig.request(FAST, 1)
+    with pytest.raises(PeerUnreachableError):
+        await rig.request(SLOW, 0.005)
+    rig.is_released.set()
+    assert await pending == Acknowledged()
+
+
+async def test_an_open_request_does_not_fail_the_others(rig):
+    """The leader answers pings while a submission waits for the store."""
+    open_request = asyncio.create_task(rig.request(SLOW, 2 * MAX_SILENCE_S))
+    other = asyncio.create_task(rig.request(SLOW, 3))
+    while not open_request.done():
+        await rig.request(FAST, 1)
+        await asyncio.sleep(0.05)
+    with pytest.raises(PeerUnreachableError):
+        await open_request
+    rig.is_released.set()
+    assert await other == Acknowledged()
+
+
+async def test_a_silent_stream_is_replaced(rig):
+    rig.is_mute = True
+    with pytest.raises(PeerUnreachableError):
+        await rig.request(FAST, MAX_SILENCE_S + 0.05)
+    rig.is_mute = False
+    assert await rig.request(FAST, 1) == Acknowledged()
+    assert len(rig.hellos) == 2
