--- a/src/bulrushcove/platform/worker_client.py
+++ b/src/bulrushcove/platform/worker_client.py
@@ -188,9 +188,7 @@
     if reply.status == HTTPStatus.OK:
         return OrderReply(OrderOutcome.DONE, _decode_clock_ms(reply))
     if reply.status == HTTPStatus.CONFLICT:
-        response = decode(reply.body, _OrderResponse)
-        outcome = _OUTCOME_BY_REASON.get(response.reason, OrderOutcome.INVALID)
-        return OrderReply(outcome, response.clock_ms)
+        return _decode_rejection(reply)
     if reply.status in _UNHEALTHY_STATUSES:
         return OrderReply(OrderOutcome.UNHEALTHY)
     if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -200,6 +198,17 @@
     return OrderReply(OrderOutcome.UNKNOWN)
 
 
+def _decode_rejection(reply: Reply) -> OrderReply:
+    try:
+        response = decode(reply.body, _OrderResponse)
+    except UndecodableError:
+        # Why the worker rejected the order, and whether it carried it out
+        # before, is unknown.
+        return OrderReply(OrderOutcome.UNKNOWN)
+    outcome = _OUTCOME_BY_REASON.get(response.reason, OrderOutcome.INVALID)
+    return OrderReply(outcome, response.clock_ms)
+
+
 def _decode_clock_ms(reply: Reply) -> int:
     try:
         return decode(reply.body, _OrderResponse).clock_ms
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -1,6 +1,7 @@
 """Orders and reports of ``HttpWorkerClient`` against a stand-in worker."""
 
 import pytest
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 
 from bulrushcove.batch.ids import RunRef, TaskRef
@@ -89,3 +90,19 @@
     with pytest.raises(WorkerReplacedError):
         await request_report(other_client)
     await other_client.close()
+
+
+@pytest.mark.parametrize('body', [b'', b'{', b'[]', b'{"reason": 7}'])
+async def test_a_malformed_rejection_is_of_unknown_outcome(body):
+    """The error ended the task that repeats an unanswered order."""
+
+    async def reject(request):
+        return web.Response(status=409, body=body)
+
+    application = web.Application()
+    application.router.add_post('/api/run-stop', reject)
+    async with TestServer(application) as server:
+        worker_client = make_client(server)
+        reply = await worker_client.stop(EPOCH, REF)
+        await worker_client.close()
+    assert reply.outcome is OrderOutcome.UNKNOWN
