--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -26,7 +26,6 @@
         self._usable_workers = metrics.gauge(
             'bulrushcove_workers_usable', 'Workers that answer.'
         )
-
         self._loop_delay_seconds = metrics.histogram(
             'bulrushcove_loop_delay_seconds',
             'Delays of the event loop above 10 ms.',
