--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -56,7 +56,7 @@
 
 def keep_logs(log_paths, test_name, directory=FAILED_LAUNCHES):
     """Copy ``log_paths`` to a directory named after the test; return it."""
-    kept = directory / re.sub(r'\W', '-', test_name)
+    kept = directory / re.sub(r'[\W_]', '-', test_name)
     kept.mkdir(parents=True, exist_ok=True)
     for log_path in log_paths:
         shutil.copy(log_path, kept)
