Take no refusal for final after a try that may have been accepted

Cause: a submission whose first try got no response is sent again, and the next try may reach a previous leader through another VM: one that is cut off from the store, acts for up to 12 s on its last confirmation and does not know of jobs that the new leader accepts. Its refusal was passed on, so the caller was told 503, not accepted, of a job that runs.

Change: after a try without a response only an acceptance or a conflict ends a submission; otherwise the caller hears at its deadline that the outcome is unknown.

Ruled out: a leader that refuses nothing while it cannot confirm its leadership; callers would wait for their deadline in each outage of the store.

The new test fails without the change.

--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -87,7 +87,7 @@
             response = await self._submit_once(spec, left_s)
             if response.outcome is SubmitOutcome.ACCEPTED:
                 return
-            _raise_if_final(response)
+            _raise_if_final(response, may_be_accepted)
             if response.outcome is SubmitOutcome.UNKNOWN:
                 may_be_accepted = True
             await asyncio.sleep(RETRY_S)
@@ -362,10 +362,16 @@
     return JobAnswer(decode_progress(progress.found[0].value).phase)
 
 
-def _raise_if_final(response: Submitted) -> None:
-    """Raise the error that ``response`` reports if a retry cannot help."""
+def _raise_if_final(response: Submitted, may_be_accepted: bool) -> None:
+    """Raise the error that ``response`` reports if a retry cannot help.
+
+    A refusal is not final for a job that an earlier try may have handed in: it
+    may come from a previous leader that does not know of the job.
+    """
     if response.outcome is SubmitOutcome.CONFLICT:
         raise JobConflictError(response.message)
+    if may_be_accepted:
+        return
     if response.outcome is SubmitOutcome.REFUSED:
         raise JobRefusedError(response.message, response.retry_after_s)
     if response.outcome is SubmitOutcome.UNAVAILABLE:
--- a/tests/test_node_job_request_router.py
+++ b/tests/test_node_job_request_router.py
@@ -16,7 +16,7 @@
     ServiceUnavailableError,
 )
 from bulrushcove.node.job_request_router import JobRequestRouter
-from bulrushcove.node.messages import JobAnswer
+from bulrushcove.node.messages import JobAnswer, SubmitOutcome, Submitted
 from bulrushcove.node.peers import PeerNotConnectedError
 
 JOB = JobId('a' * 16)
@@ -127,3 +127,28 @@
         await rig.router.submit(
             SimpleNamespace(job=JOB), rig.clock.monotonic_s() + left_s
         )
+
+
+@pytest.mark.parametrize(
+    'outcome', [SubmitOutcome.UNAVAILABLE, SubmitOutcome.REFUSED]
+)
+async def test_a_previous_leader_does_not_refuse_what_the_new_one_accepted(
+    rig, outcome
+):
+    """The caller was told 503 although its job had been accepted and ran."""
+    rig.peers.responses = [
+        PeerUnreachableError('accepted, but the response was lost'),
+        Submitted(outcome, 'the store is unavailable', 1.0),
+    ]
+    with pytest.raises(OutcomeUnknownError):
+        await rig.router.submit(
+            SimpleNamespace(job=JOB), rig.clock.monotonic_s() + 2 * DEADLINE_S
+        )
+
+
+async def test_a_refused_submission_is_reported_at_once(rig):
+    rig.peers.responses = [Submitted(SubmitOutcome.UNAVAILABLE, 'away', 1.0)]
+    with pytest.raises(ServiceUnavailableError, match='away'):
+        await rig.router.submit(
+            SimpleNamespace(job=JOB), rig.clock.monotonic_s() + 60
+        )
