--- a/tests/test_node_store_writer.py
+++ b/tests/test_node_store_writer.py
@@ -21,6 +21,18 @@
 from bulrushcove.store import StoreLeaseId, Write
 
 TIMEOUT_S = 5
+# Faults of the next calls, after which the store still responds.
+LOST_RESPONSES = st.lists(
+    st.sampled_from(
+        (
+            StoreFault.NONE,
+            StoreFault.LOSE_RESPONSE,
+            StoreFault.LOSE_WRITE,
+            StoreFault.LATE_WRITE,
+        )
+    ),
+    max_size=12,
+)
 
 
 class Leadership:
@@ -143,17 +155,7 @@
 
 
 @given(
-    faults=st.lists(
-        st.sampled_from(
-            (
-                StoreFault.NONE,
-                StoreFault.LOSE_RESPONSE,
-                StoreFault.LOSE_WRITE,
-                StoreFault.LATE_WRITE,
-            )
-        ),
-        max_size=12,
-    ),
+    faults=LOST_RESPONSES,
     count=st.integers(1, 5),
 )
 def test_a_late_write_never_overwrites_a_newer_one(faults, count):
@@ -335,17 +337,7 @@
 
 @given(
     puts=st.lists(st.integers(0, 5), min_size=1, max_size=40),
-    faults=st.lists(
-        st.sampled_from(
-            (
-                StoreFault.NONE,
-                StoreFault.LOSE_RESPONSE,
-                StoreFault.LOSE_WRITE,
-                StoreFault.LATE_WRITE,
-            )
-        ),
-        max_size=12,
-    ),
+    faults=LOST_RESPONSES,
 )
 def test_overlapping_transactions_keep_the_last_value_of_each_key(puts, faults):
     spacing_s = store_writer_module.TRANSACTION_SPACING_S
