Show that a restarted VM uses no withdrawn key

Two tests on real processes for the operators' point on restarts: a VM that starts behind a cut while a key is withdrawn reads the configuration through a peer and refuses the key; one that reaches nobody serves nobody. Both passed on the code as it was: nothing was changed.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dev.platform_standin.deployment import CONFIG, Deployment
+from dev.platform_standin.proxy import ProxyMode
 
 JOB = '5c0e7a21d94b36f8'
 OTHER_JOB = '5c0e7a21d94b36f9'
@@ -145,6 +146,35 @@
         assert status == 401
 
 
+async def test_a_vm_restarted_behind_a_cut_refuses_a_withdrawn_key():
+    """It reads the store through a peer; no VM hands on its own copy."""
+    async with Deployment() as deployment:
+        restarted = deployment.nodes[1]
+        await restarted.stop(signal.SIGKILL)
+        restarted.proxy.switch_mode(ProxyMode.RESET)
+        deployment.write_configuration(
+            {**CONFIG, 'version': 4, 'tenants': CONFIG['tenants'][1:]}
+        )
+        await restarted.start([deployment.nodes[0].stream_address])
+        await deployment.wait_until_ready(restarted)
+        for _ in range(20):
+            status, _ = await deployment.call('GET', JOB, node=1)
+            assert status == 401
+            await asyncio.sleep(0.05)
+
+
+async def test_a_vm_that_reaches_nobody_serves_nobody():
+    async with Deployment() as deployment:
+        restarted = deployment.nodes[1]
+        await restarted.stop(signal.SIGKILL)
+        restarted.proxy.switch_mode(ProxyMode.DROP_ALL)
+        await deployment.nodes[0].stop(signal.SIGKILL)
+        await restarted.start([deployment.nodes[0].stream_address])
+        await asyncio.sleep(1.5)
+        status, _ = await deployment.call('GET', JOB, node=1)
+        assert status == 503
+
+
 async def test_no_task_starts_in_a_closed_domain():
     async with Deployment() as deployment:
         deployment.store.put('op/evacuate/a', b'{}')
