Step down after an unexpected error of a transaction

Cause: read again before the landing: since transactions are tasks of their own, an unexpected error in one failed its writes and let the leader go on, which would show the end of a job that is never stored.

Change: the error is logged, all writes fail and the VM steps down, so that a new leader goes on from what is stored.

The new test fails without the change.

--- a/src/bulrushcove/node/store_writer.py
+++ b/src/bulrushcove/node/store_writer.py
@@ -16,7 +16,7 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from ..logs import log_event
+from ..logs import log_event, log_unexpected_error
 from ..store import Check, StoredValue, WatchableStore, Write, WriteAnswer
 from .background_tasks import BackgroundTasks
 from .leadership import Leadership
@@ -167,10 +167,17 @@
         return max(0, start_at_s - now_s)
 
     async def _store_batch(self, batch: Batch) -> None:
-        """Repeat the transaction of ``batch`` until it is stored."""
+        """Repeat the transaction of ``batch`` until it is stored.
+
+        After an unexpected error a new leader goes on from what is stored.
+        """
         try:
             while batch.writes and not self._has_lost_leadership:
                 await self._try_store(batch)
+        except Exception as exc:
+            log_unexpected_error(logger, exc, writes=len(batch.writes))
+            self._abandon_writes()
+            await self._leadership.step_down('a transaction cannot be sent')
         finally:
             _fail(batch.writes)
             self._queue.batches.remove(batch)
--- a/tests/test_node_store_writer.py
+++ b/tests/test_node_store_writer.py
@@ -346,3 +346,20 @@
         asyncio.run(store_random_writes(puts, faults))
     finally:
         store_writer_module.TRANSACTION_SPACING_S = spacing_s
+
+
+async def test_an_unexpected_error_of_a_write_ends_leadership(monkeypatch):
+    """The end of a job must not be shown when it can never be stored."""
+    store = FakeWatchableStore()
+    store_writer = await open_store_writer(store)
+
+    async def fail(*_parts):
+        raise LookupError('unexpected')
+
+    monkeypatch.setattr(store, 'commit', fail)
+    with pytest.raises(LeadershipLostError):
+        await wait_until_stored(store_writer.put('k', b'1'))
+    with pytest.raises(LeadershipLostError):
+        await wait_until_stored(store_writer.put('other', b'1'))
+    assert store_writer._leadership.step_down_reason
+    await store_writer.stop()
