Apply lists of VMs one after the other

A list read from the platform and one adopted from a peer were applied at the same time: while the first waited for a stream to close, the second removed the next one.

Change: lists are applied one after the other.

Ruled out: load by itself; it only brings the two lists together. The new test applies two lists at once and fails each time without the change.

--- a/src/bulrushcove/peer_links.py
+++ b/src/bulrushcove/peer_links.py
@@ -1,5 +1,6 @@
 """Keeps one stream to the control of each other entry VM."""
 
+import asyncio
 from contextlib import suppress
 
 import msgspec
@@ -23,6 +24,8 @@
         self._hello = hello
         self._on_frame = on_frame
         self._links: dict[VmId, tuple[VmEntry, StreamClient]] = {}
+        # The list is read from the platform and from peers at the same time.
+        self._update_lock = asyncio.Lock()
 
     def get(self, vm: VmId) -> StreamClient | None:
         """Return the stream to ``vm``; None if it is not on the list."""
@@ -45,6 +48,15 @@
 
     async def update_peers(self, vms: tuple[VmEntry, ...]) -> None:
         """Open and close streams so that they match ``vms``."""
+        async with self._update_lock:
+            await self._update_peers(vms)
+
+    async def on_stop(self) -> None:
+        """Close all streams."""
+        for _entry, client in self._links.values():
+            await client.stop()
+
+    async def _update_peers(self, vms: tuple[VmEntry, ...]) -> None:
         wanted = {entry.vm: entry for entry in vms if self._is_peer(entry)}
         for vm, (entry, client) in tuple(self._links.items()):
             if wanted.get(vm) != entry:
@@ -54,11 +66,6 @@
             if entry.vm not in self._links:
                 await self._open(entry)
 
-    async def on_stop(self) -> None:
-        """Close all streams."""
-        for _entry, client in self._links.values():
-            await client.stop()
-
     async def _open(self, entry: VmEntry) -> None:
         client = StreamClient(
             entry.address,
