--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -43,7 +43,7 @@
 from .scheduling_pass import SchedulingPass, prepare_pass
 from .stall_detection import find_stalled_runs
 from .worker_reliability import WorkerReliability
-from .workers import EndKind, Worker, WorkerReport
+from .workers import EndKind, Worker, WorkerReport, find_expired_workers
 
 # Ended jobs stay in memory and in the store for this long. Callers are
 # promised 120 s.
@@ -230,16 +230,11 @@
     def expire_leases(self, *, unix_ms: int, now_s: float) -> Plan:
         """End the runs of unreachable workers whose leases have expired."""
         plan = Plan()
-        for worker in tuple(self.workers.values()):
-            if not worker.allocations or now_s <= worker.leases_expire_at_s:
-                continue
-            if worker.failed_polls or not worker.has_reported:
-                ended = self.end_incarnation(
-                    worker, unix_ms=unix_ms, now_s=now_s
-                )
-                plan.changed.extend(ended.changed)
-                plan.ended.extend(ended.ended)
-                plan.stops.extend(ended.stops)
+        for worker in find_expired_workers(self.workers.values(), now_s):
+            ended = self.end_incarnation(worker, unix_ms=unix_ms, now_s=now_s)
+            plan.changed.extend(ended.changed)
+            plan.ended.extend(ended.ended)
+            plan.stops.extend(ended.stops)
         return plan
 
     def plan(self, *, unix_ms: int, now_s: float) -> Plan:
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -1,5 +1,6 @@
 """State of a worker as known to the scheduler."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
@@ -160,3 +161,24 @@
         self.leases_expire_at_s = self.clock_read_at_s + remaining_s / (
             1 - MAX_CLOCK_DRIFT
         )
+
+
+def find_silent_workers(workers: Iterable[Worker]) -> list[Worker]:
+    """Return the workers with runs that do not respond to the leader now."""
+    return [
+        worker
+        for worker in workers
+        if worker.allocations
+        and (worker.failed_polls or not worker.has_reported)
+    ]
+
+
+def find_expired_workers(
+    workers: Iterable[Worker], now_s: float
+) -> list[Worker]:
+    """Return the silent workers whose leases have certainly expired."""
+    return [
+        worker
+        for worker in find_silent_workers(workers)
+        if now_s > worker.leases_expire_at_s
+    ]
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -10,7 +10,7 @@
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
 from ..batch.policy import DesiredState
-from ..batch.workers import EndKind
+from ..batch.workers import EndKind, find_expired_workers, find_silent_workers
 from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
 from ..logs import log_event, log_unexpected_error
@@ -155,6 +155,9 @@
             jobs=len(loaded.jobs),
             active=len(self.engine.active),
             epoch=self._epoch,
+            unseen_workers=len(
+                find_silent_workers(self.engine.workers.values())
+            ),
             unseen_runs_lapse_s=round(lease_expiry_s, 1),
         )
 
@@ -181,6 +184,14 @@
     def _tick(self) -> None:
         engine = self.engine
         now_s = self._clock.monotonic_s()
+        for worker in find_expired_workers(engine.workers.values(), now_s):
+            log_event(
+                logger,
+                'worker.leases_expired',
+                worker=worker.id,
+                runs=len(worker.allocations),
+                has_reported=worker.has_reported,
+            )
         self._apply(
             engine.expire_leases(unix_ms=self._clock.unix_ms(), now_s=now_s)
         )
