--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -16,7 +16,6 @@
 from .completion import apply_run_end, cancel_job
 from .draining import find_outlasting_runs
 from .exceptions import JobConflictError
-from .guarantee import max_step_accelerators
 from .headroom import UrgentDemand
 from .ids import QueueName, UnitRef
 from .job_spec import JobSpec
@@ -32,7 +31,6 @@
 from .membership import placeholder_worker
 from .policy import DesiredState
 from .preemption_plan import PreemptionPlan
-from .queue_order import URGENT
 from .reconcile import (
     AllocationEnd,
     ReportChanges,
@@ -122,8 +120,7 @@
         job = new_job(spec, unix_ms, now_s)
         self.jobs[job.id] = job
         self.active[job.id] = job
-        if spec.terms.priority == URGENT:
-            self.urgent_demand.record(max_step_accelerators(spec), now_s)
+        self.urgent_demand.record_job(spec, now_s)
         return job, True
 
     def discard_job(self, job: Job) -> None:
--- a/src/bulrushcove/batch/headroom.py
+++ b/src/bulrushcove/batch/headroom.py
@@ -13,7 +13,10 @@
 from itertools import chain, zip_longest
 
 from ..ids import RackId, WorkerId
+from .guarantee import max_step_accelerators
+from .job_spec import JobSpec
 from .placement import Candidate
+from .queue_order import URGENT
 
 # Time constant of the moving average of urgent demand.
 DEMAND_WINDOW_S = 8.0
@@ -34,6 +37,11 @@
         self._rate = 0.0
         self._updated_at_s = 0.0
 
+    def record_job(self, spec: JobSpec, now_s: float) -> None:
+        """Record the job of ``spec`` if it is urgent."""
+        if spec.terms.priority == URGENT:
+            self.record(max_step_accelerators(spec), now_s)
+
     def record(self, accelerators: int, now_s: float) -> None:
         """Record that an urgent job requests ``accelerators``."""
         self._rate = self.rate(now_s) + accelerators / DEMAND_WINDOW_S
--- a/src/bulrushcove/node/advice_requests.py
+++ b/src/bulrushcove/node/advice_requests.py
@@ -8,8 +8,14 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from ..batch.advice import Advice, AdviceRequest
+from ..batch.advice import (
+    Advice,
+    AdviceRequest,
+    needs_advice,
+    step_ref_of,
+)
 from ..batch.engine import Engine
+from ..batch.job_state import Allocation
 from ..clock import Clock
 from ..exceptions import BulrushcoveError
 from ..logs import log_event
@@ -50,6 +56,21 @@
             self._is_request_pending = True
             self.tasks.spawn(self._run(request))
 
+    def find_ticket(self, allocation: Allocation) -> str | None:
+        """Return the ticket to start ``allocation`` with; None: not allowed.
+
+        Empty if the queue needs no advice.
+        """
+        unit = allocation.unit
+        if not needs_advice(unit):
+            return ''
+        worker = self._engine.workers.get(allocation.worker)
+        if worker is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        ticket = self._engine.tickets.find(step_ref_of(unit), worker, now_s)
+        return ticket or None
+
     async def _run(self, request: AdviceRequest) -> None:
         sent_at_s = self._clock.monotonic_s()
         try:
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -5,7 +5,6 @@
 
 from mode import Service
 
-from ..batch.advice import needs_advice, step_ref_of
 from ..batch.engine import Engine, Plan
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
@@ -253,20 +252,10 @@
             return
         for allocation in allocations:
             link = self._worker_registry.find_link(allocation.worker)
-            ticket = self._find_ticket(allocation)
-            is_allowed = ticket or not needs_advice(allocation.unit)
-            if link is None or not is_allowed:
+            ticket = self._advice_requester.find_ticket(allocation)
+            if link is None or ticket is None:
                 self._worker_events.handle_run_ended(
                     allocation, EndKind.NEVER_STARTED
                 )
             else:
                 link.orders.order_start(allocation, ticket)
-
-    def _find_ticket(self, allocation: Allocation) -> str:
-        worker = self.engine.workers.get(allocation.worker)
-        if worker is None:
-            return ''
-        now_s = self._clock.monotonic_s()
-        return self.engine.tickets.find(
-            step_ref_of(allocation.unit), worker, now_s
-        )
