Store when the leases of silent workers expire, for the next leader

The class: a time-out that begins anew with each change of leader.

The leader now stores when the leases of the workers that it does not reach expire, and the next one goes on from there. A worker whose expiry is stored is granted no lease and no run before its entry is removed from the store, so a late write, a lost response or a paused leader leaves an entry that is right or none.

Ruled out: wall clocks (they step), store leases (they may run out at an outage), an allocation that nothing ends (the control with one leader passes).

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -28,6 +28,7 @@
     mark_for_stop,
     new_job,
 )
+from .lease_expiry import LeaseExpiryTable
 from .membership import placeholder_worker
 from .policy import DesiredState
 from .preemption_plan import PreemptionPlan
@@ -84,6 +85,7 @@
         self.estimates = RuntimeEstimates()
         self.reliability = WorkerReliability()
         self.tickets = TicketCache()
+        self.lease_expiry = LeaseExpiryTable()
         self.urgent_demand = UrgentDemand()
         # Passes so far; each examines other workers of a large pool.
         self.pass_count = 0
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -42,7 +42,7 @@
     is_restarted = report.started_unix_ms != worker.entry.started_unix_ms
     if is_restarted:
         _start_new_incarnation(worker, report, report_changes, requested_at_s)
-    worker.record_clock(report.clock_ms, now_s)
+    worker.record_clock(report.clock_ms, now_s, requested_at_s)
     for ended in report.ended:
         _apply_end(worker, ended, report_changes)
     listed = set()
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -361,6 +361,8 @@
     is_responding = worker.has_reported and not worker.failed_polls
     if not is_responding or worker.orphans or not is_in_service(engine, worker):
         return False
+    if worker.id in engine.lease_expiry.named:
+        return False
     return not engine.reliability.is_quarantined(worker.id, now_s)
 
 
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -1,5 +1,6 @@
 """State of a worker as known to the scheduler."""
 
+import math
 from collections.abc import Iterable
 from enum import Enum
 
@@ -105,6 +106,8 @@
     # Last reading of its clock, and when it was received.
     clock_ms: int = 0
     clock_read_at_s: float = 0.0
+    # When the report with that reading was requested.
+    clock_requested_at_s: float = 0.0
     # Latest lease end that it may have received, on its clock.
     max_lease_end_ms: int = 0
     # When all leases have certainly expired unless another report arrives.
@@ -143,9 +146,17 @@
         elapsed_s = now_s - self.clock_read_at_s
         return self.clock_ms + int(elapsed_s * (1 - MAX_CLOCK_DRIFT) * MS_PER_S)
 
-    def record_clock(self, clock_ms: int, now_s: float) -> None:
+    def latest_clock_ms(self, now_s: float) -> int:
+        """Return the latest time that its clock may show at ``now_s``."""
+        elapsed_s = now_s - self.clock_requested_at_s
+        return self.clock_ms + math.ceil(elapsed_s * MS_PER_S)
+
+    def record_clock(
+        self, clock_ms: int, now_s: float, requested_at_s: float
+    ) -> None:
         """Record a clock reading that was received at ``now_s``."""
         self.clock_ms = clock_ms
+        self.clock_requested_at_s = requested_at_s
         self.clock_read_at_s = now_s
         self.last_report_at_s = now_s
         self.failed_polls = 0
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -19,6 +19,7 @@
 from .job_records import JobRecords, PendingWrite, load_jobs
 from .job_requests import JobRequestHandler
 from .leadership import AUTHORITY_TTL_S, Leadership
+from .lease_expiry_writer import LeaseExpiryWriter
 from .messages import LeaderRecord
 from .metrics import NodeMetrics
 from .settings import NodeSettings, run_lease_ms
@@ -81,6 +82,9 @@
             settings=settings,
             clock=clock,
         )
+        self._lease_expiry_writer = LeaseExpiryWriter(
+            self.engine, self._store_writer
+        )
         self._advice_requester = AdviceRequester(
             self.engine, worker_adapter.request_advice, clock
         )
@@ -98,6 +102,7 @@
         self._tasks.cancel()
         self._worker_events.tasks.cancel()
         self._advice_requester.tasks.cancel()
+        self._lease_expiry_writer.tasks.cancel()
 
     def set_desired_state(self, desired_state: DesiredState) -> None:
         """Use ``desired_state`` from the next pass on."""
@@ -110,6 +115,7 @@
         self._worker_events.find_link = self._worker_registry.find_link
         self._worker_events.on_change = self._has_changes.set
         self._worker_registry.on_change = self._has_changes.set
+        self._lease_expiry_writer.on_stored = self._has_changes.set
         self._advice_requester.on_change = self._has_changes.set
         self.job_requests.run_pass = self._run_pass_if_due
         self.job_requests.stop_runs = self._worker_registry.order_stops
@@ -140,6 +146,7 @@
         time of the previous leader too unless it is known to have ended.
         """
         loaded = await load_jobs(self._store, self._clock)
+        lease_expiry = await self._lease_expiry_writer.load(self._store)
         self._store_writer.revisions.update(loaded.revisions)
         lease_expiry_s = self._lease_ms / MS_PER_S * LEASE_DRIFT_FACTOR
         if not self._leadership.has_previous_leader_ended:
@@ -147,6 +154,9 @@
         self.engine.restore(
             loaded.jobs, self._clock.monotonic_s() + lease_expiry_s
         )
+        self.engine.lease_expiry.restore(
+            lease_expiry, self._clock.monotonic_s()
+        )
         self.is_loaded = True
         log_event(
             logger,
@@ -183,6 +193,7 @@
     def _tick(self) -> None:
         engine = self.engine
         now_s = self._clock.monotonic_s()
+        self._lease_expiry_writer.update(now_s)
         for worker in find_expired_workers(engine.workers.values(), now_s):
             log_event(
                 logger,
--- a/src/bulrushcove/node/store_keys.py
+++ b/src/bulrushcove/node/store_keys.py
@@ -5,6 +5,8 @@
 KEY_PREFIX = 'bulrushcove/'
 # Record of the leader.
 LEADER_KEY = f'{KEY_PREFIX}tenure'
+# When the leases of workers that do not respond expire.
+LEASE_EXPIRY_KEY = f'{KEY_PREFIX}lease-expiry'
 # Stream addresses of the VMs.
 VMS_PREFIX = f'{KEY_PREFIX}vms/'
 # Accepted submissions, and the progress of their jobs.
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -57,6 +57,10 @@
         """Return whether this VM has the authority to send orders."""
         return self._leadership.has_authority
 
+    def may_renew_lease(self, worker: Worker) -> bool:
+        """Return whether the lease of ``worker`` may be renewed now."""
+        return worker.id not in self._engine.lease_expiry.named
+
     def is_start_wanted(self, allocation: Allocation) -> bool:
         """Return whether the start of ``allocation`` is still wanted."""
         worker = self._engine.workers.get(allocation.worker)
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -131,7 +131,7 @@
         lease_end_ms = None
         # A call without a response may still arrive late and renew the lease.
         # Without a renewal it is known when the lease has expired.
-        if worker.has_reported and worker.failed_polls < MAX_FAILED_POLLS:
+        if self._may_renew_lease():
             lease_ms = self._lease_ms
             if worker.entry.is_draining:
                 lease_ms = min(lease_ms, DRAINING_LEASE_MS)
@@ -167,6 +167,13 @@
             worker.record_lease(report.clock_ms + self._lease_ms)
         return True
 
+    def _may_renew_lease(self) -> bool:
+        worker = self.worker
+        is_responding = (
+            worker.has_reported and worker.failed_polls < MAX_FAILED_POLLS
+        )
+        return is_responding and self._event_handler.may_renew_lease(worker)
+
     def _is_failure_ignored(self, requested_at_s: float) -> bool:
         """Return whether a failed poll says nothing of the worker."""
         if self._ignored_polls >= MAX_IGNORED_POLLS:
@@ -213,6 +220,9 @@
         if worker.processed_end > worker.stored_end:
             # The worker responds at once while it has unacknowledged ends.
             return 0
+        if not self._event_handler.may_renew_lease(worker):
+            # Polled again soon, so that the lease is renewed in time.
+            return OPEN_ORDER_WAIT_MS
         if worker.orphans or any(
             allocation.phase is not AllocationPhase.RUNNING
             for allocation in worker.allocations.values()
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -97,6 +97,9 @@
     def may_send_orders(self) -> bool:
         """Return whether orders may be sent now."""
 
+    def may_renew_lease(self, worker: Worker) -> bool:
+        """Return whether the lease of ``worker`` may be renewed now."""
+
     def is_start_wanted(self, allocation: Allocation) -> bool:
         """Return whether the start of ``allocation`` is still wanted."""
 
--- a/tests/test_node_leader_changes.py
+++ b/tests/test_node_leader_changes.py
@@ -25,7 +25,7 @@
 from bulrushcove.node.messages import LeaderRecord
 from bulrushcove.node.metrics import NodeMetrics
 from bulrushcove.node.scheduler import Scheduler
-from bulrushcove.node.store_keys import LEADER_KEY
+from bulrushcove.node.store_keys import LEADER_KEY, LEASE_EXPIRY_KEY
 from bulrushcove.node.worker_registry import WorkerAdapter
 from bulrushcove.store import StoreLeaseId, Write
 
@@ -244,3 +244,30 @@
             running = deployment.runs_of('cut') + deployment.runs_of('spare')
             assert running in ([1], [], [2])
         assert running == [2]
+
+
+async def test_a_worker_that_responds_again_keeps_its_run(deployment):
+    await start_job_on(deployment, 'slow')
+    deployment.workers['slow'].is_silent = True
+    await deployment.add_worker('spare')
+    async with deployment.leader():
+        await deployment.advance(3)
+    assert LEASE_EXPIRY_KEY in deployment.store.values
+    async with deployment.leader():
+        deployment.workers['slow'].is_silent = False
+        await deployment.advance(10)
+    assert LEASE_EXPIRY_KEY not in deployment.store.values
+    assert deployment.runs_of('slow') == [1]
+    assert deployment.runs_of('spare') == []
+
+
+async def test_an_unreadable_lease_expiry_is_replaced(deployment):
+    await start_job_on(deployment, 'gone')
+    deployment.workers['gone'].is_silent = True
+    await deployment.add_worker('spare')
+    await deployment.store.commit((Write(LEASE_EXPIRY_KEY, b'odd', 0),))
+    async with deployment.leader():
+        await deployment.advance(FULL_WAIT_S - 2)
+        assert deployment.runs_of('spare') == []
+        await deployment.advance(3)
+    assert deployment.runs_of('spare') == [2]
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -66,6 +66,7 @@
         self.is_wanted = True
         self.is_late = False
         self.has_authority = True
+        self.renews_leases = True
 
     def was_late_since(self, since_s):
         return self.is_late
@@ -73,6 +74,9 @@
     def may_send_orders(self):
         return self.has_authority
 
+    def may_renew_lease(self, worker):
+        return self.renews_leases
+
     def is_start_wanted(self, allocation):
         return self.is_wanted
 
@@ -81,7 +85,7 @@
 
     def handle_report(self, worker, report, requested_at_s):
         worker.has_reported = True
-        worker.record_clock(report.clock_ms, self.bench.now_s)
+        worker.record_clock(report.clock_ms, self.bench.now_s, requested_at_s)
 
     def handle_started(self, allocation):
         self.bench.engine.confirm_starts((allocation,), self.bench.now_s)
@@ -242,6 +246,16 @@
     assert harness.client.leases[2] is not None
 
 
+async def test_a_lease_is_withheld_while_its_stored_expiry_counts(harness):
+    harness.event_handler.renews_leases = False
+    await harness.link.start()
+    await settle()
+    assert set(harness.client.leases) == {None}
+    harness.event_handler.renews_leases = True
+    await settle()
+    assert harness.client.leases[-1] is not None
+
+
 async def test_another_incarnation_at_the_address_is_reported(harness):
     harness.client.reports = [WorkerReplacedError('another worker')]
     await harness.link.start()
