Let a leader wait for all leaders before it, not for the last one only

What users would see: a task runs twice. A new leader that knew the previous one to have ended waited for one lease, 8 s, although a leader before that one could still act: cut off from the VMs but not from a worker, it renews that worker's lease for up to 12 s. It takes two changes within 12 s of which the second is the death of the leader.

A leader now stores, beside the lease expiry, that none before it acts any more: 12 s after its start, or at once if the one that it replaced had stored the same and has ended. Only then does its successor wait for one lease.

--- a/src/bulrushcove/batch/lease_expiry.py
+++ b/src/bulrushcove/batch/lease_expiry.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from ..clock import MS_PER_S
-from ..ids import DomainName, WorkerId
+from ..ids import DomainName, Epoch, WorkerId
 from .exceptions import RecordError
 from .workers import MAX_CLOCK_DRIFT, Worker, find_silent_workers
 
@@ -57,6 +57,8 @@
     """Value stored under ``bulrushcove/lease-expiry``."""
 
     groups: tuple[ExpiryGroup, ...] = ()
+    # No leader of an epoch below this one acts any more.
+    sole_epoch: Epoch = Epoch(0)
 
 
 _decoder = msgspec.msgpack.Decoder(LeaseExpiryRecord)
@@ -84,11 +86,25 @@
         self.named: frozenset[WorkerId] = frozenset()
         self._record = LeaseExpiryRecord()
         self._restored_at_s = 0.0
-
-    def restore(self, record: LeaseExpiryRecord, now_s: float) -> None:
-        """Use ``record``, which a new leader has read from the store."""
+        self._epoch = Epoch(0)
+        self._sole_at_s = math.inf
+
+    def restore(
+        self,
+        record: LeaseExpiryRecord,
+        now_s: float,
+        *,
+        epoch: Epoch,
+        sole_at_s: float,
+    ) -> None:
+        """Use ``record``, which the new leader of ``epoch`` has read.
+
+        All earlier leaders have ceased to act at ``sole_at_s``.
+        """
         self._record = record
         self._restored_at_s = now_s
+        self._epoch = epoch
+        self._sole_at_s = sole_at_s
         self.named = _named_workers(record)
 
     def advance(self, workers: Workers, now_s: float) -> None:
@@ -129,7 +145,10 @@
         ]
         if uncovered:
             groups.extend(_new_group(uncovered, workers, now_s))
-        record = LeaseExpiryRecord(tuple(groups))
+        is_sole = now_s >= self._sole_at_s
+        record = LeaseExpiryRecord(
+            tuple(groups), self._epoch if is_sole else self._record.sole_epoch
+        )
         return None if record == self._record else record
 
     def start_storing(self, record: LeaseExpiryRecord) -> None:
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -56,6 +56,8 @@
         # Whether the previous leader's process is known to have ended, so that
         # it can no longer send orders or renew leases.
         self.has_previous_leader_ended = False
+        # Epoch of the leader that this VM replaced; zero: it knows of none.
+        self.previous_epoch = Epoch(0)
         self._settings = settings
         self._store = store
         self._peers = peers
@@ -251,6 +253,7 @@
             self._last_read_epoch > 0
             and self._last_read_epoch == self._monitor.ended_epoch
         )
+        self.previous_epoch = self._last_read_epoch
         self.leader = leader
         self._monitor.reset()
         self._is_leader = True
--- a/src/bulrushcove/node/lease_expiry_writer.py
+++ b/src/bulrushcove/node/lease_expiry_writer.py
@@ -67,8 +67,9 @@
             self.tasks.spawn(self._store(record))
 
     async def _store(self, record: LeaseExpiryRecord) -> None:
-        encoded = encode_lease_expiry(record) if record.groups else None
-        write = self._store_writer.put(LEASE_EXPIRY_KEY, encoded)
+        write = self._store_writer.put(
+            LEASE_EXPIRY_KEY, encode_lease_expiry(record)
+        )
         try:
             await asyncio.shield(write)
         except LeadershipLostError:
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -143,19 +143,26 @@
 
         Runs that no worker reports count as ended once every lease that may
         exist has expired: the lease time with clock drift, and the authority
-        time of the previous leader too unless it is known to have ended.
+        time too unless all previous leaders are known to have ended.
         """
         loaded = await load_jobs(self._store, self._clock)
         lease_expiry = await self._lease_expiry_writer.load(self._store)
         self._store_writer.revisions.update(loaded.revisions)
         lease_expiry_s = self._lease_ms / MS_PER_S * LEASE_DRIFT_FACTOR
-        if not self._leadership.has_previous_leader_ended:
+        sole_at_s = self._clock.monotonic_s()
+        # The previous leader may not have known those before it to have ended.
+        was_sole = lease_expiry.sole_epoch == self._leadership.previous_epoch
+        if not (self._leadership.has_previous_leader_ended and was_sole):
             lease_expiry_s += AUTHORITY_TTL_S
+            sole_at_s += AUTHORITY_TTL_S
         self.engine.restore(
             loaded.jobs, self._clock.monotonic_s() + lease_expiry_s
         )
         self.engine.lease_expiry.restore(
-            lease_expiry, self._clock.monotonic_s()
+            lease_expiry,
+            self._clock.monotonic_s(),
+            epoch=self._epoch,
+            sole_at_s=sole_at_s,
         )
         self.is_loaded = True
         log_event(
--- a/tests/test_batch_lease_expiry.py
+++ b/tests/test_batch_lease_expiry.py
@@ -1,5 +1,6 @@
 """The stored lease expiry of silent workers, across changes of leader."""
 
+import math
 import random
 
 import pytest
@@ -23,12 +24,14 @@
     restore_job,
 )
 from bulrushcove.batch.workers import find_expired_workers
+from bulrushcove.ids import Epoch
 
 LEASE_S = 6.0
 DRAINING_LEASE_S = 3.0
 # Longest time that a replaced leader goes on to act.
 AUTHORITY_S = 12.0
 STEP_S = 0.25
+EPOCH = Epoch(7)
 WORKER_COUNT = 6
 
 
@@ -64,15 +67,21 @@
 class SimulatedLeader:
     """One leader's engine, fed with the reports of simulated workers."""
 
-    def __init__(self, world, epoch):
+    def __init__(self, world, epoch, *, ended_epoch=0):
         self.world = world
         self.epoch = epoch
         self.clock_offset_s = world.generator.uniform(0, 1000)
         self.engine = Engine()
         now_s = self.now_s()
-        self.engine.restore(world.load_jobs(), now_s + world.full_wait_s())
+        sole_at_s = now_s
+        if not ended_epoch or ended_epoch != world.record.sole_epoch:
+            sole_at_s += AUTHORITY_S
+        self.engine.restore(world.load_jobs(), sole_at_s + LEASE_S * 1.0205)
         self.engine.lease_expiry.restore(
-            decode_lease_expiry(encode_lease_expiry(world.record)), now_s
+            decode_lease_expiry(encode_lease_expiry(world.record)),
+            now_s,
+            epoch=epoch,
+            sole_at_s=sole_at_s,
         )
         # A write that is under way.
         self.pending = None
@@ -169,17 +178,18 @@
             for spec, progress in self.stored_jobs
         ]
 
-    def full_wait_s(self):
-        return LEASE_S * 1.0205 + AUTHORITY_S
-
     def change_leader(self):
-        """Replace the leader; it acts on until its authority ends."""
+        """Replace the leader; it has ended, or acts on for a while."""
         old = self.leader
         if old.pending is not None and self.generator.random() < 0.5:
             # Carried out, but the leader never hears of it.
             self.record = old.pending
-        self.replaced.append((old, self.true_s + AUTHORITY_S))
-        self.leader = SimulatedLeader(self, old.epoch + 1)
+        has_ended = self.generator.random() < 0.5
+        if not has_ended:
+            self.replaced.append((old, self.true_s + AUTHORITY_S))
+        self.leader = SimulatedLeader(
+            self, old.epoch + 1, ended_epoch=old.epoch if has_ended else 0
+        )
 
     def change_cuts(self):
         simulated = self.generator.choice(self.workers)
@@ -233,7 +243,9 @@
     )
     bench = Bench(*(entry(name) for name in names))
     bench.engine.restore([restored], bench.now_s + full_wait_s)
-    bench.engine.lease_expiry.restore(record, bench.now_s)
+    bench.engine.lease_expiry.restore(
+        record, bench.now_s, epoch=EPOCH, sole_at_s=math.inf
+    )
     return bench
 
 
@@ -300,11 +312,11 @@
     table = bench.engine.lease_expiry
     bench.add_worker(entry('silent'))
     record = next_record(bench)
-    assert record.groups == ()
+    assert not record.groups
     table.start_storing(record)
     assert 'silent' in table.named
     table.finish_storing(record)
-    assert table.named == frozenset()
+    assert not table.named
 
 
 def test_a_named_worker_is_given_no_run():
@@ -312,7 +324,7 @@
     bench = restored_engine(stored_record())
     bench.add_worker(entry('silent'))
     bench.submit(job_spec('other'))
-    assert bench.plan().starts == []
+    assert not bench.plan().starts
     bench.engine.lease_expiry.finish_storing(LeaseExpiryRecord())
     assert bench.plan().starts
 
@@ -332,3 +344,18 @@
 def test_a_record_that_cannot_be_decoded_is_an_error_of_records(stored):
     with pytest.raises(RecordError):
         decode_lease_expiry(stored)
+
+
+def test_a_leader_is_sole_once_all_earlier_ones_have_ended():
+    """Two changes within 12 s: a leader that is cut off may still act."""
+    bench = Bench()
+    table = bench.engine.lease_expiry
+    table.restore(
+        LeaseExpiryRecord((), Epoch(5)),
+        bench.now_s,
+        epoch=EPOCH,
+        sole_at_s=bench.now_s + AUTHORITY_S,
+    )
+    assert next_record(bench) is None
+    bench.advance(AUTHORITY_S)
+    assert next_record(bench).sole_epoch == EPOCH
--- a/tests/test_node_leader_changes.py
+++ b/tests/test_node_leader_changes.py
@@ -12,6 +12,7 @@
 from batch_builders import entry, job_spec, report
 from fake_watchable_store import FakeWatchableStore
 
+from bulrushcove.batch.lease_expiry import decode_lease_expiry
 from bulrushcove.batch.orders import (
     OrderOutcome,
     OrderReply,
@@ -22,6 +23,7 @@
 from bulrushcove.metrics import new_metrics
 from bulrushcove.node import scheduler as scheduler_module
 from bulrushcove.node import worker_link as link_module
+from bulrushcove.node.leadership import AUTHORITY_TTL_S
 from bulrushcove.node.messages import LeaderRecord
 from bulrushcove.node.metrics import NodeMetrics
 from bulrushcove.node.scheduler import Scheduler
@@ -95,6 +97,7 @@
         self.workers = {}
         self.leader_revision = 0
         self.has_previous_leader_ended = False
+        self.previous_epoch = 0
 
     async def add_worker(self, name, **others):
         worker = FakeWorker(self.clock, name, **others)
@@ -119,6 +122,7 @@
     @asynccontextmanager
     async def leader(self):
         """Yield the scheduler of a new leader; stop it at the end."""
+        self.previous_epoch = self.leader_revision
         write = Write(LEADER_KEY, b'', self.leader_revision)
         answer = await self.store.commit((write,))
         self.leader_revision = answer.store_revision
@@ -154,6 +158,7 @@
         return SimpleNamespace(
             has_authority=True,
             has_previous_leader_ended=self.has_previous_leader_ended,
+            previous_epoch=self.previous_epoch,
             confirm=lambda sent_at_s: None,
             step_down=step_down,
             loop_delay=SimpleNamespace(was_late_since=lambda since_s: False),
@@ -171,6 +176,10 @@
             self.clock.advance(step_s)
             await settle()
 
+    def stored_expiry(self):
+        stored = self.store.values[LEASE_EXPIRY_KEY].value
+        return decode_lease_expiry(stored)
+
     def runs_of(self, name):
         worker = self.workers[name]
         worker.expire()
@@ -252,11 +261,11 @@
     await deployment.add_worker('spare')
     async with deployment.leader():
         await deployment.advance(3)
-    assert LEASE_EXPIRY_KEY in deployment.store.values
+    assert deployment.stored_expiry().groups
     async with deployment.leader():
         deployment.workers['slow'].is_silent = False
         await deployment.advance(10)
-    assert LEASE_EXPIRY_KEY not in deployment.store.values
+    assert not deployment.stored_expiry().groups
     assert deployment.runs_of('slow') == [1]
     assert deployment.runs_of('spare') == []
 
@@ -271,3 +280,23 @@
         assert deployment.runs_of('spare') == []
         await deployment.advance(3)
     assert deployment.runs_of('spare') == [2]
+
+
+@pytest.mark.parametrize(
+    ('led_s', 'longest_wait_s'),
+    [(0.5, FULL_WAIT_S), (AUTHORITY_TTL_S + 1, FULL_WAIT_S - AUTHORITY_TTL_S)],
+)
+async def test_a_leader_before_the_previous_one_may_still_act(
+    deployment, led_s, longest_wait_s
+):
+    """The previous leader has ended, but it led for a moment only."""
+    await start_job_on(deployment, 'cut')
+    deployment.workers['cut'].is_silent = True
+    await deployment.add_worker('spare')
+    async with deployment.leader():
+        await deployment.advance(led_s)
+    deployment.has_previous_leader_ended = True
+    async with deployment.leader() as scheduler:
+        expires_at_s = scheduler.engine.workers['cut'].leases_expire_at_s
+        wait_s = expires_at_s - deployment.clock.monotonic_s()
+    assert longest_wait_s - 1 < wait_s < longest_wait_s + 0.01
--- a/tests/test_node_scheduler.py
+++ b/tests/test_node_scheduler.py
@@ -50,7 +50,11 @@
         self.scheduler = Scheduler(
             SimpleNamespace(max_lease_ms=6000, cpu_cores=1.0),
             FakeWatchableStore(),
-            SimpleNamespace(has_authority=True, has_previous_leader_ended=True),
+            SimpleNamespace(
+                has_authority=True,
+                has_previous_leader_ended=True,
+                previous_epoch=Epoch(0),
+            ),
             leader,
             worker_adapter=WorkerAdapter(
                 '', lambda *_: None, lambda *_: None, self.request_advice
