Step down as soon as the leader record names another VM

Found while the wait for earlier leaders was traced. A leader that is replaced while it still reaches the store went on: the VM that replaced it ends the lease of the old record, but may die before it does, and as long as that lease lives each renewal confirms the old leader's authority. It stopped at its first write or at the first worker that the new leader had reached. Each VM already watches the record; the leader now reads it when it changes. test_a_replaced_leader_steps_down_although_its_lease_lives failed before (no step down within 5 s).

--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -180,6 +180,15 @@
         leader = self.leader
         if leader is None:
             return
+        if self._has_record_changed:
+            # The lease of a replaced record may live on: renewals succeed.
+            record = await self._records.read()
+            self._has_record_changed = False
+            if record is not None and record.epoch != leader.epoch:
+                await self.step_down(
+                    'another VM has replaced the leader record'
+                )
+                return
         sent_at_s = self._clock.monotonic_s()
         try:
             is_alive = await self._store.renew_lease(leader.lease)
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -22,7 +22,7 @@
 from bulrushcove.node.metrics import NodeMetrics
 from bulrushcove.node.peers import PeerRefusedError
 from bulrushcove.node.store_keys import LEADER_KEY
-from bulrushcove.store import Write
+from bulrushcove.store import StoreLeaseId, Write
 
 SETTINGS = SimpleNamespace(
     vm=VmId('vm-1'), min_store_lease_ms=1000, cpu_cores=1.0
@@ -258,3 +258,28 @@
     await rig.leadership._read_record()
     assert rig.leadership.leader.epoch == replaced.epoch
     assert rig.peers.closed_streams == ['vm-9:1']
+
+
+async def test_a_replaced_leader_steps_down_although_its_lease_lives(rig):
+    """Each renewal of the lease confirmed it, and it went on to send orders."""
+    await rig.leadership.start()
+    await rig.wait_gained()
+    own = rig.store.values[LEADER_KEY]
+    other = LeaderRecord(
+        VmId('vm-0'), IncarnationId('x'), 'vm-0:1', StoreLeaseId(0)
+    )
+    encoded = msgspec.msgpack.encode(other)
+    await rig.store.commit((Write(LEADER_KEY, encoded, own.mod_revision),))
+    rig.leadership.handle_record_changed()
+    async with asyncio.timeout(WAIT_S):
+        while not rig.lost:
+            await asyncio.sleep(0.005)
+    assert not rig.leadership.is_leader
+
+
+async def test_a_leader_keeps_leading_after_a_change_of_its_own_record(rig):
+    await rig.leadership.start()
+    await rig.wait_gained()
+    rig.leadership.handle_record_changed()
+    await asyncio.sleep(0.05)
+    assert rig.leadership.is_leader
