Bound all leases of a leader by the store's last confirmation

What users would see: work of a failure domain that loses power together with the leader was started again 20.2 s later (18.1 s where leases last 6 s). A leader without the store acts for 12 s and granted leases of up to 8 s to the end, so its successor waited for both.

Now no lease ends later than 14 s after the last confirmation, and the successor waits 14.3 s. Tolerated outages are as before: renewals go on for 12 s, and 2 s are left for a confirmation that arrives late.

--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -26,6 +26,10 @@
 # running tasks alive through an outage of the store.
 AUTHORITY_TTL_S = 12.0
 
+# How long the leases of runs may outlast the authority of their leader. Covers
+# a confirmation that arrives late after an outage of the store.
+LEASE_TAIL_S = 2.0
+
 logger = logging.getLogger(__name__)
 
 
@@ -67,7 +71,8 @@
         # Epoch of the last record read that another VM wrote.
         self._last_read_epoch = Epoch(0)
         self._is_leader = False
-        self._confirmed_at_s = 0.0
+        # When the store last confirmed leadership.
+        self.confirmed_at_s = 0.0
         self._wake = asyncio.Event()
         self._has_record_changed = False
 
@@ -82,7 +87,7 @@
 
         It may until ``AUTHORITY_TTL_S`` after its last confirmation.
         """
-        age_s = self._clock.monotonic_s() - self._confirmed_at_s
+        age_s = self._clock.monotonic_s() - self.confirmed_at_s
         return self._is_leader and age_s < AUTHORITY_TTL_S
 
     @property
@@ -105,7 +110,7 @@
         Such a call renews the lease of the leader record, or is a write
         conditional on that record.
         """
-        self._confirmed_at_s = max(self._confirmed_at_s, sent_at_s)
+        self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
 
     def handle_hand_over(self, epoch: Epoch) -> None:
         """Stop following the leader of ``epoch``, which has resigned."""
@@ -193,7 +198,7 @@
         try:
             is_alive = await self._store.renew_lease(leader.lease)
         except StoreError as exc:
-            age_s = sent_at_s - self._confirmed_at_s
+            age_s = sent_at_s - self.confirmed_at_s
             log_event(
                 logger,
                 'tenure.renewal_failed',
@@ -266,7 +271,7 @@
         self.leader = leader
         self._monitor.reset()
         self._is_leader = True
-        self._confirmed_at_s = confirmed_at_s
+        self.confirmed_at_s = confirmed_at_s
         log_event(
             logger,
             'tenure.won',
@@ -276,6 +281,15 @@
         await self.on_gained(leader)
 
 
+def longest_lease_s(confirmed_at_s: float, now_s: float) -> float:
+    """Return for how long a leader may grant leases at ``now_s``.
+
+    A later leader waits until all of them have expired.
+    """
+    authority_ends_at_s = confirmed_at_s + AUTHORITY_TTL_S
+    return max(0, authority_ends_at_s + LEASE_TAIL_S - now_s)
+
+
 async def _wait(event: asyncio.Event, timeout_s: float) -> None:
     """Wait until ``event`` is set, at most ``timeout_s``."""
     try:
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -9,7 +9,12 @@
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
 from ..batch.policy import DesiredState
-from ..batch.workers import EndKind, find_expired_workers, find_silent_workers
+from ..batch.workers import (
+    MAX_CLOCK_DRIFT,
+    EndKind,
+    find_expired_workers,
+    find_silent_workers,
+)
 from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
 from ..logs import log_event, log_unexpected_error
@@ -18,7 +23,7 @@
 from .background_tasks import BackgroundTasks
 from .job_records import JobRecords, PendingWrite, load_jobs
 from .job_requests import JobRequestHandler
-from .leadership import AUTHORITY_TTL_S, Leadership
+from .leadership import AUTHORITY_TTL_S, LEASE_TAIL_S, Leadership
 from .lease_expiry_writer import LeaseExpiryWriter
 from .messages import LeaderRecord
 from .metrics import NodeMetrics
@@ -28,7 +33,7 @@
 from .worker_registry import WorkerAdapter, WorkerRegistry
 
 # A worker's clock may run slow, which prolongs a lease by up to this factor.
-LEASE_DRIFT_FACTOR = 1.02
+LEASE_DRIFT_FACTOR = 1 / (1 - MAX_CLOCK_DRIFT)
 # Changes within this time are handled by one scheduling pass.
 BATCHING_DELAY_S = 0.01
 # The event loop must also serve callers and workers, so passes take at most a
@@ -142,19 +147,20 @@
         """Restore all jobs from the store; scheduling starts only after it.
 
         Runs that no worker reports count as ended once every lease that may
-        exist has expired: the lease time with clock drift, and the authority
-        time too unless all previous leaders are known to have ended.
+        exist has expired, with clock drift: the lease time, or all that a
+        leader may grant unless all previous ones are known to have ended.
         """
         loaded = await load_jobs(self._store, self._clock)
         lease_expiry = await self._lease_expiry_writer.load(self._store)
         self._store_writer.revisions.update(loaded.revisions)
-        lease_expiry_s = self._lease_ms / MS_PER_S * LEASE_DRIFT_FACTOR
+        lease_expiry_s = self._lease_ms / MS_PER_S
         sole_at_s = self._clock.monotonic_s()
         # The previous leader may not have known those before it to have ended.
         was_sole = lease_expiry.sole_epoch == self._leadership.previous_epoch
         if not (self._leadership.has_previous_leader_ended and was_sole):
-            lease_expiry_s += AUTHORITY_TTL_S
+            lease_expiry_s = AUTHORITY_TTL_S + LEASE_TAIL_S
             sole_at_s += AUTHORITY_TTL_S
+        lease_expiry_s *= LEASE_DRIFT_FACTOR
         self.engine.restore(
             loaded.jobs, self._clock.monotonic_s() + lease_expiry_s
         )
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -13,12 +13,12 @@
 from ..batch.reconcile import AllocationEnd
 from ..batch.scheduling_pass import is_in_service, is_schedulable
 from ..batch.workers import EndKind, Worker, WorkerReport
-from ..clock import Clock
+from ..clock import MS_PER_S, Clock
 from ..ids import WorkerId
 from ..logs import log_event
 from .background_tasks import BackgroundTasks
 from .job_records import JobRecords
-from .leadership import Leadership
+from .leadership import Leadership, longest_lease_s
 from .store_writer import LeadershipLostError, WriteWithdrawnError
 from .worker_link import WorkerLink
 
@@ -57,9 +57,14 @@
         """Return whether this VM has the authority to send orders."""
         return self._leadership.has_authority
 
-    def may_renew_lease(self, worker: Worker) -> bool:
-        """Return whether the lease of ``worker`` may be renewed now."""
-        return worker.id not in self._engine.lease_expiry.named
+    def longest_lease_ms(self, worker: Worker) -> int:
+        """Return the longest lease to grant ``worker`` now; zero: none."""
+        if worker.id in self._engine.lease_expiry.named:
+            return 0
+        longest_s = longest_lease_s(
+            self._leadership.confirmed_at_s, self._clock.monotonic_s()
+        )
+        return int(longest_s * MS_PER_S)
 
     def is_start_wanted(self, allocation: Allocation) -> bool:
         """Return whether the start of ``allocation`` is still wanted."""
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -129,12 +129,8 @@
         await self._wait_for_stored_ends()
         requested_at_s = self._clock.monotonic_s()
         lease_end_ms = None
-        # A call without a response may still arrive late and renew the lease.
-        # Without a renewal it is known when the lease has expired.
-        if self._may_renew_lease():
-            lease_ms = self._lease_ms
-            if worker.entry.is_draining:
-                lease_ms = min(lease_ms, DRAINING_LEASE_MS)
+        lease_ms = self._next_lease_ms()
+        if lease_ms:
             lease_end_ms = worker.estimate_clock_ms(requested_at_s) + lease_ms
             worker.record_lease(lease_end_ms)
         stored_end = worker.stored_end
@@ -167,12 +163,17 @@
             worker.record_lease(report.clock_ms + self._lease_ms)
         return True
 
-    def _may_renew_lease(self) -> bool:
+    def _next_lease_ms(self) -> int:
+        """Return the lease that the next poll grants; zero: none."""
         worker = self.worker
-        is_responding = (
-            worker.has_reported and worker.failed_polls < MAX_FAILED_POLLS
-        )
-        return is_responding and self._event_handler.may_renew_lease(worker)
+        # A call without a response may still arrive late and renew the lease.
+        # Without a renewal it is known when the lease has expired.
+        if not worker.has_reported or worker.failed_polls >= MAX_FAILED_POLLS:
+            return 0
+        lease_ms = self._lease_ms
+        if worker.entry.is_draining:
+            lease_ms = min(lease_ms, DRAINING_LEASE_MS)
+        return min(lease_ms, self._event_handler.longest_lease_ms(worker))
 
     def _is_failure_ignored(self, requested_at_s: float) -> bool:
         """Return whether a failed poll says nothing of the worker."""
@@ -220,7 +221,7 @@
         if worker.processed_end > worker.stored_end:
             # The worker responds at once while it has unacknowledged ends.
             return 0
-        if not self._event_handler.may_renew_lease(worker):
+        if not self._event_handler.longest_lease_ms(worker):
             # Polled again soon, so that the lease is renewed in time.
             return OPEN_ORDER_WAIT_MS
         if worker.orphans or any(
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -97,8 +97,8 @@
     def may_send_orders(self) -> bool:
         """Return whether orders may be sent now."""
 
-    def may_renew_lease(self, worker: Worker) -> bool:
-        """Return whether the lease of ``worker`` may be renewed now."""
+    def longest_lease_ms(self, worker: Worker) -> int:
+        """Return the longest lease to grant ``worker`` now; zero: none."""
 
     def is_start_wanted(self, allocation: Allocation) -> bool:
         """Return whether the start of ``allocation`` is still wanted."""
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -16,7 +16,12 @@
 from bulrushcove.node import leader_monitor as monitor_module
 from bulrushcove.node import leader_records as records_module
 from bulrushcove.node import leadership as leadership_module
-from bulrushcove.node.leadership import AUTHORITY_TTL_S, Leadership
+from bulrushcove.node.leadership import (
+    AUTHORITY_TTL_S,
+    LEASE_TAIL_S,
+    Leadership,
+    longest_lease_s,
+)
 from bulrushcove.node.loop_delay import LoopDelay
 from bulrushcove.node.messages import LeaderRecord, Pong
 from bulrushcove.node.metrics import NodeMetrics
@@ -283,3 +288,14 @@
     rig.leadership.handle_record_changed()
     await asyncio.sleep(0.05)
     assert rig.leadership.is_leader
+
+
+async def test_leases_end_soon_after_the_authority_to_grant_them(rig):
+    await rig.leadership.start()
+    await rig.wait_gained()
+    rig.store.down = True
+    rig.clock.advance(AUTHORITY_TTL_S)
+    confirmed_at_s = rig.leadership.confirmed_at_s
+    now_s = rig.clock.monotonic_s()
+    assert longest_lease_s(confirmed_at_s, now_s) == LEASE_TAIL_S
+    assert not longest_lease_s(confirmed_at_s, now_s + LEASE_TAIL_S)
