Treat deep nesting as a decoding error at each boundary

A worker's entry, the configuration, a job record, the leader record, a response, a frame or the settings file with deep nesting, also in a field that nobody reads, raised RecursionError through its decoder. The callers expect UndecodableError, RecordError, StoreError or WireError: a leader record of this kind ended the leadership service, a job record ended the start of a scheduler, and an entry of a worker ended its batch.

The installed msgspec raises RecursionError from a depth of 1,000 on, for JSON and msgpack, and tomllib does too. msgpack raises its own StackError beyond 1,024, but below that the error message that quoted the version, kind or correlation of a frame failed in turn. Settings that are not UTF-8 raised UnicodeDecodeError.

decoding.DECODE_ERRORS names what decoders raise; each boundary catches exactly this. quote() shortens values for error messages.

tests/test_deep_nesting.py failed before with "RecursionError: maximum recursion depth exceeded while deserializing an object" (28 of 37 cases; the others hold already and stay as guards).

--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..ids import WorkerId
 from .exceptions import RecordError
 from .job_spec import JobSpec
@@ -140,5 +141,5 @@
 def _decode(decoder: Any, stored: bytes) -> Any:
     try:
         return decoder.decode(stored)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except DECODE_ERRORS as exc:
         raise RecordError(f'cannot decode stored record: {exc}') from exc
--- a/src/bulrushcove/messages.py
+++ b/src/bulrushcove/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .configuration import Configuration
+from .decoding import DECODE_ERRORS
 from .exceptions import WireError
 from .ids import (
     DomainName,
@@ -133,5 +134,5 @@
     """
     try:
         return msgspec.convert(fields, message_type)
-    except msgspec.ValidationError as exc:
+    except DECODE_ERRORS as exc:
         raise WireError(f'{message_type.__name__}: {exc}') from exc
--- a/src/bulrushcove/node/leader_records.py
+++ b/src/bulrushcove/node/leader_records.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..clock import Clock
+from ..decoding import DECODE_ERRORS
 from ..exceptions import StoreError, StoreOutcomeUnknownError
 from ..ids import Epoch
 from ..logs import log_event
@@ -107,6 +108,6 @@
 def _decode_record(stored: StoredValue) -> LeaderRecord:
     try:
         leader = msgspec.msgpack.decode(stored.value, type=LeaderRecord)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except DECODE_ERRORS as exc:
         raise StoreError(f'cannot decode the leader record: {exc}') from exc
     return msgspec.structs.replace(leader, epoch=Epoch(stored.mod_revision))
--- a/src/bulrushcove/platform/http_client.py
+++ b/src/bulrushcove/platform/http_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from .exceptions import NoResponseError, NotSentError, UndecodableError
 
 # The kernel closes a connection whose data stays unacknowledged this long.
@@ -117,7 +118,7 @@
     """Decode JSON as ``message_type``; raises ``UndecodableError``."""
     try:
         return msgspec.json.decode(body, type=message_type)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except DECODE_ERRORS as exc:
         raise UndecodableError(f'{message_type.__name__}: {exc}') from exc
 
 
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -8,11 +8,13 @@
 import msgspec
 
 from ..clock import MS_PER_S
+from ..decoding import DECODE_ERRORS
 from ..ids import DomainName, VmId
 from ..node.settings import NodeSettings
 from .exceptions import UndecodableError
 
 SETTINGS_PATH_VARIABLE = 'BULRUSHCOVE_CONFIG'
+_FILE_ERRORS = (OSError, *DECODE_ERRORS)
 
 
 class _Listen(msgspec.Struct, rename='kebab'):
@@ -70,7 +72,7 @@
     path = os.environ.get(SETTINGS_PATH_VARIABLE, '')
     try:
         document = tomllib.loads(Path(path).read_text(encoding='utf-8'))
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+    except _FILE_ERRORS as exc:
         raise UndecodableError(f'settings file {path!r}: {exc}') from exc
     return decode_node_settings(document)
 
@@ -79,7 +81,7 @@
     """Decode a parsed settings file; raises ``UndecodableError``."""
     try:
         decoded = msgspec.convert(document, _Settings, strict=False)
-    except msgspec.ValidationError as exc:
+    except DECODE_ERRORS as exc:
         raise UndecodableError(f'settings: {exc}') from exc
     first_port, last_port = decoded.internal_ports
     default_stream_address = f'{decoded.ip}:{first_port}'
--- a/src/bulrushcove/wire.py
+++ b/src/bulrushcove/wire.py
@@ -11,12 +11,14 @@
 import msgpack
 import msgspec
 
+from .decoding import DECODE_ERRORS, quote
 from .exceptions import WireError
 
 WIRE_VERSION = 1
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_KIND_CHARACTERS = 64
+_UNPACK_ERRORS = (msgpack.UnpackException, *DECODE_ERRORS)
 
 
 class Frame(NamedTuple):
@@ -51,18 +53,20 @@
     """
     try:
         unpacked = msgpack.unpackb(body)
-    except (ValueError, msgpack.UnpackException) as exc:
+    except _UNPACK_ERRORS as exc:
         raise WireError(f'frame is not msgpack: {exc}') from exc
     try:
         version, kind, correlation, fields = unpacked
     except (TypeError, ValueError) as exc:
         raise WireError('frame is not an array of four elements') from exc
     if version != WIRE_VERSION:
-        raise WireError(f'frame version {version!r}, expected {WIRE_VERSION}')
+        raise WireError(
+            f'frame version {quote(version)}, expected {WIRE_VERSION}'
+        )
     if not isinstance(kind, str) or len(kind) > MAX_KIND_CHARACTERS:
-        raise WireError(f'frame kind {kind!r} is not a valid string')
+        raise WireError(f'frame kind {quote(kind)} is not a valid string')
     if not isinstance(correlation, int) or correlation < 0:
-        raise WireError(f'frame correlation {correlation!r} is not valid')
+        raise WireError(f'frame correlation {quote(correlation)} is not valid')
     return Frame(kind, correlation, fields)
 
 
