Apply each entry of the workers' list on its own

A leader could miss workers for good: an entry that raised an error ended the loop over the entries of its reload or watch. The error was logged and the process lived, but the revision had advanced, so the entries after the odd one were not applied until they were written again, and a worker whose entry had become odd was still used.

Each entry is now decoded and applied on its own. One that cannot be handled names no worker to use; the others hold.

--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -13,7 +13,7 @@
 from ..batch.workers import Worker, WorkerEntry
 from ..clock import Clock
 from ..ids import Epoch, WorkerId
-from ..logs import log_event
+from ..logs import log_event, log_unexpected_error
 from ..store import WatchableStore
 from .advice_requests import RequestAdvice
 from .background_tasks import BackgroundTasks
@@ -119,17 +119,23 @@
     ) -> None:
         # A new leader first needs to hear of the workers that have runs.
         for key in sorted(changed, key=self._has_no_runs):
-            encoded_entry = entries.get(key)
+            self._handle_key(key, entries.get(key))
+        self.on_change()
+
+    def _handle_key(self, key: str, encoded_entry: bytes | None) -> None:
+        """Apply one entry; an unexpected error affects its worker alone."""
+        try:
             entry = (
                 self._worker_adapter.decode_entry(key, encoded_entry)
                 if encoded_entry
                 else None
             )
-            if entry is None:
-                self._handle_unlisted(key)
-            else:
+            if entry is not None:
                 self._handle_entry(entry)
-        self.on_change()
+                return
+        except Exception as exc:
+            log_unexpected_error(logger, exc, worker=self._worker_id(key))
+        self._handle_unlisted(key)
 
     def _has_no_runs(self, key: str) -> bool:
         worker = self._engine.workers.get(self._worker_id(key))
