Check the values of a worker's entry for range

A leader could start no task at all any more: one entry of another writer with a capacity such as 10**400 was listed like any other, and each scheduling pass then failed with OverflowError (integer division result too large for a float). A large capacity that a float can hold drew the work. An address with a port out of range, with digits that are not ASCII, with spaces, a user, a path or a query was used for connections; one with a long label raised UnicodeError out of the client. A name with a control character raised ValueError for the X-Expect-Instance header.

Such an entry is logged and names no worker, and the others hold. An announced drain time below zero counts as zero.

--- a/src/bulrushcove/platform/store_entries.py
+++ b/src/bulrushcove/platform/store_entries.py
@@ -5,7 +5,8 @@
 """
 
 import logging
-from typing import Literal
+import re
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -15,6 +16,7 @@
 from ..batch.workers import WorkerEntry
 from ..ids import DomainName, OrganisationId, RackId, WorkerId
 from ..logs import log_event
+from ..node.addresses import AddressError, split_address
 from .exceptions import UndecodableError
 from .http_client import decode
 
@@ -26,6 +28,19 @@
 
 logger = logging.getLogger(__name__)
 
+# Far above any machine, and each number and their sums are exact in a float: a
+# capacity beyond would fail the scheduling pass or draw all work to it.
+MAX_WORKER_MILLICORES = 10_000_000
+MAX_WORKER_MEMORY_MB = 1_000_000_000
+MAX_WORKER_ACCELERATORS = 10_000
+# The last millisecond of the year 9999.
+MAX_UNIX_MS = 253_402_300_799_999
+# A week; a worker announces at most minutes.
+MAX_DRAIN_MS = 604_800_000
+# The id of a worker goes into an HTTP header: printable ASCII without spaces,
+# at most as long as a key of the store.
+_WORKER_ID_PATTERN = re.compile('[!-~]{1,200}')
+
 # msgspec's name for lower case words joined by hyphens.
 _HYPHENATED = 'kebab'
 
@@ -86,9 +101,9 @@
 
 class _Capacity(msgspec.Struct, rename=_HYPHENATED):
     # In millicores.
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Annotated[int, msgspec.Meta(ge=0, le=MAX_WORKER_MILLICORES)]
+    mem_mb: Annotated[int, msgspec.Meta(ge=0, le=MAX_WORKER_MEMORY_MB)]
+    gpu: Annotated[int, msgspec.Meta(ge=0, le=MAX_WORKER_ACCELERATORS)] = 0
 
 
 class _Server(msgspec.Struct, rename=_HYPHENATED):
@@ -103,8 +118,9 @@
     # The kind of the worker, then its rack as the last label.
     labels: list[str]
     # Unix milliseconds at which this incarnation of the worker started.
-    born: int = 0
-    drain_remaining_ms: float = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)] = 0
+    # Below zero: the announced time has passed.
+    drain_remaining_ms: Annotated[float, msgspec.Meta(le=MAX_DRAIN_MS)] = 0
 
 
 def decode_policy(stored: bytes) -> Policy | None:
@@ -129,16 +145,13 @@
 
 
 def decode_worker(key: str, stored: bytes) -> WorkerEntry | None:
-    """Decode a worker's entry; None if it is malformed or has no address."""
+    """Decode a worker's entry; None if it names no worker to use."""
     worker = WorkerId(key.removeprefix(WORKERS_PREFIX))
     try:
-        server = decode(stored, _Server)
-    except UndecodableError as exc:
+        server = _decode_server(worker, stored)
+    except (UndecodableError, AddressError) as exc:
         log_event(logger, 'worker.undecodable', worker=worker, error=exc)
         return None
-    host, _, port = server.address.rpartition(':')
-    if not host or not port.isdigit():
-        return None
     labels = server.labels
     capacity = server.capacity
     return WorkerEntry(
@@ -151,10 +164,18 @@
         capacity=TaskSize(capacity.cpu, capacity.mem_mb, capacity.gpu),
         started_unix_ms=server.born,
         is_draining=server.state == 'draining',
-        shutdown_in_ms=int(server.drain_remaining_ms),
+        shutdown_in_ms=max(0, int(server.drain_remaining_ms)),
     )
 
 
+def _decode_server(worker: WorkerId, stored: bytes) -> _Server:
+    if not _WORKER_ID_PATTERN.fullmatch(worker):
+        raise UndecodableError('the id is not printable ASCII')
+    server = decode(stored, _Server)
+    split_address(server.address)
+    return server
+
+
 def parse_closed_domain(key: str) -> DomainName | None:
     """Return the failure domain that ``key`` takes out of service.
 
