Open no stream to an address that is not host:port

A VM ended by itself: the stream address of another VM, from its store entry, a ping or the leader record, was passed to int() and to the socket as it was. A port of 99999 or -1 raised OverflowError ("connect(): port must be 0-65535."), other texts ValueError or UnicodeError. The callers expect PeerUnreachableError, so the service that follows the leader crashed, with it the process, on each VM that had read the address, and again after each start.

Addresses are read by node.addresses; one that cannot be used raises PeerNotConnectedError, is not kept, not passed on to others, and is logged once.

--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 
 import msgspec
 from mode import Service
@@ -14,6 +15,7 @@
 from ..messages import Hello, MessageType
 from ..streams import StreamServer
 from ..wire import Frame
+from .addresses import AddressError, split_address
 from .background_tasks import BackgroundTasks
 
 CONNECT_TIMEOUT_S = 0.4
@@ -25,6 +27,9 @@
 STREAM_BACKLOG = 256
 # Addresses that a VM passes on at a time; the list of all VMs is in the store.
 SAMPLE_SIZE = 8
+# Errors remembered so that each is logged once; beyond, some are logged again.
+MAX_LOGGED_ERRORS = 256
+_OPEN_ERRORS = (AddressError, OSError, EOFError, WireError)
 
 FrameHandler = Callable[[Hello, Frame], Awaitable[msgspec.Struct | None]]
 
@@ -68,7 +73,7 @@
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Add the stream addresses of other VMs to the known ones."""
-        self.known_addresses.update(addresses)
+        self.known_addresses.update(filter(_is_usable, addresses))
         self.known_addresses.discard(self.address)
 
     def sample_addresses(self) -> tuple[str, ...]:
@@ -120,17 +125,17 @@
             return connection
 
     async def _open_stream(self, address: str) -> Connection:
-        host, _, port = address.rpartition(':')
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port))
+                reader, writer = await asyncio.open_connection(host, port)
                 connection = Connection(
                     reader, writer, self._on_frame, FIRST_CLIENT_CORRELATION
                 )
                 await connection.exchange_hellos(self.hello)
         except ConnectionRefusedError as exc:
             raise PeerRefusedError(f'{address}: {exc}') from exc
-        except (OSError, EOFError, WireError) as exc:
+        except _OPEN_ERRORS as exc:
             raise PeerNotConnectedError(f'{address}: {exc!r}') from exc
         self._reader_tasks.spawn(self._serve(address, connection))
         return connection
@@ -156,6 +161,22 @@
         connection.close()
 
 
+def _is_usable(address: str) -> bool:
+    """Return whether ``address``, which another program wrote, can be used."""
+    try:
+        split_address(address)
+    except AddressError as exc:
+        _log_unusable(str(exc))
+        return False
+    return True
+
+
+@lru_cache(maxsize=MAX_LOGGED_ERRORS)
+def _log_unusable(error: str) -> None:
+    """Log an error once, although pings repeat the address."""
+    log_event(logger, 'peer.address_unusable', error=error)
+
+
 def _is_silent(connection: Connection, sent_at_s: float) -> bool:
     """Return whether nothing arrived for too long on ``connection``.
 
