Treat deep nesting in the lease expiry as a decoding error too

The record is newer than the common list of decoding errors. The new case of test_a_record_that_cannot_be_decoded_is_an_error_of_records raised RecursionError before.

--- a/src/bulrushcove/batch/lease_expiry.py
+++ b/src/bulrushcove/batch/lease_expiry.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from ..clock import MS_PER_S
+from ..decoding import DECODE_ERRORS
 from ..ids import DomainName, Epoch, WorkerId
 from .exceptions import RecordError
 from .workers import MAX_CLOCK_DRIFT, Worker, find_silent_workers
@@ -73,7 +74,7 @@
     """Return the decoded record; raises ``RecordError``."""
     try:
         return _decoder.decode(stored)
-    except (msgspec.DecodeError, msgspec.ValidationError) as exc:
+    except DECODE_ERRORS as exc:
         raise RecordError(f'cannot decode the lease expiry: {exc}') from exc
 
 
--- a/tests/test_batch_lease_expiry.py
+++ b/tests/test_batch_lease_expiry.py
@@ -348,7 +348,9 @@
     assert {clock.worker[0] for clock in group.clocks} == set('abc')
 
 
-@pytest.mark.parametrize('stored', [b'', b'\x91', b'\xc1', b'\x91\x91\x05'])
+@pytest.mark.parametrize(
+    'stored', [b'', b'\x91', b'\xc1', b'\x91\x91\x05', b'\x91' * 5000 + b'\x90']
+)
 def test_a_record_that_cannot_be_decoded_is_an_error_of_records(stored):
     with pytest.raises(RecordError):
         decode_lease_expiry(stored)
