Count the retention of ended jobs from their end, not from a take-over

With leaders that change within 600 s ended jobs stayed in the store and in memory for ever. Callers are promised 120 s, so a clock that is ahead by some seconds does no harm. test_an_ended_job_is_removed_although_leaders_change failed before.

--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -153,6 +153,12 @@
     progress = decode_progress(encoded_progress) if encoded_progress else None
     now_s = clock.monotonic_s()
     job = restore_job(submission, progress, now_s)
-    age_ms = max(0, clock.unix_ms() - submission.accepted_unix_ms)
-    job.accepted_at_s = now_s - age_ms / MS_PER_S
+    job.accepted_at_s = now_s - _age_s(submission.accepted_unix_ms, clock)
+    if job.has_ended:
+        job.ended_at_s = now_s - _age_s(job.ended_unix_ms, clock)
     return job
+
+
+def _age_s(unix_ms: int, clock: Clock) -> float:
+    """Return the time since ``unix_ms``; zero if another clock was ahead."""
+    return max(0, clock.unix_ms() - unix_ms) / MS_PER_S
--- a/tests/test_node_job_requests.py
+++ b/tests/test_node_job_requests.py
@@ -7,7 +7,7 @@
 from fake_watchable_store import FakeWatchableStore
 from test_node_store_writer import open_store_writer
 
-from bulrushcove.batch.engine import Engine
+from bulrushcove.batch.engine import ENDED_JOB_RETENTION_S, Engine
 from bulrushcove.batch.job_state import JobPhase
 from bulrushcove.clock import ManualClock
 from bulrushcove.metrics import new_metrics
@@ -112,3 +112,15 @@
     assert (
         harness.job_requests.find_phase('job', ORGANISATION) is JobPhase.QUEUED
     )
+
+
+async def test_an_ended_job_is_removed_although_leaders_change(harness):
+    """Each new leader kept it for the whole time anew."""
+    await harness.job_requests.submit(job_spec('job'))
+    await harness.job_requests.cancel('job', ORGANISATION)
+    for _ in range(3):
+        harness.clock.advance(ENDED_JOB_RETENTION_S / 2)
+        loaded = await load_jobs(harness.store, harness.clock)
+    engine = Engine()
+    engine.restore(loaded.jobs, harness.clock.monotonic_s())
+    assert engine.remove_ended_jobs(harness.clock.monotonic_s()) == ['job']
