Log how large a reload was and why a leader is replaced

'feed.loaded' has the prefix, entries, bytes and milliseconds of each reload. 'tenure.replaces' has the missed pings, how long the leader was silent, whether its process is presumed dead, and how many other VMs were asked, answered and reach it. No decision changes; a peer that does not answer is now told apart from one that says no, for the log only.

Both new tests failed before (no such log line): test_the_log_tells_how_large_a_reload_was_and_how_long_it_took, test_the_log_tells_why_a_leader_was_replaced.

--- a/src/bulrushcove/node/failover.py
+++ b/src/bulrushcove/node/failover.py
@@ -47,6 +47,16 @@
     REPLACE = 'replace'
 
 
+class PeerReports(msgspec.Struct, frozen=True):
+    """What other VMs say of the leader: how many of those asked."""
+
+    asked: int = 0
+    # Responded in time, whatever they said.
+    answered: int = 0
+    # Reach the leader.
+    hearing: int = 0
+
+
 class LeaderObservation(msgspec.Struct):
     """Results of the pings to the leader; a time of zero is not set."""
 
--- a/src/bulrushcove/node/leader_monitor.py
+++ b/src/bulrushcove/node/leader_monitor.py
@@ -13,6 +13,7 @@
     MISSED_PING_RETRY_S,
     FailoverAction,
     LeaderObservation,
+    PeerReports,
     choose_action,
     ping_interval_s,
 )
@@ -42,6 +43,8 @@
         self._loop_delay = loop_delay
         self._ping = Ping(vm, peers.address)
         self._observation = LeaderObservation()
+        # Responses of the VMs that were last asked about the leader.
+        self._peer_reports = PeerReports()
         # The ping in progress on behalf of other VMs.
         self._peer_check: asyncio.Task[bool] | None = None
 
@@ -52,6 +55,21 @@
             not self._observation.missed_pings and not self._observation.is_dead
         )
 
+    def describe(self) -> dict[str, object]:
+        """Return what is known of the leader, as fields of a log line."""
+        observation = self._observation
+        silent_s = 0.0
+        if observation.silent_since_s:
+            silent_s = self._clock.monotonic_s() - observation.silent_since_s
+        return {
+            'is_dead': observation.is_dead,
+            'missed_pings': observation.missed_pings,
+            'silent_s': round(silent_s, 2),
+            'asked': self._peer_reports.asked,
+            'answered': self._peer_reports.answered,
+            'hearing': self._peer_reports.hearing,
+        }
+
     def ping_interval_s(self, cpu_cores: float) -> float:
         """Return the time until this VM, of ``cpu_cores``, pings again."""
         if self._observation.missed_pings:
@@ -62,6 +80,7 @@
     def reset(self) -> None:
         """Forget past observations, for a new leader."""
         self._observation = LeaderObservation()
+        self._peer_reports = PeerReports()
 
     def record_ended(self, epoch: Epoch) -> None:
         """Record that the leader of ``epoch`` has ended."""
@@ -70,17 +89,18 @@
 
     async def check(self, leader: LeaderRecord) -> FailoverAction:
         """Ping ``leader`` and return what to do about it."""
-        is_reachable = False
+        reports = PeerReports()
         if self._observation.missed_pings:
             # Other VMs are asked at once, so that a dead leader is replaced
             # soon.
-            is_reachable, _ = await asyncio.gather(
-                self._is_reachable_by_others(leader), self._ping_leader(leader)
+            reports, _ = await asyncio.gather(
+                self._ask_others(leader), self._ping_leader(leader)
             )
         else:
             await self._ping_leader(leader)
+        self._peer_reports = reports
         action = choose_action(self._observation, self._clock.monotonic_s())
-        if action is FailoverAction.REPLACE and is_reachable:
+        if action is FailoverAction.REPLACE and reports.hearing:
             return FailoverAction.READ_RECORD
         return action
 
@@ -127,26 +147,30 @@
                     is_active=pong.is_active, now_s=self._clock.monotonic_s()
                 )
 
-    async def _is_reachable_by_others(self, leader: LeaderRecord) -> bool:
-        """Return whether one of a few other VMs reaches ``leader``."""
+    async def _ask_others(self, leader: LeaderRecord) -> PeerReports:
+        """Ask a few other VMs whether they reach ``leader``."""
         others = sorted(self._peers.known_addresses - {leader.address})
         asked = random.sample(others, min(MAX_PEERS_ASKED, len(others)))
         responses = await asyncio.gather(
             *(self._is_reachable_by(address, leader) for address in asked)
         )
-        return any(responses)
+        answers = [answer for answer in responses if answer is not None]
+        return PeerReports(len(asked), len(answers), sum(answers))
 
     async def _is_reachable_by(
         self, address: str, leader: LeaderRecord
-    ) -> bool:
-        """Return whether the VM at ``address`` reaches ``leader``."""
+    ) -> bool | None:
+        """Return whether the VM at ``address`` reaches ``leader``.
+
+        None: it did not answer.
+        """
         ping = msgspec.structs.replace(self._ping, checks_leader=True)
         try:
             _, pong = await self._peers.request(
                 address, ping, Pong, PEER_CHECK_TIMEOUT_S
             )
         except PeerUnreachableError:
-            return False
+            return None
         leader_epoch = pong.holder.epoch if pong.holder else None
         return leader_epoch == leader.epoch and pong.hears_holder
 
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -214,6 +214,14 @@
             return
         self._last_read_epoch = leader.epoch
         if replace is not None and replace.epoch == leader.epoch:
+            log_event(
+                logger,
+                'tenure.replaces',
+                level=logging.WARNING,
+                holder=leader.vm,
+                epoch=leader.epoch,
+                **self._monitor.describe(),
+            )
             await self._campaign(leader)
             return
         if self.leader is None or self.leader.epoch != leader.epoch:
--- a/src/bulrushcove/node/prefix_cache.py
+++ b/src/bulrushcove/node/prefix_cache.py
@@ -6,6 +6,7 @@
 
 from mode import Service
 
+from ..clock import MS_PER_S
 from ..exceptions import StoreError, StoreHistoryGoneError
 from ..logs import log_event, log_unexpected_error
 from ..store import WatchableStore
@@ -109,8 +110,18 @@
             self.entries.pop(key, None)
 
     async def _reload(self) -> None:
+        loop = asyncio.get_running_loop()
+        sent_at_s = loop.time()
         scan = await self._store.scan(self._prefix)
         self._record_success()
+        log_event(
+            logger,
+            'feed.loaded',
+            prefix=self._prefix,
+            entries=len(scan.found),
+            bytes=sum(len(item.value) for item in scan.found),
+            ms=round((loop.time() - sent_at_s) * MS_PER_S),
+        )
         entries = {item.key: item.value for item in scan.found}
         keys = entries.keys() | self.entries.keys()
         changed = frozenset(
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -1,6 +1,7 @@
 """Leader election: gaining, losing, handing over and replacing a leader."""
 
 import asyncio
+import logging
 from types import SimpleNamespace
 
 import msgspec
@@ -9,6 +10,7 @@
 from fake_watchable_store import FakeWatchableStore
 
 from bulrushcove.clock import ManualClock
+from bulrushcove.exceptions import PeerUnreachableError
 from bulrushcove.hello import NODE_ROLE, make_hello
 from bulrushcove.ids import Epoch, IncarnationId, VmId
 from bulrushcove.metrics import new_metrics
@@ -16,6 +18,7 @@
 from bulrushcove.node import leader_monitor as monitor_module
 from bulrushcove.node import leader_records as records_module
 from bulrushcove.node import leadership as leadership_module
+from bulrushcove.node.failover import SILENCE_TIMEOUT_S
 from bulrushcove.node.leadership import AUTHORITY_TTL_S, Leadership
 from bulrushcove.node.loop_delay import LoopDelay
 from bulrushcove.node.messages import LeaderRecord, Pong
@@ -234,7 +237,7 @@
     rig.peers.response = (hello, Pong(other, is_active=True))
     await asyncio.sleep(0.3)
     assert rig.leadership.leader.epoch == other.epoch
-    assert grants == []
+    assert not grants
 
 
 async def test_a_check_for_a_peer_pings_a_leader_not_heard_of_lately(rig):
@@ -258,3 +261,29 @@
     await rig.leadership._read_record()
     assert rig.leadership.leader.epoch == replaced.epoch
     assert rig.peers.closed_streams == ['vm-9:1']
+
+
+async def test_the_log_tells_why_a_leader_was_replaced(rig, caplog):
+    """The logs of an incident did not tell what the other VMs had said."""
+    other = await rig.other_leader()
+    rig.peers.known_addresses = {'vm-2:1', 'vm-3:1'}
+
+    async def answer(address, message, response_type, timeout_s):
+        if address == other.address:
+            rig.clock.advance(timeout_s)
+            raise PeerUnreachableError(address)
+        return make_hello('vm-2', 'a', NODE_ROLE), Pong(other)
+
+    rig.peers.request = answer
+    with caplog.at_level(logging.WARNING):
+        await rig.leadership.start()
+        await rig.wait_gained()
+    (replaced,) = (
+        record for record in caplog.records if record.msg == 'tenure.replaces'
+    )
+    assert (replaced.holder, replaced.epoch) == ('vm-0', other.epoch)
+    assert not replaced.is_dead
+    assert replaced.missed_pings >= 2
+    assert replaced.silent_s > SILENCE_TIMEOUT_S
+    assert (replaced.asked, replaced.answered) == (2, 2)
+    assert not replaced.hearing
--- a/tests/test_node_prefix_cache.py
+++ b/tests/test_node_prefix_cache.py
@@ -1,6 +1,7 @@
 """The local cache of store keys survives what its reader cannot handle."""
 
 import asyncio
+import logging
 
 import pytest
 from fake_watchable_store import FakeWatchableStore
@@ -67,3 +68,21 @@
         while 'w/last' not in cache.entries:
             await asyncio.sleep(0.01)
     await cache.stop()
+
+
+async def test_the_log_tells_how_large_a_reload_was_and_how_long_it_took(
+    caplog,
+):
+    """The logs of an incident did not tell which reads filled the links."""
+    store = FakeWatchableStore()
+    await store.commit((Write('p/a', b'x' * 300, 0), Write('p/b', b'y', 0)))
+    cache = PrefixCache(store, 'p/', lambda *_: None)
+    with caplog.at_level(logging.INFO):
+        await cache.start()
+        await asyncio.sleep(0.05)
+        await cache.stop()
+    (loaded,) = (
+        record for record in caplog.records if record.msg == 'feed.loaded'
+    )
+    assert (loaded.prefix, loaded.entries, loaded.bytes) == ('p/', 2, 301)
+    assert loaded.ms >= 0
