Wait for a large store read while its body arrives

Cause: a read had 0.12 to 1.2 s in all, the adaptive limit of small calls. On a link of 10 Mbit/s the operators' configuration takes longer. The read was given up, repeated whole after 0.2 s, and relayed through other VMs, so links stayed full.

Now the adaptive limit holds up to the head of a response. A body of 64 KB or more may pause 0.7 s (a lost packet is sent twice more by then) and take 10 s (1 MB on 1 Mbit/s). Smaller bodies arrive with their head and have the limit of before; so do writes. The duration of a large body does not count as a response time, and small calls beside one wait behind it on the link: they have the longest limit, 1.2 s, and do not adapt it. A read that fails since the own link is full raises StoreLinkBusyError and is not relayed: the relayed response would pass the same link. A stream on which a large frame arrives counts as alive; it was closed under all its requests after 0.25 s without a whole frame.

--- a/src/bulrushcove/connection.py
+++ b/src/bulrushcove/connection.py
@@ -40,7 +40,7 @@
     ) -> None:
         """Wrap an open stream; ``run`` handles its frames."""
         self.peer: Hello | None = None
-        # Loop time at which the last frame arrived; zero: none has.
+        # Loop time at which a part of a frame last arrived; zero: none has.
         self.received_at_s = 0.0
         self._reader = reader
         self._writer = writer
@@ -72,8 +72,9 @@
         try:
             while True:
                 async with asyncio.timeout(idle_timeout_s):
-                    frame = await read_frame(self._reader)
-                self.received_at_s = asyncio.get_running_loop().time()
+                    frame = await read_frame(
+                        self._reader, self._record_received
+                    )
                 self._dispatch(frame)
         finally:
             self.close()
@@ -119,6 +120,9 @@
         for task in self._handlers:
             task.cancel()
 
+    def _record_received(self) -> None:
+        self.received_at_s = asyncio.get_running_loop().time()
+
     def _dispatch(self, frame: Frame) -> None:
         if (
             frame.correlation
--- a/src/bulrushcove/exceptions.py
+++ b/src/bulrushcove/exceptions.py
@@ -15,6 +15,10 @@
     """The call definitely had no effect."""
 
 
+class StoreLinkBusyError(StoreUnavailableError):
+    """The store responds, but too slowly over the link of this VM."""
+
+
 class StoreOutcomeUnknownError(StoreError):
     """The call may or may not have taken effect."""
 
--- a/src/bulrushcove/node/relayed_store.py
+++ b/src/bulrushcove/node/relayed_store.py
@@ -13,6 +13,7 @@
     PeerUnreachableError,
     StoreError,
     StoreHistoryGoneError,
+    StoreLinkBusyError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -137,21 +138,29 @@
         failure: StoreError | None = None
         if self._clock.monotonic_s() >= self._direct_retry_at_s:
             try:
-                response = await call_directly()
+                return await self._call_directly(call_directly)
+            except StoreLinkBusyError:
+                # A relayed response would pass the same link.
+                raise
             except StoreUnavailableError as exc:
                 failure = exc
                 self._record_direct_failure(exc)
-            except StoreOutcomeUnknownError as exc:
-                # Only the caller knows whether a retry is safe.
-                self._lost_response_count += 1
-                if self._lost_response_count >= MAX_LOST_RESPONSES:
-                    self._record_direct_failure(exc)
-                raise
-            else:
-                self._record_direct_success()
-                return response
         return unpack(await self._relay(call, failure))
 
+    async def _call_directly(
+        self, call_directly: Callable[[], Awaitable[ResponseType]]
+    ) -> ResponseType:
+        try:
+            response = await call_directly()
+        except StoreOutcomeUnknownError as exc:
+            # Only the caller knows whether a retry is safe.
+            self._lost_response_count += 1
+            if self._lost_response_count >= MAX_LOST_RESPONSES:
+                self._record_direct_failure(exc)
+            raise
+        self._record_direct_success()
+        return response
+
     async def _relay(
         self, call: StoreCall, failure: StoreError | None
     ) -> StoreReply:
--- a/src/bulrushcove/platform/exceptions.py
+++ b/src/bulrushcove/platform/exceptions.py
@@ -19,6 +19,10 @@
     """The outcome is unknown: the call may still take effect later."""
 
 
+class PartialResponseError(NoResponseError):
+    """A large response began to arrive and did not end."""
+
+
 class UndecodableError(BulrushcoveError):
     """A message or settings file does not match its schema."""
 
--- a/src/bulrushcove/platform/http_client.py
+++ b/src/bulrushcove/platform/http_client.py
@@ -1,5 +1,6 @@
 """HTTP client shared by the adapter's calls to the platform."""
 
+import asyncio
 import socket
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -8,12 +9,25 @@
 import aiohttp
 import msgspec
 
-from .exceptions import NoResponseError, NotSentError, UndecodableError
+from .exceptions import (
+    NoResponseError,
+    NotSentError,
+    PartialResponseError,
+    UndecodableError,
+)
 
 # The kernel closes a connection whose data stays unacknowledged this long.
 TCP_USER_TIMEOUT_MS = 3000
 # Closes idle connections before the other side does.
 IDLE_CONNECTION_TIMEOUT_S = 12.0
+# A smaller body arrives with its head, within the time limit of the call.
+MIN_LARGE_BODY_BYTES = 65_536
+# Longest pause between two parts of a large body: TCP sends a lost packet again
+# after 0.2 s, and once more 0.4 s later.
+MAX_BODY_PAUSE_S = 0.7
+# A page of 1 MB takes 8 s on a link of 1 Mbit/s, the slowest worth waiting for.
+MAX_BODY_S = 10.0
+_NO_LIMIT = aiohttp.ClientTimeout(total=None)
 
 JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
 
@@ -25,6 +39,8 @@
 
     status: int
     body: bytes
+    # How long a large body took to arrive, after its head.
+    large_body_s: float = 0.0
 
 
 class _ConnectionPool:
@@ -58,6 +74,12 @@
         """Use ``address``, given as host:port; connects on the first call."""
         self._base_url = f'http://{address}'
         self._pool: _ConnectionPool | None = None
+        self._large_body_count = 0
+
+    @property
+    def is_receiving_large_body(self) -> bool:
+        """Return whether a large body is arriving, which may fill the link."""
+        return self._large_body_count > 0
 
     async def call(
         self,
@@ -72,30 +94,37 @@
         """Send a request with a JSON body and return the response.
 
         Raises ``NotSentError`` or, after ``timeout_s`` or a lost connection,
-        ``NoResponseError``.
+        ``NoResponseError``. A large body may take longer than ``timeout_s`` as
+        long as it keeps arriving; ``PartialResponseError`` if it does not.
         """
         if self._pool is None:
             self._pool = _ConnectionPool()
         pool = self._pool
         pool.in_progress += 1
+        large_body = bytearray()
         try:
-            async with pool.client.request(
-                method,
-                f'{self._base_url}{path}',
-                data=None if body is None else msgspec.json.encode(body),
-                params=query,
-                headers={**JSON_HEADERS, **(headers or {})},
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
-            ) as response:
-                return Reply(response.status, await response.read())
+            async with (
+                asyncio.timeout(timeout_s) as time_limit,
+                pool.client.request(
+                    method,
+                    f'{self._base_url}{path}',
+                    data=None if body is None else msgspec.json.encode(body),
+                    params=query,
+                    headers={**JSON_HEADERS, **(headers or {})},
+                    timeout=_NO_LIMIT,
+                ) as response,
+            ):
+                return await self._receive(response, time_limit, large_body)
         except aiohttp.ClientConnectorError as exc:
             raise NotSentError(f'{self._base_url}{path}: {exc}') from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             self._retire(pool)
-            error_type = type(exc).__name__
-            raise NoResponseError(
-                f'{self._base_url}{path}: {error_type} {exc}'
-            ) from exc
+            message = f'{self._base_url}{path}: {type(exc).__name__} {exc}'
+            if large_body:
+                raise PartialResponseError(
+                    f'{message} after {len(large_body)} bytes'
+                ) from exc
+            raise NoResponseError(message) from exc
         finally:
             pool.in_progress -= 1
             await pool.close_if_idle()
@@ -107,6 +136,21 @@
             self._retire(pool)
             await pool.close_if_idle()
 
+    async def _receive(
+        self,
+        response: aiohttp.ClientResponse,
+        time_limit: asyncio.Timeout,
+        large_body: bytearray,
+    ) -> Reply:
+        length = response.content_length
+        if length is not None and length < MIN_LARGE_BODY_BYTES:
+            return Reply(response.status, await response.read())
+        self._large_body_count += 1
+        try:
+            return await _receive_large_body(response, time_limit, large_body)
+        finally:
+            self._large_body_count -= 1
+
     def _retire(self, pool: _ConnectionPool) -> None:
         pool.is_retired = True
         if self._pool is pool:
@@ -121,6 +165,23 @@
         raise UndecodableError(f'{message_type.__name__}: {exc}') from exc
 
 
+async def _receive_large_body(
+    response: aiohttp.ClientResponse,
+    time_limit: asyncio.Timeout,
+    body: bytearray,
+) -> Reply:
+    """Append the body to ``body`` for as long as it keeps arriving."""
+    loop = asyncio.get_running_loop()
+    began_at_s = loop.time()
+    time_limit.reschedule(began_at_s + MAX_BODY_PAUSE_S)
+    async for chunk in response.content.iter_any():
+        body.extend(chunk)
+        time_limit.reschedule(
+            min(loop.time() + MAX_BODY_PAUSE_S, began_at_s + MAX_BODY_S)
+        )
+    return Reply(response.status, bytes(body), loop.time() - began_at_s)
+
+
 def _make_socket(address: Any) -> socket.socket:
     family, socket_type, protocol, _, _ = address
     sock = socket.socket(family, socket_type, protocol)
--- a/src/bulrushcove/platform/store.py
+++ b/src/bulrushcove/platform/store.py
@@ -11,10 +11,11 @@
 from ..exceptions import (
     StoreError,
     StoreHistoryGoneError,
+    StoreLinkBusyError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from ..node.adaptive_timeout import AdaptiveTimeout
+from ..node.adaptive_timeout import MAX_TIMEOUT_S, AdaptiveTimeout
 from ..store import (
     Changes,
     Check,
@@ -25,7 +26,12 @@
     Write,
     WriteAnswer,
 )
-from .exceptions import NoResponseError, NotSentError, UndecodableError
+from .exceptions import (
+    NoResponseError,
+    NotSentError,
+    PartialResponseError,
+    UndecodableError,
+)
 from .http_client import Endpoint, Reply, decode
 
 # Added to the time that a watch is asked to wait.
@@ -215,7 +221,13 @@
         timeout_s: float = 0,
         **request_options: Any,
     ) -> Reply:
-        """Send a request; without ``timeout_s`` the limit is adaptive."""
+        """Send a request; without ``timeout_s`` the limit is adaptive.
+
+        Responses that wait behind a large body tell nothing of the store, so
+        the limit is the longest one then and does not adapt.
+        """
+        if self._endpoint.is_receiving_large_body:
+            timeout_s = timeout_s or MAX_TIMEOUT_S
         if timeout_s:
             return await self._endpoint.call(
                 method, path, timeout_s=timeout_s, **request_options
@@ -228,12 +240,13 @@
                 timeout_s=self._adaptive_timeout.timeout_s,
                 **request_options,
             )
+        except PartialResponseError:
+            raise
         except NoResponseError:
             self._adaptive_timeout.record_timeout()
             raise
-        self._adaptive_timeout.record_response(
-            self._clock.monotonic_s() - started_at_s
-        )
+        took_s = self._clock.monotonic_s() - started_at_s
+        self._adaptive_timeout.record_response(took_s - reply.large_body_s)
         return reply
 
     async def _read(
@@ -247,7 +260,14 @@
                 'GET', path, query=query, timeout_s=timeout_s
             )
         except (NotSentError, NoResponseError) as exc:
-            raise StoreUnavailableError(str(exc)) from exc
+            is_link_busy = (
+                isinstance(exc, PartialResponseError)
+                or self._endpoint.is_receiving_large_body
+            )
+            error = (
+                StoreLinkBusyError if is_link_busy else StoreUnavailableError
+            )
+            raise error(str(exc)) from exc
         if reply.status not in {
             HTTPStatus.OK,
             HTTPStatus.NOT_FOUND,
--- a/src/bulrushcove/wire.py
+++ b/src/bulrushcove/wire.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgpack
@@ -66,15 +67,25 @@
     return Frame(kind, correlation, fields)
 
 
-async def read_frame(reader: asyncio.StreamReader) -> Frame:
-    """Read one frame.
+async def read_frame(
+    reader: asyncio.StreamReader, on_bytes: Callable[[], None] | None = None
+) -> Frame:
+    """Read one frame; calls ``on_bytes`` whenever a part of it has arrived.
 
     Raises ``WireError`` for a frame that violates the protocol and
     ``EOFError`` at the end of the stream.
     """
     length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), 'big')
     _check_length(length)
-    return decode_body(await reader.readexactly(length))
+    body = bytearray()
+    while len(body) < length:
+        chunk = await reader.read(length - len(body))
+        if not chunk:
+            raise asyncio.IncompleteReadError(bytes(body), length)
+        body.extend(chunk)
+        if on_bytes is not None:
+            on_bytes()
+    return decode_body(bytes(body))
 
 
 def _check_length(length: int) -> None:
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -11,7 +11,9 @@
     ConfigurationRequest,
     parse_message,
 )
+from bulrushcove.node.messages import SubmitOutcome, Submitted
 from bulrushcove.node.peers import MAX_SILENCE_S, SAMPLE_SIZE, Peers
+from bulrushcove.wire import encode
 
 # Handled by the peer until it is released, like a write to a slow store.
 SLOW = ConfigurationRequest(1)
@@ -97,3 +99,35 @@
     )
     sample = rig.peers.sample_addresses()
     assert len(set(sample)) == SAMPLE_SIZE
+
+
+async def test_a_stream_on_which_a_large_frame_arrives_is_kept(rig):
+    """A relayed configuration takes a second on a link of 10 Mbit/s."""
+    frame = encode(Acknowledged(), correlation=1) + encode(
+        Submitted(SubmitOutcome.REFUSED, 'x' * 5000), correlation=3
+    )
+
+    async def send_slowly(reader, writer):
+        writers.append(writer)
+        writer.write(encode(make_hello('a')))
+        await reader.read(1)
+        for start in range(0, len(frame), 500):
+            writer.write(frame[start : start + 500])
+            await asyncio.sleep(0.1)
+
+    writers = []
+    host, _, port = rig.address.rpartition(':')
+    await rig.peer.stop()
+    listener = await asyncio.start_server(send_slowly, host, int(port))
+    await rig.request(SLOW, 1)
+    waiting = asyncio.create_task(
+        rig.peers.request(rig.address, SLOW, Submitted, 3)
+    )
+    await asyncio.sleep(0)
+    with pytest.raises(PeerUnreachableError):
+        await rig.request(SLOW, MAX_SILENCE_S + 0.1)
+    _, submitted = await waiting
+    assert submitted.message == 'x' * 5000
+    listener.close()
+    writers[0].close()
+    await asyncio.sleep(0)
--- a/tests/test_node_relayed_store.py
+++ b/tests/test_node_relayed_store.py
@@ -8,6 +8,7 @@
 
 from bulrushcove.clock import ManualClock
 from bulrushcove.exceptions import (
+    StoreLinkBusyError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -99,3 +100,18 @@
     store, _, _ = make_relayed_store(a=shared)
     with pytest.raises(StoreOutcomeUnknownError):
         await store.commit(WRITES)
+
+
+async def test_a_read_is_not_relayed_because_the_own_link_is_full():
+    """The relayed configuration passed the same link once more."""
+    store, direct, _ = make_relayed_store(a=FakeWatchableStore())
+    direct.down = False
+
+    async def scan(prefix):
+        raise StoreLinkBusyError(prefix)
+
+    direct.scan = scan
+    with pytest.raises(StoreLinkBusyError):
+        await store.scan('op/')
+    assert not store._peers.requested_addresses
+    assert store.is_directly_reachable
