Keep a leader that a follower with a full link does not hear

Cause: a follower whose link is full misses two pongs (0.3 s each) of a leader that is well. The VMs that it then asks do not answer in time either, over the same link, and each counted like one that says 'I do not hear the leader'.

Now the silence of asked VMs is no evidence: if none answers, the leader is replaced after 6 s (cuts of single VMs last up to 5.5 s), or at once when its record is gone; the store lease of 2.5 s sees to that if it is dead. A refused connection, another process at its address, a VM that says no, and having no other VM to ask count as before. And while a VM waits for its turn and reads the record before it campaigns, a leader not presumed dead may answer one more ping, until 0.1 s after that read: pong and record pass the same link, so the time limit stretches with the queue there ('tenure.kept'). choose_action decides on the reports of the VMs asked; the veto of a VM that hears the leader moved there from the monitor.

Failed before: test_a_vm_that_hears_nobody_does_not_replace_the_leader, test_a_leader_that_answers_a_last_ping_is_kept, test_silence_of_other_vms_does_not_speak_against_the_leader (three of six cases: none of two answers, none of one; the veto, which the monitor had). Guards: other VMs all dead, two VMs only, dead process, small delay for a dead leader.

--- a/src/bulrushcove/node/failover.py
+++ b/src/bulrushcove/node/failover.py
@@ -13,6 +13,9 @@
 # A leader that no VM can reach is replaced after this, even though its record
 # still exists.
 SILENCE_TIMEOUT_S = 0.35
+# If no asked VM answers either, this VM's own link may be full or cut; cuts of
+# single VMs last up to 5.5 s. The record of a dead leader expires before.
+UNCONFIRMED_SILENCE_TIMEOUT_S = 6.0
 # A leader that responds without authority may renew its lease again, or learn
 # only now that its record was written.
 INACTIVE_TIMEOUT_S = 3.0
@@ -57,6 +60,9 @@
     hearing: int = 0
 
 
+NO_REPORTS = PeerReports()
+
+
 class LeaderObservation(msgspec.Struct):
     """Results of the pings to the leader; a time of zero is not set."""
 
@@ -85,9 +91,24 @@
 
 
 def choose_action(
-    observation: LeaderObservation, now_s: float
+    observation: LeaderObservation,
+    now_s: float,
+    reports: PeerReports = NO_REPORTS,
+) -> FailoverAction:
+    """Return what to do about a leader with this ``observation``.
+
+    ``reports`` are those of the VMs that were just asked about it.
+    """
+    action = _choose_unheard(observation, now_s, reports)
+    if action is FailoverAction.REPLACE and reports.hearing:
+        return FailoverAction.READ_RECORD
+    return action
+
+
+def _choose_unheard(
+    observation: LeaderObservation, now_s: float, reports: PeerReports
 ) -> FailoverAction:
-    """Return what to do about a leader with this ``observation``."""
+    """Choose what to do if no other VM hears the leader."""
     if observation.is_dead:
         return FailoverAction.REPLACE
     if observation.idle_since_s:
@@ -97,8 +118,11 @@
         )
     if observation.missed_pings < MISSED_PINGS:
         return FailoverAction.WAIT
-    silent_s = now_s - observation.silent_since_s
-    if silent_s > SILENCE_TIMEOUT_S:
+    is_unconfirmed = reports.asked and not reports.answered
+    timeout_s = (
+        UNCONFIRMED_SILENCE_TIMEOUT_S if is_unconfirmed else SILENCE_TIMEOUT_S
+    )
+    if now_s - observation.silent_since_s > timeout_s:
         return FailoverAction.REPLACE
     return FailoverAction.READ_RECORD
 
--- a/src/bulrushcove/node/leader_monitor.py
+++ b/src/bulrushcove/node/leader_monitor.py
@@ -23,6 +23,12 @@
 
 # A round trip between the farthest VMs takes 60 ms.
 PING_TIMEOUT_S = 0.3
+# Time limit of the last ping before a leader is replaced: as long as that of a
+# store read that passes the same link.
+LAST_PING_TIMEOUT_S = 1.2
+# How much longer than that read the ping may take: the farthest VM is 60 ms
+# farther than the store.
+LAST_PING_GRACE_S = 0.1
 # Other VMs asked whether they reach a silent leader before it is replaced.
 MAX_PEERS_ASKED = 2
 # How long they have to respond; they may have to ping the leader first.
@@ -99,10 +105,32 @@
         else:
             await self._ping_leader(leader)
         self._peer_reports = reports
-        action = choose_action(self._observation, self._clock.monotonic_s())
-        if action is FailoverAction.REPLACE and reports.hearing:
-            return FailoverAction.READ_RECORD
-        return action
+        return choose_action(
+            self._observation, self._clock.monotonic_s(), reports
+        )
+
+    async def answers_during(
+        self, leader: LeaderRecord, link_check: asyncio.Task[bool]
+    ) -> bool:
+        """Return whether ``leader`` answers a last ping before its replacement.
+
+        It may until shortly after the end of ``link_check``, a call that shows
+        that this VM's own link works. It is not asked if it is presumed dead or
+        ``link_check`` returns that it is replaced already.
+        """
+        if self._observation.is_dead:
+            return False
+        pong = asyncio.create_task(self._wait_for_pong(leader))
+        try:
+            if not await link_check:
+                return False
+            async with asyncio.timeout(LAST_PING_GRACE_S):
+                await pong
+        except TimeoutError:
+            return False
+        finally:
+            pong.cancel()
+        return True
 
     async def is_reachable(self, leader: LeaderRecord) -> bool:
         """Ping ``leader`` for another VM; return whether it responds.
@@ -115,10 +143,22 @@
             self._peer_check = check
         return await asyncio.shield(check)
 
-    async def _responds(self, leader: LeaderRecord) -> bool:
+    async def _wait_for_pong(self, leader: LeaderRecord) -> None:
+        """Ping ``leader`` until it responds, and record that."""
+        while True:
+            if await self._responds(leader, LAST_PING_TIMEOUT_S):
+                break
+            await asyncio.sleep(MISSED_PING_RETRY_S)
+        self._observation.record_pong(
+            is_active=True, now_s=self._clock.monotonic_s()
+        )
+
+    async def _responds(
+        self, leader: LeaderRecord, timeout_s: float = PING_TIMEOUT_S
+    ) -> bool:
         """Ping ``leader`` without recording the result."""
         try:
-            peer, pong = await self._ask(leader.address)
+            peer, pong = await self._ask(leader.address, timeout_s)
         except PeerUnreachableError:
             return False
         return peer.incarnation == leader.incarnation and pong.is_active
@@ -174,7 +214,7 @@
         leader_epoch = pong.holder.epoch if pong.holder else None
         return leader_epoch == leader.epoch and pong.hears_holder
 
-    async def _ask(self, address: str) -> tuple[Hello, Pong]:
-        return await self._peers.request(
-            address, self._ping, Pong, PING_TIMEOUT_S
-        )
+    async def _ask(
+        self, address: str, timeout_s: float = PING_TIMEOUT_S
+    ) -> tuple[Hello, Pong]:
+        return await self._peers.request(address, self._ping, Pong, timeout_s)
--- a/src/bulrushcove/node/leader_records.py
+++ b/src/bulrushcove/node/leader_records.py
@@ -52,6 +52,13 @@
         self.round_trip_s = self._clock.monotonic_s() - sent_at_s
         return _decode_record(scan.found[0]) if scan.found else None
 
+    async def is_current_after(
+        self, delay_s: float, record: LeaderRecord | None
+    ) -> bool:
+        """Wait and read the record; return whether it still is ``record``."""
+        await asyncio.sleep(delay_s)
+        return _epoch_of(await self.read()) == _epoch_of(record)
+
     async def replace(
         self, previous: LeaderRecord | None
     ) -> LeaderRecord | None:
@@ -60,17 +67,16 @@
         Returns None if another VM has replaced it, or if no response arrived:
         the next read finds the record if the write took effect.
         """
-        previous_epoch = _epoch_of(previous)
-        # Of many VMs that campaign at once, another has probably won already.
-        if _epoch_of(await self.read()) != previous_epoch:
-            return None
         lease = await self._store.grant_lease(self._lease_ms)
         hello = self._peers.hello
         record = LeaderRecord(
             hello.vm, hello.incarnation, self._peers.address, lease
         )
         write = Write(
-            LEADER_KEY, msgspec.msgpack.encode(record), previous_epoch, lease
+            LEADER_KEY,
+            msgspec.msgpack.encode(record),
+            _epoch_of(previous),
+            lease,
         )
         try:
             response = await self._store.commit((write,))
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -241,7 +241,21 @@
         delay_s = campaign_delay_s(
             self._records.round_trip_s, self._settings.cpu_cores
         )
-        await self.sleep(delay_s)
+        # Of many VMs that campaign at once, another has probably won already.
+        is_current = asyncio.create_task(
+            self._records.is_current_after(delay_s, previous)
+        )
+        if previous is not None:
+            if await self._monitor.answers_during(previous, is_current):
+                log_event(
+                    logger,
+                    'tenure.kept',
+                    holder=previous.vm,
+                    epoch=previous.epoch,
+                )
+                return
+        if not await is_current:
+            return
         sent_at_s = self._clock.monotonic_s()
         record = await self._records.replace(previous)
         if record is None:
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -19,6 +19,7 @@
 from bulrushcove.node import leader_records as records_module
 from bulrushcove.node import leadership as leadership_module
 from bulrushcove.node.failover import SILENCE_TIMEOUT_S
+from bulrushcove.node.leader_monitor import PING_TIMEOUT_S
 from bulrushcove.node.leadership import AUTHORITY_TTL_S, Leadership
 from bulrushcove.node.loop_delay import LoopDelay
 from bulrushcove.node.messages import LeaderRecord, Pong
@@ -263,18 +264,45 @@
     assert rig.peers.closed_streams == ['vm-9:1']
 
 
-async def test_the_log_tells_why_a_leader_was_replaced(rig, caplog):
-    """The logs of an incident did not tell what the other VMs had said."""
-    other = await rig.other_leader()
-    rig.peers.known_addresses = {'vm-2:1', 'vm-3:1'}
+class SlowLink:
+    """A network in which responses take time, and some VMs are silent."""
+
+    def __init__(self, rig, leader):
+        self.rig = rig
+        self.leader = leader
+        self.leader_hello = msgspec.structs.replace(
+            make_hello('vm-0', 'a', NODE_ROLE), incarnation=leader.incarnation
+        )
+        # Until a response of the leader arrives; None: none ever does.
+        self.leader_delay_s = None
+        self.are_others_silent = False
+        # VMs that were asked whether they hear the leader.
+        self.asked_count = 0
+        rig.peers.known_addresses = {'vm-2:1', 'vm-3:1'}
+        rig.peers.request = self.request
 
-    async def answer(address, message, response_type, timeout_s):
-        if address == other.address:
-            rig.clock.advance(timeout_s)
+    async def request(self, address, message, response_type, timeout_s):
+        if address == self.leader.address:
+            return await self.answer_as_leader(address, timeout_s)
+        self.asked_count += 1
+        if self.are_others_silent:
+            raise PeerUnreachableError(address)
+        return make_hello('vm-2', 'a', NODE_ROLE), Pong(self.leader)
+
+    async def answer_as_leader(self, address, timeout_s):
+        delay_s = self.leader_delay_s
+        if delay_s is None or delay_s > timeout_s:
+            await asyncio.sleep(min(timeout_s, 0.05))
+            self.rig.clock.advance(0.3)
             raise PeerUnreachableError(address)
-        return make_hello('vm-2', 'a', NODE_ROLE), Pong(other)
+        await asyncio.sleep(delay_s)
+        return self.leader_hello, Pong(self.leader, is_active=True)
+
 
-    rig.peers.request = answer
+async def test_the_log_tells_why_a_leader_was_replaced(rig, caplog):
+    """The logs of an incident did not tell what the other VMs had said."""
+    other = await rig.other_leader()
+    SlowLink(rig, other)
     with caplog.at_level(logging.WARNING):
         await rig.leadership.start()
         await rig.wait_gained()
@@ -287,3 +315,60 @@
     assert replaced.silent_s > SILENCE_TIMEOUT_S
     assert (replaced.asked, replaced.answered) == (2, 2)
     assert not replaced.hearing
+
+
+async def test_a_vm_that_hears_nobody_does_not_replace_the_leader(rig):
+    """A VM with a full link replaced a leader that was well."""
+    other = await rig.other_leader()
+    link = SlowLink(rig, other)
+    link.are_others_silent = True
+    rig.leadership.leader = other
+    # Two seconds of missed pings, which last 0.3 s each.
+    for _ in range(7):
+        await rig.leadership._step()
+    assert link.asked_count >= 2
+    assert rig.leadership.leader.epoch == other.epoch
+    assert not rig.leadership.is_leader
+
+
+async def test_a_leader_that_answers_a_last_ping_is_kept(rig, monkeypatch):
+    """The pongs of a leader that was well queued on the link of a follower."""
+    monkeypatch.setattr(leadership_module, 'campaign_delay_s', lambda *_: 0)
+    other = await rig.other_leader()
+    link = SlowLink(rig, other)
+    link.leader_delay_s = 2 * PING_TIMEOUT_S
+    read = rig.store.read
+
+    async def read_over_the_same_link(key):
+        await asyncio.sleep(2 * PING_TIMEOUT_S)
+        return await read(key)
+
+    rig.leadership.leader = other
+    for _ in range(4):
+        await rig.leadership._monitor.check(other)
+    rig.store.read = read_over_the_same_link
+    await rig.leadership._read_record(replace=other)
+    assert not rig.leadership.is_leader
+    assert rig.leadership.is_leader_reachable
+
+
+async def test_the_last_ping_delays_the_replacement_of_a_dead_leader_little(
+    rig, monkeypatch
+):
+    monkeypatch.setattr(leadership_module, 'campaign_delay_s', lambda *_: 0)
+    other = await rig.other_leader()
+    SlowLink(rig, other)
+    rig.leadership.leader = other
+    began_at_s = asyncio.get_running_loop().time()
+    await rig.leadership._read_record(replace=other)
+    assert rig.leadership.is_leader
+    assert asyncio.get_running_loop().time() - began_at_s < 0.15
+
+
+async def test_a_presumed_dead_leader_gets_no_last_ping(rig, monkeypatch):
+    monkeypatch.setattr(leadership_module, 'campaign_delay_s', lambda *_: 0)
+    other = await rig.other_leader()
+    await rig.leadership._monitor.check(other)
+    rig.peers.request = None
+    await rig.leadership._read_record(replace=other)
+    assert rig.leadership.is_leader
--- a/tests/test_node_succession.py
+++ b/tests/test_node_succession.py
@@ -10,8 +10,10 @@
 from bulrushcove.node.failover import (
     INACTIVE_TIMEOUT_S,
     SILENCE_TIMEOUT_S,
+    UNCONFIRMED_SILENCE_TIMEOUT_S,
     FailoverAction,
     LeaderObservation,
+    PeerReports,
     campaign_delay_s,
     choose_action,
     ping_interval_s,
@@ -41,6 +43,50 @@
     )
 
 
+def make_silent(silent_s):
+    """Return an observation of a silent leader, and the time of it."""
+    observation = LeaderObservation()
+    observation.record_missed_ping(1.0)
+    observation.record_missed_ping(1.1)
+    return observation, 1.0 + silent_s
+
+
+@pytest.mark.parametrize(
+    ('reports', 'action'),
+    [
+        # The VM that asks may itself be cut off, or its link full.
+        (PeerReports(asked=2), FailoverAction.READ_RECORD),
+        (PeerReports(asked=1), FailoverAction.READ_RECORD),
+        # Its link works, and the leader is cut off or paused.
+        (PeerReports(asked=2, answered=1), FailoverAction.REPLACE),
+        (PeerReports(asked=2, answered=2), FailoverAction.REPLACE),
+        (
+            PeerReports(asked=2, answered=2, hearing=1),
+            FailoverAction.READ_RECORD,
+        ),
+        # Two VMs only.
+        (PeerReports(), FailoverAction.REPLACE),
+    ],
+)
+def test_silence_of_other_vms_does_not_speak_against_the_leader(
+    reports, action
+):
+    observation, now_s = make_silent(SILENCE_TIMEOUT_S + 0.1)
+    assert choose_action(observation, now_s, reports) is action
+
+
+def test_a_leader_is_replaced_although_all_other_vms_are_dead():
+    observation, now_s = make_silent(UNCONFIRMED_SILENCE_TIMEOUT_S + 0.1)
+    action = choose_action(observation, now_s, PeerReports(asked=2))
+    assert action is FailoverAction.REPLACE
+
+
+def test_a_dead_process_is_replaced_at_once_although_no_vm_answers():
+    observation = LeaderObservation(is_dead=True)
+    action = choose_action(observation, 1.0, PeerReports(asked=2))
+    assert action is FailoverAction.REPLACE
+
+
 def test_a_dead_process_is_replaced_at_once():
     assert (
         choose_action(LeaderObservation(is_dead=True), 1.0)
