--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -230,6 +230,14 @@
             return
         self._last_read_epoch = leader.epoch
         if replace is not None and replace.epoch == leader.epoch:
+            log_event(
+                logger,
+                'tenure.replaces',
+                level=logging.WARNING,
+                holder=leader.vm,
+                epoch=leader.epoch,
+                **self._monitor.describe(),
+            )
             await self._campaign(leader)
             return
         if self.leader is None or self.leader.epoch != leader.epoch:
@@ -249,7 +257,21 @@
         delay_s = campaign_delay_s(
             self._records.round_trip_s, self._settings.cpu_cores
         )
-        await self.sleep(delay_s)
+        # Of many VMs that campaign at once, another has probably won already.
+        is_current = asyncio.create_task(
+            self._records.is_current_after(delay_s, previous)
+        )
+        if previous is not None:
+            if await self._monitor.answers_during(previous, is_current):
+                log_event(
+                    logger,
+                    'tenure.kept',
+                    holder=previous.vm,
+                    epoch=previous.epoch,
+                )
+                return
+        if not await is_current:
+            return
         sent_at_s = self._clock.monotonic_s()
         record = await self._records.replace(previous)
         if record is None:
