Stop starts that a crashed worker left unanswered

What callers could see: a task is not started again for as long as its worker had been up before it crashed (LOST).

Cause: a start that got no answer, and then a refused connection, waits for the next report. When that comes from a new incarnation of the worker under the same id, the run counts as ended only once the worker's clock passes the deadline of the start. That deadline is on the clock of the previous incarnation; the new clock begins at 0.

Evidence: the new test fails without the change, the run stays allocated.

Fix: such starts are stopped. The new incarnation accepts deadlines of the old clock, so a late start could still be carried out there; a confirmed stop rules that out, and the next report ends the run.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -174,6 +174,11 @@
         started = self.confirm_starts(report_changes.confirmed, now_s)
         plan.stops.extend(started.stops)
         plan.changed.extend(started.changed)
+        plan.stops.extend(
+            mark_for_stop(
+                report_changes.unconfirmed, StopReason.START_UNANSWERED
+            )
+        )
         return plan, report_changes
 
     def confirm_starts(
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -29,6 +29,9 @@
     orphans: list[RunRef] = msgspec.field(default_factory=list)
     # Allocations whose run is confirmed by this report.
     confirmed: list[Allocation] = msgspec.field(default_factory=list)
+    # Starts sent to the previous incarnation of the worker and not confirmed.
+    # They must be stopped, as the new one may still carry them out.
+    unconfirmed: list[Allocation] = msgspec.field(default_factory=list)
 
 
 def reconcile_worker(
@@ -83,11 +86,15 @@
     listed = {running.ref for running in report.running}
     listed.update(ended.ref for ended in report.ended)
     for allocation in tuple(worker.allocations.values()):
-        was_running = (
-            allocation.start_confirmed_at_s is not None
-            and allocation.start_confirmed_at_s < requested_at_s
-        )
-        if allocation.ref not in listed and was_running:
+        if allocation.ref in listed:
+            continue
+        if allocation.start_confirmed_at_s is None:
+            # The deadline of the start is on the clock of the previous
+            # incarnation, so it says nothing.
+            allocation.start_deadline_ms = None
+            if allocation.is_start_sent:
+                report_changes.unconfirmed.append(allocation)
+        elif allocation.start_confirmed_at_s < requested_at_s:
             _end_allocation(
                 worker, AllocationEnd(allocation, EndKind.LOST), report_changes
             )
--- a/tests/test_batch_runs.py
+++ b/tests/test_batch_runs.py
@@ -204,6 +204,25 @@
     assert bench.engine.workers['w1'].processed_end == 0
 
 
+def test_start_unanswered_by_a_crashed_worker_is_stopped_and_ends():
+    bench = Bench(entry('w1'))
+    job = bench.submit(job_spec('job'))
+    bench.advance(60.0)
+    (allocation,) = bench.plan().starts
+    allocation.is_start_sent = True
+    allocation.start_deadline_ms = bench.clock_ms + 1500
+    bench.advance(4.0)
+    # The clock of the new incarnation starts at 0.
+    bench.clock_ms = 100
+    plan, _ = bench.report('w1', started_unix_ms=2)
+    assert plan.stops == [allocation]
+    assert job.units[0].phase is UnitPhase.ACTIVE
+    allocation.stop_confirmed_at_s = bench.now_s
+    bench.advance(0.1)
+    bench.report('w1', started_unix_ms=2)
+    assert job.units[0].phase is UnitPhase.WAITING
+
+
 def test_runs_of_unreachable_worker_restart_after_lease_expiry():
     bench, job = start_job()
     bench.add_worker(entry('w2'))
