Give up tasks that crash their workers

Cause: crashes were not counted. The end of a run whose worker was gone (lost) used no attempt and left no trace in the record.

Fix: a crash (a new incarnation, or another worker at the address, without notice) counts against each task that was started there in the last 5 s. Such a suspect gets a worker of its own, kept free of others until the run has lasted 2 s or twice as long as before the crash; that clears it. Two crashes alone within a second of the start, or three alone, give the task up; the job fails with the reason, stored before it is shown, and its other runs are stopped. Sound tasks that shared the worker run alone next and are cleared.

Not accused: runs of a leaving worker, silence, expired leases, runs older than 1 s when two more workers of the domain fail within 2 s. A crash of a worker that has been up for less than 5 s is no evidence against one task, so a worker that crashes again and again gives up no job.

Counts per task, the incarnation of each worker and the isolation are appended to the progress record: earlier records decode, and earlier programs ignore the new fields. A new leader tells a crash from an end by the stored incarnation.

--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from .exceptions import JobRefusedError
+from .exceptions import JobConflictError, JobRefusedError
 from .job_spec import JobSpec, StepSpec
 from .runtime_estimates import RuntimeEstimates
 from .workers import WorkerEntry
@@ -24,6 +24,19 @@
 MAX_OUTAGE_RETRY_S = 5.0
 
 
+def check_same_job(known: JobSpec, spec: JobSpec) -> None:
+    """Raise ``JobConflictError`` if ``spec`` differs from ``known``."""
+    same = (
+        known.steps == spec.steps
+        and known.payload == spec.payload
+        and known.terms.organisation == spec.terms.organisation
+    )
+    if not same:
+        raise JobConflictError(
+            f'job {spec.job} already exists with different content',
+        )
+
+
 def refuse_unplaceable(spec: JobSpec, engine: Engine, now_s: float) -> None:
     """Raise ``JobRefusedError`` if no worker can ever run some step.
 
--- a/src/bulrushcove/batch/completion.py
+++ b/src/bulrushcove/batch/completion.py
@@ -41,6 +41,15 @@
     return stops + _allocations_of_stopped_job(unit.job)
 
 
+def give_up_if_deadly(job: Job, unix_ms: int, now_s: float) -> list[Allocation]:
+    """Give up ``job`` if one of its tasks certainly crashes its workers.
+
+    Returns the allocations that must be stopped for it.
+    """
+    _end_job_if_decided(job, unix_ms, now_s)
+    return _allocations_of_stopped_job(job)
+
+
 def cancel_job(job: Job, unix_ms: int, now_s: float) -> list[Allocation]:
     """Cancel ``job`` unless it has ended; returns the allocations to stop."""
     if not job.has_ended:
@@ -72,16 +81,28 @@
         return
     limit = job.spec.terms.max_attempts
     for unit in job.units:
-        if unit.failures >= limit and _can_fail_job(unit):
-            job.reason = f'step {unit.step}: {unit.failures} runs failed'
+        reason = _failure_reason(unit, limit)
+        if reason:
+            job.reason = reason
             _end_job(job, JobPhase.FAILED, unix_ms, now_s)
             return
     if is_complete(job):
         _end_job(job, JobPhase.SUCCEEDED, unix_ms, now_s)
 
 
-def _can_fail_job(unit: Unit) -> bool:
-    return not unit.spec.is_service and unit.phase is not UnitPhase.DONE
+def _failure_reason(unit: Unit, max_attempts: int) -> str:
+    """Return why ``unit`` fails its job; empty if it does not."""
+    if unit.phase is UnitPhase.DONE:
+        return ''
+    for index, history in unit.crashes.items():
+        if history.is_conclusive:
+            return (
+                f'step {unit.step}: task {index} crashed '
+                f'{history.crashes} workers'
+            )
+    if unit.failures >= max_attempts and not unit.spec.is_service:
+        return f'step {unit.step}: {unit.failures} runs failed'
+    return ''
 
 
 def _end_job(job: Job, phase: JobPhase, unix_ms: int, now_s: float) -> None:
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -7,15 +7,13 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
 from ..clock import MS_PER_S
 from ..ids import JobId, WorkerId
-from .admission import refuse_unplaceable
-from .advice import AdviceRequest, TicketCache
+from .admission import check_same_job, refuse_unplaceable
+from .advice import TicketCache
 from .completion import apply_run_end, cancel_job
+from .crash_handler import CrashHandler
 from .draining import find_outlasting_runs
-from .exceptions import JobConflictError
 from .guarantee import max_step_accelerators
 from .headroom import UrgentDemand
 from .ids import QueueName, UnitRef
@@ -30,6 +28,7 @@
     new_job,
 )
 from .membership import placeholder_worker
+from .plan import Plan
 from .policy import DesiredState
 from .preemption_plan import PreemptionPlan
 from .queue_order import URGENT
@@ -51,28 +50,6 @@
 _FAILED_ENDS = frozenset((EndKind.FAILED,))
 
 
-class Plan(msgspec.Struct):
-    """Actions to carry out, in the order of the fields."""
-
-    # Jobs whose changed progress must be stored first.
-    changed: list[Job] = msgspec.field(default_factory=list)
-    # The jobs among them that have just ended.
-    ended: list[Job] = msgspec.field(default_factory=list)
-    starts: list[Allocation] = msgspec.field(default_factory=list)
-    stops: list[Allocation] = msgspec.field(default_factory=list)
-    # Whether another pass must follow immediately.
-    is_partial: bool = False
-    # Request for the first waiting unit that lacks tickets.
-    advice_request: AdviceRequest | None = None
-
-    def starts_by_job(self) -> dict[JobId, list[Allocation]]:
-        """Return the starts that must wait until their job is stored."""
-        starts: dict[JobId, list[Allocation]] = {}
-        for allocation in self.starts:
-            starts.setdefault(allocation.unit.job.id, []).append(allocation)
-        return starts
-
-
 class Engine:
     """Jobs, workers and the statistics that placement is based on."""
 
@@ -85,6 +62,7 @@
         self.desired_state = DesiredState()
         self.estimates = RuntimeEstimates()
         self.reliability = WorkerReliability()
+        self.crashes = CrashHandler()
         self.tickets = TicketCache()
         self.urgent_demand = UrgentDemand()
         # Passes so far; each examines other workers of a large pool.
@@ -116,7 +94,7 @@
         """
         known = self.jobs.get(spec.job)
         if known is not None:
-            _check_same(known.spec, spec)
+            check_same_job(known.spec, spec)
             return known, False
         refuse_unplaceable(spec, self, now_s)
         job = new_job(spec, unix_ms, now_s)
@@ -168,9 +146,18 @@
         report_changes = reconcile_worker(
             worker, report, requested_at_s=requested_at_s, now_s=now_s
         )
-        plan = self.end_allocations(
-            report_changes.ends, unix_ms=unix_ms, now_s=now_s
+        plan = self.crashes.apply(
+            report_changes.crash,
+            self.workers.values(),
+            unix_ms=unix_ms,
+            now_s=now_s,
         )
+        plan.extend(
+            self.end_allocations(
+                report_changes.ends, unix_ms=unix_ms, now_s=now_s
+            )
+        )
+        plan.changed.extend(one.unit.job for one in report_changes.survived)
         started = self.confirm_starts(report_changes.confirmed, now_s)
         plan.stops.extend(started.stops)
         plan.changed.extend(started.changed)
@@ -219,9 +206,22 @@
         return plan
 
     def end_incarnation(
-        self, worker: Worker, *, unix_ms: int, now_s: float
+        self,
+        worker: Worker,
+        *,
+        unix_ms: int,
+        now_s: float,
+        is_replaced: bool = False,
     ) -> Plan:
-        """End all runs on ``worker``, whose process is gone."""
+        """End all runs on ``worker``, whose process is gone.
+
+        ``is_replaced``: another worker has taken its address.
+        """
+        plan = Plan()
+        if is_replaced:
+            plan = self.crashes.apply_replacement(
+                worker, self.workers.values(), unix_ms=unix_ms, now_s=now_s
+            )
         ends = [
             AllocationEnd(allocation, EndKind.LOST)
             for allocation in worker.allocations.values()
@@ -230,7 +230,8 @@
         worker.orphans.clear()
         # Its next report is handled like the first one to a new leader.
         worker.has_reported = False
-        return self.end_allocations(ends, unix_ms=unix_ms, now_s=now_s)
+        plan.extend(self.end_allocations(ends, unix_ms=unix_ms, now_s=now_s))
+        return plan
 
     def expire_leases(self, *, unix_ms: int, now_s: float) -> Plan:
         """End the runs of unreachable workers whose leases have expired."""
@@ -239,12 +240,9 @@
             if not worker.allocations or now_s <= worker.leases_expire_at_s:
                 continue
             if worker.failed_polls or not worker.has_reported:
-                ended = self.end_incarnation(
-                    worker, unix_ms=unix_ms, now_s=now_s
+                plan.extend(
+                    self.end_incarnation(worker, unix_ms=unix_ms, now_s=now_s)
                 )
-                plan.changed.extend(ended.changed)
-                plan.ended.extend(ended.ended)
-                plan.stops.extend(ended.stops)
         return plan
 
     def plan(self, *, unix_ms: int, now_s: float) -> Plan:
@@ -321,18 +319,6 @@
         worker.allocations[allocation.ref] = allocation
 
 
-def _check_same(known: JobSpec, spec: JobSpec) -> None:
-    same = (
-        known.steps == spec.steps
-        and known.payload == spec.payload
-        and known.terms.organisation == spec.terms.organisation
-    )
-    if not same:
-        raise JobConflictError(
-            f'job {spec.job} already exists with different content',
-        )
-
-
 def _must_stop(allocation: Allocation) -> bool:
     """Return whether a started run must stop with its job or its gang."""
     if allocation.phase is AllocationPhase.STOPPING:
--- /dev/null
+++ b/src/bulrushcove/batch/isolation.py
@@ -0,0 +1,141 @@
+"""Workers of their own for tasks that may have crashed a worker.
+
+Nothing else is placed on such a worker until the run has survived.
+"""
+
+from collections.abc import Container, Iterable, Sequence
+
+from .backfill_reservation import MAX_RESERVATIONS
+from .capacity_forecast import CapacityForecast
+from .crash_history import CrashHistory
+from .job_spec import TaskSize
+from .job_state import Unit
+from .placement import (
+    Candidate,
+    Fit,
+    count_fitting_tasks,
+    fill_group,
+    fitting_candidates,
+    rack_groups,
+)
+from .workers import Worker
+
+# After one crash a task waits this long for a worker of its own. A sound task
+# that shared a worker with a deadly one must not become late for it.
+MAX_WAIT_S = 3.0
+# Longest wait after more crashes. A pool without so many workers must not keep
+# the task from running for good.
+MAX_STRICT_WAIT_S = 30.0
+# Capacity of a worker that takes no other run.
+_NONE_FREE = TaskSize(-1, -1, -1)
+
+
+def indices_to_isolate(unit: Unit, now_s: float) -> frozenset[int]:
+    """Return the tasks of ``unit`` that need a worker of their own now."""
+    if not unit.crashes:
+        return frozenset()
+    waited_s = now_s - unit.ready_since_s
+    return frozenset(
+        index
+        for index, history in unit.crashes.items()
+        if waited_s < _max_wait_s(history)
+    )
+
+
+def find_isolated_placement(
+    unit: Unit,
+    isolated: Container[int],
+    candidates: Sequence[Candidate],
+    *,
+    placed: dict[str, int],
+    allows_remote_rack: bool,
+) -> list[Candidate] | None:
+    """Return a candidate for each task of ``unit``; None if it does not fit.
+
+    The tasks ``isolated`` get idle candidates that no other task shares.
+    """
+    is_strict = any(
+        history.is_isolation_strict for history in unit.crashes.values()
+    )
+    usable = fitting_candidates(unit.spec, candidates, placed)
+    groups = rack_groups(
+        unit, usable, candidates, allows_remote_rack or is_strict
+    )
+    for group in groups:
+        chosen = _fill_isolated(unit, isolated, group, is_strict=is_strict)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def isolate_runs(
+    unit: Unit, isolated: Container[int], chosen: Iterable[Candidate]
+) -> None:
+    """Keep other runs off the workers that were chosen for ``isolated``."""
+    for index, candidate in zip(unit.indices, chosen, strict=True):
+        if index in isolated:
+            unit.allocations[index].is_isolated = True
+            candidate.free = _NONE_FREE
+
+
+def reserve_idle_workers(
+    unit: Unit, candidates: Iterable[Candidate], forecast: CapacityForecast
+) -> int:
+    """Reserve the workers that will be idle first; returns how many.
+
+    One for each task that must not share a worker any more.
+    """
+    step = unit.spec
+    count = sum(
+        history.is_isolation_strict for history in unit.crashes.values()
+    )
+    suitable = [
+        (forecast.releases(candidate.worker)[-1][0], candidate)
+        for candidate in candidates
+        if candidate.reserved_after_s is None
+        and candidate.is_stable
+        and not candidate.is_on_probation
+        and count_fitting_tasks(candidate, step, future_free=candidate.capacity)
+    ]
+    suitable.sort(key=lambda pair: pair[0])
+    reserved = suitable[: min(count, MAX_RESERVATIONS)]
+    for idle_after_s, candidate in reserved:
+        candidate.reserved_after_s = idle_after_s
+    return len(reserved)
+
+
+def has_isolated_run(worker: Worker) -> bool:
+    """Return whether ``worker`` runs a task that must not share it."""
+    return any(one.is_isolated for one in worker.allocations.values())
+
+
+def _max_wait_s(history: CrashHistory) -> float:
+    return MAX_STRICT_WAIT_S if history.is_isolation_strict else MAX_WAIT_S
+
+
+def _fill_isolated(
+    unit: Unit,
+    isolated: Container[int],
+    group: list[Fit],
+    *,
+    is_strict: bool,
+) -> list[Candidate] | None:
+    indices = [index for index in unit.indices if index in isolated]
+    hosts = [
+        candidate
+        for candidate, _ in group
+        if candidate.is_idle and (candidate.is_stable or not is_strict)
+    ]
+    hosts.sort(key=lambda host: (not host.is_stable, host.is_suspect))
+    hosts = hosts[: len(indices)]
+    if len(hosts) < len(indices):
+        return None
+    shared = [fit for fit in group if fit[0] not in hosts]
+    others = fill_group(shared, unit.spec, unit.size - len(hosts))
+    if others is None:
+        return None
+    next_host, next_other = iter(hosts), iter(others)
+    return [
+        next(next_host) if index in isolated else next(next_other)
+        for index in unit.indices
+    ]
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..ids import JobId, WorkerId
+from .crash_history import CrashHistory
 from .ids import RunRef, TaskRef, UnitRef
 from .job_spec import JobSpec, StepSpec
 
@@ -81,8 +82,15 @@
     speed_percent: int = 100
     # When ``percent`` last increased.
     last_progress_at_s: float = 0.0
-    # Whether the start may have been sent to the worker.
+    # Start time of the worker process at the placement, later at the start;
+    # 0: not known.
+    worker_started_unix_ms: int = 0
+    # Whether the start may have been sent to the worker, and when this leader
+    # sent it first.
     is_start_sent: bool = False
+    start_sent_at_s: float | None = None
+    # Whether the worker takes no other run, as this one may crash it.
+    is_isolated: bool = False
     # Why the run is to be stopped, as first requested; None: it is not.
     stop_reason: StopReason | None = None
 
@@ -122,6 +130,8 @@
     # Number of failed runs.
     failures: int = 0
     checkpoint: str = ''
+    # Crashes of workers that ran a task of the unit, by index.
+    crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
     # Allocations of the last run that are not known to have ended.
     allocations: dict[int, Allocation] = msgspec.field(default_factory=dict)
     # Number of the run whose failure was counted last: a gang that fails counts
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -36,6 +36,9 @@
     capacity: TaskSize
     # Whether it failed a task lately; other candidates are preferred.
     is_suspect: bool = False
+    # Whether it has no runs, and whether it has been up for a while.
+    is_idle: bool = False
+    is_stable: bool = False
     # Whether it takes one unit at a time.
     is_on_probation: bool = False
     # Whether best-effort tasks are slowed down there.
@@ -46,7 +49,7 @@
 
 
 # A candidate and how many tasks of the step fit there.
-_Fit = tuple[Candidate, int]
+Fit = tuple[Candidate, int]
 
 
 def count_fitting_tasks(
@@ -91,9 +94,9 @@
     one as long as some rack would hold it when empty.
     """
     step = unit.spec
-    usable = _fitting_candidates(step, candidates, placed)
-    for group in _rack_groups(unit, usable, candidates, allows_remote_rack):
-        chosen = _fill_group(group, step, unit.size)
+    usable = fitting_candidates(step, candidates, placed)
+    for group in rack_groups(unit, usable, candidates, allows_remote_rack):
+        chosen = fill_group(group, step, unit.size)
         if chosen is not None:
             return chosen
     return None
@@ -109,8 +112,8 @@
     before. The step must not limit the tasks of a worker.
     """
     step = unit.spec
-    usable = _fitting_candidates(step, candidates, {})
-    for group in _rack_groups(unit, usable, candidates, allows_remote_rack):
+    usable = fitting_candidates(step, candidates, {})
+    for group in rack_groups(unit, usable, candidates, allows_remote_rack):
         if group:
             return _rack_by_rack(_sort_best_fit(group, step))
     return []
@@ -120,13 +123,15 @@
     """Deduct the requirements of one task from each entry of ``chosen``."""
     for candidate in chosen:
         candidate.free = candidate.free.minus(step.requirements)
+        candidate.is_idle = False
 
 
-def _fitting_candidates(
+def fitting_candidates(
     step: StepSpec,
     candidates: Sequence[Candidate],
     placed: dict[WorkerId, int],
-) -> list[_Fit]:
+) -> list[Fit]:
+    """Return the candidates that fit ``step``, and how many tasks each."""
     needed = step.requirements
     # Most candidates of a full pool are too small: two comparisons are
     # cheaper than a call.
@@ -143,15 +148,15 @@
     ]
 
 
-def _rack_groups(
+def rack_groups(
     unit: Unit,
-    usable: list[_Fit],
+    usable: list[Fit],
     candidates: Sequence[Candidate],
     allows_remote_rack: bool,
-) -> list[list[_Fit]]:
+) -> list[list[Fit]]:
     """Return the groups of candidates to try, the best first."""
     step = unit.spec
-    by_rack: dict[RackId, list[_Fit]] = defaultdict(list)
+    by_rack: dict[RackId, list[Fit]] = defaultdict(list)
     for fit in usable:
         by_rack[fit[0].rack].append(fit)
     racks = {candidate.rack for candidate in candidates}
@@ -183,38 +188,39 @@
     return any(total >= unit.size for total in totals.values())
 
 
-def _total_tasks(group: list[_Fit]) -> int:
+def _total_tasks(group: list[Fit]) -> int:
     return sum(count for _, count in group)
 
 
-def _free_cores(group: list[_Fit]) -> float:
+def _free_cores(group: list[Fit]) -> float:
     return sum(candidate.free.weight_cores for candidate, _ in group)
 
 
-def _fill_group(
-    group: list[_Fit], step: StepSpec, size: int
+def fill_group(
+    group: list[Fit], step: StepSpec, size: int
 ) -> list[Candidate] | None:
+    """Return the best candidates of ``group`` for ``size`` tasks."""
     if _total_tasks(group) < size:
         return None
     chosen: list[Candidate] = []
     for candidate, count in _sort_best_fit(group, step):
         chosen.extend(repeat(candidate, min(count, size - len(chosen))))
         if len(chosen) == size:
-            return chosen
-    return None
+            break
+    return chosen
 
 
-def _sort_best_fit(group: list[_Fit], step: StepSpec) -> list[_Fit]:
+def _sort_best_fit(group: list[Fit], step: StepSpec) -> list[Fit]:
     needed = step.requirements
     free_by_rack = _free_by_rack(group)
 
-    def sort_key(pair: _Fit) -> tuple[float, ...]:
+    def sort_key(pair: Fit) -> tuple[float, ...]:
         return _best_fit_key(pair[0], needed, free_by_rack[pair[0].rack])
 
     return sorted(group, key=sort_key)
 
 
-def _rack_by_rack(ranked: list[_Fit]) -> list[Candidate]:
+def _rack_by_rack(ranked: list[Fit]) -> list[Candidate]:
     """Return the candidates of ``ranked``, all of a rack in succession."""
     racks: dict[tuple[bool, RackId], list[Candidate]] = defaultdict(list)
     for candidate, _ in ranked:
@@ -222,7 +228,7 @@
     return list(chain.from_iterable(racks.values()))
 
 
-def _free_by_rack(group: list[_Fit]) -> dict[RackId, int]:
+def _free_by_rack(group: list[Fit]) -> dict[RackId, int]:
     free: dict[RackId, int] = defaultdict(int)
     for candidate, _ in group:
         free[candidate.rack] += candidate.free.accelerators
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -10,6 +10,7 @@
 
 from .ids import RunRef
 from .job_state import Allocation, AllocationPhase
+from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
 from .workers import EndedTask, EndKind, RunningTask, Worker, WorkerReport
 
 
@@ -32,6 +33,10 @@
     # Starts sent to the previous incarnation of the worker and not confirmed.
     # They must be stopped, as the new one may still carry them out.
     unconfirmed: list[Allocation] = msgspec.field(default_factory=list)
+    # Runs of suspects that have lasted long enough to clear them.
+    survived: list[Allocation] = msgspec.field(default_factory=list)
+    # Crash of the previous incarnation; None: there was none, or no runs.
+    crash: WorkerCrash | None = None
 
 
 def reconcile_worker(
@@ -42,8 +47,10 @@
     ``requested_at_s`` is the time at which the report was requested.
     """
     report_changes = ReportChanges()
-    is_restarted = report.started_unix_ms != worker.entry.started_unix_ms
-    if is_restarted:
+    report_changes.crash = observe_crash(
+        worker, find_crashed_runs(worker, report, now_s), now_s
+    )
+    if report.started_unix_ms != worker.entry.started_unix_ms:
         _start_new_incarnation(worker, report, report_changes, requested_at_s)
     worker.record_clock(report.clock_ms, now_s)
     for ended in report.ended:
@@ -136,6 +143,10 @@
         allocation.last_progress_at_s = now_s
     if running.checkpoint:
         allocation.unit.checkpoint = running.checkpoint
+    if _has_survived(allocation, now_s):
+        allocation.is_isolated = False
+        allocation.unit.crashes.pop(allocation.index)
+        report_changes.survived.append(allocation)
 
 
 def confirm_running(allocation: Allocation, now_s: float) -> None:
@@ -147,6 +158,15 @@
         allocation.phase = AllocationPhase.RUNNING
 
 
+def _has_survived(allocation: Allocation, now_s: float) -> bool:
+    """Return whether the run clears its task of the crashes before."""
+    history = allocation.unit.crashes.get(allocation.index)
+    started_at_s = allocation.start_confirmed_at_s
+    if history is None or started_at_s is None:
+        return False
+    return now_s - started_at_s >= history.survival_s
+
+
 def _has_ended(
     allocation: Allocation, clock_ms: int, requested_at_s: float
 ) -> bool:
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -1,10 +1,12 @@
 """Stored records of a job: its submission, written once, and its progress."""
 
+from itertools import chain, repeat
 from typing import Any
 
 import msgspec
 
 from ..ids import WorkerId
+from .crash_history import CrashHistory
 from .exceptions import RecordError
 from .job_spec import JobSpec
 from .job_state import Allocation, Job, JobPhase, Unit, UnitPhase, new_job
@@ -30,6 +32,12 @@
     failures: int
     checkpoint: str
     workers: tuple[str, ...] = ()
+    # Start times of these workers' processes, in Unix milliseconds.
+    incarnations: tuple[int, ...] = ()
+    # Indices of the tasks that must not share these workers.
+    isolated: tuple[int, ...] = ()
+    # By index of the task.
+    crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -110,14 +118,26 @@
 
 def _unit_record(unit: Unit) -> UnitRecord:
     workers: tuple[str, ...] = ()
+    incarnations: tuple[int, ...] = ()
     if unit.allocations:
-        by_index = unit.allocations
-        workers = tuple(
-            by_index[index].worker if index in by_index else ''
-            for index in unit.indices
+        allocations = [unit.allocations.get(index) for index in unit.indices]
+        workers = tuple(one.worker if one else '' for one in allocations)
+        incarnations = tuple(
+            one.worker_started_unix_ms if one else 0 for one in allocations
         )
     return UnitRecord(
-        unit.phase.value, unit.run, unit.failures, unit.checkpoint, workers
+        unit.phase.value,
+        unit.run,
+        unit.failures,
+        unit.checkpoint,
+        workers,
+        incarnations,
+        tuple(
+            index
+            for index, allocation in unit.allocations.items()
+            if allocation.is_isolated
+        ),
+        unit.crashes,
     )
 
 
@@ -126,14 +146,21 @@
     unit.run = stored.run
     unit.failures = stored.failures
     unit.checkpoint = stored.checkpoint
-    for index, worker in zip(unit.indices, stored.workers, strict=False):
+    unit.crashes = dict(stored.crashes)
+    # Records of earlier versions name no incarnations.
+    incarnations = chain(stored.incarnations, repeat(0))
+    for index, worker, incarnation in zip(
+        unit.indices, stored.workers, incarnations, strict=False
+    ):
         if worker:
             unit.allocations[index] = Allocation(
                 unit=unit,
                 index=index,
                 run=stored.run,
                 worker=WorkerId(worker),
+                worker_started_unix_ms=incarnation,
                 is_start_sent=True,
+                is_isolated=index in stored.isolated,
             )
 
 
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -17,6 +17,13 @@
 from .capacity_forecast import CapacityForecast
 from .headroom import GANG_HEADROOM_WAIT_S, select_headroom_workers
 from .ids import PoolName
+from .isolation import (
+    find_isolated_placement,
+    has_isolated_run,
+    indices_to_isolate,
+    isolate_runs,
+    reserve_idle_workers,
+)
 from .job_state import (
     Allocation,
     StopReason,
@@ -40,6 +47,7 @@
 from .queue_order import URGENT, queue_sort_key
 from .sampling import select_examined
 from .shapes import Shape, shape_of
+from .worker_crashes import is_stable
 from .workers import FULL_SPEED_PERCENT, Worker
 
 if TYPE_CHECKING:
@@ -104,7 +112,9 @@
             return []
         deduct_requirements(chosen, unit.spec)
         self._engine.preemptions.pop(unit.ref, None)
-        return self._start_run(unit, chosen)
+        allocations = self._start_run(unit, chosen)
+        isolate_runs(unit, indices_to_isolate(unit, self._now_s), chosen)
+        return allocations
 
     def preempt(self, unit: Unit) -> list[Allocation]:
         """Preempt for ``unit``; returns the allocations to stop.
@@ -115,7 +125,9 @@
         terms = unit.job.spec.terms
         if terms.priority != URGENT or unit.phase is not UnitPhase.WAITING:
             return []
-        if unit.ref in self._engine.preemptions:
+        if unit.ref in self._engine.preemptions or indices_to_isolate(
+            unit, self._now_s
+        ):
             return []
         plan = self.decider.find_plan(unit, self._examined_candidates(unit))
         if plan is None:
@@ -128,6 +140,12 @@
 
     def reserve(self, unit: Unit) -> None:
         """Reserve the workers that will have capacity for ``unit`` first."""
+        if indices_to_isolate(unit, self._now_s):
+            if self._reservation_count < MAX_RESERVATIONS:
+                self._reservation_count += reserve_idle_workers(
+                    unit, self._allowed_candidates(unit), self._forecast
+                )
+            return
         terms = unit.job.spec.terms
         waited_s = self._now_s - unit.ready_since_s
         if terms.priority == URGENT or waited_s < RESERVE_AFTER_S:
@@ -163,6 +181,19 @@
 
     def _choose_candidates(self, unit: Unit) -> list[Candidate] | None:
         """Return a candidate for each task of ``unit``; None if none fit."""
+        isolated = indices_to_isolate(unit, self._now_s)
+        if isolated:
+            return find_isolated_placement(
+                unit,
+                isolated,
+                [
+                    candidate
+                    for candidate in self._allowed_candidates(unit)
+                    if self._may_use(unit, candidate)
+                ],
+                placed=_count_placed_tasks(unit),
+                allows_remote_rack=self._allows_remote_rack(unit),
+            )
         if unit.size == 1 and not unit.spec.max_per_worker:
             candidate = self._choose_ranked(unit)
             return [candidate] if candidate else None
@@ -321,9 +352,9 @@
             )
             unit.allocations[index] = allocation
             self._forecast.invalidate(candidate.worker)
-            self._engine.workers[candidate.worker].allocations[
-                allocation.ref
-            ] = allocation
+            worker = self._engine.workers[candidate.worker]
+            allocation.worker_started_unix_ms = worker.entry.started_unix_ms
+            worker.allocations[allocation.ref] = allocation
         return list(unit.allocations.values())
 
 
@@ -349,7 +380,8 @@
     candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
     if waiting:
         for worker in engine.workers.values():
-            if is_schedulable(engine, worker, now_s):
+            is_open = is_schedulable(engine, worker, now_s)
+            if is_open and not has_isolated_run(worker):
                 candidates[worker.entry.pool].append(
                     _make_candidate(engine, worker, now_s)
                 )
@@ -381,6 +413,8 @@
         capacity=entry.capacity,
         is_suspect=engine.reliability.is_suspect(worker.id, now_s),
         is_on_probation=engine.reliability.is_on_probation(worker.id),
+        is_idle=not worker.allocations,
+        is_stable=is_stable(worker, now_s),
         is_throttled=worker.speed_percent < FULL_SPEED_PERCENT,
     )
 
--- a/src/bulrushcove/batch/shapes.py
+++ b/src/bulrushcove/batch/shapes.py
@@ -19,5 +19,7 @@
         spec.near_rack,
         needs_one_rack,
         spec.fills_idle,
+        # Suspects may need workers of their own.
+        unit.ref if unit.crashes else '',
     )
     return (unit.job.spec.terms.pool, unit.size, spec.size, constraints, step)
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -110,6 +110,8 @@
     leases_expire_at_s: float = 0.0
     # Polls without a valid report since the last one that succeeded.
     failed_polls: int = 0
+    # When the first of them failed.
+    silent_since_s: float = 0.0
     last_report_at_s: float = 0.0
     # Speed of best-effort tasks, and when it was last changed.
     speed_percent: int = FULL_SPEED_PERCENT
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -2,6 +2,7 @@
 
 from ..batch.engine import Engine
 from ..batch.job_state import Job
+from ..batch.worker_crashes import AccusedRun
 from ..metrics import Metrics
 
 
@@ -26,6 +27,14 @@
         self._usable_workers = metrics.gauge(
             'bulrushcove_workers_usable', 'Workers that answer.'
         )
+        self._accused_runs = metrics.counter(
+            'bulrushcove_accused_runs_total',
+            'Runs whose worker crashed soon after their start.',
+        )
+        self._jobs_given_up = metrics.counter(
+            'bulrushcove_jobs_given_up_total',
+            'Jobs that failed as a task crashes its workers.',
+        )
         self._loop_delay_seconds = metrics.histogram(
             'bulrushcove_loop_delay_seconds',
             'Delays of the event loop above 10 ms.',
@@ -47,6 +56,12 @@
         """Count an accepted job."""
         self._accepted_jobs.inc({'queue': job.spec.terms.queue})
 
+    def record_accused_run(self, accused: AccusedRun) -> None:
+        """Count a run that may have crashed its worker."""
+        self._accused_runs.inc({})
+        if accused.history.is_conclusive:
+            self._jobs_given_up.inc({})
+
     def record_engine_state(self, engine: Engine) -> None:
         """Set the gauges from the leader's engine."""
         self._active_jobs.set({}, len(engine.active))
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -6,11 +6,11 @@
 from mode import Service
 
 from ..batch.advice import needs_advice, step_ref_of
-from ..batch.engine import Engine, Plan
+from ..batch.engine import Engine
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
+from ..batch.plan import Plan
 from ..batch.policy import DesiredState
-from ..batch.workers import EndKind
 from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
 from ..logs import log_event, log_unexpected_error
@@ -24,7 +24,7 @@
 from .metrics import NodeMetrics
 from .settings import NodeSettings, run_lease_ms
 from .store_writer import LeadershipLostError, StoreWriter, WriteWithdrawnError
-from .worker_events import WorkerEventHandler
+from .worker_events import WorkerEventHandler, log_accused_run
 from .worker_registry import WorkerAdapter, WorkerRegistry
 
 # A worker's clock may run slow, which prolongs a lease by up to this factor.
@@ -220,6 +220,9 @@
 
         Starts are sent once their job's record is stored, stops at once.
         """
+        for accused in plan.accused:
+            log_accused_run(accused)
+            self._metrics.record_accused_run(accused)
         starts = plan.starts_by_job()
         for job in plan.changed:
             write = self._records.write_progress(job)
@@ -245,9 +248,7 @@
             ticket = self._find_ticket(allocation)
             is_allowed = ticket or not needs_advice(allocation.unit)
             if link is None or not is_allowed:
-                self._worker_events.handle_run_ended(
-                    allocation, EndKind.NEVER_STARTED
-                )
+                self._worker_events.handle_start_dropped(allocation)
             else:
                 link.orders.order_start(allocation, ticket)
 
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -5,13 +5,15 @@
 from collections.abc import Callable, Iterable
 
 from ..batch.advice import step_ref_of
-from ..batch.engine import Engine, Plan
+from ..batch.engine import Engine
 from ..batch.ids import RunRef
 from ..batch.job_state import Allocation, AllocationPhase, Job
 from ..batch.orders import OrderOutcome
 from ..batch.pacing import update_throttle
+from ..batch.plan import Plan
 from ..batch.reconcile import AllocationEnd
 from ..batch.scheduling_pass import is_in_service, is_schedulable
+from ..batch.worker_crashes import AccusedRun
 from ..batch.workers import EndKind, Worker, WorkerReport
 from ..clock import Clock
 from ..ids import WorkerId
@@ -139,6 +141,10 @@
             )
         self.handle_run_ended(allocation, EndKind.NEVER_STARTED)
 
+    def handle_start_dropped(self, allocation: Allocation) -> None:
+        """Release ``allocation``, whose start was never sent."""
+        self.handle_run_ended(allocation, EndKind.NEVER_STARTED)
+
     def handle_run_ended(self, allocation: Allocation, kind: EndKind) -> None:
         """Release ``allocation``, whose run has ended or never started."""
         worker = self._engine.workers.get(allocation.worker)
@@ -160,6 +166,7 @@
     def handle_failed_poll(self, worker: Worker) -> None:
         """Request a scheduling pass after the first failed poll of a worker."""
         if worker.failed_polls == 1:
+            worker.silent_since_s = self._clock.monotonic_s()
             self.on_change()
 
     def handle_worker_replaced(self, worker: Worker) -> None:
@@ -168,6 +175,7 @@
             worker,
             unix_ms=self._clock.unix_ms(),
             now_s=self._clock.monotonic_s(),
+            is_replaced=True,
         )
         self.apply_plan(plan)
         self.on_change()
@@ -213,6 +221,34 @@
             link.wake()
 
 
+def log_accused_run(accused: AccusedRun) -> None:
+    """Log a crash that counts against a run, and the job if it is given up."""
+    ref = accused.allocation.ref
+    history = accused.history
+    log_event(
+        logger,
+        'run.accused',
+        level=logging.WARNING,
+        worker=accused.allocation.worker,
+        job=ref.task.job,
+        occurrence=ref.task.occurrence,
+        step=ref.task.step,
+        index=ref.task.index,
+        run=ref.run,
+        age_ms=accused.age_ms,
+        crashes_shared=history.shared,
+        crashes_alone=history.alone,
+    )
+    if history.is_conclusive:
+        log_event(
+            logger,
+            'job.given_up',
+            level=logging.WARNING,
+            job=ref.task.job,
+            reason=accused.allocation.unit.job.reason,
+        )
+
+
 def _log_end(end: AllocationEnd) -> None:
     ref = end.allocation.ref
     log_event(
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -189,6 +189,8 @@
         deadline_ms = worker.estimate_clock_ms(now_s) + START_TTL_MS
         allocation.start_deadline_ms = deadline_ms
         allocation.is_start_sent = True
+        allocation.start_sent_at_s = now_s
+        allocation.worker_started_unix_ms = worker.entry.started_unix_ms
         worker.record_lease(deadline_ms)
         unit = allocation.unit
         order = StartOrder(
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -1,7 +1,9 @@
 """Tasks that crash each worker that starts them."""
 
+import msgspec
 from batch_builders import Bench, entry, job_spec, step
 
+from bulrushcove.batch.crash_history import CrashHistory
 from bulrushcove.batch.engine import Engine
 from bulrushcove.batch.job_state import JobPhase
 from bulrushcove.batch.records import (
@@ -11,6 +13,7 @@
     encode_submission,
     restore_job,
 )
+from bulrushcove.batch.workers import EndKind
 
 # The rule allows two more starts after three workers have crashed.
 MAX_STARTS = 5
@@ -43,13 +46,16 @@
         plan = self.plan()
         for allocation in plan.starts:
             allocation.is_start_sent = True
+            allocation.start_sent_at_s = self.now_s
         self.advance(0.01)
         self.confirm()
         return plan
 
     def crash(self, name):
         """Crash a worker that is noticed at once and is back soon."""
-        self.engine.workers[name].failed_polls = 1
+        worker = self.engine.workers[name]
+        worker.failed_polls = 1
+        worker.silent_since_s = self.now_s
         self.advance(RESTART_S)
         return self.restart(name)
 
@@ -132,3 +138,167 @@
         bench.confirm()
     assert starts <= MAX_STARTS
     assert job.phase is JobPhase.FAILED
+
+
+def test_deadly_gang_member_is_found_and_its_gang_given_up():
+    bench = CrashBench('w1', 'w2', 'w3', 'w4', 'w5', 'w6')
+    job = bench.submit(job_spec('gang', step(4, 2, is_gang=True)))
+    starts = 0
+    for _ in range(10):
+        bench.start_all()
+        for worker in workers_of(job, 2):
+            starts += 1
+            bench.crash(worker)
+        for allocation in list(job.units[0].allocations.values()):
+            bench.end(allocation, EndKind.GANG_ABORTED)
+        bench.advance(2.0)
+    assert starts <= MAX_STARTS
+    assert job.reason == 'step 0: task 2 crashed 3 workers'
+
+
+def test_deadly_task_whose_start_is_never_confirmed_is_given_up():
+    bench = CrashBench()
+    job = bench.submit(job_spec('deadly'))
+    starts = 0
+    for _ in range(10):
+        for allocation in bench.plan().starts:
+            starts += 1
+            allocation.is_start_sent = True
+            allocation.start_sent_at_s = bench.now_s
+            bench.crash(allocation.worker)
+            allocation.stop_confirmed_at_s = bench.now_s
+            bench.advance(0.1)
+            bench.report(allocation.worker)
+        bench.advance(1.0)
+    assert starts <= MAX_STARTS
+    assert job.phase is JobPhase.FAILED
+
+
+def test_urgent_deadly_task_is_given_up():
+    bench = CrashBench()
+    job = bench.submit(job_spec('deadly', step(2), priority=0))
+    assert bench.run_deadly(job) <= MAX_STARTS
+    assert job.phase is JobPhase.FAILED
+
+
+def test_suspect_runs_alone_until_it_has_survived():
+    bench = CrashBench('w1', 'w2')
+    suspect = bench.submit(job_spec('suspect'))
+    bench.start_all()
+    bench.crash('w1')
+    bench.submit(job_spec('other', step(3)))
+    starts = bench.start_all().starts
+    (own_worker,) = workers_of(suspect, 0)
+    others = [one for one in starts if one.unit.job is not suspect]
+    assert len(others) == 3
+    assert own_worker not in {one.worker for one in others}
+    bench.submit(job_spec('next', step(16)))
+    assert own_worker not in {one.worker for one in bench.start_all().starts}
+    bench.advance(2.0)
+    bench.confirm()
+    assert not suspect.units[0].crashes
+    assert own_worker in {one.worker for one in bench.plan().starts}
+
+
+def test_suspect_waits_for_an_idle_worker_and_keeps_it_reserved():
+    bench = CrashBench('w1')
+    bench.submit(job_spec('before', step(8)))
+    running = bench.start_all().starts
+    suspect = bench.submit(job_spec('suspect'))
+    suspect.units[0].crashes[0] = CrashHistory(shared=2)
+    bench.submit(job_spec('next', step(8, estimated_ms=9000), priority=2))
+    for allocation in running:
+        # The worker has room for others, and is not idle yet.
+        assert not bench.plan().starts
+        bench.end(allocation, EndKind.DONE)
+    (start,) = bench.start_all().starts
+    assert start.unit is suspect.units[0]
+    assert start.is_isolated
+
+
+def test_job_is_not_given_up_as_its_worker_crashes_by_itself():
+    bench = CrashBench('w1')
+    job = bench.submit(job_spec('sound'))
+    for _ in range(10):
+        bench.start_all()
+        bench.crash('w1')
+    assert job.phase is JobPhase.RUNNING
+    # Crashes of a worker that has just started say little.
+    assert job.units[0].crashes[0].alone <= 1
+
+
+def test_domain_that_loses_power_does_not_accuse_its_runs():
+    bench = CrashBench()
+    job = bench.submit(job_spec('sound', step(4, accelerators=8)))
+    bench.start_all()
+    bench.advance(1.5)
+    for worker in bench.engine.workers.values():
+        worker.failed_polls = 1
+        worker.silent_since_s = bench.now_s
+    bench.advance(RESTART_S)
+    for name in WORKERS:
+        plan, _ = bench.restart(name)
+        assert not plan.accused
+    assert not any(unit.crashes for unit in job.units)
+
+
+def test_leaving_worker_and_lease_expiry_do_not_count_as_crashes():
+    bench = CrashBench('w1', 'w2')
+    job = bench.submit(job_spec('sound', step(2, accelerators=8)))
+    bench.start_all()
+    bench.add_worker(entry('w1', is_draining=True))
+    bench.engine.end_incarnation(
+        bench.engine.workers['w1'],
+        unix_ms=bench.unix_ms,
+        now_s=bench.now_s,
+        is_replaced=True,
+    )
+    worker = bench.engine.workers['w2']
+    worker.failed_polls = 1
+    bench.advance(9.0)
+    bench.engine.expire_leases(unix_ms=bench.unix_ms, now_s=bench.now_s)
+    assert not any(unit.allocations for unit in job.units)
+    assert not any(unit.crashes for unit in job.units)
+
+
+def test_worker_replaced_at_its_address_counts_as_a_crash():
+    bench = CrashBench('w1')
+    job = bench.submit(job_spec('deadly'))
+    bench.start_all()
+    worker = bench.engine.workers['w1']
+    worker.failed_polls = 1
+    worker.silent_since_s = bench.now_s
+    bench.advance(RESTART_S)
+    plan = bench.engine.end_incarnation(
+        worker, unix_ms=bench.unix_ms, now_s=bench.now_s, is_replaced=True
+    )
+    assert [accused.allocation.unit.job for accused in plan.accused] == [job]
+    assert job in plan.changed
+
+
+def test_start_to_a_worker_that_restarted_before_is_not_accused():
+    bench = CrashBench('w1')
+    job = bench.submit(job_spec('sound'))
+    bench.incarnations['w1'] += 1
+    bench.started_at_s['w1'] = bench.now_s
+    bench.advance(3.0)
+    (allocation,) = bench.plan().starts
+    allocation.is_start_sent = True
+    allocation.start_sent_at_s = bench.now_s
+    plan, _ = bench.report('w1')
+    assert not plan.accused
+    assert not job.units[0].crashes
+
+
+def test_records_of_earlier_versions_are_read_and_read_the_new_ones():
+    bench = CrashBench('w1')
+    job = bench.submit(job_spec('job'))
+    bench.start_all()
+    bench.crash('w1')
+    stored = msgspec.msgpack.decode(encode_progress(job))
+    unit = stored[-1][0]
+    # Earlier versions read the first five fields.
+    assert unit[:5] == [0, 1, 0, '', []]
+    stored[-1][0] = unit[:5]
+    earlier = decode_progress(msgspec.msgpack.encode(stored))
+    assert not earlier.units[0].crashes
