--- a/src/bulrushcove/node/lease_expiry_writer.py
+++ b/src/bulrushcove/node/lease_expiry_writer.py
@@ -11,27 +11,51 @@
     decode_lease_expiry,
     encode_lease_expiry,
 )
+from ..batch.workers import (
+    MAX_CLOCK_DRIFT,
+    find_expired_workers,
+    find_silent_workers,
+)
+from ..clock import Clock
+from ..ids import Epoch
 from ..logs import log_event
 from ..store import WatchableStore
 from .background_tasks import BackgroundTasks
+from .leadership import AUTHORITY_TTL_S, LEASE_TAIL_S, Leadership
 from .store_keys import LEASE_EXPIRY_KEY
 from .store_writer import LeadershipLostError, StoreWriter
 
+# A worker's clock may run slow, which prolongs a lease by up to this factor.
+LEASE_DRIFT_FACTOR = 1 / (1 - MAX_CLOCK_DRIFT)
+
 logger = logging.getLogger(__name__)
 
 
 class LeaseExpiryWriter:
     """Keeps the stored lease expiry of the silent workers up to date."""
 
-    def __init__(self, engine: Engine, store_writer: StoreWriter) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        store_writer: StoreWriter,
+        leadership: Leadership,
+        clock: Clock,
+    ) -> None:
         """Store the expiry of the workers of ``engine``."""
         # Called when a record is stored: some workers may get leases again.
         self.on_stored: Callable[[], None] = _do_nothing
         self.tasks = BackgroundTasks()
         self._engine = engine
         self._store_writer = store_writer
+        self._leadership = leadership
+        self._clock = clock
         self._is_storing = False
 
+    @property
+    def silent_count(self) -> int:
+        """Return how many workers with runs do not respond."""
+        return len(find_silent_workers(self._engine.workers.values()))
+
     async def load(self, store: WatchableStore) -> LeaseExpiryRecord:
         """Return the stored record; raises ``StoreError``.
 
@@ -54,13 +78,45 @@
         self._store_writer.put(LEASE_EXPIRY_KEY, None)
         return LeaseExpiryRecord()
 
+    def restore(
+        self, record: LeaseExpiryRecord, lease_s: float, epoch: Epoch
+    ) -> float:
+        """Use ``record`` from now on, for the leader of ``epoch``.
+
+        Returns the seconds until all leases of earlier leaders, of at most
+        ``lease_s``, have expired: one lease, or all that a leader may grant
+        unless every earlier one is known to have ended. The previous leader may
+        not have known it of those before.
+        """
+        leadership = self._leadership
+        was_sole = record.sole_epoch == leadership.previous_epoch
+        wait_s = lease_s
+        now_s = self._clock.monotonic_s()
+        sole_at_s = now_s
+        if not (leadership.has_previous_leader_ended and was_sole):
+            wait_s = AUTHORITY_TTL_S + LEASE_TAIL_S
+            sole_at_s += AUTHORITY_TTL_S
+        self._engine.lease_expiry.restore(
+            record, now_s, epoch=epoch, sole_at_s=sole_at_s
+        )
+        return wait_s * LEASE_DRIFT_FACTOR
+
     def update(self, now_s: float) -> None:
         """Apply the stored expiry and store the next record if it differs."""
         table = self._engine.lease_expiry
-        table.advance(self._engine.workers, now_s)
+        workers = self._engine.workers
+        table.advance(workers, now_s)
+        for worker in find_expired_workers(workers.values(), now_s):
+            log_event(
+                logger,
+                'worker.leases_expired',
+                worker=worker.id,
+                runs=len(worker.allocations),
+                has_reported=worker.has_reported,
+            )
         if self._is_storing:
             return
-        record = table.next_record(self._engine.workers, now_s)
+        record = table.next_record(workers, now_s)
         if record is not None:
             self._is_storing = True
             table.start_storing(record)
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -5,16 +5,11 @@
 
 from mode import Service
 
-from ..batch.engine import Engine, Plan
+from ..batch.engine import Engine
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
+from ..batch.plan import Plan
 from ..batch.policy import DesiredState
-from ..batch.workers import (
-    MAX_CLOCK_DRIFT,
-    EndKind,
-    find_expired_workers,
-    find_silent_workers,
-)
 from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
 from ..logs import log_event, log_unexpected_error
@@ -23,17 +18,15 @@
 from .background_tasks import BackgroundTasks
 from .job_records import JobRecords, PendingWrite, load_jobs
 from .job_requests import JobRequestHandler
-from .leadership import AUTHORITY_TTL_S, LEASE_TAIL_S, Leadership
+from .leadership import Leadership
 from .lease_expiry_writer import LeaseExpiryWriter
 from .messages import LeaderRecord
 from .metrics import NodeMetrics
 from .settings import NodeSettings, run_lease_ms
 from .store_writer import LeadershipLostError, StoreWriter, WriteWithdrawnError
-from .worker_events import WorkerEventHandler
+from .worker_events import WorkerEventHandler, log_accused_run
 from .worker_registry import WorkerAdapter, WorkerRegistry
 
-# A worker's clock may run slow, which prolongs a lease by up to this factor.
-LEASE_DRIFT_FACTOR = 1 / (1 - MAX_CLOCK_DRIFT)
 # Changes within this time are handled by one scheduling pass.
 BATCHING_DELAY_S = 0.01
 # The event loop must also serve callers and workers, so passes take at most a
@@ -88,7 +81,7 @@
             clock=clock,
         )
         self._lease_expiry_writer = LeaseExpiryWriter(
-            self.engine, self._store_writer
+            self.engine, self._store_writer, leadership, clock
         )
         self._advice_requester = AdviceRequester(
             self.engine, worker_adapter.request_advice, clock
@@ -147,28 +140,16 @@
         """Restore all jobs from the store; scheduling starts only after it.
 
         Runs that no worker reports count as ended once every lease that may
-        exist has expired, with clock drift: the lease time, or all that a
-        leader may grant unless all previous ones are known to have ended.
+        exist has expired.
         """
         loaded = await load_jobs(self._store, self._clock)
         lease_expiry = await self._lease_expiry_writer.load(self._store)
         self._store_writer.revisions.update(loaded.revisions)
-        lease_expiry_s = self._lease_ms / MS_PER_S
-        sole_at_s = self._clock.monotonic_s()
-        # The previous leader may not have known those before it to have ended.
-        was_sole = lease_expiry.sole_epoch == self._leadership.previous_epoch
-        if not (self._leadership.has_previous_leader_ended and was_sole):
-            lease_expiry_s = AUTHORITY_TTL_S + LEASE_TAIL_S
-            sole_at_s += AUTHORITY_TTL_S
-        lease_expiry_s *= LEASE_DRIFT_FACTOR
-        self.engine.restore(
-            loaded.jobs, self._clock.monotonic_s() + lease_expiry_s
+        longest_wait_s = self._lease_expiry_writer.restore(
+            lease_expiry, self._lease_ms / MS_PER_S, self._epoch
         )
-        self.engine.lease_expiry.restore(
-            lease_expiry,
-            self._clock.monotonic_s(),
-            epoch=self._epoch,
-            sole_at_s=sole_at_s,
+        self.engine.restore(
+            loaded.jobs, self._clock.monotonic_s() + longest_wait_s
         )
         self.is_loaded = True
         log_event(
@@ -177,10 +158,8 @@
             jobs=len(loaded.jobs),
             active=len(self.engine.active),
             epoch=self._epoch,
-            unseen_workers=len(
-                find_silent_workers(self.engine.workers.values())
-            ),
-            unseen_runs_lapse_s=round(lease_expiry_s, 1),
+            unseen_workers=self._lease_expiry_writer.silent_count,
+            unseen_runs_lapse_s=round(longest_wait_s, 1),
         )
 
     async def _wait_for_changes(self) -> None:
@@ -207,14 +186,6 @@
         engine = self.engine
         now_s = self._clock.monotonic_s()
         self._lease_expiry_writer.update(now_s)
-        for worker in find_expired_workers(engine.workers.values(), now_s):
-            log_event(
-                logger,
-                'worker.leases_expired',
-                worker=worker.id,
-                runs=len(worker.allocations),
-                has_reported=worker.has_reported,
-            )
         self._apply(
             engine.expire_leases(unix_ms=self._clock.unix_ms(), now_s=now_s)
         )
@@ -254,6 +225,9 @@
 
         Starts are sent once their job's record is stored, stops at once.
         """
+        for accused in plan.accused:
+            log_accused_run(accused)
+            self._metrics.record_accused_run(accused)
         starts = plan.starts_by_job()
         for job in plan.changed:
             write = self._records.write_progress(job)
@@ -278,8 +252,6 @@
             link = self._worker_registry.find_link(allocation.worker)
             ticket = self._advice_requester.find_ticket(allocation)
             if link is None or ticket is None:
-                self._worker_events.handle_run_ended(
-                    allocation, EndKind.NEVER_STARTED
-                )
+                self._worker_events.handle_start_dropped(allocation)
             else:
                 link.orders.order_start(allocation, ticket)
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -5,13 +5,15 @@
 from collections.abc import Callable, Iterable
 
 from ..batch.advice import step_ref_of
-from ..batch.engine import Engine, Plan
+from ..batch.engine import Engine
 from ..batch.ids import RunRef
 from ..batch.job_state import Allocation, AllocationPhase, Job
 from ..batch.orders import OrderOutcome
 from ..batch.pacing import update_throttle
+from ..batch.plan import Plan
 from ..batch.reconcile import AllocationEnd
 from ..batch.scheduling_pass import is_in_service, is_schedulable
+from ..batch.worker_crashes import AccusedRun
 from ..batch.workers import EndKind, Worker, WorkerReport
 from ..clock import MS_PER_S, Clock
 from ..ids import WorkerId
@@ -69,7 +71,9 @@
     def is_start_wanted(self, allocation: Allocation) -> bool:
         """Return whether the start of ``allocation`` is still wanted."""
         worker = self._engine.workers.get(allocation.worker)
-        if worker is None or not self._is_run_wanted(allocation):
+        if worker is None or not self._leadership.has_authority:
+            return False
+        if _is_given_up(allocation):
             return False
         return is_schedulable(self._engine, worker, self._clock.monotonic_s())
 
@@ -82,7 +86,8 @@
         worker = self._engine.workers.get(allocation.worker)
         is_start_open = (
             allocation.phase is AllocationPhase.STARTING
-            and self._is_run_wanted(allocation)
+            and self._leadership.has_authority
+            and not _is_given_up(allocation)
         )
         return (
             is_start_open
@@ -148,6 +153,10 @@
             )
         self.handle_run_ended(allocation, EndKind.NEVER_STARTED)
 
+    def handle_start_dropped(self, allocation: Allocation) -> None:
+        """Release ``allocation``, whose start was never sent."""
+        self.handle_run_ended(allocation, EndKind.NEVER_STARTED)
+
     def handle_run_ended(self, allocation: Allocation, kind: EndKind) -> None:
         """Release ``allocation``, whose run has ended or never started."""
         worker = self._engine.workers.get(allocation.worker)
@@ -169,6 +178,7 @@
     def handle_failed_poll(self, worker: Worker) -> None:
         """Request a scheduling pass after the first failed poll of a worker."""
         if worker.failed_polls == 1:
+            worker.silent_since_s = self._clock.monotonic_s()
             self.on_change()
 
     def handle_worker_replaced(self, worker: Worker) -> None:
@@ -177,6 +187,7 @@
             worker,
             unix_ms=self._clock.unix_ms(),
             now_s=self._clock.monotonic_s(),
+            is_replaced=True,
         )
         self.apply_plan(plan)
         self.on_change()
@@ -186,11 +197,6 @@
         reason = f'worker {worker.id} has seen a higher epoch'
         self.tasks.spawn(self._leadership.step_down(reason))
 
-    def _is_run_wanted(self, allocation: Allocation) -> bool:
-        unit = allocation.unit
-        is_given_up = unit.is_aborting or unit.job.has_ended
-        return self._leadership.has_authority and not is_given_up
-
     def _send_report_orders(
         self, link: WorkerLink, orphans: Iterable[RunRef]
     ) -> None:
@@ -222,6 +228,39 @@
             link.wake()
 
 
+def _is_given_up(allocation: Allocation) -> bool:
+    unit = allocation.unit
+    return unit.is_aborting or unit.job.has_ended
+
+
+def log_accused_run(accused: AccusedRun) -> None:
+    """Log a crash that counts against a run, and the job if it is given up."""
+    ref = accused.allocation.ref
+    history = accused.history
+    log_event(
+        logger,
+        'run.accused',
+        level=logging.WARNING,
+        worker=accused.allocation.worker,
+        job=ref.task.job,
+        occurrence=ref.task.occurrence,
+        step=ref.task.step,
+        index=ref.task.index,
+        run=ref.run,
+        age_ms=accused.age_ms,
+        crashes_shared=history.shared,
+        crashes_alone=history.alone,
+    )
+    if history.is_conclusive:
+        log_event(
+            logger,
+            'job.given_up',
+            level=logging.WARNING,
+            job=ref.task.job,
+            reason=accused.allocation.unit.job.reason,
+        )
+
+
 def _log_end(end: AllocationEnd) -> None:
     ref = end.allocation.ref
     log_event(
