Treat a malformed response of a peer like a missing one

A VM ended by itself when the leader, or a VM asked about it, sent a response that does not match the message (another version, another writer): Peers.request raised WireError, where its callers expect PeerUnreachableError, and the service that follows the leader crashed. A message that cannot be encoded (a number beyond 64 bits, text that is not Unicode) raised OverflowError or UnicodeEncodeError.

wire.encode raises WireError for these, and Peers.request turns WireError into PeerUnreachableError: the outcome is unknown, as after a lost response.

--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -103,6 +103,9 @@
             return peer, await connection.request(
                 message, response_type, timeout_s
             )
+        except WireError as exc:
+            # Does not match the message, or could not be sent.
+            raise PeerUnreachableError(f'{address}: {exc}') from exc
         except PeerUnreachableError:
             if _is_silent(connection, sent_at_s):
                 # The stream may be dead; the next request opens a new one.
--- a/src/bulrushcove/wire.py
+++ b/src/bulrushcove/wire.py
@@ -32,16 +32,15 @@
 def encode(message: msgspec.Struct, correlation: int = 0) -> bytes:
     """Return the bytes of a frame that carries ``message``.
 
-    Raises ``WireError`` if the frame is over ``MAX_FRAME_BYTES``.
+    Raises ``WireError`` if the frame is over ``MAX_FRAME_BYTES``, or has a
+    number beyond 64 bits or text that is not Unicode.
     """
-    body = msgpack.packb(
-        [
-            WIRE_VERSION,
-            type(message).__name__,
-            correlation,
-            msgspec.to_builtins(message, builtin_types=(bytes,)),
-        ]
-    )
+    kind = type(message).__name__
+    try:
+        fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+        body = msgpack.packb([WIRE_VERSION, kind, correlation, fields])
+    except DECODE_ERRORS as exc:
+        raise WireError(f'{kind}: {exc}') from exc
     _check_length(len(body))
     return len(body).to_bytes(LENGTH_BYTES, 'big') + body
 
