Refuse numbers that no record or pass can hold

One submission of a caller could stop all scheduling: with estimated-ms of 10**400 the job was taken into the engine, its record could not be encoded ("OverflowError: can't serialize ints < -2**63 or > 2**64 - 1"), and each later pass failed with "int too large to convert to float". With another field, such as first-run-ms, the caller got an error, but a retry found the job in the engine and was told that it was accepted, while no record of it was or would be stored. Seen by calling engine and records directly. A queue with such a number would have made every submission fail, and a configuration version of 10**400 would have made each later one look old.

Numbers of callers and of the configuration are limited to 10**15 either way when they are decoded (platform.numbers): exact in floats, and within 64 bits. The deadline header is read with ASCII digits only; '²' or 5,000 digits raised ValueError, 400 digits OverflowError.

--- a/src/bulrushcove/platform/job_api.py
+++ b/src/bulrushcove/platform/job_api.py
@@ -40,12 +40,15 @@
 )
 from .exceptions import TooLargeError, UndecodableError
 from .http_client import decode
+from .numbers import WireInt
 
 # Time left until the caller's deadline, not a point in time.
 DEADLINE_HEADER = 'X-Deadline-Ms'
 CREDENTIAL_HEADER = 'X-Credential'
 RETRY_AFTER_HEADER = 'Retry-After'
-# Used when a request has no deadline header.
+# Eleven days at most; ASCII digits only, as ``int`` does not read all others.
+DEADLINE_PATTERN = re.compile('[0-9]{1,9}')
+# Used when a request has no valid deadline header.
 DEFAULT_DEADLINE_MS = 3000
 MAX_PAYLOAD_BYTES = 4000
 NO_POLICY_RETRY_S = 1.0
@@ -96,40 +99,40 @@
 
 
 class _Step(msgspec.Struct, rename='kebab'):
-    count: int
+    count: WireInt
     # In millicores.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: int = 0
-    after: list[int] = []
+    cpu: WireInt = 0
+    mem_mb: WireInt = 0
+    gpu: WireInt = 0
+    estimated_ms: WireInt = 0
+    after: list[WireInt] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ''
     # Preferred rack: the one that holds the data of the step.
     affinity: str = ''
-    max_per_server: int = 0
+    max_per_server: WireInt = 0
     allow_duplicates: bool = False
     # Service task: restarted whenever it ends, until the job is cancelled.
     perpetual: bool = False
     image: str = ''
     # Tail latency of the responses of a service task, not a run time.
-    target_ms: int = 0
+    target_ms: WireInt = 0
     # Runs on processor time that other tasks leave idle.
     fills: bool = False
     # Disruption budget: tasks that planned stops may keep away at once.
-    may_miss: int = 0
+    may_miss: WireInt = 0
 
 
 class _Job(msgspec.Struct, rename='kebab'):
     # Payload that is passed to the workers unread, not the job's definition.
     spec: str
     steps: list[_Step]
-    repeat_count: int = 0
+    repeat_count: WireInt = 0
     # A point in Unix time, while interval-ms is a duration.
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    first_run_ms: WireInt = 0
+    interval_ms: WireInt = 0
 
 
 class HttpJobApi:
@@ -240,9 +243,8 @@
 
     def _deadline_s(self, request: web.BaseRequest) -> float:
         header_text = request.headers.get(DEADLINE_HEADER, '')
-        wait_ms = (
-            int(header_text) if header_text.isdigit() else DEFAULT_DEADLINE_MS
-        )
+        is_valid = DEADLINE_PATTERN.fullmatch(header_text)
+        wait_ms = int(header_text) if is_valid else DEFAULT_DEADLINE_MS
         return self._clock.monotonic_s() + wait_ms / MS_PER_S
 
 
--- a/src/bulrushcove/platform/store_entries.py
+++ b/src/bulrushcove/platform/store_entries.py
@@ -19,6 +19,7 @@
 from ..node.addresses import AddressError, split_address
 from .exceptions import UndecodableError
 from .http_client import decode
+from .numbers import WireInt
 
 OPERATORS_PREFIX = 'op/'
 POLICY_KEY = 'op/config'
@@ -35,6 +36,8 @@
 MAX_WORKER_ACCELERATORS = 10_000
 # The last millisecond of the year 9999.
 MAX_UNIX_MS = 253_402_300_799_999
+# Far above any factor in use; with it a due time still fits a float.
+MAX_STRETCH = 1_000_000
 # A week; a worker announces at most minutes.
 MAX_DRAIN_MS = 604_800_000
 # The id of a worker goes into an HTTP header: printable ASCII without spaces,
@@ -46,10 +49,10 @@
 
 
 class _Advice(msgspec.Struct, rename=_HYPHENATED):
-    decision_ms: int = 0
+    decision_ms: WireInt = 0
     # Added to decision_ms for each worker in a request.
-    period_ms: int = 0
-    validity_ms: int = 0
+    period_ms: WireInt = 0
+    validity_ms: WireInt = 0
 
 
 class _Route(msgspec.Struct, rename=_HYPHENATED):
@@ -59,13 +62,13 @@
     host: str
     prefix: str
     service: str
-    timeout_ms: int = 0
+    timeout_ms: WireInt = 0
     # Slack, not a duration: a job is on time if it ends within its longest
     # chain of steps times stretch plus this.
-    target_duration_ms: int = 0
-    priority: int = 1
-    max_attempts: int = 1
-    stretch: float = 1.0
+    target_duration_ms: WireInt = 0
+    priority: WireInt = 1
+    max_attempts: WireInt = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)] = 1.0
     # Whether callers need no credential.
     public: bool = False
     advice: _Advice | None = None
@@ -78,11 +81,11 @@
 
 
 class _Limits(msgspec.Struct, rename=_HYPHENATED):
-    max_body_bytes: int = 262_144
+    max_body_bytes: WireInt = 262_144
 
 
 class _Guaranteed(msgspec.Struct, rename=_HYPHENATED):
-    gpu: int = 0
+    gpu: WireInt = 0
 
 
 class _Tenant(msgspec.Struct, rename=_HYPHENATED):
@@ -92,7 +95,7 @@
 
 
 class _Config(msgspec.Struct, rename=_HYPHENATED):
-    version: int
+    version: WireInt
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
