Keep a scan or watch when one of its values is not base64

One value that could not be decoded failed the whole response with StoreError: each node lost all entries below that prefix, and a watch was repeated at the same revision for ever. Such a value now reads as empty, with its key and revision, and is logged once; readers find an empty entry or record malformed and the other items of the response hold.

An empty progress record was read like none, so that the tasks of a job that had run would have started again; it is now malformed, so the job is skipped and logged, as for other records that cannot be decoded.

--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -27,6 +27,8 @@
 )
 # Enough for a busy scheduler; writing a line takes about 40 microseconds.
 MAX_LINES_PER_S = 400
+# Errors remembered so that each is logged once; beyond, some are logged again.
+MAX_LOGGED_ERRORS = 256
 CHARACTERS_TO_QUOTE = frozenset(' ="\n\r\t\\')
 
 
--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -150,7 +150,9 @@
     item: StoredValue, encoded_progress: bytes | None, clock: Clock
 ) -> Job:
     submission = decode_submission(item.value)
-    progress = decode_progress(encoded_progress) if encoded_progress else None
+    progress = (
+        None if encoded_progress is None else decode_progress(encoded_progress)
+    )
     now_s = clock.monotonic_s()
     job = restore_job(submission, progress, now_s)
     age_ms = max(0, clock.unix_ms() - submission.accepted_unix_ms)
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -11,7 +11,7 @@
 
 from ..connection import FIRST_CLIENT_CORRELATION, Connection
 from ..exceptions import PeerUnreachableError, WireError
-from ..logs import log_event
+from ..logs import MAX_LOGGED_ERRORS, log_event
 from ..messages import Hello, MessageType
 from ..streams import StreamServer
 from ..wire import Frame
@@ -27,8 +27,6 @@
 STREAM_BACKLOG = 256
 # Addresses that a VM passes on at a time; the list of all VMs is in the store.
 SAMPLE_SIZE = 8
-# Errors remembered so that each is logged once; beyond, some are logged again.
-MAX_LOGGED_ERRORS = 256
 _OPEN_ERRORS = (AddressError, OSError, EOFError, WireError)
 
 FrameHandler = Callable[[Hello, Frame], Awaitable[msgspec.Struct | None]]
--- a/src/bulrushcove/platform/store.py
+++ b/src/bulrushcove/platform/store.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+import logging
+from functools import lru_cache
 from http import HTTPStatus
 from typing import Any
 
@@ -9,11 +11,11 @@
 
 from ..clock import Clock
 from ..exceptions import (
-    StoreError,
     StoreHistoryGoneError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from ..logs import MAX_LOGGED_ERRORS, log_event
 from ..node.adaptive_timeout import AdaptiveTimeout
 from ..store import (
     Changes,
@@ -35,6 +37,8 @@
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
 
+logger = logging.getLogger(__name__)
+
 
 class _Item(msgspec.Struct, rename='kebab'):
     """A key with its value, or the deletion of a key."""
@@ -271,13 +275,31 @@
 
 
 def _decode_item(item: _Item) -> StoredValue:
+    """Decode an item; a value that is not base64 reads as empty.
+
+    No entry or record is empty, so that its reader finds this one malformed,
+    and the other items of the response hold.
+    """
     try:
         value = base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError) as exc:
-        raise StoreError(f'value of key {item.key} is not base64') from exc
+        _log_not_base64(item.key, str(exc))
+        value = b''
     return StoredValue(item.key, value, item.revision)
 
 
+@lru_cache(maxsize=MAX_LOGGED_ERRORS)
+def _log_not_base64(key: str, error: str) -> None:
+    """Log an error once, although each read repeats it."""
+    log_event(
+        logger,
+        'store.value_not_base64',
+        level=logging.ERROR,
+        key=key,
+        error=error,
+    )
+
+
 def _encode_write(write: Write) -> dict[str, object]:
     return {
         'key': write.key,
