Treat odd numbers in a report or an advice as a malformed response

A worker's report with a number beyond a float raised OverflowError where WorkerCallError is expected: the poll was logged as an unexpected error and not counted as failed, so the worker went on to count as responsive. Clock readings, starts and run numbers of any size were taken over. An adviser's validity beyond a float raised OverflowError instead of AdviserError. A worker's address with a long label, or a name with a control character, raised ValueError out of the HTTP client instead of NoResponseError.

Numbers of workers and of the adviser have the range of platform.numbers, task names hold ASCII digits only, a report that cannot be decoded for any reason is a failed poll, and the HTTP client turns ValueError into NoResponseError (a call that may have been sent).

--- a/src/bulrushcove/platform/adviser_client.py
+++ b/src/bulrushcove/platform/adviser_client.py
@@ -10,6 +10,7 @@
 from ..node.advice_requests import AdviserError
 from .exceptions import CallError, UndecodableError
 from .http_client import Endpoint, decode
+from .numbers import WireInt
 
 # Added to the duration that the adviser announces: covers the round trip and
 # one earlier request that timed out but is still being processed.
@@ -19,7 +20,7 @@
 class _AdviceResponse(msgspec.Struct, rename='kebab'):
     # Rows of worker id and ticket.
     allowed: list[tuple[str, str]]
-    validity_ms: int = 0
+    validity_ms: WireInt = 0
 
 
 class HttpAdviserClient:
--- a/src/bulrushcove/platform/http_client.py
+++ b/src/bulrushcove/platform/http_client.py
@@ -16,6 +16,8 @@
 # Closes idle connections before the other side does.
 IDLE_CONNECTION_TIMEOUT_S = 12.0
 
+# ValueError: the address, a header or the body cannot be encoded.
+_NO_RESPONSE_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
 
 Decoded = TypeVar('Decoded')
@@ -91,7 +93,7 @@
                 return Reply(response.status, await response.read())
         except aiohttp.ClientConnectorError as exc:
             raise NotSentError(f'{self._base_url}{path}: {exc}') from exc
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        except _NO_RESPONSE_ERRORS as exc:
             self._retire(pool)
             error_type = type(exc).__name__
             raise NoResponseError(
--- a/src/bulrushcove/platform/worker_client.py
+++ b/src/bulrushcove/platform/worker_client.py
@@ -1,5 +1,6 @@
 """HTTP client of one worker: sends orders and fetches reports."""
 
+import re
 from http import HTTPStatus
 from types import MappingProxyType
 
@@ -15,9 +16,11 @@
     WorkerReplacedError,
 )
 from ..batch.workers import EndedTask, EndKind, RunningTask, WorkerReport
+from ..decoding import DECODE_ERRORS, quote
 from ..ids import Epoch, JobId, WorkerId
 from .exceptions import CallError, NotSentError, UndecodableError
 from .http_client import Endpoint, Reply, decode
+from .numbers import MAX_NUMBER, WireInt
 
 # The round trip to the farthest worker takes 60 ms, and opening a connection
 # as long again; a healthy worker responds at once.
@@ -41,19 +44,24 @@
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
 
+# ASCII digits only: ``int`` reads other digits, signs and spaces too.
+_NUMBER_PATTERN = re.compile('[0-9]{1,9}')
+_REPORT_ERRORS = (UndecodableError, *DECODE_ERRORS)
+_Cell = str | int | float | None
+
 
 class _Report(msgspec.Struct, rename='kebab'):
-    clock_ms: int
+    clock_ms: WireInt
     # Rows of task, run, checkpoint, progress in percent and approximate load.
-    running: list[list[str | int | float | None]]
+    running: list[list[_Cell]]
     # Rows of sequence number, task, run, end kind and checkpoint.
-    ended: list[list[str | int | float | None]]
+    ended: list[list[_Cell]]
     # Unix milliseconds at which the worker started.
-    born: int = 0
+    born: WireInt = 0
 
 
 class _OrderResponse(msgspec.Struct, rename='kebab'):
-    clock_ms: int = 0
+    clock_ms: WireInt = 0
     reason: str = ''
 
 
@@ -176,12 +184,13 @@
 
 def parse_task_name(name: str) -> TaskRef:
     """Parse a wire name of a task; raises ``UndecodableError``."""
-    fields = name.split('.')
-    try:
-        job, occurrence, step, index = fields
-        return TaskRef(JobId(job), int(occurrence), int(step), int(index))
-    except ValueError as exc:
-        raise UndecodableError(f'invalid task name {name!r}') from exc
+    job, *numbers = name.split('.')
+    is_valid = len(numbers) == 3 and all(
+        map(_NUMBER_PATTERN.fullmatch, numbers)
+    )
+    if not is_valid:
+        raise UndecodableError(f'invalid task name {quote(name)}')
+    return TaskRef(JobId(job), *map(int, numbers))
 
 
 def _decode_order_response(reply: Reply) -> OrderReply:
@@ -222,7 +231,7 @@
         report = decode(body, _Report)
         running = tuple(_decode_running_task(row) for row in report.running)
         ended = tuple(_decode_ended_task(row) for row in report.ended)
-    except (UndecodableError, ValueError, TypeError) as exc:
+    except _REPORT_ERRORS as exc:
         raise WorkerCallError(f'undecodable report: {exc}') from exc
     return WorkerReport(
         clock_ms=report.clock_ms,
@@ -232,22 +241,29 @@
     )
 
 
-def _decode_running_task(row: list[str | int | float | None]) -> RunningTask:
+def _to_number(cell: _Cell) -> int:
+    number = int(cell)
+    if abs(number) > MAX_NUMBER:
+        raise UndecodableError(f'number {quote(cell)} is out of range')
+    return number
+
+
+def _decode_running_task(row: list[_Cell]) -> RunningTask:
     task, run, checkpoint, percent = row[:4]
     load = row[4] if len(row) > 4 else 0
     return RunningTask(
-        RunRef(parse_task_name(str(task)), int(run)),
+        RunRef(parse_task_name(str(task)), _to_number(run)),
         str(checkpoint or ''),
-        int(percent or 0),
+        _to_number(percent or 0),
         float(load or 0),
     )
 
 
-def _decode_ended_task(row: list[str | int | float | None]) -> EndedTask:
+def _decode_ended_task(row: list[_Cell]) -> EndedTask:
     number, task, run, end_kind, checkpoint = row[:5]
     return EndedTask(
-        int(number),
-        RunRef(parse_task_name(str(task)), int(run)),
+        _to_number(number),
+        RunRef(parse_task_name(str(task)), _to_number(run)),
         EndKind(end_kind),
         str(checkpoint or ''),
     )
