--- a/src/bulrushcove/platform/http_client.py
+++ b/src/bulrushcove/platform/http_client.py
@@ -30,6 +30,8 @@
 MAX_BODY_S = 10.0
 _NO_LIMIT = aiohttp.ClientTimeout(total=None)
 
+# ValueError: the address, a header or the body cannot be encoded.
+_NO_RESPONSE_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
 
 Decoded = TypeVar('Decoded')
@@ -118,7 +120,7 @@
                 return await self._receive(response, time_limit, large_body)
         except aiohttp.ClientConnectorError as exc:
             raise NotSentError(f'{self._base_url}{path}: {exc}') from exc
-        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+        except _NO_RESPONSE_ERRORS as exc:
             self._retire(pool)
             message = f'{self._base_url}{path}: {type(exc).__name__} {exc}'
             if large_body:
