--- a/tests/test_odd_store_values.py
+++ b/tests/test_odd_store_values.py
@@ -27,6 +27,8 @@
 class OneReplyEndpoint:
     """Answers each call with the same body."""
 
+    is_receiving_large_body = False
+
     def __init__(self, body):
         self.body = msgspec.json.encode(body)
 
