Take the last leader read for the previous one only if it must be

A VM that campaigns when there is no record took the last leader that it had ever read for the previous one. Another VM may have led in between; if the older one had ended, the new leader waited for one lease only, and a task could run twice.

--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -6,14 +6,14 @@
 
 from mode import Service
 
-from ..clock import Clock
+from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
 from ..ids import Epoch
 from ..logs import log_event
 from ..store import WatchableStore
 from .failover import FailoverAction, campaign_delay_s
 from .leader_monitor import LeaderMonitor
-from .leader_records import LeaderRecordStore
+from .leader_records import RECORD_LEASE_MS, LeaderRecordStore
 from .loop_delay import LoopDelay
 from .messages import LeaderRecord
 from .peers import Peers
@@ -26,6 +26,7 @@
 # running tasks alive through an outage of the store.
 AUTHORITY_TTL_S = 12.0
 
+MIN_RECORD_LEASE_S = RECORD_LEASE_MS / MS_PER_S
 # How long the leases of runs may outlast the authority of their leader. Covers
 # a confirmation that arrives late after an outage of the store.
 LEASE_TAIL_S = 2.0
@@ -70,6 +71,8 @@
         self._monitor = LeaderMonitor(settings.vm, peers, clock, loop_delay)
         # Epoch of the last record read that another VM wrote.
         self._last_read_epoch = Epoch(0)
+        # When that leader was last known to hold the record.
+        self._last_read_at_s = 0.0
         self._is_leader = False
         # When the store last confirmed leadership.
         self.confirmed_at_s = 0.0
@@ -116,6 +119,7 @@
         """Stop following the leader of ``epoch``, which has resigned."""
         if self.leader is not None and self.leader.epoch == epoch:
             self._monitor.record_ended(epoch)
+            self._last_read_at_s = self._clock.monotonic_s()
             self.leader = None
             self._wake.set()
 
@@ -229,6 +233,7 @@
             await self._become_leader(leader, sent_at_s)
             return
         self._last_read_epoch = leader.epoch
+        self._last_read_at_s = sent_at_s
         if replace is not None and replace.epoch == leader.epoch:
             log_event(
                 logger,
@@ -278,15 +283,26 @@
             return
         if previous is not None:
             self.add_future(self._records.end_lease(previous))
-        await self._become_leader(record, sent_at_s)
+        await self._become_leader(
+            record, sent_at_s, has_replaced=previous is not None
+        )
 
     async def _become_leader(
-        self, leader: LeaderRecord, confirmed_at_s: float
+        self,
+        leader: LeaderRecord,
+        confirmed_at_s: float,
+        *,
+        has_replaced: bool = False,
     ) -> None:
         if self.is_draining:
             return
+        # Without a record to replace, another VM may have led in between; its
+        # record would have lasted for this long.
+        age_s = confirmed_at_s - self._last_read_at_s
+        is_last_read_previous = has_replaced or age_s < MIN_RECORD_LEASE_S
         self.has_previous_leader_ended = (
-            self._last_read_epoch > 0
+            is_last_read_previous
+            and self._last_read_epoch > 0
             and self._last_read_epoch == self._monitor.ended_epoch
         )
         self.previous_epoch = self._last_read_epoch
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -413,3 +413,18 @@
     rig.peers.request = None
     await rig.leadership._read_record(replace=other)
     assert rig.leadership.is_leader
+
+
+@pytest.mark.parametrize(('absent_s', 'is_known'), [(1, True), (60, False)])
+async def test_a_leader_may_have_led_unseen_before_the_record_vanished(
+    rig, absent_s, is_known
+):
+    """The last leader that a VM knew may not be the previous one."""
+    other = await rig.other_leader()
+    await rig.leadership._read_record()
+    rig.leadership._monitor.record_ended(other.epoch)
+    await rig.store.end_lease(other.lease)
+    rig.clock.advance(absent_s)
+    await rig.leadership._read_record()
+    assert rig.leadership.is_leader
+    assert rig.leadership.has_previous_leader_ended == is_known
