Look at a worker's capacity again before each start

What callers could see: a start brings a worker whose capacity has shrunk over it (LIMIT).

Cause: capacity was compared at the placement only. The start waits for its stored record, which a slow store may delay by seconds, and an unanswered start is sent up to three times; neither looked at the capacity again.

Evidence: the new tests fail without the change.

Fix: before each sending the worker's allocations, the ones being stopped included, must fit its present capacity. A start that does not fit is dropped and placed again; an unanswered one is stopped instead of sent again.

Read without a finding: placement, reservations, preemption plans and forecasts take the free capacity of the pass, also if it is negative; a worker with orphans gets nothing; a new leader counts restored runs until the first report, and its epoch keeps late starts of the previous leader out.

--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -139,6 +139,14 @@
             free = free.minus(allocation.unit.spec.requirements)
         return free
 
+    def exceeds_capacity(self) -> bool:
+        """Return whether the allocations need more than the capacity.
+
+        The capacity may shrink while the worker runs.
+        """
+        free = self.free_capacity()
+        return min(free.cpu_millicores, free.memory_mb, free.accelerators) < 0
+
     def estimate_clock_ms(self, now_s: float) -> int:
         """Return an estimate of its clock at ``now_s``, never too high."""
         elapsed_s = now_s - self.clock_read_at_s
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -64,13 +64,16 @@
         worker = self._engine.workers.get(allocation.worker)
         if worker is None or not self._is_run_wanted(allocation):
             return False
+        # The capacity may have shrunk since the placement.
+        if worker.exceeds_capacity():
+            return False
         return is_schedulable(self._engine, worker, self._clock.monotonic_s())
 
     def may_resend_start(self, allocation: Allocation) -> bool:
         """Return whether an unanswered start of ``allocation`` is sent again.
 
         Unlike the first attempt, it does not need a worker that responds to
-        polls.
+        polls. It holds its capacity as if it were carried out already.
         """
         worker = self._engine.workers.get(allocation.worker)
         is_start_open = (
@@ -80,6 +83,7 @@
         return (
             is_start_open
             and worker is not None
+            and not worker.exceeds_capacity()
             and is_in_service(self._engine, worker)
         )
 
--- /dev/null
+++ b/tests/test_node_worker_events.py
@@ -0,0 +1,61 @@
+"""Starts are sent only while their worker has the capacity for them."""
+
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+from batch_builders import Bench, entry, job_spec, step
+
+from bulrushcove.batch.job_spec import TaskSize
+from bulrushcove.clock import ManualClock
+from bulrushcove.node.worker_events import WorkerEventHandler
+
+
+def shrink(bench, accelerators):
+    """Record an entry of the worker with less capacity."""
+    full = entry('w1')
+    capacity = TaskSize(32_000, 64_000, accelerators)
+    bench.add_worker(msgspec.structs.replace(full, capacity=capacity))
+
+
+def place_tasks(count):
+    bench = Bench(entry('w1'))
+    bench.submit(job_spec('job', step(count)))
+    starts = bench.plan().starts
+    handler = WorkerEventHandler(
+        bench.engine,
+        SimpleNamespace(),
+        SimpleNamespace(has_authority=True),
+        ManualClock(),
+    )
+    return bench, handler, starts
+
+
+@pytest.mark.parametrize('method', ['is_start_wanted', 'may_resend_start'])
+def test_start_is_not_sent_to_a_worker_that_has_shrunk_since(method):
+    """The record of a placed run may wait for a slow store meanwhile."""
+    bench, handler, starts = place_tasks(4)
+    assert all(getattr(handler, method)(start) for start in starts)
+    shrink(bench, 3)
+    assert not getattr(handler, method)(starts[0])
+
+
+def test_runs_that_are_being_stopped_count_against_a_shrunk_worker():
+    bench, handler, starts = place_tasks(4)
+    stopping = starts[:2]
+    for allocation in stopping:
+        allocation.is_start_sent = True
+    bench.engine.cancel(starts[0].unit.job, unix_ms=1, now_s=bench.now_s)
+    bench.submit(job_spec('next', step(4)))
+    placed = bench.plan().starts
+    shrink(bench, 4)
+    assert not handler.is_start_wanted(placed[0])
+
+
+def test_starts_that_still_fit_a_shrunk_worker_are_sent():
+    bench, handler, starts = place_tasks(4)
+    shrink(bench, 3)
+    handler.handle_start_dropped(starts[0])
+    assert all(handler.is_start_wanted(start) for start in starts[1:])
+    shrink(bench, 8)
+    assert len(bench.plan().starts) == 1
