Admit jobs that fit a worker only while it has not shrunk

What callers could see: a job is refused as too large for every worker while the only workers that hold it have shrunk for a while (REFUSED for good, as callers retry a few times).

Cause: admission compared the job with the capacity that the workers state now.

Evidence: the new test fails without the change.

Fix: admission uses the largest capacity that the entries of a worker's present incarnation have stated; the job waits until the worker has grown again. A new incarnation, which may be of another kind, starts anew. A new leader knows only what it has read itself: it still refuses such a job if all those workers are small when it reads them first.

--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -11,7 +11,7 @@
 from .exceptions import JobConflictError, JobRefusedError
 from .job_spec import JobSpec, StepSpec
 from .runtime_estimates import RuntimeEstimates
-from .workers import WorkerEntry
+from .workers import Worker
 
 if TYPE_CHECKING:
     from .engine import Engine
@@ -50,7 +50,7 @@
     if not workers:
         return
     for number, step in enumerate(spec.steps):
-        if not any(_fits_worker(worker.entry, step) for worker in workers):
+        if not any(_fits_worker(worker, step) for worker in workers):
             raise JobRefusedError(
                 f'step {number} fits no worker of pool {spec.terms.pool}',
                 UNPLACEABLE_RETRY_S,
@@ -70,6 +70,7 @@
     return max(MIN_OUTAGE_RETRY_S, min(wait_s, MAX_OUTAGE_RETRY_S))
 
 
-def _fits_worker(entry: WorkerEntry, step: StepSpec) -> bool:
-    has_label = not step.required_label or step.required_label in entry.labels
-    return has_label and step.requirements.fits(entry.capacity)
+def _fits_worker(worker: Worker, step: StepSpec) -> bool:
+    labels = worker.entry.labels
+    has_label = not step.required_label or step.required_label in labels
+    return has_label and step.requirements.fits(worker.full_capacity)
--- a/src/bulrushcove/batch/job_spec.py
+++ b/src/bulrushcove/batch/job_spec.py
@@ -28,6 +28,14 @@
             and self.accelerators <= free.accelerators
         )
 
+    def union(self, other: 'TaskSize') -> 'TaskSize':
+        """Return the larger of both sizes for each resource."""
+        return TaskSize(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def plus(self, other: 'TaskSize') -> 'TaskSize':
         """Return the sum of both sizes."""
         return TaskSize(
--- a/src/bulrushcove/batch/membership.py
+++ b/src/bulrushcove/batch/membership.py
@@ -29,6 +29,7 @@
     known = worker.entry
     if entry.started_unix_ms != known.started_unix_ms:
         reliability.forget(entry.worker)
+    _record_capacity(worker, entry)
     if entry.is_draining and not known.is_draining:
         worker.draining_since_s = now_s
     if entry.is_draining and known.is_draining:
@@ -46,6 +47,14 @@
     return worker
 
 
+def _record_capacity(worker: Worker, entry: WorkerEntry) -> None:
+    if worker.full_capacity_unix_ms != entry.started_unix_ms:
+        # A new incarnation may be of another kind.
+        worker.full_capacity = entry.capacity
+        worker.full_capacity_unix_ms = entry.started_unix_ms
+    worker.full_capacity = worker.full_capacity.union(entry.capacity)
+
+
 def mark_unlisted(workers: Workers, worker: WorkerId, now_s: float) -> None:
     """Record that the entry of ``worker`` was removed from the list."""
     known = workers.get(worker)
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -87,6 +87,10 @@
     """State of one worker."""
 
     entry: WorkerEntry
+    # Largest capacity that the entries of an incarnation stated, and its start
+    # time. The capacity may shrink for a while.
+    full_capacity: TaskSize = TaskSize()
+    full_capacity_unix_ms: int = 0
     # Whether the worker is in the list of workers.
     is_listed: bool = True
     unlisted_since_s: float = 0.0
--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -56,6 +56,23 @@
     assert wait_s == MAX_OUTAGE_RETRY_S
 
 
+def test_job_is_not_refused_while_all_workers_have_shrunk():
+    bench = Bench(entry('w1', accelerators=8))
+    bench.add_worker(entry('w1', accelerators=4))
+    bench.submit(job_spec('job', step(accelerators=8)))
+    assert not bench.plan().starts
+    bench.add_worker(entry('w1', accelerators=8))
+    assert len(bench.plan().starts) == 1
+
+
+def test_job_is_refused_after_its_worker_restarted_as_a_smaller_kind():
+    bench = Bench(entry('w1', accelerators=8))
+    bench.report('w1', started_unix_ms=2)
+    bench.add_worker(entry('w1', accelerators=4, started_unix_ms=2))
+    with pytest.raises(JobRefusedError):
+        bench.submit(job_spec('job', step(accelerators=8)))
+
+
 def test_job_larger_than_any_worker_is_refused():
     bench = Bench(entry('w1', accelerators=4))
     with pytest.raises(JobRefusedError) as refused:
