Replace a leader record that cannot be read

While the leader record could not be decoded, no VM could become leader: each read raised StoreError, so nobody campaigned. And a leader whose record another writer had overwritten went on to renew its lease, and with it its authority, as the lease outlives the record.

A record that cannot be decoded now names a leader without an address: it is replaced after the usual silence, with its revision as the condition, and logged once. A leader reads its record when that has changed and steps down if it is no longer its own.

--- a/src/bulrushcove/node/leader_records.py
+++ b/src/bulrushcove/node/leader_records.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import logging
+from functools import lru_cache
 
 import msgspec
 
 from ..clock import Clock
 from ..decoding import DECODE_ERRORS
 from ..exceptions import StoreError, StoreOutcomeUnknownError
-from ..ids import Epoch
-from ..logs import log_event
-from ..store import StoredValue, WatchableStore, Write
+from ..ids import Epoch, IncarnationId, VmId
+from ..logs import MAX_LOGGED_ERRORS, log_event
+from ..store import StoredValue, StoreLeaseId, WatchableStore, Write
 from .messages import LeaderRecord
 from .peers import Peers
 from .settings import NodeSettings
@@ -19,6 +20,8 @@
 # Store lease of the leader's record. After a power loss of the leader's VM the
 # record disappears when it expires.
 RECORD_LEASE_MS = 2500
+# Lease of a record that cannot be decoded; no lease has this id.
+UNKNOWN_LEASE = StoreLeaseId(0)
 END_LEASE_RETRY_S = 0.6
 _INITIAL_ROUND_TRIP_S = 0.05
 
@@ -46,12 +49,24 @@
     async def read(self) -> LeaderRecord | None:
         """Return the record with its epoch; None if there is none.
 
-        Raises ``StoreError``, also if the record cannot be decoded.
+        One that cannot be decoded names a leader without an address: it is
+        replaced like any leader that does not respond.
         """
         sent_at_s = self._clock.monotonic_s()
         scan = await self._store.read(LEADER_KEY)
         self.round_trip_s = self._clock.monotonic_s() - sent_at_s
-        return _decode_record(scan.found[0]) if scan.found else None
+        if not scan.found:
+            return None
+        stored = scan.found[0]
+        try:
+            return _decode_record(stored)
+        except StoreError as exc:
+            _log_unreadable(stored.mod_revision, str(exc))
+            return _unreadable_record(stored)
+
+    async def is_current(self, record: LeaderRecord) -> bool:
+        """Return whether ``record`` is still the one in the store."""
+        return _epoch_of(await self.read()) == record.epoch
 
     async def replace(
         self, previous: LeaderRecord | None
@@ -89,7 +104,7 @@
 
         As long as its lease lives, each renewal confirms its leadership.
         """
-        while True:
+        while record.lease != UNKNOWN_LEASE:
             try:
                 await self._store.end_lease(record.lease)
             except StoreError as exc:
@@ -101,6 +116,28 @@
                 return
 
 
+def _unreadable_record(stored: StoredValue) -> LeaderRecord:
+    return LeaderRecord(
+        VmId(''),
+        IncarnationId(''),
+        address='',
+        lease=UNKNOWN_LEASE,
+        epoch=Epoch(stored.mod_revision),
+    )
+
+
+@lru_cache(maxsize=MAX_LOGGED_ERRORS)
+def _log_unreadable(epoch: int, error: str) -> None:
+    """Log an error once, although the record is read again and again."""
+    log_event(
+        logger,
+        'tenure.record_unreadable',
+        level=logging.ERROR,
+        epoch=epoch,
+        error=error,
+    )
+
+
 def _epoch_of(record: LeaderRecord | None) -> Epoch:
     return record.epoch if record else Epoch(0)
 
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -162,6 +162,12 @@
     async def _step(self) -> float:
         if self._is_leader:
             await self._renew()
+            if self._has_record_changed and self.leader is not None:
+                is_current = await self._records.is_current(self.leader)
+                self._has_record_changed = False
+                if not is_current:
+                    # Its lease outlives a record that was overwritten.
+                    await self.step_down('the leader record was replaced')
             return RENEW_INTERVAL_S
         if self.leader is None or self._has_record_changed:
             self._has_record_changed = False
