Log an entry that names no worker once

An entry that cannot be used was logged each time that its writer wrote it again, about once a second.

test_an_entry_that_is_rewritten_is_logged_once failed before with "assert 5 == 1".

--- a/src/bulrushcove/platform/store_entries.py
+++ b/src/bulrushcove/platform/store_entries.py
@@ -6,6 +6,7 @@
 
 import logging
 import re
+from functools import lru_cache
 from typing import Annotated, Literal
 
 import msgspec
@@ -15,7 +16,7 @@
 from ..batch.policy import Adviser, Organisation, Policy, Pool, Queue
 from ..batch.workers import WorkerEntry
 from ..ids import DomainName, OrganisationId, RackId, WorkerId
-from ..logs import log_event
+from ..logs import MAX_LOGGED_ERRORS, log_event
 from ..node.addresses import AddressError, split_address
 from .exceptions import UndecodableError
 from .http_client import decode
@@ -153,7 +154,7 @@
     try:
         server = _decode_server(worker, stored)
     except (UndecodableError, AddressError) as exc:
-        log_event(logger, 'worker.undecodable', worker=worker, error=exc)
+        _log_undecodable(worker, str(exc))
         return None
     labels = server.labels
     capacity = server.capacity
@@ -171,6 +172,12 @@
     )
 
 
+@lru_cache(maxsize=MAX_LOGGED_ERRORS)
+def _log_undecodable(worker: WorkerId, error: str) -> None:
+    """Log an error once, although the entry is rewritten each second."""
+    log_event(logger, 'worker.undecodable', worker=worker, error=error)
+
+
 def _decode_server(worker: WorkerId, stored: bytes) -> _Server:
     if not _WORKER_ID_PATTERN.fullmatch(worker):
         raise UndecodableError('the id is not printable ASCII')
--- a/tests/test_odd_worker_entries.py
+++ b/tests/test_odd_worker_entries.py
@@ -6,7 +6,7 @@
 from batch_builders import entry
 from odd_values import WorkerList, nested_arrays, well_names, worker_entry
 
-from bulrushcove.platform.store_entries import WORKERS_PREFIX
+from bulrushcove.platform.store_entries import WORKERS_PREFIX, decode_worker
 
 SEEDS = range(8)
 
@@ -62,3 +62,12 @@
     await workers.wait_until_listed(well_names())
     assert workers.listed() == set(well_names())
     await workers.registry.stop()
+
+
+def test_an_entry_that_is_rewritten_is_logged_once(caplog):
+    """Workers rewrite their entries each second or two."""
+    caplog.set_level('INFO')
+    for sequence in range(5):
+        stored = worker_entry(seq=sequence, state='odd')
+        assert decode_worker('servers/logged-once', stored) is None
+    assert len(caplog.records) == 1
