Count a crash that shows only after the lease has expired

What callers could see: a worker that takes longer than the lease of 8 s to come back hides that a task crashed it, so the task is started on worker after worker (BUDGET).

Cause: the runs of a silent worker end when their lease expires, and are forgotten; the next incarnation finds none that it could accuse. A worker that is off the list is dropped after 2.5 s.

Evidence: the new test fails without the change, as the worker is dropped.

Fix: a worker keeps the runs that ended by expiry until it reports again. A new incarnation accuses them, the same one clears them. It is kept for 20 s off the list meanwhile.

--- a/src/bulrushcove/batch/crash_handler.py
+++ b/src/bulrushcove/batch/crash_handler.py
@@ -63,7 +63,8 @@
         now_s: float,
     ) -> Plan:
         """Count a crash of ``worker``, whose address another one has taken."""
-        crash = observe_crash(worker, worker.allocations.values(), now_s)
+        runs = (*worker.allocations.values(), *worker.expired)
+        crash = observe_crash(worker, runs, now_s)
         return self.apply(crash, workers, unix_ms=unix_ms, now_s=now_s)
 
     def _accuse_runs(
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -226,6 +226,11 @@
             AllocationEnd(allocation, EndKind.LOST)
             for allocation in worker.allocations.values()
         ]
+        worker.expired = (
+            []
+            if is_replaced
+            else [*worker.expired, *worker.allocations.values()]
+        )
         worker.allocations.clear()
         worker.orphans.clear()
         # Its next report is handled like the first one to a new leader.
--- a/src/bulrushcove/batch/membership.py
+++ b/src/bulrushcove/batch/membership.py
@@ -11,6 +11,8 @@
 # A worker without an entry is gone, except after a store outage: live workers
 # write their entries again within 2 s of its end.
 UNLISTED_GRACE_S = 2.5
+# A worker whose runs may have crashed it is waited for this long, to tell.
+CRASH_GRACE_S = 20.0
 
 Workers = dict[WorkerId, Worker]
 
@@ -93,4 +95,5 @@
 def _has_departed(worker: Worker, now_s: float) -> bool:
     if worker.is_listed or worker.allocations:
         return False
-    return now_s - worker.unlisted_since_s > UNLISTED_GRACE_S
+    grace_s = CRASH_GRACE_S if worker.expired else UNLISTED_GRACE_S
+    return now_s - worker.unlisted_since_s > grace_s
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -71,6 +71,7 @@
                 AllocationEnd(allocation, _end_kind_of_missing(allocation)),
                 report_changes,
             )
+    worker.expired.clear()
     worker.orphans &= listed
     worker.has_reported = True
     return report_changes
--- a/src/bulrushcove/batch/worker_crashes.py
+++ b/src/bulrushcove/batch/worker_crashes.py
@@ -72,7 +72,7 @@
     listed = {running.ref for running in report.running}
     listed.update(ended.ref for ended in report.ended)
     crashed = []
-    for allocation in worker.allocations.values():
+    for allocation in (*worker.allocations.values(), *worker.expired):
         incarnation = allocation.worker_started_unix_ms
         is_other = incarnation not in {0, report.started_unix_ms}
         sent_at_s = allocation.start_sent_at_s
@@ -89,7 +89,7 @@
 
 def _is_stable(worker: Worker, at_s: float) -> bool:
     # A new leader may not have heard of the incarnation that crashed.
-    return not worker.has_reported or is_stable(worker, at_s)
+    return not worker.clock_read_at_s or is_stable(worker, at_s)
 
 
 def run_age_ms(allocation: Allocation, crashed_at_s: float) -> int:
@@ -107,7 +107,6 @@
 def may_be_accused(allocation: Allocation, age_ms: int) -> bool:
     """Return whether a run of this age may have caused the crash."""
     unit = allocation.unit
-    if unit.job.has_ended:
+    if unit.job.has_ended or unit.phase is UnitPhase.DONE:
         return False
-    is_current = unit.run == allocation.run and unit.phase is UnitPhase.ACTIVE
-    return is_current and age_ms <= MAX_ACCUSED_AGE_MS
+    return age_ms <= MAX_ACCUSED_AGE_MS
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -98,6 +98,9 @@
     # Whether it has sent a report to this leader, so that its runs are known.
     has_reported: bool = False
     allocations: dict[RunRef, Allocation] = msgspec.field(default_factory=dict)
+    # Runs that ended as their lease expired while the worker was silent. They
+    # may have crashed it: its next incarnation tells.
+    expired: list[Allocation] = msgspec.field(default_factory=list)
     # Runs that the worker reports and no record names. They are stopped; the
     # resources that they hold are not known.
     orphans: set[RunRef] = msgspec.field(default_factory=set)
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -6,6 +6,7 @@
 from bulrushcove.batch.crash_history import CrashHistory
 from bulrushcove.batch.engine import Engine
 from bulrushcove.batch.job_state import JobPhase
+from bulrushcove.batch.membership import mark_unlisted, remove_departed
 from bulrushcove.batch.records import (
     decode_progress,
     decode_submission,
@@ -59,6 +60,21 @@
         self.advance(RESTART_S)
         return self.restart(name)
 
+    def confirm(self):
+        """Report from all workers that are not silent."""
+        for name, worker in self.engine.workers.items():
+            refs = [(ref, '', 0) for ref in worker.allocations]
+            if not worker.failed_polls:
+                self.report(name, running=refs)
+
+    def lose(self, name):
+        """Let a worker fall silent, so that its entry and leases expire."""
+        worker = self.engine.workers[name]
+        worker.failed_polls = 1
+        worker.silent_since_s = self.now_s
+        worker.leases_expire_at_s = self.now_s + 8.2
+        mark_unlisted(self.engine.workers, name, self.now_s + 4.0)
+
     def restart(self, name):
         """Report from a new incarnation of a worker, which runs nothing."""
         self.incarnations[name] += 1
@@ -261,6 +277,37 @@
     assert not any(unit.crashes for unit in job.units)
 
 
+def test_crash_is_counted_when_the_worker_is_back_after_the_lease():
+    bench = CrashBench(*(f'w{number}' for number in range(8)))
+    job = bench.submit(job_spec('deadly', step(2)))
+    starts = 0
+    crashed_worker = ''
+    for _ in range(8):
+        bench.start_all()
+        returning_worker = crashed_worker
+        crashed_worker = ''.join(workers_of(job, 0))
+        if crashed_worker:
+            starts += 1
+            bench.lose(crashed_worker)
+        bench.advance(2.0)
+        if returning_worker:
+            bench.restart(returning_worker)
+            bench.add_worker(
+                entry(
+                    returning_worker,
+                    started_unix_ms=bench.incarnations[returning_worker],
+                )
+            )
+        bench.advance(6.3)
+        bench.engine.expire_leases(unix_ms=bench.unix_ms, now_s=bench.now_s)
+        bench.advance(0.1)
+        assert not remove_departed(
+            bench.engine.workers, bench.engine.reliability, bench.now_s
+        )
+    assert starts <= MAX_STARTS
+    assert job.phase is JobPhase.FAILED
+
+
 def test_worker_replaced_at_its_address_counts_as_a_crash():
     bench = CrashBench('w1')
     job = bench.submit(job_spec('deadly'))
