--- a/src/bulrushcove/node/leader_records.py
+++ b/src/bulrushcove/node/leader_records.py
@@ -64,10 +64,6 @@
             _log_unreadable(stored.mod_revision, str(exc))
             return _unreadable_record(stored)
 
-    async def is_current(self, record: LeaderRecord) -> bool:
-        """Return whether ``record`` is still the one in the store."""
-        return _epoch_of(await self.read()) == record.epoch
-
     async def is_current_after(
         self, delay_s: float, record: LeaderRecord | None
     ) -> bool:
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -173,12 +173,6 @@
     async def _step(self) -> float:
         if self._is_leader:
             await self._renew()
-            if self._has_record_changed and self.leader is not None:
-                is_current = await self._records.is_current(self.leader)
-                self._has_record_changed = False
-                if not is_current:
-                    # Its lease outlives a record that was overwritten.
-                    await self.step_down('the leader record was replaced')
             return RENEW_INTERVAL_S
         if self.leader is None or self._has_record_changed:
             self._has_record_changed = False
@@ -196,7 +190,8 @@
         if leader is None:
             return
         if self._has_record_changed:
-            # The lease of a replaced record may live on: renewals succeed.
+            # The lease of a replaced or overwritten record may live on, and
+            # renewals succeed.
             record = await self._records.read()
             self._has_record_changed = False
             if record is not None and record.epoch != leader.epoch:
