Confirm leadership by the record, not by the lease alone

The lease of a replaced record lives on until the new leader ends it, and that leader may die first; the old one was confirmed by each renewal, so its authority and the leases that it grants had no end that a later leader could wait for (a task could run twice). It noticed only through a watch, and not when the successor's record had vanished too. Each renewal now reads the record beside it, at the same time; only both together confirm.

--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -189,19 +189,12 @@
         leader = self.leader
         if leader is None:
             return
-        if self._has_record_changed:
-            # The lease of a replaced or overwritten record may live on, and
-            # renewals succeed.
-            record = await self._records.read()
-            self._has_record_changed = False
-            if record is not None and record.epoch != leader.epoch:
-                await self.step_down(
-                    'another VM has replaced the leader record'
-                )
-                return
+        self._has_record_changed = False
         sent_at_s = self._clock.monotonic_s()
         try:
-            is_alive = await self._store.renew_lease(leader.lease)
+            is_alive, record = await asyncio.gather(
+                self._store.renew_lease(leader.lease), self._records.read()
+            )
         except StoreError as exc:
             age_s = sent_at_s - self.confirmed_at_s
             log_event(
@@ -212,8 +205,12 @@
                 error=exc,
             )
             return
-        if is_alive:
+        # The lease of a record that was replaced may live on.
+        is_own_record = record is not None and record.epoch == leader.epoch
+        if is_alive and is_own_record:
             self.confirm(sent_at_s)
+        elif is_alive:
+            await self.step_down('another VM has replaced the leader record')
         else:
             await self.step_down(
                 'the store lease of the leader record has expired'
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -428,3 +428,31 @@
     await rig.leadership._read_record()
     assert rig.leadership.is_leader
     assert rig.leadership.has_previous_leader_ended == is_known
+
+
+async def test_a_replaced_leader_steps_down_when_its_successor_is_gone(rig):
+    """The successor died before it ended the lease of this VM's record."""
+    await rig.leadership.start()
+    await rig.wait_gained()
+    rig.store.values.pop(LEADER_KEY)
+    rig.leadership.handle_record_changed()
+    async with asyncio.timeout(WAIT_S):
+        while not rig.lost:
+            await asyncio.sleep(0.005)
+    assert not rig.leadership.is_leader
+
+
+async def test_a_renewed_lease_alone_confirms_no_leadership(rig):
+    """A later leader waits from its own start for leases granted until then."""
+    await rig.leadership.start()
+    await rig.wait_gained()
+    rig.store.down = True
+    await asyncio.sleep(0.02)
+    confirmed_at_s = rig.leadership.confirmed_at_s
+    rig.store.values.pop(LEADER_KEY)
+    rig.clock.advance(1)
+    rig.store.down = False
+    async with asyncio.timeout(WAIT_S):
+        while not rig.lost:
+            await asyncio.sleep(0.005)
+    assert rig.leadership.confirmed_at_s == confirmed_at_s
