Count a worker's silence from its first missed poll

The stored lease expiry was to spare workers that miss a single poll, but counted from the last report, and a poll may wait 1.5 s for the end of a run: one missed poll was stored at once, and the worker got no lease and no start until the entry was removed again. test_one_missed_poll_is_not_stored failed before.

--- a/src/bulrushcove/batch/lease_expiry.py
+++ b/src/bulrushcove/batch/lease_expiry.py
@@ -163,7 +163,7 @@
 
     def _is_long_silent(self, worker: Worker, now_s: float) -> bool:
         since_s = (
-            worker.last_report_at_s
+            worker.silent_since_s
             if worker.has_reported
             else self._restored_at_s
         )
--- a/tests/test_batch_lease_expiry.py
+++ b/tests/test_batch_lease_expiry.py
@@ -113,6 +113,8 @@
         lease_end_ms = self.renewed_lease_end_ms(worker)
         is_reached = self.epoch not in simulated.cut_from
         if not is_reached or simulated.max_epoch > self.epoch:
+            if not worker.failed_polls:
+                worker.silent_since_s = self.now_s()
             worker.failed_polls += 1
             return
         simulated.max_epoch = self.epoch
@@ -369,3 +371,19 @@
     assert next_record(bench) is None
     bench.advance(AUTHORITY_S)
     assert next_record(bench).sole_epoch == EPOCH
+
+
+def test_one_missed_poll_is_not_stored():
+    """A poll waits up to 1.5 s, so the last report is old when one fails."""
+    bench = Bench(entry('w1'), entry('w2'))
+    bench.submit(job_spec('job'))
+    bench.start_all()
+    (worker,) = (
+        one for one in bench.engine.workers.values() if one.allocations
+    )
+    bench.advance(1.6)
+    worker.failed_polls = 1
+    worker.silent_since_s = bench.now_s
+    assert next_record(bench) is None
+    bench.advance(STORED_AFTER_S + 0.1)
+    assert next_record(bench) is not None
