Let urgent suspects wait for a worker of their own for 1 s only

What callers could see: an urgent task that shared a worker with a deadly one waits for up to 3 s in a full pool, longer than its objective, while it may not preempt either.

Evidence: the new test fails for priority 0 without the change.

After 1 s the task is placed as usual, and may preempt. A deadly one then crashes one shared worker more, and is found by the next two.

--- a/src/bulrushcove/batch/isolation.py
+++ b/src/bulrushcove/batch/isolation.py
@@ -18,11 +18,13 @@
     fitting_candidates,
     rack_groups,
 )
+from .queue_order import URGENT
 from .workers import Worker
 
 # After one crash a task waits this long for a worker of its own. A sound task
 # that shared a worker with a deadly one must not become late for it.
 MAX_WAIT_S = 3.0
+MAX_URGENT_WAIT_S = 1.0
 # Longest wait after more crashes. A pool without so many workers must not keep
 # the task from running for good.
 MAX_STRICT_WAIT_S = 30.0
@@ -38,7 +40,7 @@
     return frozenset(
         index
         for index, history in unit.crashes.items()
-        if waited_s < _max_wait_s(history)
+        if waited_s < _max_wait_s(unit, history)
     )
 
 
@@ -109,8 +111,11 @@
     return any(one.is_isolated for one in worker.allocations.values())
 
 
-def _max_wait_s(history: CrashHistory) -> float:
-    return MAX_STRICT_WAIT_S if history.is_isolation_strict else MAX_WAIT_S
+def _max_wait_s(unit: Unit, history: CrashHistory) -> float:
+    if history.is_isolation_strict:
+        return MAX_STRICT_WAIT_S
+    is_urgent = unit.job.spec.terms.priority == URGENT
+    return MAX_URGENT_WAIT_S if is_urgent else MAX_WAIT_S
 
 
 def _fill_isolated(
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -1,6 +1,7 @@
 """Tasks that crash each worker that starts them."""
 
 import msgspec
+import pytest
 from batch_builders import Bench, entry, job_spec, step
 
 from bulrushcove.batch.crash_history import CrashHistory
@@ -232,6 +233,20 @@
     assert start.is_isolated
 
 
+@pytest.mark.parametrize(('priority', 'wait_s'), [(0, 1.0), (1, 3.0)])
+def test_sound_suspect_does_not_wait_long_for_a_worker_of_its_own(
+    priority, wait_s
+):
+    bench = CrashBench('w1')
+    bench.submit(job_spec('other', step(estimated_ms=20_000)))
+    bench.start_all()
+    suspect = bench.submit(job_spec('suspect', priority=priority))
+    suspect.units[0].crashes[0] = CrashHistory(shared=1)
+    assert not bench.plan().starts
+    bench.advance(wait_s + 0.1)
+    assert len(bench.start_all().starts) == 1
+
+
 def test_job_is_not_given_up_as_its_worker_crashes_by_itself():
     bench = CrashBench('w1')
     job = bench.submit(job_spec('sound'))
