Forget a leaving worker as soon as before

What callers could see: nothing; the leader polls the address of a worker that left with runs for up to 20 s.

Cause: runs that ended by expiry keep their worker, to tell whether they have crashed it. A worker that said it leaves has not crashed.

Evidence: the new test fails without the change.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -226,11 +226,10 @@
             AllocationEnd(allocation, EndKind.LOST)
             for allocation in worker.allocations.values()
         ]
-        worker.expired = (
-            []
-            if is_replaced
-            else [*worker.expired, *worker.allocations.values()]
-        )
+        if is_replaced or worker.entry.is_draining:
+            worker.expired.clear()
+        else:
+            worker.expired.extend(worker.allocations.values())
         worker.allocations.clear()
         worker.orphans.clear()
         # Its next report is handled like the first one to a new leader.
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -323,6 +323,19 @@
     assert job.phase is JobPhase.FAILED
 
 
+def test_leaving_worker_is_forgotten_soon_after_it_is_gone():
+    bench = CrashBench('w1')
+    bench.submit(job_spec('job'))
+    bench.start_all()
+    bench.add_worker(entry('w1', is_draining=True))
+    bench.lose('w1')
+    bench.advance(8.5)
+    bench.engine.expire_leases(unix_ms=bench.unix_ms, now_s=bench.now_s)
+    assert remove_departed(
+        bench.engine.workers, bench.engine.reliability, bench.now_s
+    ) == ['w1']
+
+
 def test_worker_replaced_at_its_address_counts_as_a_crash():
     bench = CrashBench('w1')
     job = bench.submit(job_spec('deadly'))
