--- a/src/bulrushcove/batch/lease_expiry.py
+++ b/src/bulrushcove/batch/lease_expiry.py
@@ -162,12 +162,11 @@
         self.named = _named_workers(record)
 
     def _is_long_silent(self, worker: Worker, now_s: float) -> bool:
-        since_s = (
-            worker.silent_since_s
-            if worker.has_reported
-            else self._restored_at_s
-        )
-        return now_s - since_s > STORED_AFTER_S
+        if worker.has_reported:
+            return now_s - worker.silent_since_s > STORED_AFTER_S
+        # A worker that is off the list is hardly about to report.
+        is_gone = not worker.is_listed
+        return is_gone or now_s - self._restored_at_s > STORED_AFTER_S
 
 
 def _named_workers(record: LeaseExpiryRecord) -> frozenset[WorkerId]:
--- a/tests/test_batch_lease_expiry.py
+++ b/tests/test_batch_lease_expiry.py
@@ -272,12 +272,24 @@
     return next_record(bench)
 
 
-def test_a_short_silence_is_not_stored():
+def test_a_short_silence_of_a_listed_worker_is_not_stored():
     bench = restored_engine(LeaseExpiryRecord(), 'w1')
+    record_entry(
+        bench.engine.workers,
+        bench.engine.reliability,
+        entry('silent'),
+        bench.now_s,
+    )
     bench.advance(STORED_AFTER_S)
     assert next_record(bench) is None
 
 
+def test_a_worker_off_the_list_is_stored_at_once():
+    bench = restored_engine(LeaseExpiryRecord(), 'w1')
+    (group,) = next_record(bench).groups
+    assert list(group.remaining_ms) == ['silent']
+
+
 def test_nothing_is_stored_without_a_clock():
     bench = restored_engine(LeaseExpiryRecord())
     bench.advance(2)
