Store no lease expiry while the store does not confirm the leader

A worker that misses polls for 2 s within an outage of the store was entered in the lease expiry; the entry could not be removed before the store was back, so its lease was not renewed and its runs ended, which outlived such outages before. Now nothing is entered unless the store confirmed the leader within the last second, as long as the silence that is stored. test_a_silence_during_an_outage_of_the_store_ends_no_run failed before.

--- a/src/bulrushcove/node/lease_expiry_writer.py
+++ b/src/bulrushcove/node/lease_expiry_writer.py
@@ -7,6 +7,7 @@
 from ..batch.engine import Engine
 from ..batch.exceptions import RecordError
 from ..batch.lease_expiry import (
+    STORED_AFTER_S,
     LeaseExpiryRecord,
     decode_lease_expiry,
     encode_lease_expiry,
@@ -25,6 +26,9 @@
 from .store_keys import LEASE_EXPIRY_KEY
 from .store_writer import LeadershipLostError, StoreWriter
 
+# Once the store has not confirmed the leader for this long, nothing is stored:
+# an entry could not be removed again, and its worker would get no lease.
+MAX_CONFIRMATION_AGE_S = STORED_AFTER_S
 # A worker's clock may run slow, which prolongs a lease by up to this factor.
 LEASE_DRIFT_FACTOR = 1 / (1 - MAX_CLOCK_DRIFT)
 
@@ -114,7 +118,9 @@
                 runs=len(worker.allocations),
                 has_reported=worker.has_reported,
             )
-        if self._is_storing:
+        confirmed_at_s = self._leadership.confirmed_at_s
+        is_store_away = now_s - confirmed_at_s > MAX_CONFIRMATION_AGE_S
+        if self._is_storing or is_store_away:
             return
         record = table.next_record(workers, now_s)
         if record is not None:
--- a/tests/test_node_leader_changes.py
+++ b/tests/test_node_leader_changes.py
@@ -89,6 +89,21 @@
         """Do nothing: no connection is open."""
 
 
+class FakeLeadership(SimpleNamespace):
+    """Leadership that is confirmed as long as the store is up."""
+
+    def __init__(self, deployment, **others):
+        super().__init__(**others)
+        self._deployment = deployment
+        self._confirmed_at_s = 0
+
+    @property
+    def confirmed_at_s(self):
+        if not self._deployment.store.down:
+            self._confirmed_at_s = self._deployment.clock.monotonic_s()
+        return self._confirmed_at_s
+
+
 class Deployment:
     """A store, workers and the schedulers that lead in turn."""
 
@@ -156,12 +171,12 @@
         async def step_down(reason):
             """Do nothing: the test ends the leader."""
 
-        return SimpleNamespace(
+        return FakeLeadership(
+            self,
             has_authority=True,
             has_previous_leader_ended=self.has_previous_leader_ended,
             previous_epoch=self.previous_epoch,
             confirm=lambda sent_at_s: None,
-            confirmed_at_s=self.clock.monotonic_s() + 1000,
             step_down=step_down,
             loop_delay=SimpleNamespace(was_late_since=lambda since_s: False),
         )
@@ -305,3 +320,34 @@
         expires_at_s = scheduler.engine.workers['cut'].leases_expire_at_s
         wait_s = expires_at_s - deployment.clock.monotonic_s()
     assert shortest_wait_s < wait_s < longest_wait_s + 0.01
+
+
+@pytest.mark.parametrize('is_silent', [False, True])
+async def test_a_silence_during_an_outage_of_the_store_ends_no_run(
+    deployment, is_silent
+):
+    """The stored expiry could not be removed, so the lease was withheld."""
+    await start_job_on(deployment, 'slow')
+    await deployment.add_worker('other')
+    async with deployment.leader():
+        await deployment.advance(2)
+        deployment.store.down = True
+        deployment.workers['slow'].is_silent = is_silent
+        await deployment.advance(2)
+        deployment.workers['slow'].is_silent = False
+        await deployment.advance(8)
+        assert deployment.runs_of('slow') == [1]
+
+
+@pytest.mark.parametrize('lead_s', [0.5, 1.0, 1.5])
+async def test_a_task_of_a_gone_worker_restarts_under_short_leaders(
+    deployment, lead_s
+):
+    await start_job_on(deployment, 'gone')
+    deployment.workers['gone'].is_silent = True
+    await deployment.remove_entry('gone')
+    await deployment.add_worker('spare')
+    for _ in range(round(1.5 * FULL_WAIT_S / lead_s)):
+        async with deployment.leader():
+            await deployment.advance(lead_s)
+    assert deployment.runs_of('spare')
