Acknowledge ends to a worker in the order in which they are stored

A report's ends were acknowledged up to their number once their own jobs were stored, although jobs of an earlier report could still wait in another transaction: up to eight are under way. The worker then forgot the earlier ends; if leadership was lost before they were stored, no leader ever heard of them.

Also counts the ends of a new incarnation from one: the same number as the last end of the one before was taken for no news.

--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -89,6 +89,7 @@
     )
     worker.processed_end = 0
     worker.stored_end = 0
+    worker.unstored_ends.clear()
     worker.max_lease_end_ms = 0
     worker.orphans.clear()
     listed = {running.ref for running in report.running}
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -110,6 +110,9 @@
     # is stored.
     processed_end: int = 0
     stored_end: int = 0
+    # Last ends of the reports whose effects are not stored yet, each with the
+    # last end of the report before.
+    unstored_ends: dict[int, int] = msgspec.field(default_factory=dict)
     # Last reading of its clock, and when it was received.
     clock_ms: int = 0
     clock_read_at_s: float = 0.0
@@ -158,6 +161,13 @@
         free = self.free_capacity()
         return min(free.cpu_millicores, free.memory_mb, free.accelerators) < 0
 
+    def record_stored_end(self, number: int) -> None:
+        """Record that the ends of the report up to ``number`` are stored."""
+        self.unstored_ends.pop(number, None)
+        self.stored_end = min(
+            self.unstored_ends.values(), default=self.processed_end
+        )
+
     def estimate_clock_ms(self, now_s: float) -> int:
         """Return an estimate of its clock at ``now_s``, never too high."""
         elapsed_s = now_s - self.clock_read_at_s
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -108,6 +108,9 @@
         ``requested_at_s`` is the time at which the report was requested.
         """
         previous_end = worker.processed_end
+        if report.started_unix_ms != worker.entry.started_unix_ms:
+            # Each incarnation numbers its ends from 1.
+            previous_end = 0
         plan, report_changes = self._engine.apply_report(
             worker,
             report,
@@ -122,6 +125,7 @@
             self._send_report_orders(link, report_changes.orphans)
         self.apply_plan(plan)
         if worker.processed_end != previous_end:
+            worker.unstored_ends[worker.processed_end] = previous_end
             self.tasks.spawn(
                 self._acknowledge_ends(
                     worker, worker.processed_end, plan.changed
@@ -217,7 +221,11 @@
     async def _acknowledge_ends(
         self, worker: Worker, number: int, changed: Iterable[Job]
     ) -> None:
-        """Acknowledge ends up to ``number`` once the jobs are stored."""
+        """Acknowledge ends up to ``number`` once they are stored.
+
+        ``changed`` are the jobs of the last of them. Earlier ones may be stored
+        later, as several transactions are under way at a time.
+        """
         started_unix_ms = worker.entry.started_unix_ms
         writes = [self._records.write_progress(job) for job in changed]
         try:
@@ -226,7 +234,7 @@
             # The worker keeps reporting the ends until a leader stores them.
             return
         if worker.entry.started_unix_ms == started_unix_ms:
-            worker.stored_end = max(worker.stored_end, number)
+            worker.record_stored_end(number)
         link = self.find_link(worker.id)
         if link is not None:
             link.wake()
--- /dev/null
+++ b/tests/test_node_acknowledged_ends.py
@@ -0,0 +1,128 @@
+"""Ends are acknowledged to a worker once their effect is stored."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from batch_builders import Bench, entry, job_spec, report
+
+from bulrushcove.batch.workers import EndKind
+from bulrushcove.clock import ManualClock
+from bulrushcove.node.store_writer import LeadershipLostError
+from bulrushcove.node.worker_events import WorkerEventHandler
+
+
+class Harness:
+    """A worker with two jobs whose records the test stores."""
+
+    def __init__(self):
+        self.bench = Bench(entry('w1'))
+        self.jobs = [self.bench.submit(job_spec(name)) for name in 'ab']
+        self.runs = self.bench.start_all().starts
+        self.worker = self.bench.engine.workers['w1']
+        self.writes = {}
+        self.handler = WorkerEventHandler(
+            self.bench.engine,
+            SimpleNamespace(write_progress=self.write_progress),
+            SimpleNamespace(),
+            ManualClock(self.bench.now_s),
+        )
+
+    def write_progress(self, job):
+        write = asyncio.get_running_loop().create_future()
+        self.writes[job.id] = write
+        return write
+
+    async def end(self, number):
+        """Report the end of the run with this number, and all before it."""
+        ended = [
+            (position + 1, run.ref, EndKind.DONE, '')
+            for position, run in enumerate(self.runs[:number])
+        ]
+        running = [(run.ref, '', 0) for run in self.runs[number:]]
+        self.handler.handle_report(
+            self.worker,
+            report(self.bench.clock_ms, running, ended),
+            self.bench.now_s,
+        )
+        await settle()
+
+    async def restart(self):
+        """Report from a new incarnation that one run has ended there."""
+        self.handler.handle_report(
+            self.worker,
+            report(
+                self.bench.clock_ms,
+                ended=[(1, self.runs[1].ref, EndKind.DONE, '')],
+                started_unix_ms=2,
+            ),
+            self.bench.now_s,
+        )
+        await settle()
+
+    async def store(self, number):
+        job = self.runs[number - 1].unit.job
+        self.writes[job.id].set_result(None)
+        await settle()
+
+
+async def settle():
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
+async def test_an_end_is_acknowledged_once_it_is_stored():
+    harness = Harness()
+    await harness.end(1)
+    assert not harness.worker.stored_end
+    await harness.store(1)
+    assert harness.worker.stored_end == 1
+
+
+async def test_an_end_is_not_acknowledged_before_an_earlier_one_is_stored():
+    """A new leader would have started a task again that was done."""
+    harness = Harness()
+    await harness.end(1)
+    await harness.end(2)
+    await harness.store(2)
+    assert not harness.worker.stored_end
+    await harness.store(1)
+    assert harness.worker.stored_end == 2
+
+
+async def test_no_later_end_is_acknowledged_after_one_was_not_stored():
+    harness = Harness()
+    await harness.end(1)
+    await harness.end(2)
+    first, _ = harness.writes.values()
+    first.set_exception(LeadershipLostError('lost'))
+    await harness.store(2)
+    assert not harness.worker.stored_end
+
+
+async def test_ends_of_another_incarnation_are_not_acknowledged():
+    harness = Harness()
+    await harness.end(1)
+    harness.bench.report('w1', started_unix_ms=2)
+    await harness.store(1)
+    assert not harness.worker.stored_end
+
+
+async def test_the_ends_of_a_new_incarnation_are_counted_from_one():
+    harness = Harness()
+    await harness.end(1)
+    await harness.store(1)
+    await harness.restart()
+    assert not harness.worker.stored_end
+    await harness.store(2)
+    assert harness.worker.stored_end == 1
+
+
+@pytest.mark.parametrize('order', [(1, 2), (2, 1)])
+async def test_all_ends_are_acknowledged_in_the_end(order):
+    harness = Harness()
+    await harness.end(1)
+    await harness.end(2)
+    for number in order:
+        await harness.store(number)
+    assert harness.worker.stored_end == 2
