Take a run of unknown age for weak evidence of a crash

A run that an earlier leader had started counted as two seconds old, whatever its age: after three crashes of its workers, each minutes into the run and just after a change of leader, the job of a sound task failed. Such a crash now counts like one of a shared worker. test_long_run_is_weak_evidence_after_a_change_of_leader failed before.

--- a/src/bulrushcove/batch/crash_handler.py
+++ b/src/bulrushcove/batch/crash_handler.py
@@ -114,10 +114,12 @@
     """Count ``crash`` against the task of ``allocation``."""
     crashes = allocation.unit.crashes
     known = crashes.get(allocation.index, CrashHistory())
+    # A run that an earlier leader started may be of any age.
+    is_age_known = allocation.start_sent_at_s is not None
     was_alone = crash.was_stable and len(crash.allocations) == 1
     history = known.add(
         age_ms,
-        was_alone=was_alone,
+        was_alone=was_alone and is_age_known,
         was_stable=crash.was_stable,
     )
     crashes[allocation.index] = history
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -418,3 +418,20 @@
         history = history.add(100, was_alone=False, was_stable=False)
     assert not history.is_conclusive
     assert history.is_isolation_strict
+
+
+def test_long_run_is_weak_evidence_after_a_change_of_leader():
+    """Its age was taken for two seconds, and its job was given up."""
+    bench = CrashBench()
+    job = bench.submit(job_spec('sound'))
+    bench.start_all()
+    for _ in range(3):
+        bench.advance(600)
+        for name in workers_of(job, 0):
+            bench.incarnations[name] += 1
+            bench.started_at_s[name] = bench.now_s
+        job = bench.change_leader(job)
+        bench.advance(4)
+        bench.start_all()
+    assert job.phase is not JobPhase.FAILED
+    assert not job.units[0].crashes[0].alone
