--- a/src/bulrushcove/batch/isolation.py
+++ b/src/bulrushcove/batch/isolation.py
@@ -27,8 +27,8 @@
 MAX_URGENT_WAIT_S = 1.0
 # Longest wait after more crashes: a task that could run must not wait for 3 s.
 MAX_STRICT_WAIT_S = 2.5
-# Then it may share a worker, but not one that has just been restarted: that one's
-# crash would tell nothing of the task. Others are waited for this long.
+# Then it may share a worker, but not one that has just been restarted: a crash
+# of that one would tell nothing of the task. Others are waited for this long.
 MAX_STABLE_WAIT_S = 30.0
 # Capacity of a worker that takes no other run.
 _NONE_FREE = TaskSize(-1, -1, -1)
