--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -262,6 +262,7 @@
         age_ms=accused.age_ms,
         crashes_shared=history.shared,
         crashes_alone=history.alone,
+        crashes_unstable=history.unstable,
     )
     if history.is_conclusive:
         log_event(
