Store no lease expiry of workers that were not polled yet

A new leader of 3,000 workers polls them for some seconds. Listed workers with runs that it had not polled a second after its load counted as silent: they were stored, and got no lease and no start until the next write had removed them, a pass or two later.

--- a/src/bulrushcove/batch/lease_expiry.py
+++ b/src/bulrushcove/batch/lease_expiry.py
@@ -86,24 +86,17 @@
         # Workers that the store may name. They are granted no lease.
         self.named: frozenset[WorkerId] = frozenset()
         self._record = LeaseExpiryRecord()
-        self._restored_at_s = 0.0
         self._epoch = Epoch(0)
         self._sole_at_s = math.inf
 
     def restore(
-        self,
-        record: LeaseExpiryRecord,
-        now_s: float,
-        *,
-        epoch: Epoch,
-        sole_at_s: float,
+        self, record: LeaseExpiryRecord, *, epoch: Epoch, sole_at_s: float
     ) -> None:
         """Use ``record``, which the new leader of ``epoch`` has read.
 
         All earlier leaders have ceased to act at ``sole_at_s``.
         """
         self._record = record
-        self._restored_at_s = now_s
         self._epoch = epoch
         self._sole_at_s = sole_at_s
         self.named = _named_workers(record)
@@ -142,7 +135,7 @@
         uncovered = [
             worker
             for worker in silent.values()
-            if worker.id not in covered and self._is_long_silent(worker, now_s)
+            if worker.id not in covered and _is_long_silent(worker, now_s)
         ]
         if uncovered:
             groups.extend(_new_group(uncovered, workers, now_s))
@@ -161,12 +154,15 @@
         self._record = record
         self.named = _named_workers(record)
 
-    def _is_long_silent(self, worker: Worker, now_s: float) -> bool:
-        if worker.has_reported:
-            return now_s - worker.silent_since_s > STORED_AFTER_S
-        # A worker that is off the list is hardly about to report.
-        is_gone = not worker.is_listed
-        return is_gone or now_s - self._restored_at_s > STORED_AFTER_S
+
+def _is_long_silent(worker: Worker, now_s: float) -> bool:
+    if not worker.has_reported and not worker.is_listed:
+        # Off the list, it is hardly about to report.
+        return True
+    if not worker.failed_polls:
+        # A new leader of many workers has not polled it yet.
+        return False
+    return now_s - worker.silent_since_s > STORED_AFTER_S
 
 
 def _named_workers(record: LeaseExpiryRecord) -> frozenset[WorkerId]:
--- a/src/bulrushcove/node/lease_expiry_writer.py
+++ b/src/bulrushcove/node/lease_expiry_writer.py
@@ -101,7 +101,7 @@
             wait_s = AUTHORITY_TTL_S + LEASE_TAIL_S
             sole_at_s += AUTHORITY_TTL_S
         self._engine.lease_expiry.restore(
-            record, now_s, epoch=epoch, sole_at_s=sole_at_s
+            record, epoch=epoch, sole_at_s=sole_at_s
         )
         return wait_s * LEASE_DRIFT_FACTOR
 
--- a/tests/test_batch_lease_expiry.py
+++ b/tests/test_batch_lease_expiry.py
@@ -82,7 +82,6 @@
         self.engine.restore(world.load_jobs(), now_s + wait_s)
         self.engine.lease_expiry.restore(
             decode_lease_expiry(encode_lease_expiry(world.record)),
-            now_s,
             epoch=epoch,
             sole_at_s=sole_at_s,
         )
@@ -253,9 +252,7 @@
     )
     bench = Bench(*(entry(name) for name in names))
     bench.engine.restore([restored], bench.now_s + full_wait_s)
-    bench.engine.lease_expiry.restore(
-        record, bench.now_s, epoch=EPOCH, sole_at_s=math.inf
-    )
+    bench.engine.lease_expiry.restore(record, epoch=EPOCH, sole_at_s=math.inf)
     return bench
 
 
@@ -376,7 +373,6 @@
     table = bench.engine.lease_expiry
     table.restore(
         LeaseExpiryRecord((), Epoch(5)),
-        bench.now_s,
         epoch=EPOCH,
         sole_at_s=bench.now_s + AUTHORITY_S,
     )
@@ -399,3 +395,20 @@
     assert next_record(bench) is None
     bench.advance(STORED_AFTER_S + 0.1)
     assert next_record(bench) is not None
+
+
+def test_a_worker_that_was_not_polled_yet_is_not_stored():
+    """A new leader of 3,000 workers polls them for some seconds."""
+    bench = restored_engine(LeaseExpiryRecord(), 'w1')
+    record_entry(
+        bench.engine.workers,
+        bench.engine.reliability,
+        entry('silent'),
+        bench.now_s,
+    )
+    bench.advance(5)
+    assert next_record(bench) is None
+    silent = bench.engine.workers['silent']
+    silent.failed_polls = 1
+    silent.silent_since_s = bench.now_s - STORED_AFTER_S - 0.1
+    assert next_record(bench) is not None
