--- a/review/standins.py
+++ b/review/standins.py
@@ -45,7 +45,7 @@
 QUEUE = {
     'name': 'r-1',
     'host': QUEUE_HOST,
-    'prefix': '/work/',
+    'prefix': '/reviews/',
     'service': 'pool',
     'kind': 'unsafe',
     'timeout-ms': 3000,
