--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -26,6 +26,8 @@
     """State changes that follow from one report."""
 
     ends: list[AllocationEnd] = msgspec.field(default_factory=list)
+    # Ends of runs without an allocation: given up before, or never known.
+    unmatched_ends: list[EndedTask] = msgspec.field(default_factory=list)
     # Runs without an allocation, which must be stopped.
     orphans: list[RunRef] = msgspec.field(default_factory=list)
     # Allocations whose run is confirmed by this report.
@@ -117,12 +119,14 @@
     worker.processed_end = ended.number
     worker.orphans.discard(ended.ref)
     allocation = worker.allocations.get(ended.ref)
-    if allocation is not None:
-        _end_allocation(
-            worker,
-            AllocationEnd(allocation, ended.kind, ended.checkpoint),
-            report_changes,
-        )
+    if allocation is None:
+        report_changes.unmatched_ends.append(ended)
+        return
+    _end_allocation(
+        worker,
+        AllocationEnd(allocation, ended.kind, ended.checkpoint),
+        report_changes,
+    )
 
 
 def _apply_running(
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -14,7 +14,7 @@
 from ..batch.reconcile import AllocationEnd
 from ..batch.scheduling_pass import is_in_service, is_schedulable
 from ..batch.worker_crashes import AccusedRun
-from ..batch.workers import EndKind, Worker, WorkerReport
+from ..batch.workers import EndedTask, EndKind, Worker, WorkerReport
 from ..clock import MS_PER_S, Clock
 from ..ids import WorkerId
 from ..logs import log_event
@@ -120,6 +120,8 @@
         )
         for end in report_changes.ends:
             _log_end(end)
+        for ended in report_changes.unmatched_ends:
+            _log_unmatched_end(worker, ended)
         link = self.find_link(worker.id)
         if link is not None:
             self._send_report_orders(link, report_changes.orphans)
@@ -289,6 +291,22 @@
     )
 
 
+def _log_unmatched_end(worker: Worker, ended: EndedTask) -> None:
+    ref = ended.ref
+    log_event(
+        logger,
+        'run.end_unmatched',
+        worker=worker.id,
+        job=ref.task.job,
+        occurrence=ref.task.occurrence,
+        step=ref.task.step,
+        index=ref.task.index,
+        run=ref.run,
+        how=ended.kind.value,
+        number=ended.number,
+    )
+
+
 def _apply_nothing(_plan: Plan) -> None:
     """Stand in for a handler that is set later."""
 
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -134,6 +134,14 @@
             lease_end_ms = worker.estimate_clock_ms(requested_at_s) + lease_ms
             worker.record_lease(lease_end_ms)
         stored_end = worker.stored_end
+        if stored_end > self.acknowledged_end:
+            log_event(
+                logger,
+                'ends.acknowledged',
+                worker=worker.id,
+                through=stored_end,
+                incarnation=worker.entry.started_unix_ms,
+            )
         try:
             report = await self.client.report(
                 self._epoch,
--- a/tests/test_node_acknowledged_ends.py
+++ b/tests/test_node_acknowledged_ends.py
@@ -1,6 +1,7 @@
 """Ends are acknowledged to a worker once their effect is stored."""
 
 import asyncio
+import logging
 from types import SimpleNamespace
 
 import pytest
@@ -126,3 +127,15 @@
     for number in order:
         await harness.store(number)
     assert harness.worker.stored_end == 2
+
+
+async def test_the_log_names_an_end_without_an_allocation(caplog):
+    harness = Harness()
+    given_up = harness.runs[0].ref
+    harness.worker.allocations.pop(given_up)
+    with caplog.at_level(logging.INFO):
+        await harness.end(1)
+    (line,) = [
+        record for record in caplog.records if record.msg == 'run.end_unmatched'
+    ]
+    assert (line.worker, line.job, line.how) == ('w1', 'a', 'done')
