Take no run for lost that a cut list of ends does not name

A worker lists 500 ends at a time; the leader took each confirmed run that the list did not name for lost. A new leader did so with every run.

A report now says whether its list of ends was cut; nothing follows from a run that is missing in a cut list: not that it is lost, nor that it crashed its worker. A new leader takes missing runs for ended with the first report that is not cut. The runs of a previous incarnation end by the same rule as any missing run.

--- a/dev/platform_standin/worker.py
+++ b/dev/platform_standin/worker.py
@@ -10,6 +10,7 @@
 
 MS_PER_S = 1000
 POLL_INTERVAL_S = 0.01
+MAX_ENDS_PER_REPORT = 500
 
 
 class StandinRun(msgspec.Struct):
@@ -121,7 +122,9 @@
             ]
             for run in self.running.values()
         ]
-        return self._response(running=rows, ended=self.ended)
+        return self._response(
+            running=rows, ended=self.ended[:MAX_ENDS_PER_REPORT]
+        )
 
     async def _throttle(self, request: web.Request) -> web.Response:
         body = await self._authorize(request)
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -238,6 +238,7 @@
         worker.orphans.clear()
         # Its next report is handled like the first one to a new leader.
         worker.has_reported = False
+        worker.has_listed_all = False
         plan.extend(self.end_allocations(ends, unix_ms=unix_ms, now_s=now_s))
         return plan
 
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -3,9 +3,12 @@
 A report lists all running tasks and all ends that are not yet confirmed. A run
 in neither list has ended if it was known to run, or its stop was confirmed,
 before the report was requested, or if its start deadline has passed. In the
-first report to a new leader every missing run has ended.
+first report to a new leader every missing run has ended. Nothing follows from
+a list of ends that was cut.
 """
 
+from collections.abc import Container
+
 import msgspec
 
 from .ids import RunRef
@@ -53,7 +56,7 @@
         worker, find_crashed_runs(worker, report, now_s), now_s
     )
     if report.started_unix_ms != worker.entry.started_unix_ms:
-        _start_new_incarnation(worker, report, report_changes, requested_at_s)
+        _start_new_incarnation(worker, report, report_changes)
     worker.record_clock(report.clock_ms, now_s, requested_at_s)
     for ended in report.ended:
         _apply_end(worker, ended, report_changes)
@@ -61,7 +64,26 @@
     for running in report.running:
         listed.add(running.ref)
         _apply_running(worker, running, report_changes, now_s)
-    is_first_report = not worker.has_reported
+    if not report.is_cut:
+        _end_missing_runs(
+            worker, report, report_changes, listed, requested_at_s
+        )
+        worker.has_listed_all = True
+    worker.expired.clear()
+    worker.orphans &= listed
+    worker.has_reported = True
+    return report_changes
+
+
+def _end_missing_runs(
+    worker: Worker,
+    report: WorkerReport,
+    report_changes: ReportChanges,
+    listed: Container[RunRef],
+    requested_at_s: float,
+) -> None:
+    """End the runs that are not ``listed`` as running and must have ended."""
+    is_first_report = not worker.has_listed_all
     for allocation in tuple(worker.allocations.values()):
         if allocation.ref in listed:
             continue
@@ -73,19 +95,15 @@
                 AllocationEnd(allocation, _end_kind_of_missing(allocation)),
                 report_changes,
             )
-    worker.expired.clear()
-    worker.orphans &= listed
-    worker.has_reported = True
-    return report_changes
 
 
 def _start_new_incarnation(
-    worker: Worker,
-    report: WorkerReport,
-    report_changes: ReportChanges,
-    requested_at_s: float,
+    worker: Worker, report: WorkerReport, report_changes: ReportChanges
 ) -> None:
-    """End the runs of the previous incarnation and reset its counters."""
+    """Reset what is known of the previous incarnation.
+
+    Its confirmed runs end as missing ones.
+    """
     worker.entry = msgspec.structs.replace(
         worker.entry, started_unix_ms=report.started_unix_ms
     )
@@ -105,10 +123,6 @@
             allocation.start_deadline_ms = None
             if allocation.is_start_sent:
                 report_changes.unconfirmed.append(allocation)
-        elif allocation.start_confirmed_at_s < requested_at_s:
-            _end_allocation(
-                worker, AllocationEnd(allocation, EndKind.LOST), report_changes
-            )
 
 
 def _apply_end(
--- a/src/bulrushcove/batch/worker_crashes.py
+++ b/src/bulrushcove/batch/worker_crashes.py
@@ -68,6 +68,9 @@
     is_restarted = report.started_unix_ms != worker.entry.started_unix_ms
     if worker.has_reported and not is_restarted:
         return []
+    if report.is_cut:
+        # A run that is not listed may have ended.
+        return []
     started_at_s = now_s - report.clock_ms / MS_PER_S
     listed = {running.ref for running in report.running}
     listed.update(ended.ref for ended in report.ended)
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -76,13 +76,18 @@
 
 
 class WorkerReport(msgspec.Struct, frozen=True, kw_only=True):
-    """All runs of a worker, and the ends not yet confirmed as stored."""
+    """All runs of a worker, and the ends not yet confirmed as stored.
+
+    If the list of ends is cut, the worker lists more of them once these are
+    acknowledged, and a run in neither list may have ended.
+    """
 
     # The worker's monotonic clock when it made the report.
     clock_ms: int
     started_unix_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    is_cut: bool = False
 
 
 class Worker(msgspec.Struct, eq=False, kw_only=True):
@@ -99,6 +104,8 @@
     draining_since_s: float = 0.0
     # Whether it has sent a report to this leader, so that its runs are known.
     has_reported: bool = False
+    # Whether this leader has received a report whose list of ends was not cut.
+    has_listed_all: bool = False
     allocations: dict[RunRef, Allocation] = msgspec.field(default_factory=dict)
     # Runs that ended as their lease expired while the worker was silent. They
     # may have crashed it: its next incarnation tells.
--- a/src/bulrushcove/platform/worker_client.py
+++ b/src/bulrushcove/platform/worker_client.py
@@ -45,6 +45,8 @@
 )
 
 # ASCII digits only: ``int`` reads other digits, signs and spaces too.
+# A worker lists this many ends at most, the oldest first.
+MAX_ENDS_PER_REPORT = 500
 _NUMBER_PATTERN = re.compile('[0-9]{1,9}')
 _REPORT_ERRORS = (UndecodableError, *DECODE_ERRORS)
 _Cell = str | int | float | None
@@ -238,6 +240,7 @@
         started_unix_ms=report.born,
         running=running,
         ended=ended,
+        is_cut=len(ended) >= MAX_ENDS_PER_REPORT,
     )
 
 
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -64,6 +64,19 @@
     assert (running_task.ref, running_task.load) == (REF, 120)
 
 
+@pytest.mark.parametrize(
+    ('count', 'is_cut'), [(0, False), (499, False), (500, True)]
+)
+async def test_a_report_of_500_ends_is_taken_for_cut(
+    standin_worker, client, count, is_cut
+):
+    standin_worker.ended = [
+        [number, format_task_name(REF.task), number, 'done', '']
+        for number in range(1, count + 1)
+    ]
+    assert (await request_report(client)).is_cut is is_cut
+
+
 async def test_start_sent_twice_starts_one_run(standin_worker, client):
     await start_run(client)
     assert (await start_run(client)).outcome is OrderOutcome.DONE
