Call a worker at its new address after a restart

The registry opens a new link when the entry names another address. Orders of the old link are cancelled; their runs end by the report of the new incarnation.

--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -76,6 +76,8 @@
         self._lease_ms = run_lease_ms(settings.max_lease_ms)
         self._clock = clock
         self._links: dict[WorkerId, WorkerLink] = {}
+        # Addresses that the links use.
+        self._addresses: dict[WorkerId, str] = {}
         self._first_polls = asyncio.Semaphore(
             first_poll_limit(settings.cpu_cores)
         )
@@ -110,9 +112,7 @@
         """Close the links to ``workers``, which have departed."""
         for worker in workers:
             log_event(logger, 'worker.forgotten', worker=worker)
-            link = self._links.pop(worker, None)
-            if link is not None:
-                self._tasks.spawn(link.stop())
+            self._close_link(worker)
 
     def _handle_entries(
         self, entries: Entries, changed: frozenset[str]
@@ -168,18 +168,30 @@
             entry,
             self._clock.monotonic_s(),
         )
+        address = self._addresses.get(worker.id, entry.address)
+        if address != entry.address:
+            # The worker has restarted; what the old address answers, if
+            # anything, says nothing of it.
+            self._close_link(worker.id)
         link = self._links.get(worker.id)
         if link is None:
             self._tasks.spawn(self._open_link(worker))
         else:
             link.wake()
 
+    def _close_link(self, worker: WorkerId) -> None:
+        link = self._links.pop(worker, None)
+        self._addresses.pop(worker, None)
+        if link is not None:
+            self._tasks.spawn(link.stop())
+
     async def _open_link(self, worker: Worker) -> None:
         async with self._first_polls:
             if worker.id in self._links or not worker.is_listed:
                 return
             link = self._make_link(worker)
             self._links[worker.id] = link
+            self._addresses[worker.id] = worker.entry.address
             await self.add_runtime_dependency(link)
             await _wait_for_first_poll(link)
 
--- a/tests/test_node_worker_registry.py
+++ b/tests/test_node_worker_registry.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from batch_builders import Bench, entry, report
 from fake_watchable_store import FakeWatchableStore
@@ -34,6 +35,9 @@
 
     def __init__(self):
         bench = Bench()
+        # Addresses that workers have moved to, and the clients made.
+        self.addresses = {}
+        self.clients = []
         self.engine = bench.engine
         self.store = FakeWatchableStore(ManualClock())
         self.registry = WorkerRegistry(
@@ -49,9 +53,12 @@
         )
 
     def decode(self, key, encoded):
-        return entry(key)
+        worker_entry = entry(key)
+        address = self.addresses.get(key, worker_entry.address)
+        return msgspec.structs.replace(worker_entry, address=address)
 
     def make_client(self, worker, address):
+        self.clients.append((worker, address))
         if worker.startswith('dark'):
             return SilentWorkerClient()
         client = FakeWorkerClient()
@@ -62,6 +69,11 @@
         for name in names:
             await self.store.commit((Write(name, b'entry', 0),))
 
+    async def move(self, name, address):
+        self.addresses[name] = address
+        (item,) = (await self.store.read(name)).found
+        await self.store.commit((Write(name, b'moved', item.mod_revision),))
+
     def reported(self):
         return [
             worker.id
@@ -105,3 +117,21 @@
     """1,500 workers at a distance of 60 ms took 8 s with 24 at a time."""
     assert first_poll_limit(0.1) == first_poll_limit(SMALL_VM_CORES) == 24
     assert first_poll_limit(2.15) > 100
+
+
+async def test_a_worker_that_restarts_at_another_address_is_called_there(
+    deployment, monkeypatch
+):
+    """It was called at its old address for as long as it was listed."""
+    monkeypatch.setattr(registry_module, 'ENTRY_BATCHING_DELAY_S', 0.01)
+    await deployment.list_workers('w1')
+    await deployment.registry.start()
+    await asyncio.sleep(0.05)
+    old_link = deployment.registry.find_link('w1')
+    await deployment.move('w1', 'elsewhere:80')
+    async with asyncio.timeout(5):
+        while deployment.registry.find_link('w1') is old_link:
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(0.05)
+    assert deployment.clients == [('w1', 'w1:80'), ('w1', 'elsewhere:80')]
+    assert old_link.should_stop
