Apply unmatched ends once a job, and count no failure of theirs

It counts no more, as before, so no run number is stored. - A done end of a run that was never placed ended the task. Such a run is ignored. - A newer run that was not stopped yet went on under the next leader. A run of a task that is done is stopped when it is first heard of.

--- a/src/bulrushcove/batch/completion.py
+++ b/src/bulrushcove/batch/completion.py
@@ -37,8 +37,9 @@
         unit.checkpoint = end.checkpoint
     if end.kind is EndKind.DONE and not unit.spec.is_service:
         unit.phase = UnitPhase.DONE
-    elif end.kind is EndKind.FAILED:
-        _count_failure(unit, allocation.run)
+    elif end.kind is EndKind.FAILED and unit.failed_run != allocation.run:
+        unit.failed_run = allocation.run
+        unit.failures += 1
     stops = _abort_gang(unit, end.kind)
     _reset_unit(unit, now_s)
     _end_job_if_decided(unit.job, unix_ms, now_s)
@@ -58,43 +59,38 @@
     that the ends are acknowledged only once their effect is stored.
     """
     plan = Plan()
+    changed: dict[JobId, Job] = {}
     for ended in ends:
         job = jobs.get(ended.ref.task.job)
         unit = find_unit(job, ended.ref.task) if job else None
-        if unit is None:
-            continue
-        job = unit.job
-        had_ended = job.has_ended
-        if not had_ended:
+        if unit is not None:
+            changed[unit.job.id] = unit.job
             plan.stops.extend(_apply_unmatched_end(unit, ended))
+    plan.changed = list(changed.values())
+    for job in plan.changed:
+        if not job.has_ended:
             _end_job_if_decided(job, unix_ms, now_s)
-            plan.stops.extend(_allocations_of_stopped_job(job))
-        plan.changed.append(job)
-        if job.has_ended and not had_ended:
-            plan.ended.append(job)
+            plan.ended.extend([job] if job.has_ended else ())
     return plan
 
 
 def _apply_unmatched_end(unit: Unit, ended: EndedTask) -> list[Allocation]:
-    """Apply ``ended``; returns the newer runs, if the task is done."""
-    if unit.phase is UnitPhase.DONE or unit.spec.is_service:
+    """Apply ``ended``; returns the newer runs, if the task is done.
+
+    A failure does not count as an attempt: as a rule the run was given up since
+    its lease had expired.
+    """
+    is_over = unit.job.has_ended or unit.phase is UnitPhase.DONE
+    if is_over or unit.spec.is_service or ended.ref.run > unit.run:
         return []
     if ended.checkpoint and ended.ref.run == unit.run:
         unit.checkpoint = ended.checkpoint
-    if ended.kind is EndKind.FAILED:
-        _count_failure(unit, ended.ref.run)
     if ended.kind is not EndKind.DONE:
         return []
     unit.phase = UnitPhase.DONE
     return mark_for_stop(unstopped_allocations(unit), StopReason.TASK_DONE)
 
 
-def _count_failure(unit: Unit, run: int) -> None:
-    if run > unit.failed_run:
-        unit.failed_run = run
-        unit.failures += 1
-
-
 def give_up_if_deadly(job: Job, unix_ms: int, now_s: float) -> list[Allocation]:
     """Give up ``job`` if one of its tasks certainly crashes its workers.
 
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -23,6 +23,7 @@
     Job,
     JobPhase,
     StopReason,
+    UnitPhase,
     mark_for_stop,
     new_job,
 )
@@ -326,12 +327,16 @@
 
 
 def _must_stop(allocation: Allocation) -> bool:
-    """Return whether a started run must stop with its job or its gang."""
+    """Return whether a started run must stop with its job or its gang.
+
+    Also if its task is done: an earlier leader may not have stopped it.
+    """
     if allocation.phase is AllocationPhase.STOPPING:
         return False
-    phase = allocation.unit.job.phase
-    is_job_stopped = phase in {JobPhase.CANCELLED, JobPhase.FAILED}
-    return is_job_stopped or allocation.unit.is_aborting
+    unit = allocation.unit
+    is_job_stopped = unit.job.phase in {JobPhase.CANCELLED, JobPhase.FAILED}
+    is_done = unit.phase is UnitPhase.DONE
+    return is_job_stopped or unit.is_aborting or is_done
 
 
 def _run_pass(current: SchedulingPass, plan: Plan) -> None:
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -137,8 +137,7 @@
     # Allocations of the last run that are not known to have ended.
     allocations: dict[int, Allocation] = msgspec.field(default_factory=dict)
     # Number of the run whose failure was counted last: a gang that fails counts
-    # once, whatever number of its members fail, and so does an end that is
-    # reported to several leaders.
+    # once, whatever number of its members fail.
     failed_run: int = 0
     # A member of the run ended or could not start, or the unit is preempted:
     # its other tasks are being stopped.
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -39,8 +39,6 @@
     isolated: tuple[int, ...] = ()
     # By index of the task.
     crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
-    # The run whose failure was counted last.
-    failed_run: int = 0
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -141,7 +139,6 @@
             if allocation.is_isolated
         ),
         unit.crashes,
-        unit.failed_run,
     )
 
 
@@ -151,7 +148,6 @@
     unit.failures = stored.failures
     unit.checkpoint = stored.checkpoint
     unit.crashes = dict(stored.crashes)
-    unit.failed_run = stored.failed_run
     # Records of earlier versions name no incarnations.
     incarnations = chain(stored.incarnations, repeat(0))
     for index, worker, incarnation in zip(
