End no run that was placed after a cut first report

Found by the reviewer and by the model of workers' lives in: after a cut first report the worker got work; the next, complete report still counted as the first, so each run missing from it was ended, also one whose start was under way: its next run was placed beside it (TWICE). Only runs of an earlier leader that none has confirmed end so.

test_a_run_placed_after_a_cut_first_report_is_not_ended_by_the_next fails without it.

--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -91,7 +91,8 @@
     for allocation in tuple(worker.allocations.values()):
         if allocation.ref in listed:
             continue
-        if is_first_report or _has_ended(
+        is_unheard = is_first_report and _is_of_earlier_leader(allocation)
+        if is_unheard or _has_ended(
             allocation, report.clock_ms, requested_at_s
         ):
             _end_allocation(
@@ -185,6 +186,15 @@
     return now_s - started_at_s >= history.survival_s
 
 
+def _is_of_earlier_leader(allocation: Allocation) -> bool:
+    """Return whether an earlier leader sent the start, unconfirmed so far."""
+    return (
+        allocation.is_start_sent
+        and allocation.start_sent_at_s is None
+        and allocation.start_confirmed_at_s is None
+    )
+
+
 def _has_ended(
     allocation: Allocation, clock_ms: int, requested_at_s: float
 ) -> bool:
--- a/tests/test_batch_cut_reports.py
+++ b/tests/test_batch_cut_reports.py
@@ -4,6 +4,7 @@
 from batch_builders import Bench, entry, job_spec, report, step
 
 from bulrushcove.batch.job_state import JobPhase, UnitPhase
+from bulrushcove.batch.membership import record_entry
 from bulrushcove.batch.records import (
     decode_progress,
     decode_submission,
@@ -102,3 +103,30 @@
     assert phases(bench.job)[1:] == [UnitPhase.ACTIVE, UnitPhase.ACTIVE]
     apply(bench, (), started_unix_ms=2)
     assert phases(bench.job)[1:] == [UnitPhase.WAITING, UnitPhase.WAITING]
+
+
+def test_a_run_placed_after_a_cut_first_report_is_not_ended_by_the_next():
+    """The full report was made before its start arrived."""
+    bench = Bench(entry('w1'))
+    runs = started(bench)
+    successor = successor_of(bench)
+    engine = successor.engine
+    record_entry(
+        engine.workers, engine.reliability, entry('w1'), successor.now_s
+    )
+    apply(successor, runs[:1], is_cut=True)
+    new_job = successor.submit(job_spec('new'))
+    (start,) = successor.plan().starts
+    start.is_start_sent = True
+    start.start_sent_at_s = successor.now_s + 2
+    apply(successor, runs[1:], first=2)
+    assert new_job.units[0].phase is UnitPhase.ACTIVE
+
+
+def test_after_a_silence_a_cut_list_ends_no_run():
+    bench = Bench(entry('w1'))
+    runs = started(bench)
+    worker = bench.engine.workers['w1']
+    bench.engine.end_incarnation(worker, unix_ms=1, now_s=bench.now_s)
+    apply(bench, runs[:1], is_cut=True)
+    assert not worker.has_listed_all
