--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from ..batch.engine import Engine
-from ..batch.job_state import Allocation
+from ..batch.job_state import Allocation, AllocationPhase
 from ..batch.membership import mark_unlisted, record_entry
 from ..batch.workers import Worker, WorkerEntry
 from ..clock import Clock
@@ -193,6 +193,11 @@
             self._links[worker.id] = link
             self._addresses[worker.id] = worker.entry.address
             await self.add_runtime_dependency(link)
+            self.order_stops(
+                allocation
+                for allocation in worker.allocations.values()
+                if allocation.phase is AllocationPhase.STOPPING
+            )
             await _wait_for_first_poll(link)
 
     def _make_link(self, worker: Worker) -> WorkerLink:
