Give no start to a life that a late acknowledgement may reach

A poll with an acknowledgement that got no answer may be carried out up to 12 s later, by an incarnation that has started since, and make it forget ends that it has not reported. Such an incarnation gets no starts for that time, so it has no ends.

--- a/src/bulrushcove/batch/membership.py
+++ b/src/bulrushcove/batch/membership.py
@@ -14,6 +14,9 @@
 # A worker whose runs may have crashed it is waited for this long, to tell.
 CRASH_GRACE_S = 20.0
 
+# Start time of an entry that states none.
+UNKNOWN_START = 0
+
 Workers = dict[WorkerId, Worker]
 
 
@@ -39,18 +42,22 @@
         entry = msgspec.structs.replace(
             entry, shutdown_in_ms=known.shutdown_in_ms
         )
-    is_other_incarnation = entry.started_unix_ms != known.started_unix_ms
+    is_other_incarnation = entry.started_unix_ms not in {
+        known.started_unix_ms,
+        UNKNOWN_START,
+    }
     if is_other_incarnation and not worker.has_reported:
         worker.begin_incarnation(entry.started_unix_ms)
     elif is_other_incarnation:
         # The worker's own reports determine its incarnation. It may have
         # restarted while it was idle, and is asked for a report.
-        entry = msgspec.structs.replace(
-            entry, started_unix_ms=known.started_unix_ms
-        )
         worker.unknown_incarnation_since_s = (
             worker.unknown_incarnation_since_s or now_s
         )
+    if worker.has_reported:
+        entry = msgspec.structs.replace(
+            entry, started_unix_ms=known.started_unix_ms
+        )
     worker.entry = entry
     worker.is_listed = True
     return worker
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -12,7 +12,7 @@
     WorkerReplacedError,
 )
 from ..batch.pacing import has_colocated_services
-from ..batch.workers import Worker
+from ..batch.workers import LATE_CALL_S, Worker
 from ..clock import Clock
 from ..exceptions import WorkerError
 from ..ids import Epoch
@@ -113,14 +113,17 @@
     def _needs_poll(self) -> bool:
         worker = self.worker
         has_runs = bool(worker.allocations or worker.orphans)
-        is_state_unknown = (
+        ends = worker.ends
+        has_unacknowledged_ends = ends.processed > ends.acknowledged
+        return has_runs or has_unacknowledged_ends or self._is_state_unknown()
+
+    def _is_state_unknown(self) -> bool:
+        worker = self.worker
+        return (
             not worker.has_reported
             or worker.failed_polls > 0
             or worker.unknown_incarnation_since_s > 0
         )
-        ends = worker.ends
-        has_unacknowledged_ends = ends.processed > ends.acknowledged
-        return has_runs or is_state_unknown or has_unacknowledged_ends
 
     async def _poll_safely(self) -> bool:
         """Poll the worker; an unexpected error affects this worker alone."""
@@ -159,6 +162,10 @@
             self._event_handler.handle_worker_replaced(worker)
             return False
         except WorkerCallError as exc:
+            if acknowledged_end:
+                worker.open_acknowledgement_until_s = (
+                    requested_at_s + LATE_CALL_S
+                )
             if not self._is_failure_ignored(requested_at_s):
                 self._record_failed_poll(exc)
             return False
@@ -249,7 +256,7 @@
 
     def _report_wait_ms(self) -> int:
         worker = self.worker
-        if not worker.has_reported or worker.failed_polls:
+        if self._is_state_unknown():
             return 0
         if worker.ends.processed > worker.ends.stored:
             # The worker responds at once while it has unacknowledged ends.
