Start no run that has ended while its record was being stored

What callers would see: two runs of a task at a time (TWICE). Found by the model of workers' lives: a run is placed and its record waits for the store; meanwhile the leases of its worker expire, so the run ends and the next one is placed; once the record is stored, the ended run was started as well. Neither the first start nor its repetition asked whether the worker still holds the run.

test_a_run_that_ended_while_its_record_was_stored_is_not_started failed before.

--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -79,7 +79,7 @@
         worker = self._engine.workers.get(allocation.worker)
         if worker is None or not self._leadership.has_authority:
             return False
-        if _is_given_up(allocation):
+        if _is_given_up(allocation) or not _is_held(worker, allocation):
             return False
         # The capacity may have shrunk since the placement.
         if worker.exceeds_capacity():
@@ -93,6 +93,8 @@
         polls. It holds its capacity as if it were carried out already.
         """
         worker = self._engine.workers.get(allocation.worker)
+        if worker is None or not _is_held(worker, allocation):
+            return False
         is_start_open = (
             allocation.phase is AllocationPhase.STARTING
             and self._leadership.has_authority
@@ -100,7 +102,6 @@
         )
         return (
             is_start_open
-            and worker is not None
             and not worker.exceeds_capacity()
             and is_in_service(self._engine, worker)
         )
@@ -244,6 +245,11 @@
             link.wake()
 
 
+def _is_held(worker: Worker, allocation: Allocation) -> bool:
+    """Return whether the run of ``allocation`` has not ended meanwhile."""
+    return worker.allocations.get(allocation.ref) is allocation
+
+
 def _is_given_up(allocation: Allocation) -> bool:
     unit = allocation.unit
     # An earlier run of the task may turn out to be done.
--- a/tests/test_node_acknowledged_ends.py
+++ b/tests/test_node_acknowledged_ends.py
@@ -171,6 +171,20 @@
     assert not harness.handler.may_resend_start(second)
 
 
+async def test_a_run_that_ended_while_its_record_was_stored_is_not_started():
+    """It was started beside the next run of its task."""
+    harness = Harness()
+    await harness.give_up(1)
+    (second,) = harness.bench.plan().starts
+    assert harness.handler.is_start_wanted(second)
+    harness.bench.engine.end_incarnation(
+        harness.worker, unix_ms=1, now_s=harness.bench.now_s
+    )
+    harness.bench.report('w1')
+    assert not harness.handler.is_start_wanted(second)
+    assert not harness.handler.may_resend_start(second)
+
+
 async def test_the_log_names_an_end_without_an_allocation(caplog):
     harness = Harness()
     await harness.give_up(1)
