Take a worker that restarted to hold the longest lease

Found by the model of workers' lives: a worker restarts while idle and gets a start before its new entry is seen. The deadline is on the clock before, far ahead of the new one, so the worker takes the longest lease (10 s). Its first report set the known lease to nothing; when the next poll was lost, its run was taken for over at once and started elsewhere while it was at work (TWICE).

The first report of another incarnation is now followed by the longest lease that the worker permits. test_a_restarted_worker_holds_a_lease_before_its_first_report failed before. A poll that such a worker carries out late is not covered: known red.

--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -59,9 +59,14 @@
         *,
         epoch: Epoch,
         lease_ms: int,
+        max_lease_ms: int,
         clock: Clock,
     ) -> None:
-        """Poll ``worker`` through ``client`` with fencing token ``epoch``."""
+        """Poll ``worker`` through ``client`` with fencing token ``epoch``.
+
+        Grants leases of ``lease_ms``; the worker cuts leases to
+        ``max_lease_ms``.
+        """
         super().__init__()
         self.worker = worker
         self.client = client
@@ -70,6 +75,7 @@
         self._event_handler = event_handler
         self._epoch = epoch
         self._lease_ms = lease_ms
+        self._max_lease_ms = max_lease_ms
         self._clock = clock
         self._wake = asyncio.Event()
         # Set after the first poll, whether or not the worker has responded.
@@ -174,7 +180,11 @@
         if acknowledged_end:
             ends.acknowledged = acknowledged_end
         self._event_handler.handle_report(worker, report, requested_at_s)
-        if is_first_report:
+        if worker.ends is not ends:
+            # Starts and polls for the incarnation before, with deadlines on
+            # its clock, may have been carried out by this one.
+            worker.record_lease(report.clock_ms + self._max_lease_ms)
+        elif is_first_report:
             # An earlier leader may have granted a lease just before.
             worker.record_lease(report.clock_ms + self._lease_ms)
         return True
--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -74,6 +74,7 @@
         self._event_handler = event_handler
         self._epoch = epoch
         self._lease_ms = run_lease_ms(settings.max_lease_ms)
+        self._max_lease_ms = settings.max_lease_ms
         self._clock = clock
         self._links: dict[WorkerId, WorkerLink] = {}
         # Addresses that the links use.
@@ -207,6 +208,7 @@
             self._event_handler,
             epoch=self._epoch,
             lease_ms=self._lease_ms,
+            max_lease_ms=self._max_lease_ms,
             clock=self._clock,
         )
 
--- a/tests/test_node_acknowledged_lives.py
+++ b/tests/test_node_acknowledged_lives.py
@@ -17,6 +17,7 @@
 from bulrushcove.node.worker_link import WorkerLink
 
 LEASE_MS = 8000
+MAX_LEASE_MS = 10_000
 
 
 class FakeClient:
@@ -54,6 +55,7 @@
             RecordingEventHandler(self.bench),
             epoch=Epoch(7),
             lease_ms=LEASE_MS,
+            max_lease_ms=MAX_LEASE_MS,
             clock=self.clock,
         )
 
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -19,6 +19,7 @@
 from bulrushcove.node.worker_link import WorkerLink
 
 LEASE_MS = 8000
+MAX_LEASE_MS = 10_000
 
 
 class FakeWorkerClient:
@@ -123,6 +124,7 @@
             self.event_handler,
             epoch=Epoch(7),
             lease_ms=LEASE_MS,
+            max_lease_ms=MAX_LEASE_MS,
             clock=ManualClock(self.bench.now_s),
         )
 
