Take no run for stalled that a cut list of ends does not name

Seen by the model of workers' lives: after a cut list a run whose end was not listed yet was stopped as stalled after 3.5 s, and its worker barred for it.

test_a_run_beyond_a_cut_list_is_not_stopped_as_stalled failed before.

--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -71,6 +71,8 @@
             worker, report, report_changes, listed, requested_at_s
         )
         worker.has_listed_all = True
+    else:
+        _excuse_missing_runs(worker, listed, now_s)
     worker.expired.clear()
     worker.orphans &= listed
     worker.has_reported = True
@@ -186,6 +188,15 @@
     return now_s - started_at_s >= history.survival_s
 
 
+def _excuse_missing_runs(
+    worker: Worker, listed: Container[RunRef], now_s: float
+) -> None:
+    """Let no run count as stalled whose end may be listed later."""
+    for allocation in worker.allocations.values():
+        if allocation.ref not in listed and allocation.last_progress_at_s:
+            allocation.last_progress_at_s = now_s
+
+
 def _is_of_earlier_leader(allocation: Allocation) -> bool:
     """Return whether an earlier leader sent the start, unconfirmed so far."""
     return (
--- a/tests/test_batch_cut_reports.py
+++ b/tests/test_batch_cut_reports.py
@@ -130,3 +130,11 @@
     bench.engine.end_incarnation(worker, unix_ms=1, now_s=bench.now_s)
     apply(bench, runs[:1], is_cut=True)
     assert not worker.has_listed_all
+
+
+def test_a_run_beyond_a_cut_list_is_not_stopped_as_stalled():
+    bench = Bench(entry('w1'))
+    runs = started(bench)
+    for _ in range(5):
+        apply(bench, runs[:1], is_cut=True)
+    assert not bench.plan().stops
