Show that a forgotten worker's end waits to be stored

A worker's entry is missing for 2.5 s while the end of its last run is not stored yet, so the leader forgets the worker. When the entry is back, the end is listed again, belongs to no allocation and was acknowledged at once; a leader lost before the write was stored left a task that no one knew to be done. It started again 4.6 to 4.9 s after its end, on that worker, by another VM: the shape of the record.

--- a/tests/test_node_acknowledged_ends.py
+++ b/tests/test_node_acknowledged_ends.py
@@ -7,6 +7,7 @@
 import pytest
 from batch_builders import Bench, entry, job_spec, report, step
 
+from bulrushcove.batch.membership import record_entry
 from bulrushcove.batch.workers import EndKind
 from bulrushcove.clock import ManualClock
 from bulrushcove.node.store_writer import LeadershipLostError
@@ -161,6 +162,21 @@
     assert harness.worker.ends.stored == 1
 
 
+async def test_an_end_that_a_forgotten_worker_lists_again_waits_to_be_stored():
+    """Its entry was missing for 3 s; a new leader ran the task again."""
+    harness = Harness()
+    await harness.end(1)
+    engine = harness.bench.engine
+    engine.workers.pop('w1')
+    harness.worker = record_entry(
+        engine.workers, engine.reliability, entry('w1'), harness.bench.now_s
+    )
+    await harness.end(1)
+    assert not harness.worker.ends.stored
+    await harness.store(1)
+    assert harness.worker.ends.stored == 1
+
+
 async def test_a_task_that_was_done_is_not_sent_to_the_worker_again():
     harness = Harness(step(), step(after=(0,)))
     await harness.give_up(1)
