Drop the bar on restarted workers, and other points of the second review

The second reviewer, who had not seen the work, found that the bar of keeps a worker that crashes within 1.5 s of an end without work for up to 12 s (model: next start 10.2 s after the restart): a poll that acknowledges also waits for the next end, so after a loss of power whole domains would wait.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -187,10 +187,9 @@
             if job.phase is JobPhase.QUEUED:
                 job.phase = JobPhase.RUNNING
                 plan.changed.append(job)
-            if _must_stop(allocation):
-                plan.stops.extend(
-                    mark_for_stop((allocation,), StopReason.JOB_ENDED)
-                )
+            reason = _reason_to_stop(allocation)
+            if reason is not None:
+                plan.stops.extend(mark_for_stop((allocation,), reason))
         return plan
 
     def end_allocations(
@@ -239,7 +238,7 @@
         worker.orphans.clear()
         # Its next report is handled like the first one to a new leader.
         worker.has_reported = False
-        worker.has_listed_all = False
+        worker.has_complete_report = False
         plan.extend(self.end_allocations(ends, unix_ms=unix_ms, now_s=now_s))
         return plan
 
@@ -326,17 +325,18 @@
         worker.allocations[allocation.ref] = allocation
 
 
-def _must_stop(allocation: Allocation) -> bool:
-    """Return whether a started run must stop with its job or its gang.
+def _reason_to_stop(allocation: Allocation) -> StopReason | None:
+    """Return why a started run must stop; None if it goes on.
 
-    Also if its task is done: an earlier leader may not have stopped it.
+    An earlier leader may not have stopped the newer run of a done task.
     """
-    if allocation.phase is AllocationPhase.STOPPING:
-        return False
     unit = allocation.unit
+    if allocation.phase is AllocationPhase.STOPPING:
+        return None
     is_job_stopped = unit.job.phase in {JobPhase.CANCELLED, JobPhase.FAILED}
-    is_done = unit.phase is UnitPhase.DONE
-    return is_job_stopped or unit.is_aborting or is_done
+    if is_job_stopped or unit.is_aborting:
+        return StopReason.JOB_ENDED
+    return StopReason.TASK_DONE if unit.phase is UnitPhase.DONE else None
 
 
 def _run_pass(current: SchedulingPass, plan: Plan) -> None:
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -70,9 +70,9 @@
         _end_missing_runs(
             worker, report, report_changes, listed, requested_at_s
         )
-        worker.has_listed_all = True
+        worker.has_complete_report = True
     else:
-        _excuse_missing_runs(worker, listed, now_s)
+        _restart_stall_timers(worker, listed, now_s)
     worker.expired.clear()
     worker.orphans &= listed
     worker.has_reported = True
@@ -89,12 +89,15 @@
     requested_at_s: float,
 ) -> None:
     """End the runs that are not ``listed`` as running and must have ended."""
-    is_first_report = not worker.has_listed_all
+    is_first_complete_report = not worker.has_complete_report
     for allocation in tuple(worker.allocations.values()):
         if allocation.ref in listed:
             continue
-        is_unheard = is_first_report and _is_of_earlier_leader(allocation)
-        if is_unheard or _has_ended(
+        is_unknown = (
+            is_first_complete_report
+            and _is_unconfirmed_start_of_earlier_leader(allocation)
+        )
+        if is_unknown or _has_ended(
             allocation, report.clock_ms, requested_at_s
         ):
             _end_allocation(
@@ -119,8 +122,9 @@
             continue
         if allocation.start_confirmed_at_s is None:
             # The deadline of the start is on the clock of the previous
-            # incarnation, so it says nothing.
+            # incarnation, which may also have confirmed a stop.
             allocation.start_deadline_ms = None
+            allocation.stop_confirmed_at_s = None
             if allocation.is_start_sent:
                 report_changes.unconfirmed.append(allocation)
 
@@ -188,17 +192,17 @@
     return now_s - started_at_s >= history.survival_s
 
 
-def _excuse_missing_runs(
+def _restart_stall_timers(
     worker: Worker, listed: Container[RunRef], now_s: float
 ) -> None:
-    """Let no run count as stalled whose end may be listed later."""
+    """Restart the stall timer of each run whose end may be listed later."""
     for allocation in worker.allocations.values():
         if allocation.ref not in listed and allocation.last_progress_at_s:
             allocation.last_progress_at_s = now_s
 
 
-def _is_of_earlier_leader(allocation: Allocation) -> bool:
-    """Return whether an earlier leader sent the start, unconfirmed so far."""
+def _is_unconfirmed_start_of_earlier_leader(allocation: Allocation) -> bool:
+    """Return whether an earlier leader sent it and no report has listed it."""
     return (
         allocation.is_start_sent
         and allocation.start_sent_at_s is None
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -401,7 +401,6 @@
         worker.has_reported
         and not worker.failed_polls
         and not worker.unknown_incarnation_since_s
-        and now_s >= worker.barred_until_s
     )
     if not is_responding or worker.orphans or not is_in_service(engine, worker):
         return False
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -15,8 +15,6 @@
 # Largest share by which a worker's monotonic clock may run slow, as its
 # operators state.
 MAX_CLOCK_DRIFT = 0.02
-# A call without a response may be carried out this much later.
-LATE_CALL_S = 12.0
 # Speed of a task that is not throttled.
 FULL_SPEED_PERCENT = 100
 
@@ -135,8 +133,8 @@
     draining_since_s: float = 0.0
     # Whether it has sent a report to this leader, so that its runs are known.
     has_reported: bool = False
-    # Whether this leader has received a report whose list of ends was not cut.
-    has_listed_all: bool = False
+    # Whether this leader has received a report with all unacknowledged ends.
+    has_complete_report: bool = False
     allocations: dict[RunRef, Allocation] = msgspec.field(default_factory=dict)
     # Runs that ended as their lease expired while the worker was silent. They
     # may have crashed it: its next incarnation tells.
@@ -149,11 +147,6 @@
     # When the list of workers first named an incarnation that has not reported
     # yet; zero: it has. What is known of the worker may be void.
     unknown_incarnation_since_s: float = 0.0
-    # Until when an acknowledgement that got no response may be carried out. A
-    # later incarnation would forget ends of its own for it.
-    open_acknowledgement_until_s: float = 0.0
-    # Until when this incarnation gets no starts for that reason.
-    barred_until_s: float = 0.0
     # Last reading of its clock, and when it was received.
     clock_ms: int = 0
     clock_read_at_s: float = 0.0
@@ -208,7 +201,6 @@
             self.entry, started_unix_ms=started_unix_ms
         )
         self.ends = ReportedEnds()
-        self.barred_until_s = self.open_acknowledgement_until_s
         self.max_lease_end_ms = 0
         self.orphans.clear()
 
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -12,7 +12,7 @@
     WorkerReplacedError,
 )
 from ..batch.pacing import has_colocated_services
-from ..batch.workers import LATE_CALL_S, Worker
+from ..batch.workers import Worker
 from ..clock import Clock
 from ..exceptions import WorkerError
 from ..ids import Epoch
@@ -168,10 +168,6 @@
             self._event_handler.handle_worker_replaced(worker)
             return False
         except WorkerCallError as exc:
-            if acknowledged_end:
-                worker.open_acknowledgement_until_s = (
-                    requested_at_s + LATE_CALL_S
-                )
             if not self._is_failure_ignored(requested_at_s):
                 self._record_failed_poll(exc)
             return False
@@ -192,9 +188,9 @@
     def _next_acknowledged_end(self, now_s: float) -> int:
         """Return the number of the last end to acknowledge; zero: none.
 
-        The worker may have restarted since its last report. Its new incarnation
-        numbers its ends from 1 again and would forget ends that it has not
-        reported, so only an answer is followed by an acknowledgement.
+        Returns zero unless the last poll was answered at most
+        ``MAX_REPORT_AGE_S`` ago. A new incarnation numbers its ends from 1 and
+        would forget ends that it has not reported.
         """
         worker = self.worker
         stored = worker.ends.stored
--- a/src/bulrushcove/platform/worker_client.py
+++ b/src/bulrushcove/platform/worker_client.py
@@ -44,9 +44,9 @@
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
 
-# ASCII digits only: ``int`` reads other digits, signs and spaces too.
 # A worker lists this many ends at most, the oldest first.
 MAX_ENDS_PER_REPORT = 500
+# ASCII digits only: ``int`` reads other digits, signs and spaces too.
 _NUMBER_PATTERN = re.compile('[0-9]{1,9}')
 _REPORT_ERRORS = (UndecodableError, *DECODE_ERRORS)
 _Cell = str | int | float | None
