Reckon with the longest lease where a worker may have restarted

What callers would see: two runs of a task at a time, or a start after a done end that was acknowledged (TWICE).

An order to a worker that was not heard of for 2.5 s, the first report to a leader and the wait of a new leader now count with the longest lease. Cost: up to 2 s more until the runs of such a worker start again, if it is silent.

--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -15,6 +15,9 @@
 # Largest share by which a worker's monotonic clock may run slow, as its
 # operators state.
 MAX_CLOCK_DRIFT = 0.02
+# A worker that was heard of within this time has not restarted and received an
+# order since. Longer than the wait of a poll.
+RECENT_REPORT_S = 2.5
 # Speed of a task that is not throttled.
 FULL_SPEED_PERCENT = 100
 
@@ -230,6 +233,19 @@
         self.max_lease_end_ms = max(self.max_lease_end_ms, deadline_ms)
         self._update_lease_expiry()
 
+    def record_order(
+        self, deadline_ms: int, now_s: float, max_lease_ms: int
+    ) -> None:
+        """Record an order sent at ``now_s`` with a lease until ``deadline_ms``.
+
+        Unless the worker was heard of lately, it may have restarted. Its clock
+        then started anew, so that it holds the longest lease that it permits.
+        """
+        if now_s - self.last_report_at_s > RECENT_REPORT_S:
+            longest_ms = self.estimate_clock_ms(now_s) + max_lease_ms
+            deadline_ms = max(deadline_ms, longest_ms)
+        self.record_lease(deadline_ms)
+
     def _update_lease_expiry(self) -> None:
         remaining_s = max(0, self.max_lease_end_ms - self.clock_ms) / MS_PER_S
         self.leases_expire_at_s = self.clock_read_at_s + remaining_s / (
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -22,7 +22,7 @@
 from .lease_expiry_writer import LeaseExpiryWriter
 from .messages import LeaderRecord
 from .metrics import NodeMetrics
-from .settings import NodeSettings, run_lease_ms
+from .settings import NodeSettings
 from .store_writer import LeadershipLostError, StoreWriter, WriteWithdrawnError
 from .worker_events import WorkerEventHandler, log_accused_run
 from .worker_registry import WorkerAdapter, WorkerRegistry
@@ -62,7 +62,7 @@
         self._epoch = leader.epoch
         self._clock = clock
         self._metrics = metrics
-        self._lease_ms = run_lease_ms(settings.max_lease_ms)
+        self._max_lease_ms = settings.max_lease_ms
         self._store_writer = StoreWriter(store, leadership, leader, clock)
         self._records = JobRecords(self._store_writer)
         self._has_changes = asyncio.Event()
@@ -146,7 +146,7 @@
         lease_expiry = await self._lease_expiry_writer.load(self._store)
         self._store_writer.revisions.update(loaded.revisions)
         longest_wait_s = self._lease_expiry_writer.restore(
-            lease_expiry, self._lease_ms / MS_PER_S, self._epoch
+            lease_expiry, self._max_lease_ms / MS_PER_S, self._epoch
         )
         self.engine.restore(
             loaded.jobs, self._clock.monotonic_s() + longest_wait_s
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -134,7 +134,7 @@
             self.tasks.spawn(
                 self._store_ends(worker, worker.ends, numbers, plan.changed)
             )
-        if report_changes.ends or report_changes.orphans:
+        if numbers or report_changes.ends or report_changes.orphans:
             self.on_change()
 
     def handle_started(self, allocation: Allocation) -> None:
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -83,7 +83,12 @@
         self._ignored_polls = 0
         # Sends start, stop and throttle orders.
         self.orders = WorkerOrders(
-            worker, client, event_handler, epoch=epoch, clock=clock
+            worker,
+            client,
+            event_handler,
+            epoch=epoch,
+            max_lease_ms=max_lease_ms,
+            clock=clock,
         )
         self.orders.on_outcome = self.wake
 
@@ -149,7 +154,9 @@
         lease_ms = self._next_lease_ms()
         if lease_ms:
             lease_end_ms = worker.estimate_clock_ms(requested_at_s) + lease_ms
-            worker.record_lease(lease_end_ms)
+            worker.record_order(
+                lease_end_ms, requested_at_s, self._max_lease_ms
+            )
         ends = worker.ends
         acknowledged_end = self._next_acknowledged_end(requested_at_s)
         self._reported_at_s = None
@@ -176,13 +183,10 @@
         if acknowledged_end:
             ends.acknowledged = acknowledged_end
         self._event_handler.handle_report(worker, report, requested_at_s)
-        if worker.ends is not ends:
-            # Starts and polls for the incarnation before, with deadlines on
-            # its clock, may have been carried out by this one.
+        if is_first_report or worker.ends is not ends:
+            # An earlier leader may have granted a lease just before, also to
+            # the incarnation before, on whose clock its end then was.
             worker.record_lease(report.clock_ms + self._max_lease_ms)
-        elif is_first_report:
-            # An earlier leader may have granted a lease just before.
-            worker.record_lease(report.clock_ms + self._lease_ms)
         return True
 
     def _next_acknowledged_end(self, now_s: float) -> int:
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -146,15 +146,20 @@
         event_handler: LinkEventHandler,
         *,
         epoch: Epoch,
+        max_lease_ms: int,
         clock: Clock,
     ) -> None:
-        """Send orders to ``worker`` with the fencing token ``epoch``."""
+        """Send orders to ``worker`` with the fencing token ``epoch``.
+
+        The worker cuts leases to ``max_lease_ms``.
+        """
         self.worker = worker
         # Called when the outcome of an order is known.
         self.on_outcome: Callable[[], None] = _do_nothing
         self._client = client
         self._event_handler = event_handler
         self._epoch = epoch
+        self._max_lease_ms = max_lease_ms
         self._clock = clock
         self._tasks = BackgroundTasks()
 
@@ -194,7 +199,7 @@
         allocation.is_start_sent = True
         allocation.start_sent_at_s = now_s
         allocation.worker_started_unix_ms = worker.entry.started_unix_ms
-        worker.record_lease(deadline_ms)
+        worker.record_order(deadline_ms, now_s, self._max_lease_ms)
         unit = allocation.unit
         order = StartOrder(
             ref=allocation.ref,
--- a/tests/test_node_acknowledged_lives.py
+++ b/tests/test_node_acknowledged_lives.py
@@ -10,7 +10,7 @@
 from bulrushcove.batch.job_state import JobPhase
 from bulrushcove.batch.membership import record_entry
 from bulrushcove.batch.orders import WorkerCallError
-from bulrushcove.batch.workers import EndKind
+from bulrushcove.batch.workers import RECENT_REPORT_S, EndKind
 from bulrushcove.clock import ManualClock
 from bulrushcove.ids import Epoch
 from bulrushcove.node import worker_link as link_module
@@ -69,6 +69,10 @@
     await opened_harness.link.stop()
 
 
+async def answer_nothing(epoch, order):
+    await asyncio.Event().wait()
+
+
 async def settle():
     await asyncio.sleep(0.05)
 
@@ -174,6 +178,22 @@
     assert bench.plan().starts
 
 
+async def test_a_start_to_a_worker_not_heard_of_lately_grants_the_longest_lease(
+    harness,
+):
+    """It may have restarted, and reads the deadline on a new clock."""
+    bench = harness.bench
+    worker = harness.worker
+    bench.submit(job_spec('job'))
+    (start,) = bench.plan().starts
+    harness.clock.advance(RECENT_REPORT_S + 0.1)
+    clock_ms = worker.estimate_clock_ms(harness.clock.monotonic_s())
+    harness.client.start = answer_nothing
+    harness.link.orders.order_start(start)
+    await settle()
+    assert worker.max_lease_end_ms == clock_ms + MAX_LEASE_MS
+
+
 def test_numbers_do_not_outlive_a_silent_incarnation():
     """Its next one has other ends; they were taken for processed."""
     bench = Bench(entry('w1'))
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -20,6 +20,7 @@
 
 import msgspec
 import pytest
+import worker_lives_model
 from batch_builders import entry, job_spec, report
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
@@ -255,6 +256,28 @@
     assert_no_breach(world)
 
 
+@pytest.mark.parametrize(
+    'later', [(), ((0.5, ChangeLeader(0, 0)),)], ids=['one-leader', 'two']
+)
+@pytest.mark.parametrize('is_poll_answered', [False, True])
+def test_a_restarted_worker_holds_a_longer_lease_than_leaders_grant(
+    monkeypatch, later, is_poll_answered
+):
+    """Its run was given up 2 s too early, and started elsewhere."""
+    monkeypatch.setattr(worker_lives_model, 'MAX_LEASE_MS', 10_000)
+    fates = (SOUND, SOUND if is_poll_answered else MUTE, MUTE, MUTE)
+    world = play_script(
+        (
+            (0, Submit(1, 0.01)),
+            (3, Restart('w0', 0.8)),
+            (0.85, CallTrouble('w0', fates + (CUT,) * 500, 0, 14.0)),
+            (0, Submit(1, 14.0)),
+            *later,
+        )
+    )
+    assert_no_breach(world)
+
+
 def test_a_late_poll_of_a_restarted_worker_grants_the_longest_lease():
     """The poll carries a time of the earlier clock, far ahead of the new."""
     world = play_script(
