Make two tests independent of how fast the machine is

Both are traced, each by a run that fails in the same way: - test_requests_over_the_queue_limit_are_refused sent four requests with one deadline of 300 ms. If they arrive 80 ms apart, the first one's deadline passes while the queued one still has time, so that it is sent. Now the first request is at work before the others come, and its deadline is later; the assertions are the same. - test_a_vm_that_reaches_nobody_serves_nobody called a VM 1.5 s after its start and found no listener. Now it waits for the first answer and expects 503 in each of 15 calls, instead of one.

--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -215,16 +215,17 @@
     backend = FakeBackend('b1')
     backend.handler = unresponsive
     client = await start(backend, max_in_progress=1, max_queued=1)
-    posts = [
-        asyncio.create_task(
-            client.post(
-                URL,
-                data=b'x',
-                headers=request_headers(f'r{number}', **{DEADLINE: '300'}),
-            )
-        )
-        for number in range(4)
-    ]
+
+    def post(number, deadline_ms):
+        headers = request_headers(f'r{number}', **{DEADLINE: deadline_ms})
+        return asyncio.create_task(client.post(URL, data=b'x', headers=headers))
+
+    # The first holds the backend server until after the others' deadline.
+    posts = [post(0, '2000')]
+    async with asyncio.timeout(5):
+        while not backend.run_ids:
+            await asyncio.sleep(0.01)
+    posts.extend(post(number, '1000') for number in range(1, 4))
     responses = await asyncio.gather(*posts)
     outcomes = sorted(response.headers[OUTCOME] for response in responses)
     assert outcomes == ['not-run', 'not-run', 'not-run', 'unknown']
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -4,6 +4,7 @@
 import json
 import signal
 
+import aiohttp
 import pytest
 
 from dev.platform_standin.deployment import CONFIG, Deployment
@@ -163,6 +164,18 @@
             await asyncio.sleep(0.05)
 
 
+async def wait_for_an_answer(deployment, node):
+    """Return the status of the first call that finds the process up."""
+    async with asyncio.timeout(20):
+        while True:
+            try:
+                status, _ = await deployment.call('GET', JOB, node=node)
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(0.05)
+            else:
+                return status
+
+
 async def test_a_vm_that_reaches_nobody_serves_nobody():
     async with Deployment() as deployment:
         restarted = deployment.nodes[1]
@@ -170,9 +183,11 @@
         restarted.proxy.switch_mode(ProxyMode.DROP_ALL)
         await deployment.nodes[0].stop(signal.SIGKILL)
         await restarted.start([deployment.nodes[0].stream_address])
-        await asyncio.sleep(1.5)
-        status, _ = await deployment.call('GET', JOB, node=1)
-        assert status == 503
+        status = await wait_for_an_answer(deployment, 1)
+        for _ in range(15):
+            assert status == 503
+            await asyncio.sleep(0.1)
+            status, _ = await deployment.call('GET', JOB, node=1)
 
 
 async def test_no_task_starts_in_a_closed_domain():
