Let a gang use a worker on probation, and end probation by time

Cause: a worker on probation is meant to take one unit at a time; it counted one task, also of a gang. Only a success ended the probation, and nothing could run. Ruled out: admission, quarantine (ends by time), headroom, reservations, racks.

A worker on probation that is empty now holds as many members of one gang as fit, and probation ends 12 s after the quarantine. Related: a service, which never succeeds, kept the rest of its worker idle for good; preemption for an urgent gang left out what an idle worker on probation holds.

--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -74,8 +74,10 @@
     if step.max_per_worker:
         limit = min(limit, step.max_per_worker - placed)
     if candidate.is_on_probation:
+        # One unit at a time: a task, or members of one gang.
         is_empty = free == candidate.capacity
-        limit = min(limit, 1) if is_empty else 0
+        unit_size = step.task_count if step.is_gang else 1
+        limit = min(limit, unit_size) if is_empty else 0
     return max(limit, 0)
 
 
--- a/src/bulrushcove/batch/preemption_plan.py
+++ b/src/bulrushcove/batch/preemption_plan.py
@@ -124,11 +124,11 @@
     step = unit.spec
     if step.required_label and step.required_label not in candidate.labels:
         return None
-    if candidate.is_on_probation:
-        return None
     option = _VictimOption(candidate, [], candidate.free, 0)
     if count_fitting_tasks(candidate, step):
         return option
+    if candidate.is_on_probation:
+        return None
     priority = unit.job.spec.terms.priority
     for victim in forecast.victims(candidate.worker, priority):
         option.victims.append(victim.unit)
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -425,7 +425,7 @@
         free=worker.free_capacity(),
         capacity=entry.capacity,
         is_suspect=engine.reliability.is_suspect(worker.id, now_s),
-        is_on_probation=engine.reliability.is_on_probation(worker.id),
+        is_on_probation=engine.reliability.is_on_probation(worker.id, now_s),
         is_idle=not worker.allocations,
         is_stable=is_stable(worker, now_s),
         is_throttled=worker.speed_percent < FULL_SPEED_PERCENT,
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -2,7 +2,8 @@
 
 A worker that fails every task although it reports good health, or on which
 tasks stall, looks idle and would attract the whole queue. It is quarantined
-for a while, then on probation: it gets one unit at a time until one succeeds.
+for a while, then on probation: it gets one unit at a time until one succeeds,
+at most for a limited time. After that a single failure quarantines it again.
 """
 
 import msgspec
@@ -14,6 +15,8 @@
 # Each further quarantine is twice as long, up to the maximum.
 FIRST_QUARANTINE_S = 3.0
 MAX_QUARANTINE_S = 12.0
+# A worker that gets no unit, or a long one, must not stay on probation.
+MAX_PROBATION_S = 12.0
 # For this long after a failure a worker is used only where no other one fits.
 SUSPECT_S = 4.0
 
@@ -59,10 +62,12 @@
         evidence = self._evidence.get(worker)
         return evidence is not None and now_s < evidence.quarantined_until_s
 
-    def is_on_probation(self, worker: WorkerId) -> bool:
+    def is_on_probation(self, worker: WorkerId, now_s: float) -> bool:
         """Return whether the worker gets one unit at a time."""
         evidence = self._evidence.get(worker)
-        return evidence is not None and evidence.quarantine_s > 0
+        if evidence is None or not evidence.quarantine_s:
+            return False
+        return now_s < evidence.quarantined_until_s + MAX_PROBATION_S
 
     def is_suspect(self, worker: WorkerId, now_s: float) -> bool:
         """Return whether other workers are preferred to this one."""
--- /dev/null
+++ b/tests/test_batch_quarantine.py
@@ -0,0 +1,90 @@
+"""Quarantine and probation of workers: each ends by itself."""
+
+from batch_builders import Bench, entry, job_spec, step
+
+from bulrushcove.batch.worker_reliability import FIRST_QUARANTINE_S
+from bulrushcove.batch.workers import EndKind
+
+LONGEST_PROBATION_S = 15.0
+
+
+def fail_on(bench, name, accelerators=8):
+    """Fail a job of one task for each worker on all of them."""
+    count = len(bench.engine.workers)
+    job = bench.submit(job_spec(name, step(count, accelerators), attempts=1))
+    bench.start_all()
+    for worker in bench.engine.workers.values():
+        for allocation in tuple(worker.allocations.values()):
+            if allocation.unit.job is job:
+                bench.end(allocation, EndKind.FAILED)
+    assert job.has_ended
+
+
+def bench_on_probation(count=4):
+    """Return a bench whose workers are all on probation, and idle."""
+    bench = Bench(*(entry(f'w{number}') for number in range(count)))
+    for name in ('hopeless-1', 'hopeless-2'):
+        fail_on(bench, name)
+    bench.advance(3.1)
+    for name in bench.engine.workers:
+        assert bench.engine.reliability.is_on_probation(name, bench.now_s)
+    return bench
+
+
+def start_count(bench, spec):
+    bench.submit(spec)
+    return len(bench.plan().starts)
+
+
+def test_a_gang_larger_than_the_number_of_workers_on_probation_starts():
+    """It waited for good: no run could end the probation (review/5)."""
+    bench = bench_on_probation()
+    assert start_count(bench, job_spec('gang', step(6, is_gang=True))) == 6
+
+
+def test_a_worker_on_probation_takes_no_second_unit_beside_a_gang():
+    bench = bench_on_probation(count=1)
+    assert start_count(bench, job_spec('gang', step(6, is_gang=True))) == 6
+    assert start_count(bench, job_spec('other')) == 0
+
+
+def test_an_urgent_gang_preempts_beside_a_worker_on_probation():
+    """Preemption left out what an idle worker on probation can hold."""
+    bench = bench_on_probation(count=1)
+    bench.add_worker(entry('sound', labels=('r1', 'sound')))
+    batch = job_spec('batch', step(accelerators=8, required_label='sound'))
+    bench.submit(batch)
+    bench.start_all()
+    bench.submit(job_spec('urgent', step(10, is_gang=True), priority=0))
+    stops = bench.plan().stops
+    assert [one.unit.job.id for one in stops] == ['batch']
+
+
+def test_probation_ends_while_a_service_occupies_the_worker():
+    """A task that never ends kept the rest of the worker idle for good."""
+    bench = bench_on_probation(count=1)
+    assert start_count(bench, job_spec('service', step(is_service=True))) == 1
+    bench.confirm()
+    assert start_count(bench, job_spec('second')) == 0
+    bench.advance(LONGEST_PROBATION_S)
+    bench.confirm()
+    assert len(bench.plan().starts) == 1
+
+
+def test_a_failure_after_probation_ended_quarantines_at_once():
+    bench = bench_on_probation(count=1)
+    bench.advance(LONGEST_PROBATION_S)
+    assert not bench.engine.reliability.is_on_probation('w0', bench.now_s)
+    fail_on(bench, 'hopeless-3')
+    assert bench.engine.reliability.is_quarantined('w0', bench.now_s)
+    bench.advance(FIRST_QUARANTINE_S + 0.1)
+    assert bench.engine.reliability.is_quarantined('w0', bench.now_s)
+
+
+def test_a_success_ends_probation():
+    bench = bench_on_probation(count=1)
+    bench.submit(job_spec('sound'))
+    bench.start_all()
+    (allocation,) = bench.engine.workers['w0'].allocations.values()
+    bench.end(allocation, EndKind.DONE)
+    assert start_count(bench, job_spec('many', step(8))) == 8
