Use quarantined workers while most of their pool is quarantined

What callers would see: after failures of two hopeless jobs on every worker, jobs that could run wait for 3 to 12 s while all workers are idle.

Cause: a quarantine counts failures by worker only. When most workers of a pool, three at least, are quarantined at once, the jobs are at fault, and these workers now get one unit at a time, as on probation. Ruled out by design: a minority that fails everything stays closed (second test); pools of one or two workers are as before, as nothing tells there which of the two is at fault.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -15,7 +15,7 @@
 from .crash_handler import CrashHandler
 from .draining import find_outlasting_runs
 from .headroom import UrgentDemand
-from .ids import QueueName, UnitRef
+from .ids import PoolName, QueueName, UnitRef
 from .job_spec import JobSpec
 from .job_state import (
     Allocation,
@@ -62,6 +62,8 @@
         self.desired_state = DesiredState()
         self.estimates = RuntimeEstimates()
         self.reliability = WorkerReliability()
+        # As of the last pass; their quarantined workers get work as well.
+        self.mostly_quarantined_pools: frozenset[PoolName] = frozenset()
         self.crashes = CrashHandler()
         self.tickets = TicketCache()
         self.lease_expiry = LeaseExpiryTable()
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -49,6 +49,7 @@
 from .sampling import select_examined
 from .shapes import Shape, shape_of
 from .worker_crashes import is_stable
+from .worker_reliability import MIN_QUARANTINED_MAJORITY
 from .workers import FULL_SPEED_PERCENT, Worker
 
 if TYPE_CHECKING:
@@ -385,6 +386,7 @@
     estimates = engine.estimates
     waiting.sort(key=lambda unit: queue_sort_key(unit, estimates, now_s))
     candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
+    engine.mostly_quarantined_pools = _mostly_quarantined_pools(engine, now_s)
     if waiting:
         for worker in engine.workers.values():
             is_open = is_schedulable(engine, worker, now_s)
@@ -406,6 +408,8 @@
         return False
     if worker.id in engine.lease_expiry.named:
         return False
+    if worker.entry.pool in engine.mostly_quarantined_pools:
+        return True
     return not engine.reliability.is_quarantined(worker.id, now_s)
 
 
@@ -416,6 +420,30 @@
     return is_listed and entry.domain not in engine.desired_state.closed_domains
 
 
+def _mostly_quarantined_pools(
+    engine: Engine, now_s: float
+) -> frozenset[PoolName]:
+    """Return the pools with more quarantined workers in service than others."""
+    quarantined = Counter(
+        engine.workers[worker].entry.pool
+        for worker in engine.reliability.quarantined_workers(now_s)
+        if worker in engine.workers
+        and is_in_service(engine, engine.workers[worker])
+    )
+    if not quarantined:
+        return frozenset()
+    in_service = Counter(
+        worker.entry.pool
+        for worker in engine.workers.values()
+        if is_in_service(engine, worker)
+    )
+    return frozenset(
+        pool
+        for pool, count in quarantined.items()
+        if count >= MIN_QUARANTINED_MAJORITY and 2 * count > in_service[pool]
+    )
+
+
 def _make_candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
     entry = worker.entry
     return Candidate(
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -4,6 +4,9 @@
 tasks stall, looks idle and would attract the whole queue. It is quarantined
 for a while, then on probation: it gets one unit at a time until one succeeds,
 at most for a limited time. After that a single failure quarantines it again.
+
+Where most workers of a pool are quarantined, the jobs are at fault rather than
+the workers, which then get one unit at a time at once.
 """
 
 import msgspec
@@ -17,6 +20,8 @@
 MAX_QUARANTINE_S = 12.0
 # A worker that gets no unit, or a long one, must not stay on probation.
 MAX_PROBATION_S = 12.0
+# Fewer quarantined workers do not open a pool of which they are the majority.
+MIN_QUARANTINED_MAJORITY = 3
 # For this long after a failure a worker is used only where no other one fits.
 SUSPECT_S = 4.0
 
@@ -62,8 +67,16 @@
         evidence = self._evidence.get(worker)
         return evidence is not None and now_s < evidence.quarantined_until_s
 
+    def quarantined_workers(self, now_s: float) -> list[WorkerId]:
+        """Return the workers that get no work now."""
+        return [
+            worker
+            for worker, evidence in self._evidence.items()
+            if now_s < evidence.quarantined_until_s
+        ]
+
     def is_on_probation(self, worker: WorkerId, now_s: float) -> bool:
-        """Return whether the worker gets one unit at a time."""
+        """Return whether the worker gets one unit at a time, if any."""
         evidence = self._evidence.get(worker)
         if evidence is None or not evidence.quarantine_s:
             return False
--- a/tests/test_batch_quarantine.py
+++ b/tests/test_batch_quarantine.py
@@ -88,3 +88,24 @@
     (allocation,) = bench.engine.workers['w0'].allocations.values()
     bench.end(allocation, EndKind.DONE)
     assert start_count(bench, job_spec('many', step(8))) == 8
+
+
+def test_a_job_starts_while_failing_jobs_have_quarantined_every_worker():
+    """All workers stayed idle for up to 12 s, although jobs were at fault."""
+    bench = Bench(*(entry(f'w{number}') for number in range(4)))
+    for name in ('hopeless-1', 'hopeless-2'):
+        fail_on(bench, name)
+    assert start_count(bench, job_spec('gang', step(6, is_gang=True))) == 6
+
+
+def test_quarantined_workers_stay_closed_while_most_of_the_pool_is_sound():
+    bench = Bench(*(entry(f'bad{number}') for number in range(3)))
+    for name in ('hopeless-1', 'hopeless-2'):
+        fail_on(bench, name)
+    for number in range(3):
+        bench.add_worker(entry(f'sound{number}'))
+    plan_count = start_count(bench, job_spec('many', step(48)))
+    assert plan_count == 24
+    assert not any(
+        bench.engine.workers[f'bad{number}'].allocations for number in range(3)
+    )
