Confirm leadership before answering callers from memory

What callers saw: 410 to the cancellation of an accepted job, which ran on, its later steps starting (UNASKED). Queries got 410 too, a count 0, a refusal or conflict could be false. Reproduced on with real processes: the leader is suspended for 3.5 s and replaced after 1.1 s; on waking it answered 3 of 3 cancellations and 3 of 3 queries of jobs of the new leader with 410 within 12 ms.

Cause: a leader keeps its authority for 12 s after the store last confirmed it. Orders and writes carry its epoch; its answers did not, and calls that had waited are served before it finds that it was replaced.

Now 410, 409 and 429 need the leader record to be confirmed after the request arrived (one read for all that wait), and queued, running and pending a confirmation of the last second, else a read of 0.5 s at most; without the store these are still answered from memory. A replaced leader steps down and the request goes on.

--- a/dev/platform_standin/deployment.py
+++ b/dev/platform_standin/deployment.py
@@ -309,12 +309,16 @@
             ) from exc
 
     def find_leader(self) -> Node:
-        """Return the node that the store records as the leader."""
+        """Return the node that the store records as the leader.
+
+        Raises ``LookupError`` if there is none.
+        """
         stored = self.store.items['bulrushcove/tenure']['value']
         text = base64.b64decode(stored)
-        return next(
-            node for node in self.nodes if node.stream_address.encode() in text
-        )
+        for node in self.nodes:
+            if node.stream_address.encode() in text:
+                return node
+        raise LookupError('the leader is none of the nodes')
 
     async def _is_ready(self, node: Node) -> bool:
         try:
--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -20,6 +20,7 @@
 from ..store import WatchableStore
 from .exceptions import OutcomeUnknownError, ServiceUnavailableError
 from .leadership import Leadership
+from .leadership_check import LeadershipCheck
 from .messages import (
     CountPending,
     Inquiry,
@@ -70,6 +71,7 @@
         self._peers = peers
         self._store = store
         self._clock = clock
+        self._check = LeadershipCheck(leadership, store, clock)
 
     async def submit(self, spec: JobSpec, deadline_s: float) -> None:
         """Return once ``spec`` is accepted and stored.
@@ -171,6 +173,7 @@
             return await self._forward(
                 request, JobAnswer, JobAnswer('', is_known=False)
             )
+        received_at_s = self._clock.monotonic_s()
         if request.cancels:
             try:
                 phase = await scheduler.job_requests.cancel(
@@ -182,6 +185,8 @@
             phase = scheduler.job_requests.find_phase(
                 request.job, request.organisation
             )
+        if not await self._check.may_return_phase(phase, received_at_s):
+            return JobAnswer('', is_known=False)
         return JobAnswer(phase.value if phase else '')
 
     async def handle_count_pending(self, request: CountPending) -> PendingCount:
@@ -191,7 +196,9 @@
             return await self._forward(
                 request, PendingCount, PendingCount(None)
             )
-        return PendingCount(scheduler.job_requests.count_queued(request.queue))
+        count = scheduler.job_requests.count_queued(request.queue)
+        is_current = await self._check.may_return_state()
+        return PendingCount(count if is_current else None)
 
     def _should_give_up(
         self, started_at_s: float, deadline_s: float, may_be_accepted: bool
@@ -226,19 +233,19 @@
     async def _submit_locally(
         self, scheduler: Scheduler, request: Submit
     ) -> Submitted:
+        received_at_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(request.wait_ms / MS_PER_S):
                 await scheduler.job_requests.submit(request.spec)
-        except (JobRefusedError, ServiceUnavailableError) as exc:
-            is_refused = isinstance(exc, JobRefusedError)
-            outcome = (
-                SubmitOutcome.REFUSED
-                if is_refused
-                else SubmitOutcome.UNAVAILABLE
+        except ServiceUnavailableError as exc:
+            return Submitted(
+                SubmitOutcome.UNAVAILABLE, str(exc), exc.retry_after_s
             )
-            return Submitted(outcome, str(exc), exc.retry_after_s)
-        except JobConflictError as exc:
-            return Submitted(SubmitOutcome.CONFLICT, str(exc))
+        except (JobRefusedError, JobConflictError) as exc:
+            # A new leader may have accepted this job.
+            if await self._check.is_confirmed_since(received_at_s):
+                return _rejected(exc)
+            return Submitted(SubmitOutcome.NOT_LEADER, str(exc))
         except (TimeoutError, LeadershipLostError) as exc:
             return Submitted(SubmitOutcome.UNKNOWN, repr(exc))
         return Submitted(SubmitOutcome.ACCEPTED)
@@ -362,6 +369,13 @@
     return JobAnswer(decode_progress(progress.found[0].value).phase)
 
 
+def _rejected(exc: JobRefusedError | JobConflictError) -> Submitted:
+    """Return the response to a submission that was not accepted."""
+    if isinstance(exc, JobRefusedError):
+        return Submitted(SubmitOutcome.REFUSED, str(exc), exc.retry_after_s)
+    return Submitted(SubmitOutcome.CONFLICT, str(exc))
+
+
 def _raise_if_final(response: Submitted, may_be_accepted: bool) -> None:
     """Raise the error that ``response`` reports if a retry cannot help.
 
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -110,8 +110,7 @@
     def confirm(self, sent_at_s: float) -> None:
         """Record that a store call sent at ``sent_at_s`` confirmed leadership.
 
-        Such a call renews the lease of the leader record, or is a write
-        conditional on that record.
+        Such a call reads the leader record, or is a write conditional on it.
         """
         self.confirmed_at_s = max(self.confirmed_at_s, sent_at_s)
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,6 +1,7 @@
 """Jobs on node processes that run against the stand-in platform."""
 
 import asyncio
+import contextlib
 import json
 import signal
 
@@ -12,10 +13,14 @@
 
 JOB = '5c0e7a21d94b36f8'
 OTHER_JOB = '5c0e7a21d94b36f9'
+THIRD_JOB = '5c0e7a21d94b36fa'
+STEP = {'count': 1, 'cpu': 1000, 'gpu': 1}
 ADVICE = {'decision-ms': 50, 'period-ms': 5, 'validity-ms': 3000}
 # Time until a new configuration or a closed domain takes effect on all VMs.
 CONFIGURATION_DELAY_S = 3.0
 CLOSED_DOMAIN_DELAY_S = 5.0
+# Time until the runs of a cancelled job have ended.
+CANCELLED_WORK_STOPS_S = 3.4
 
 
 def find_runs(deployment, job):
@@ -27,6 +32,17 @@
     ]
 
 
+async def wait_for_other_leader(deployment, previous):
+    """Return the index of the node that replaces ``previous`` as leader."""
+    async with asyncio.timeout(10):
+        while True:
+            with contextlib.suppress(LookupError):
+                leader = deployment.find_leader()
+                if leader is not previous:
+                    return deployment.nodes.index(leader)
+            await asyncio.sleep(0.05)
+
+
 async def test_job_can_be_submitted_to_any_vm():
     async with Deployment() as deployment:
         assert await deployment.submit(JOB, node=1, count=3) == 200
@@ -256,3 +272,37 @@
         await deployment.wait_for_state(JOB, 'succeeded')
         assert len(allowed_worker.started_runs) == 3
         assert other_worker.started_runs == []
+
+
+async def test_a_suspended_leader_knows_jobs_accepted_meanwhile():
+    """On waking it answered 410 to their cancellations, and they ran on."""
+    async with Deployment(nodes=3, workers=3) as deployment:
+        assert await deployment.submit(OTHER_JOB) == 200
+        suspended = deployment.find_leader()
+        suspended.send_signal(signal.SIGSTOP)
+        try:
+            leader = await wait_for_other_leader(deployment, suspended)
+            for job in (JOB, THIRD_JOB):
+                body = {'spec': '6', 'steps': [STEP, {**STEP, 'after': [0]}]}
+                status, _ = await deployment.call(
+                    'POST', job, node=leader, json=body
+                )
+                assert status == 200
+            # Answered as soon as the process goes on.
+            node = deployment.nodes.index(suspended)
+            calls = asyncio.gather(
+                deployment.call('DELETE', JOB, node=node),
+                deployment.call('GET', THIRD_JOB, node=node),
+            )
+            await asyncio.sleep(0.5)
+        finally:
+            suspended.send_signal(signal.SIGCONT)
+        (delete_status, _), (_, body) = await calls
+        assert delete_status == 200
+        assert body['state'] == 'running'
+        await asyncio.sleep(CANCELLED_WORK_STOPS_S)
+        assert not any(
+            task.startswith(JOB)
+            for worker in deployment.workers
+            for task, _ in worker.running
+        )
