Send queries and cancellations through another VM too

What callers saw: at a VM whose link to the leader is cut, a cancellation was answered 503 after its deadline although other VMs reach the leader, and the job ran on; a submission at the same VM went through another VM.

Cause: only submissions chose another VM when the leader does not answer pings. One function now chooses where any request to the leader goes.

--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -25,7 +25,6 @@
     CountPending,
     Inquiry,
     JobAnswer,
-    LeaderRecord,
     PendingCount,
     Submit,
     SubmitOutcome,
@@ -223,12 +222,10 @@
         request = Submit(spec, int(left_s * MS_PER_S))
         if self._leading_scheduler() is not None:
             return await self.handle_submit(request)
-        leader = self._leadership.leader
-        if leader is not None and self._leadership.is_leader_reachable:
-            return await self._submit_to(leader.address, request)
-        if leader is not None:
-            return await self._submit_via_peer(leader, request)
-        return Submitted(SubmitOutcome.NOT_LEADER)
+        target = _choose_target(self._leadership, self._peers)
+        if target is None:
+            return Submitted(SubmitOutcome.NOT_LEADER)
+        return await self._submit_to(target, request)
 
     async def _submit_locally(
         self, scheduler: Scheduler, request: Submit
@@ -262,15 +259,6 @@
             return Submitted(SubmitOutcome.UNKNOWN, str(exc))
         return response
 
-    async def _submit_via_peer(
-        self, leader: LeaderRecord, request: Submit
-    ) -> Submitted:
-        """Submit through a random peer, which may reach the leader."""
-        others = tuple(self._peers.known_addresses - {leader.address})
-        if not others:
-            return Submitted(SubmitOutcome.NOT_LEADER)
-        return await self._submit_to(random.choice(others), request)
-
     async def _inquire(
         self, request: Inquiry, deadline_s: float
     ) -> JobAnswer | None:
@@ -300,8 +288,8 @@
     ) -> Answer | None:
         """Return the leader's answer to ``request``.
 
-        Returns ``unanswered`` if the leader received the request, or may have
-        received it, and did not answer in time; None if nothing was sent.
+        Returns ``unanswered`` if the request was sent and the leader may have
+        received it without an answer in time; None if nothing was sent.
         """
         left_s = deadline_s - self._clock.monotonic_s()
         if self._leading_scheduler() is not None:
@@ -310,12 +298,12 @@
                     return await handle_locally(request)
             except TimeoutError:
                 return unanswered
-        leader = self._leadership.leader
-        if leader is None:
+        target = _choose_target(self._leadership, self._peers)
+        if target is None:
             return None
         try:
             _, answer = await self._peers.request(
-                leader.address,
+                target,
                 request,
                 type(unanswered),
                 min(REQUEST_TIMEOUT_S, left_s),
@@ -349,6 +337,21 @@
         return response
 
 
+def _choose_target(leadership: Leadership, peers: Peers) -> str | None:
+    """Return the address to which a request to the leader is sent.
+
+    That of the leader, or of a random VM that may reach it; None if no leader
+    is known.
+    """
+    leader = leadership.leader
+    if leader is None:
+        return None
+    others = tuple(peers.known_addresses - {leader.address})
+    if leadership.is_leader_reachable or not others:
+        return leader.address
+    return random.choice(others)
+
+
 async def _read_stored_state(
     store: WatchableStore, job: JobId, organisation: OrganisationId
 ) -> JobAnswer | None:
--- a/tests/test_node_job_request_router.py
+++ b/tests/test_node_job_request_router.py
@@ -29,8 +29,10 @@
     def __init__(self):
         self.known_addresses = {'vm-2:1'}
         self.responses = []
+        self.addresses = []
 
     async def request(self, address, message, response_type, timeout_s):
+        self.addresses.append(address)
         response = self.responses[0]
         if len(self.responses) > 1:
             self.responses.pop(0)
@@ -95,6 +97,15 @@
         await rig.cancel()
 
 
+async def test_a_cancellation_reaches_the_leader_through_another_vm(rig):
+    """Behind a cut to the leader it got 503, while the job ran on."""
+    rig.peers.known_addresses.add('vm-3:1')
+    rig.leadership.is_leader_reachable = False
+    rig.peers.responses = [JobAnswer(JobPhase.CANCELLED.value)]
+    assert await rig.cancel() is JobPhase.CANCELLED
+    assert rig.peers.addresses == ['vm-3:1']
+
+
 async def test_a_later_answer_confirms_a_cancellation(rig):
     rig.peers.responses = [
         PeerUnreachableError('no response'),
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from dev.node_soak import Soak, check_task
+from dev.node_soak import Soak
+from dev.node_soak_checks import (
+    check_cancelled_task,
+    check_start_order,
+    check_task,
+)
+from dev.platform_standin.worker import StartOrder
 
 
 # Seeds 11 and 29: while the store was unavailable, the record of one job was
@@ -34,3 +40,34 @@
         (4, 'done', 't', 2),
     ]
     assert check_task('t', history) == []
+
+
+@pytest.mark.parametrize(
+    ('history', 'undisturbed_since_s'),
+    [
+        ([(13.1, 'begin', 't', 1), (13.2, 'stopped', 't', 1)], 0),
+        ([(1, 'begin', 't', 1), (13.5, 'stopped', 't', 1)], 0),
+        ([(1, 'begin', 't', 1), (20.5, 'done', 't', 1)], 20),
+        ([(1, 'begin', 't', 1)], 20),
+    ],
+)
+def test_check_reports_work_after_a_cancellation(history, undisturbed_since_s):
+    assert check_cancelled_task('t', history, 10, undisturbed_since_s)
+
+
+def test_check_accepts_a_run_that_a_fault_kept_from_being_stopped():
+    history = [(12.9, 'begin', 't', 1), (20.3, 'stopped', 't', 1)]
+    assert check_cancelled_task('t', history, 10, 20) == []
+
+
+@pytest.mark.parametrize(
+    'order',
+    [StartOrder('t', 'other', ''), StartOrder('t', 'work', 'of another task')],
+)
+def test_check_reports_a_start_that_nobody_asked_for(order):
+    assert check_start_order(order, 'work', {('u', 'of another task')})
+
+
+def test_check_accepts_a_start_from_a_checkpoint_of_the_task():
+    order = StartOrder('t', 'work', 'saved')
+    assert check_start_order(order, 'work', {('t', 'saved')}) == []
