Check cancellations, answers and orders in the soak of the node program

Callers also waited for a suspended node, so that nothing was accepted meanwhile.

It now repeats a cancellation until it is acknowledged, keeps the job, queries jobs that were accepted lately, submits steadily, and suspends the leader for 3.5 s once in each seed. New checks: no 410 for an accepted job; the acknowledged state stays; no start later than 3 s after the acknowledgement, no run that ends later than that and 0.4 s (4 s after the last fault); each start has the payload of its job and a checkpoint of its task. The faults of a seed are drawn as before.

Faults and checks are modules of their own.

--- a/dev/node_soak.py
+++ b/dev/node_soak.py
@@ -6,33 +6,39 @@
 
 import asyncio
 import random
-import signal
 import sys
 import time
 from collections import defaultdict
-from itertools import pairwise
 
 import aiohttp
 import msgspec
 from absl import app, flags
 
-from dev.platform_standin.deployment import Deployment, Node
-from dev.platform_standin.proxy import ProxyMode
+from dev.node_soak_checks import (
+    CONTACT_S,
+    RunEvent,
+    check_cancelled_task,
+    check_start_order,
+    check_task,
+)
+from dev.node_soak_faults import MAX_PAUSE_S, NodeFaults
+from dev.platform_standin.deployment import Deployment
 
 LOAD_DURATION_S = 12.0
 # Accepted jobs must end within this time of the last fault: covers the longest
 # lease of an unreachable worker and the duration of the work.
 SETTLE_TIMEOUT_S = 40.0
 CALL_TIMEOUT_S = 4.0
-MAX_PAUSE_S = 1.0
-MAX_FAULT_S = 3.0
+MAX_CANCEL_ATTEMPTS = 4
+CANCEL_RETRY_S = 0.3
+SUBMIT_INTERVAL_S = 0.5
+QUERY_INTERVAL_S = 0.1
+RECENT_JOBS = 4
 STATUS_OK = 200
+STATUS_GONE = 410
 REFUSED_STATUSES = frozenset((400, 404, 429, 503))
 FINAL_STATES = frozenset(('succeeded', 'failed', 'cancelled'))
 
-# Time in seconds, 'begin' or the end kind, task and run number.
-RunEvent = tuple[float, str, str, int]
-
 _FIRST = flags.DEFINE_integer('first', 1, 'First seed.')
 _SEEDS = flags.DEFINE_integer('seeds', 1, 'How many seeds to run.')
 
@@ -43,9 +49,28 @@
     is_accepted: bool = False
     # Every submission was refused, so the job must never run.
     is_always_refused: bool = True
-    is_cancelled: bool = False
+    # When its cancellation was acknowledged; None: it was not.
+    cancelled_at_s: float | None = None
+    # Whether a cancellation was sent; without an acknowledgement the job may
+    # be cancelled or not.
+    is_cancel_sent: bool = False
+    # The state with which it was acknowledged.
+    acknowledged_state: str = ''
+    payload: str = ''
     state: str = ''
 
+    @property
+    def possible_states(self) -> frozenset[str]:
+        """Return the states in which the job may have ended.
+
+        One that ended before the cancellation arrived stays succeeded.
+        """
+        if self.acknowledged_state:
+            return frozenset((self.acknowledged_state,))
+        if self.is_cancel_sent:
+            return frozenset(('cancelled', 'succeeded'))
+        return frozenset(('succeeded',))
+
 
 class Soak:
     """Runs one seed: load, faults and checks on one deployment."""
@@ -53,9 +78,18 @@
     def __init__(self, seed: int) -> None:
         """Derive all random choices from ``seed``."""
         self.random = random.Random(seed)
+        # Of its own, so that the load that it draws leaves the faults of a seed
+        # as they are.
+        self._load_random = random.Random(f'load-{seed}')
         self.deployment = Deployment(nodes=3, workers=3)
         self.jobs: dict[str, SubmittedJob] = defaultdict(SubmittedJob)
-        self.faults: list[str] = []
+        self._faults = NodeFaults(self.deployment, self.random)
+        self._violations: list[str] = []
+
+    @property
+    def fault_count(self) -> int:
+        """Return how many faults were injected."""
+        return len(self._faults.names)
 
     async def run(self) -> list[str]:
         """Run load and faults; return the violated guarantees."""
@@ -64,108 +98,115 @@
             await asyncio.gather(
                 self._submit_jobs(end_s),
                 self._submit_jobs(end_s),
-                self._inject_faults(end_s),
+                self._submit_jobs_steadily(end_s),
+                self._faults.inject(end_s),
+                self._faults.suspend_leader(self._load_random),
+                self._query_jobs(end_s),
             )
-            await self._clear_faults()
-            violations = await self._wait_for_ends()
-            return violations + self._check_runs()
+            await self._faults.clear()
+            self._violations.extend(await self._wait_for_ends())
+            self._violations.extend(self._check_runs())
+            self._violations.extend(self._check_start_orders())
+            return self._violations
 
     async def _submit_jobs(self, end_s: float) -> None:
         while time.monotonic() < end_s:
-            await self._submit_one_job()
+            await self._submit_one_job(self.random)
             await asyncio.sleep(self.random.uniform(0, MAX_PAUSE_S))
 
-    async def _submit_one_job(self) -> None:
-        job = f'{self.random.getrandbits(64):016x}'
+    async def _submit_jobs_steadily(self, end_s: float) -> None:
+        """Submit jobs also while others wait for a node that is suspended."""
+        async with asyncio.TaskGroup() as submissions:
+            while time.monotonic() < end_s:
+                await asyncio.sleep(SUBMIT_INTERVAL_S)
+                submissions.create_task(self._submit_one_job(self._load_random))
+
+    async def _submit_one_job(self, source: random.Random) -> None:
+        job = f'{source.getrandbits(64):016x}'
         body = {
-            'spec': str(round(self.random.uniform(0.1, 4.0), 2)),
-            'steps': [
-                {'count': self.random.randint(1, 6), 'cpu': 1000, 'gpu': 1}
-            ],
+            'spec': str(round(source.uniform(0.1, 4.0), 2)),
+            'steps': [{'count': source.randint(1, 6), 'cpu': 1000, 'gpu': 1}],
         }
-        for _ in range(self.random.randint(1, 3)):
-            status = await self._call('POST', job, json=body)
+        if self._load_random.randrange(2):
+            body['spec'] = f'{body["spec"]} saves'
+            body['steps'][0]['checkpointing'] = True
+        if self._load_random.randrange(2):
+            body['steps'].append(
+                {'count': 1, 'cpu': 1000, 'gpu': 1, 'after': [0]}
+            )
+        for _ in range(source.randint(1, 3)):
+            status = await self._submit(source, job, body)
             submitted = self.jobs[job]
+            submitted.payload = body['spec']
             submitted.is_accepted = submitted.is_accepted or status == STATUS_OK
             submitted.is_always_refused = (
                 submitted.is_always_refused and status in REFUSED_STATUSES
             )
             if status == STATUS_OK:
                 break
-        if self.jobs[job].is_accepted and self._draw_one_in(5):
-            status = await self._call('DELETE', job)
-            self.jobs[job].is_cancelled = status == STATUS_OK
-            if status != STATUS_OK:
-                # The outcome of the cancellation is unknown.
-                self.jobs.pop(job)
-
-    def _draw_one_in(self, count: int) -> bool:
-        return not self.random.randrange(count)
-
-    async def _call(
-        self, method: str, job: str, **request_options: object
+        if self.jobs[job].is_accepted and not source.randrange(5):
+            await self._cancel_job(job)
+
+    async def _cancel_job(self, job: str) -> None:
+        """Cancel an accepted job, repeatedly until that is acknowledged."""
+        submitted = self.jobs[job]
+        for _ in range(MAX_CANCEL_ATTEMPTS):
+            submitted.is_cancel_sent = True
+            status, state = await self._call_any('DELETE', job)
+            if status in {STATUS_OK, STATUS_GONE}:
+                submitted.cancelled_at_s = time.time()
+                submitted.acknowledged_state = state
+                return
+            await asyncio.sleep(CANCEL_RETRY_S)
+
+    async def _query_jobs(self, end_s: float) -> None:
+        """Query jobs that were accepted lately until ``end_s``.
+
+        Does not wait for responses: those of a node that is paused come late.
+        """
+        async with asyncio.TaskGroup() as queries:
+            while time.monotonic() < end_s:
+                await asyncio.sleep(QUERY_INTERVAL_S)
+                accepted = [
+                    job
+                    for job, submitted in self.jobs.items()
+                    if submitted.is_accepted
+                ]
+                if accepted:
+                    job = self._load_random.choice(accepted[-RECENT_JOBS:])
+                    queries.create_task(self._call_any('GET', job))
+
+    async def _call_any(self, method: str, job: str) -> tuple[int, str]:
+        """Call any node about an accepted job; record a wrong answer."""
+        node = self._load_random.randrange(len(self.deployment.nodes))
+        status, state = await self._call_node(node, method, job)
+        if status == STATUS_GONE:
+            self._violations.append(
+                f'{job}: {method} at node {node} was answered 410 although '
+                'the job was accepted'
+            )
+        return status, state
+
+    async def _submit(
+        self, source: random.Random, job: str, body: dict[str, object]
     ) -> int:
-        node = self.random.randrange(len(self.deployment.nodes))
+        """Submit a job at a random node; return the status."""
+        node = source.randrange(len(self.deployment.nodes))
+        status, _ = await self._call_node(node, 'POST', job, json=body)
+        return status
+
+    async def _call_node(
+        self, node: int, method: str, job: str, **request_options: object
+    ) -> tuple[int, str]:
+        """Return status and state of the response; status 0: there was none."""
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                status, _ = await self.deployment.call(
+                status, body = await self.deployment.call(
                     method, job, node=node, **request_options
                 )
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return 0
-        return status
-
-    async def _inject_faults(self, end_s: float) -> None:
-        while time.monotonic() < end_s:
-            fault = self.random.choice(
-                (
-                    self._restart_node,
-                    self._pause_node,
-                    self._disrupt_store_connection,
-                    self._make_store_fail,
-                    self._drop_worker_responses,
-                )
-            )
-            self.faults.append(fault.__name__)
-            await fault(self.random.choice(self.deployment.nodes))
-            await asyncio.sleep(self.random.uniform(0, MAX_PAUSE_S))
-
-    async def _restart_node(self, node: Node) -> None:
-        stop_signal = self.random.choice((signal.SIGKILL, signal.SIGTERM))
-        await node.stop(stop_signal)
-        await asyncio.sleep(self.random.uniform(0, 1))
-        await node.start(
-            [other.stream_address for other in self.deployment.nodes]
-        )
-
-    async def _pause_node(self, node: Node) -> None:
-        node.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.5, MAX_FAULT_S))
-        node.send_signal(signal.SIGCONT)
-
-    async def _disrupt_store_connection(self, node: Node) -> None:
-        mode = self.random.choice(list(ProxyMode)[1:])
-        node.proxy.switch_mode(mode)
-        await asyncio.sleep(self.random.uniform(0.2, MAX_FAULT_S))
-        node.proxy.switch_mode(ProxyMode.PASS_THROUGH)
-
-    async def _make_store_fail(self, _node: Node) -> None:
-        store = self.deployment.store
-        store.responses_to_drop = self.random.randint(0, 4)
-        store.is_unavailable = self._draw_one_in(2)
-        await asyncio.sleep(self.random.uniform(0.2, MAX_FAULT_S))
-        store.is_unavailable = False
-
-    async def _drop_worker_responses(self, _node: Node) -> None:
-        worker = self.random.choice(self.deployment.workers)
-        worker.responses_to_drop = self.random.randint(1, 3)
-
-    async def _clear_faults(self) -> None:
-        self.deployment.store.responses_to_drop = 0
-        for worker in self.deployment.workers:
-            worker.responses_to_drop = 0
-        for node in self.deployment.nodes:
-            await self.deployment.wait_until_ready(node)
+            return 0, ''
+        return status, body.get('state', '')
 
     async def _wait_for_ends(self) -> list[str]:
         """Wait for accepted jobs to end; return those in a wrong state."""
@@ -182,17 +223,15 @@
             f'{job}: {self.jobs[job].state} at the end' for job in unfinished
         ]
         for job, submitted in self.jobs.items():
-            expected_state = (
-                'cancelled' if submitted.is_cancelled else 'succeeded'
-            )
             is_final = submitted.state in FINAL_STATES
             if (
                 submitted.is_accepted
                 and is_final
-                and submitted.state != expected_state
+                and submitted.state not in submitted.possible_states
             ):
                 violations.append(
-                    f'{job}: {submitted.state}, not {expected_state}'
+                    f'{job}: {submitted.state}, not '
+                    f'{sorted(submitted.possible_states)}'
                 )
         return violations
 
@@ -200,9 +239,6 @@
         submitted = self.jobs[job]
         status, body = await self.deployment.call('GET', job)
         submitted.state = body.get('state', str(status))
-        # A job that ended before the cancellation arrived stays succeeded.
-        if submitted.is_cancelled and submitted.state == 'succeeded':
-            submitted.is_cancelled = False
         return submitted.state in FINAL_STATES
 
     def _check_runs(self) -> list[str]:
@@ -215,32 +251,36 @@
             history.sort()
             violations.extend(check_task(task, history))
             submitted = self.jobs.get(task.partition('.')[0])
-            if submitted is not None and submitted.is_always_refused:
+            if submitted is None:
+                violations.append(f'{task}: ran although nobody submitted it')
+                continue
+            if submitted.is_always_refused:
                 violations.append(
                     f'{task}: ran although every submission was refused'
                 )
+            if submitted.cancelled_at_s is not None:
+                violations.extend(
+                    check_cancelled_task(
+                        task,
+                        history,
+                        submitted.cancelled_at_s,
+                        self._faults.ended_at_s + CONTACT_S,
+                    )
+                )
         return violations
 
-
-def check_task(task: str, history: list[RunEvent]) -> list[str]:
-    """Return the guarantees that the runs of one task violate.
-
-    ``history`` holds the events of the task, sorted by time.
-    """
-    violations = []
-    run_numbers = [event[3] for event in history if event[1] == 'begin']
-    if any(later <= previous for previous, later in pairwise(run_numbers)):
-        violations.append(f'{task}: runs {run_numbers} do not increase')
-    for previous, later in pairwise(history):
-        if previous[1] == 'begin' and later[1] == 'begin':
-            violations.append(f'{task}: two runs at the same time')
-    event_kinds = [event[1] for event in history]
-    if (
-        'done' in event_kinds
-        and 'begin' in event_kinds[event_kinds.index('done') :]
-    ):
-        violations.append(f'{task}: started again after it was done')
-    return violations
+    def _check_start_orders(self) -> list[str]:
+        workers = self.deployment.workers
+        checkpoints = set().union(*(one.checkpoints for one in workers))
+        violations = []
+        for worker in workers:
+            for order in worker.start_orders:
+                submitted = self.jobs.get(order.task.partition('.')[0])
+                payload = submitted.payload if submitted else ''
+                violations.extend(
+                    check_start_order(order, payload, checkpoints)
+                )
+        return violations
 
 
 def main(_arguments: list[str]) -> None:
@@ -254,7 +294,7 @@
         )
         print(
             f'seed={seed} jobs={len(soak.jobs)} accepted={accepted_count} '
-            f'faults={len(soak.faults)} broken={violations}',
+            f'faults={soak.fault_count} broken={violations}',
             flush=True,
         )
         failed += bool(violations)
--- a/dev/platform_standin/worker.py
+++ b/dev/platform_standin/worker.py
@@ -20,10 +20,25 @@
     run_number: int
     started_at_s: float
     duration_s: float
+    # The last checkpoint, and whether the run makes one each second.
+    checkpoint: str = ''
+    is_checkpointing: bool = False
+
+
+class StartOrder(msgspec.Struct, frozen=True):
+    """What a start that was carried out had been sent with."""
+
+    task: str
+    payload: str
+    checkpoint: str
 
 
 class StandinWorker:
-    """Simulates runs; the payload of a task is its duration in seconds."""
+    """Simulates runs.
+
+    The payload of a task is its duration in seconds, followed by the word
+    ``saves`` if it makes checkpoints; a run does not resume from them.
+    """
 
     def __init__(self, worker: str) -> None:
         """Simulate the worker with the id ``worker``, without any run."""
@@ -33,6 +48,9 @@
         self.ended: list[list[Any]] = []
         # Every run that was ever started: task, run, epoch.
         self.started_runs: list[tuple[str, int, int]] = []
+        self.start_orders: list[StartOrder] = []
+        # Checkpoints that runs have made here, with their tasks.
+        self.checkpoints: set[tuple[str, str]] = set()
         # Events: time in seconds, 'begin' or the end kind, task, run.
         self.history: list[tuple[float, str, str, int]] = []
         # Number of starts that are carried out but get no response.
@@ -80,8 +98,13 @@
         self._lease_end_ms = max(self._lease_end_ms, body['deadline-ms'])
         self.started_runs.append((*key, body['fence']))
         self.history.append((time.time(), 'begin', *key))
+        checkpoint = body.get('checkpoint', '')
+        self.start_orders.append(
+            StartOrder(body['task'], body['spec'], checkpoint)
+        )
+        duration, _, word = body['spec'].partition(' ')
         self.running[key] = StandinRun(
-            body['task'], body['run'], time.time(), float(body['spec'])
+            *key, time.time(), float(duration), checkpoint, word == 'saves'
         )
         if self.fails_every_run:
             self._end(key, 'failed')
@@ -116,7 +139,7 @@
             [
                 run.task,
                 run.run_number,
-                '',
+                self._make_checkpoint(run),
                 self._progress_percent(run),
                 self.loads.get(run.task, 0),
             ]
@@ -154,10 +177,18 @@
                 self._end(key, 'done' if is_done else 'lapsed')
 
     def _end(self, key: tuple[str, int], end_kind: str) -> None:
-        self.running.pop(key)
+        checkpoint = self._make_checkpoint(self.running.pop(key))
         self.history.append((time.time(), end_kind, *key))
         self._last_end_number += 1
-        self.ended.append([self._last_end_number, *key, end_kind, ''])
+        self.ended.append([self._last_end_number, *key, end_kind, checkpoint])
+
+    def _make_checkpoint(self, run: StandinRun) -> str:
+        """Return the last checkpoint of ``run``, a new one each second."""
+        seconds = int(time.time() - run.started_at_s)
+        if run.is_checkpointing and seconds:
+            run.checkpoint = f'{run.task}/{run.run_number}/{seconds}'
+            self.checkpoints.add((run.task, run.checkpoint))
+        return run.checkpoint
 
     def _progress_percent(self, run: StandinRun) -> int:
         return int(
