Give a task that stalls on every worker more time

Cause: one limit, 3.5 s without progress, for all tasks; a percent of such a task takes 9 s. Each stall counted against the worker. Ruled out: the declared run time.

The first two runs of a unit stall after 3.5 s as before; the limit then doubles with each run, up to an hour, and the workers are not blamed any more. The count is stored, so that a new leader stops no run that is hours old. A new checkpoint is progress.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -40,7 +40,7 @@
 )
 from .runtime_estimates import RuntimeEstimates
 from .scheduling_pass import SchedulingPass, prepare_pass
-from .stall_detection import find_stalled_runs
+from .stall_detection import record_stalls
 from .worker_reliability import WorkerReliability
 from .workers import EndKind, Worker, WorkerReport, find_expired_workers
 
@@ -262,12 +262,9 @@
         current = prepare_pass(self, unix_ms=unix_ms, now_s=now_s)
         plan = Plan()
         _run_pass(current, plan)
-        stalled = mark_for_stop(
-            find_stalled_runs(self, now_s), StopReason.STALLED
+        plan.stops.extend(
+            mark_for_stop(record_stalls(self, now_s), StopReason.STALLED)
         )
-        for allocation in stalled:
-            self.reliability.record_stall(allocation.worker, now_s)
-        plan.stops.extend(stalled)
         outlasting = find_outlasting_runs(self, now_s)
         plan.stops.extend(mark_for_stop(outlasting, StopReason.WORKER_DRAINING))
         plan.advice_request = current.next_advice_request()
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -84,6 +84,9 @@
     speed_percent: int = 100
     # When ``percent`` last increased.
     last_progress_at_s: float = 0.0
+    # Last checkpoint that the worker reported for it, and when it was new.
+    checkpoint: str = ''
+    checkpointed_at_s: float = 0.0
     # Start time of the worker process at the placement, later at the start;
     # 0: not known.
     worker_started_unix_ms: int = 0
@@ -139,6 +142,9 @@
     # Number of the run whose failure was counted last: a gang that fails counts
     # once, whatever number of its members fail.
     failed_run: int = 0
+    # Number of runs that stalled, and the last one that was counted.
+    stalls: int = 0
+    stalled_run: int = 0
     # A member of the run ended or could not start, or the unit is preempted:
     # its other tasks are being stopped.
     is_aborting: bool = False
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -167,13 +167,22 @@
         allocation.percent = running.percent
         allocation.last_progress_at_s = now_s
     if running.checkpoint:
-        allocation.unit.checkpoint = running.checkpoint
+        _record_checkpoint(allocation, running.checkpoint, now_s)
     if _has_survived(allocation, now_s):
         allocation.is_isolated = False
         allocation.unit.crashes.pop(allocation.index)
         report_changes.survived.append(allocation)
 
 
+def _record_checkpoint(
+    allocation: Allocation, checkpoint: str, now_s: float
+) -> None:
+    allocation.unit.checkpoint = checkpoint
+    if checkpoint != allocation.checkpoint:
+        allocation.checkpoint = checkpoint
+        allocation.checkpointed_at_s = now_s
+
+
 def confirm_running(allocation: Allocation, now_s: float) -> None:
     """Record that the run of ``allocation`` was running at ``now_s``."""
     if allocation.start_confirmed_at_s is None:
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -39,6 +39,7 @@
     isolated: tuple[int, ...] = ()
     # By index of the task.
     crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
+    stalls: int = 0
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -139,6 +140,7 @@
             if allocation.is_isolated
         ),
         unit.crashes,
+        unit.stalls,
     )
 
 
@@ -148,6 +150,7 @@
     unit.failures = stored.failures
     unit.checkpoint = stored.checkpoint
     unit.crashes = dict(stored.crashes)
+    unit.stalls = stored.stalls
     # Records of earlier versions name no incarnations.
     incarnations = chain(stored.incarnations, repeat(0))
     for index, worker, incarnation in zip(
