Count planned stops against the disruption budget

Cause: the plans of one pass did not see each other's victims, which count as at work until their stop is sent. A task with a stop reason now counts as away.

Before: the new test saw three stops where one is allowed. It passes now.

--- a/src/bulrushcove/batch/disruption_budget.py
+++ b/src/bulrushcove/batch/disruption_budget.py
@@ -40,8 +40,10 @@
 
 
 def _is_fully_working(allocation: Allocation) -> bool:
-    # A service reports 100 percent at full work.
+    # A service reports 100 percent at full work. A stop that was planned may
+    # not be sent yet.
     return (
         allocation.phase is AllocationPhase.RUNNING
+        and allocation.stop_reason is None
         and allocation.percent >= FULL_SPEED_PERCENT
     )
--- a/tests/test_batch_pacing.py
+++ b/tests/test_batch_pacing.py
@@ -116,8 +116,8 @@
     }
 
 
-def start_service(bench, max_absent, count=3):
-    spec = step(count, is_service=True, max_absent=max_absent)
+def start_service(bench, max_absent, count=3, **others):
+    spec = step(count, is_service=True, max_absent=max_absent, **others)
     job = bench.submit(job_spec('service', spec, priority=2))
     bench.start_all()
     for unit in job.units:
@@ -151,3 +151,12 @@
     bench.advance(1)
     stops = bench.plan().stops
     assert len(stops) == 1
+
+
+def test_plans_of_one_pass_share_the_disruption_budget():
+    """An urgent job stopped three tasks of a service that may miss one."""
+    bench = Bench(*(entry(f'w{number}') for number in range(3)), guaranteed=24)
+    start_service(bench, 1, accelerators=8)
+    bench.submit(job_spec('urgent', step(3, accelerators=8), priority=0))
+    bench.advance(1)
+    assert len(bench.plan().stops) == 1
