Remove a job's submission before its progress

Its two records are removed after 600 s; of two transactions under way the one with the progress may be stored first, and if the leader is lost then, the next one finds a submission that never ran.

The removal of the progress now waits for that of the submission. What may be left then is a progress record without a job, which is not loaded.

Before: the new test found submissions without progress; it passes now.

--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -92,10 +92,15 @@
         return self.store_writer.withdraw(keys)
 
     def delete(self, jobs: Iterable[JobId]) -> None:
-        """Delete the records of ``jobs``, whose retention time is over."""
+        """Delete the records of ``jobs``, whose retention time is over.
+
+        The submission goes first: without its progress a new leader would take
+        the job for one that never ran.
+        """
         for job in jobs:
-            self.store_writer.put(job_key(job), None)
-            self.store_writer.put(progress_key(job), None)
+            submission_key = job_key(job)
+            self.store_writer.put(submission_key, None)
+            self.store_writer.put(progress_key(job), None, after=submission_key)
 
 
 async def load_jobs(store: WatchableStore, clock: Clock) -> LoadedJobs:
--- a/tests/test_node_job_requests.py
+++ b/tests/test_node_job_requests.py
@@ -10,12 +10,14 @@
 from bulrushcove.batch.engine import ENDED_JOB_RETENTION_S, Engine
 from bulrushcove.batch.job_state import JobPhase
 from bulrushcove.clock import ManualClock
+from bulrushcove.exceptions import StoreUnavailableError
 from bulrushcove.metrics import new_metrics
 from bulrushcove.node import job_requests as job_requests_module
 from bulrushcove.node.exceptions import ServiceUnavailableError
 from bulrushcove.node.job_records import JobRecords, load_jobs
 from bulrushcove.node.job_requests import JobRequestHandler
 from bulrushcove.node.metrics import NodeMetrics
+from bulrushcove.node.store_keys import job_key, progress_key
 
 TIMEOUT_S = 5
 
@@ -124,3 +126,36 @@
     engine = Engine()
     engine.restore(loaded.jobs, harness.clock.monotonic_s())
     assert engine.remove_ended_jobs(harness.clock.monotonic_s()) == ['job']
+
+
+async def test_no_submission_outlives_its_progress(harness):
+    """A new leader would have run the job, which had ended, again."""
+    names = [f'job-{number}' for number in range(8)]
+    for name in names:
+        await harness.job_requests.submit(job_spec(name))
+        await harness.job_requests.cancel(name, ORGANISATION)
+    commit = harness.store.commit
+    left_alone = []
+    late_failures = [StoreUnavailableError('store is slow')]
+
+    async def commit_and_check(writes, checks=()):
+        # The first of two transactions fails after the second has begun.
+        if late_failures:
+            failure = late_failures.pop()
+            await asyncio.sleep(0.1)
+            raise failure
+        try:
+            return await commit(writes, checks)
+        finally:
+            left_alone.extend(
+                name
+                for name in names
+                if job_key(name) in harness.store.values
+                and progress_key(name) not in harness.store.values
+            )
+
+    harness.store.commit = commit_and_check
+    JobRecords(harness.store_writer).delete(names)
+    while harness.store_writer.backlog or await harness.reload():
+        await settle()
+    assert left_alone == []
