Store which failed run of a unit was counted last

Members of one run of a gang that fail before and after a change of leader counted as two failures, as the number of the run that was counted was not stored.

Before: the new test counted 2 failures and the job had failed. It passes now.

--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -40,6 +40,8 @@
     # By index of the task.
     crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
     stalls: int = 0
+    # Number of the run whose failure was counted last.
+    failed_run: int = 0
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -141,6 +143,7 @@
         ),
         unit.crashes,
         unit.stalls,
+        unit.failed_run,
     )
 
 
@@ -151,6 +154,7 @@
     unit.checkpoint = stored.checkpoint
     unit.crashes = dict(stored.crashes)
     unit.stalls = stored.stalls
+    unit.failed_run = stored.failed_run
     # Records of earlier versions name no incarnations.
     incarnations = chain(stored.incarnations, repeat(0))
     for index, worker, incarnation in zip(
--- a/tests/test_batch_records.py
+++ b/tests/test_batch_records.py
@@ -104,3 +104,20 @@
         decode_submission(stored)
     with pytest.raises(RecordError):
         decode_progress(stored)
+
+
+def test_a_gang_that_fails_while_leaders_change_counts_one_failure():
+    """Its members counted twice, and the job was given up one run early."""
+    bench = Bench(*racks(1, 2))
+    spec = job_spec('job', step(2, accelerators=8, is_gang=True), attempts=2)
+    job = bench.submit(spec)
+    first, second = bench.start_all().starts
+    bench.end(first, EndKind.FAILED)
+    new_bench = Bench()
+    restored = store_and_restore(job)
+    new_bench.engine.restore(
+        [restored], leases_expire_at_s=new_bench.now_s + 20
+    )
+    new_bench.report(second.worker, ended=[(1, second.ref, EndKind.FAILED, '')])
+    assert restored.units[0].failures == 1
+    assert not restored.has_ended
