Let a guarantee preempt urgent work beyond another guarantee

Cause: only work of lower priority was preempted.

Where that is not enough, a unit whose organisation is within its guarantee now also stops urgent work of organisations that are beyond theirs. What is stopped is queued again and may be earlier in the queue, so units for which capacity is being preempted are placed first. Work within a guarantee is not stopped (second test).

Before: the first new test saw no stop; it passes now, and fails without the new order.

--- a/src/bulrushcove/batch/capacity_forecast.py
+++ b/src/bulrushcove/batch/capacity_forecast.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..clock import MS_PER_S
-from ..ids import WorkerId
+from ..ids import OrganisationId, WorkerId
 from .ids import UnitRef
 from .job_spec import TaskSize
 from .job_state import Allocation, AllocationPhase, Unit
@@ -22,8 +22,12 @@
 # Longest time to read back a checkpoint, in which the task makes no progress.
 CHECKPOINT_RESTORE_S = 0.6
 
+NO_BORROWERS: frozenset[OrganisationId] = frozenset()
+
 # Seconds from now and the capacity freed then.
 _Release = tuple[float, TaskSize]
+# Worker, priority and borrowers.
+_VictimsKey = tuple[WorkerId, int, frozenset[OrganisationId]]
 
 
 class Victim(msgspec.Struct, frozen=True):
@@ -44,7 +48,7 @@
         self.estimates = estimates
         self._workers = workers
         self._releases: dict[WorkerId, list[_Release]] = {}
-        self._victims: dict[tuple[WorkerId, int], list[Victim]] = {}
+        self._victims: dict[_VictimsKey, list[Victim]] = {}
         self._losses: dict[UnitRef, float] = {}
 
     def releases(self, worker: WorkerId) -> list[_Release]:
@@ -58,15 +62,24 @@
             self._releases[worker] = cached
         return cached
 
-    def victims(self, worker: WorkerId, priority: int) -> list[Victim]:
+    def victims(
+        self,
+        worker: WorkerId,
+        priority: int,
+        borrowers: frozenset[OrganisationId] = NO_BORROWERS,
+    ) -> list[Victim]:
         """Return what work of ``priority`` may preempt on ``worker``.
 
-        The units with the least loss come first.
+        That is work of lower priority, and that of the same priority which
+        belongs to ``borrowers``. Of each kind the units with the least loss
+        come first.
         """
-        key = (worker, priority)
+        key = (worker, priority, borrowers)
         cached = self._victims.get(key)
         if cached is None:
-            cached = self._compute_victims(self._workers[worker], priority)
+            cached = self._compute_victims(
+                self._workers[worker], priority, borrowers
+            )
             self._victims[key] = cached
         return cached
 
@@ -94,14 +107,16 @@
         releases.sort(key=itemgetter(0))
         return [(0.0, TaskSize()), *releases]
 
-    def _compute_victims(self, worker: Worker, priority: int) -> list[Victim]:
+    def _compute_victims(
+        self,
+        worker: Worker,
+        priority: int,
+        borrowers: frozenset[OrganisationId],
+    ) -> list[Victim]:
         by_unit: dict[UnitRef, list[Allocation]] = defaultdict(list)
         for allocation in worker.allocations.values():
-            is_lower_priority = (
-                allocation.unit.job.spec.terms.priority > priority
-            )
             if (
-                is_lower_priority
+                _may_preempt(allocation.unit, priority, borrowers)
                 and allocation.phase is not AllocationPhase.STOPPING
             ):
                 by_unit[allocation.unit.ref].append(allocation)
@@ -113,7 +128,20 @@
             )
             for allocations in by_unit.values()
         ]
-        return sorted(victims, key=lambda victim: victim.loss_core_s)
+        return sorted(victims, key=_sort_key)
+
+
+def _may_preempt(
+    unit: Unit, priority: int, borrowers: frozenset[OrganisationId]
+) -> bool:
+    terms = unit.job.spec.terms
+    if terms.priority == priority:
+        return terms.organisation in borrowers
+    return terms.priority > priority
+
+
+def _sort_key(victim: Victim) -> tuple[int, float]:
+    return (-victim.unit.job.spec.terms.priority, victim.loss_core_s)
 
 
 def loss_core_s(unit: Unit, estimates: RuntimeEstimates) -> float:
--- a/src/bulrushcove/batch/guarantee.py
+++ b/src/bulrushcove/batch/guarantee.py
@@ -15,13 +15,12 @@
 
 
 def is_within_guarantee(
-    job: Job, active: Iterable[Job], policy: Policy | None
+    organisation: OrganisationId, active: Iterable[Job], policy: Policy | None
 ) -> bool:
-    """Return whether the organisation's guarantee covers its urgent jobs.
+    """Return whether the guarantee of ``organisation`` covers its urgent jobs.
 
-    Counts all urgent jobs of the organisation of ``job`` that have not ended.
+    Counts all of them that have not ended.
     """
-    organisation = job.spec.terms.organisation
     needed_accelerators = sum(
         max_step_accelerators(other.spec)
         for other in active
--- a/src/bulrushcove/batch/preemption_decider.py
+++ b/src/bulrushcove/batch/preemption_decider.py
@@ -1,7 +1,8 @@
 """Decides in a pass which urgent units preempt other work.
 
 A unit waits for capacity that runs are about to free. Within its
-organisation's guarantee it preempts at once; beyond it only when that is
+organisation's guarantee it preempts at once, if need be also urgent work of
+organisations that have more than their own; beyond it only when that is
 worth the loss. Decisions are cached by shape until capacity is allocated or
 reserved, for bursts of urgent work on a full deployment.
 """
@@ -75,6 +76,10 @@
             self.is_partial = True
             return None
         found = plan_preemption(unit, candidates, self._forecast)
+        if found is None and self._is_covered(terms.organisation):
+            found = plan_preemption(
+                unit, candidates, self._forecast, self._borrowers()
+            )
         if found is not None and self._is_justified(unit, found):
             self._preemptions_left -= 1
             return found
@@ -103,13 +108,27 @@
 
         Either a guarantee covers ``unit``, or the loss is acceptable.
         """
-        organisation = unit.job.spec.terms.organisation
+        if self._is_covered(unit.job.spec.terms.organisation):
+            return True
+        return is_worth_loss(unit, found, self._engine.estimates)
+
+    def _is_covered(self, organisation: OrganisationId) -> bool:
+        """Return whether its guarantee covers the urgent jobs it has."""
         if organisation not in self._is_guaranteed:
             self._is_guaranteed[organisation] = is_within_guarantee(
-                unit.job,
+                organisation,
                 self._engine.active.values(),
                 self._engine.desired_state.policy,
             )
-        if self._is_guaranteed[organisation]:
-            return True
-        return is_worth_loss(unit, found, self._engine.estimates)
+        return self._is_guaranteed[organisation]
+
+    def _borrowers(self) -> frozenset[OrganisationId]:
+        """Return the organisations with more urgent work than guaranteed."""
+        organisations = {
+            job.spec.terms.organisation for job in self._engine.active.values()
+        }
+        return frozenset(
+            organisation
+            for organisation in organisations
+            if not self._is_covered(organisation)
+        )
--- a/src/bulrushcove/batch/preemption_plan.py
+++ b/src/bulrushcove/batch/preemption_plan.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from ..clock import MS_PER_S
-from ..ids import RackId
-from .capacity_forecast import CapacityForecast
+from ..ids import OrganisationId, RackId
+from .capacity_forecast import NO_BORROWERS, CapacityForecast
 from .disruption_budget import is_within_disruption_budget
 from .ids import UnitRef
 from .job_spec import TaskSize
@@ -46,9 +46,11 @@
     unit: Unit,
     candidates: Sequence[Candidate],
     forecast: CapacityForecast,
+    borrowers: frozenset[OrganisationId] = NO_BORROWERS,
 ) -> PreemptionPlan | None:
     """Return the cheapest plan that lets ``unit`` run; None if there is none.
 
+    Work of the same priority is stopped only if it belongs to ``borrowers``.
     A gang that wants one rack gets one if preemption can free enough of any
     rack. The rack of the unit's data is tried first.
     """
@@ -58,15 +60,18 @@
         groups[candidate.rack].append(candidate)
     near = groups.get(step.near_rack)
     if near is not None:
-        near_plan = _plan_on(unit, near, forecast)
+        near_plan = _plan_on(unit, near, forecast, borrowers)
         if near_plan is not None:
             return near_plan
     elif step.same_rack and unit.size > 1:
-        plans = [_plan_on(unit, group, forecast) for group in groups.values()]
+        plans = [
+            _plan_on(unit, group, forecast, borrowers)
+            for group in groups.values()
+        ]
         possible = [plan for plan in plans if plan is not None]
         if possible:
             return min(possible, key=lambda plan: plan.total_loss_core_s)
-    return _plan_on(unit, candidates, forecast)
+    return _plan_on(unit, candidates, forecast, borrowers)
 
 
 def is_worth_loss(
@@ -83,13 +88,14 @@
     unit: Unit,
     candidates: Sequence[Candidate],
     forecast: CapacityForecast,
+    borrowers: frozenset[OrganisationId],
 ) -> PreemptionPlan | None:
     chosen: dict[UnitRef, Unit] = {}
     placement: list[Candidate] = []
     options = [
         option
         for candidate in candidates
-        if (option := _make_option(unit, candidate, forecast))
+        if (option := _make_option(unit, candidate, forecast, borrowers))
     ]
     options.sort(key=lambda option: option.total_loss_core_s)
     for option in options:
@@ -115,11 +121,12 @@
     unit: Unit,
     candidate: Candidate,
     forecast: CapacityForecast,
+    borrowers: frozenset[OrganisationId],
 ) -> _VictimOption | None:
     """Return what to stop on ``candidate`` so that one more task fits.
 
-    Takes the units with the least loss first; none if a task fits already.
-    Returns None if stopping all lower-priority units is not enough.
+    Takes the units of the lowest priority and the least loss first; none if a
+    task fits already. Returns None if stopping all of them is not enough.
     """
     step = unit.spec
     if step.required_label and step.required_label not in candidate.labels:
@@ -130,7 +137,7 @@
     if candidate.is_on_probation:
         return None
     priority = unit.job.spec.terms.priority
-    for victim in forecast.victims(candidate.worker, priority):
+    for victim in forecast.victims(candidate.worker, priority, borrowers):
         option.victims.append(victim.unit)
         option.total_loss_core_s += victim.loss_core_s
         for allocation in victim.allocations:
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -387,6 +387,9 @@
         engine.estimates,
         now_s,
     )
+    if engine.preemptions:
+        # What is stopped for a unit must not take the capacity back.
+        waiting.sort(key=lambda unit: unit.ref not in engine.preemptions)
     candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
     engine.mostly_quarantined_pools = _mostly_quarantined_pools(engine, now_s)
     if waiting:
--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -1,8 +1,10 @@
 """Preemption for urgent work in a full pool."""
 
+import msgspec
 import pytest
 from batch_builders import Bench, entry, job_spec, racks, step
 
+from bulrushcove.batch.policy import DesiredState, Organisation
 from bulrushcove.batch.workers import EndKind
 
 # An urgent job within its guarantee must have started by then.
@@ -112,3 +114,45 @@
     start_jobs(bench, job_spec('first', step(1, 8), priority=0))
     bench.submit(job_spec('second', step(1, 8), priority=0))
     assert bench.plan().stops == []
+
+
+def bench_full_of_urgent_work(guaranteed):
+    """Return a bench that ``mill``, with this guarantee, fills by itself."""
+    bench = Bench(entry('w1'), entry('w2'))
+    organisations = tuple(
+        Organisation(name=name, guaranteed_accelerators=accelerators)
+        for name, accelerators in (('mill', guaranteed), ('shop', 8))
+    )
+    policy = msgspec.structs.replace(
+        bench.engine.desired_state.policy, organisations=organisations
+    )
+    bench.engine.desired_state = DesiredState(policy=policy)
+    flood = step(2, accelerators=8, estimated_ms=80_000)
+    start_jobs(bench, job_spec('flood', flood, priority=0))
+    bench.advance(1)
+    urgent = step(accelerators=8, estimated_ms=80_000)
+    bench.submit(job_spec('urgent', urgent, priority=0, organisation='shop'))
+    return bench
+
+
+def test_a_guarantee_is_kept_against_urgent_work_beyond_another_one():
+    """Urgent work of another organisation was never stopped (RECLAIM)."""
+    bench = bench_full_of_urgent_work(guaranteed=8)
+    submitted_at_s = bench.now_s
+    started = set()
+    while bench.now_s - submitted_at_s < MAX_START_S and not started:
+        plan = bench.plan()
+        started = {allocation.unit.job.id for allocation in plan.starts}
+        bench.advance(STOP_DURATION_S)
+        for allocation in plan.stops:
+            bench.end(allocation, EndKind.STOPPED)
+    assert started == {'urgent'}
+    flood = bench.engine.jobs['flood']
+    assert sum(bool(unit.allocations) for unit in flood.units) == 1
+
+
+def test_urgent_work_within_its_guarantee_is_not_preempted():
+    bench = bench_full_of_urgent_work(guaranteed=16)
+    assert bench.plan().stops == []
+    bench.advance(1)
+    assert bench.plan().stops == []
