Preempt for gangs with more tasks than workers

What callers would see: an urgent gang within its guarantee is not started while other work fills the pool, if it has more tasks than there are workers that may be used, for example while a domain is closed (RECLAIM). Cause: a plan made room for one task of the gang on each worker.

Where one task each is too few, a plan now makes room for more tasks on each worker in turn, the cheapest first, and stops nothing that brings no room.

Before: the new test saw no stop for a gang of 12 on two workers; it sees 12 now.

--- a/src/bulrushcove/batch/preemption_plan.py
+++ b/src/bulrushcove/batch/preemption_plan.py
@@ -5,14 +5,14 @@
 """
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from itertools import repeat
 
 import msgspec
 
 from ..clock import MS_PER_S
 from ..ids import OrganisationId, RackId
-from .capacity_forecast import NO_BORROWERS, CapacityForecast
+from .capacity_forecast import NO_BORROWERS, CapacityForecast, Victim
 from .disruption_budget import is_within_disruption_budget
 from .ids import UnitRef
 from .job_spec import TaskSize
@@ -90,14 +90,34 @@
     forecast: CapacityForecast,
     borrowers: frozenset[OrganisationId],
 ) -> PreemptionPlan | None:
-    chosen: dict[UnitRef, Unit] = {}
-    placement: list[Candidate] = []
     options = [
         option
         for candidate in candidates
         if (option := _make_option(unit, candidate, forecast, borrowers))
     ]
     options.sort(key=lambda option: option.total_loss_core_s)
+    plan = _fill_plan(unit, options, forecast)
+    if plan is not None or unit.size <= len(options):
+        return plan
+    # A gang with more tasks than there are workers.
+    extended = []
+    missing = unit.size
+    for option in options:
+        extended.append(
+            _extend_option(option, unit, forecast, borrowers, missing)
+        )
+        missing -= min(missing, _count_tasks(extended[-1], unit))
+    return _fill_plan(unit, extended, forecast)
+
+
+def _fill_plan(
+    unit: Unit,
+    options: Iterable[_VictimOption],
+    forecast: CapacityForecast,
+) -> PreemptionPlan | None:
+    """Return a plan of the first of ``options`` that hold ``unit``."""
+    chosen: dict[UnitRef, Unit] = {}
+    placement: list[Candidate] = []
     for option in options:
         count = _count_tasks(option, unit)
         extended = chosen | {victim.ref: victim for victim in option.victims}
@@ -138,15 +158,46 @@
         return None
     priority = unit.job.spec.terms.priority
     for victim in forecast.victims(candidate.worker, priority, borrowers):
-        option.victims.append(victim.unit)
-        option.total_loss_core_s += victim.loss_core_s
-        for allocation in victim.allocations:
-            option.free = option.free.plus(allocation.unit.spec.requirements)
+        _add_victim(option, victim)
         if step.requirements.fits(option.free):
             return option
     return None
 
 
+def _extend_option(
+    option: _VictimOption,
+    unit: Unit,
+    forecast: CapacityForecast,
+    borrowers: frozenset[OrganisationId],
+    wanted: int,
+) -> _VictimOption:
+    """Return what to stop there so that up to ``wanted`` tasks fit."""
+    worker = option.candidate.worker
+    priority = unit.job.spec.terms.priority
+    victims = forecast.victims(worker, priority, borrowers)
+    best, best_count = option, _count_tasks(option, unit)
+    extended = _copy_option(option)
+    for victim in victims[len(option.victims) :]:
+        if best_count >= wanted:
+            break
+        _add_victim(extended, victim)
+        count = _count_tasks(extended, unit)
+        if count > best_count:
+            best, best_count = _copy_option(extended), count
+    return best
+
+
+def _copy_option(option: _VictimOption) -> _VictimOption:
+    return msgspec.structs.replace(option, victims=list(option.victims))
+
+
+def _add_victim(option: _VictimOption, victim: Victim) -> None:
+    option.victims.append(victim.unit)
+    option.total_loss_core_s += victim.loss_core_s
+    for allocation in victim.allocations:
+        option.free = option.free.plus(allocation.unit.spec.requirements)
+
+
 def _count_tasks(option: _VictimOption, unit: Unit) -> int:
     return count_fitting_tasks(
         option.candidate, unit.spec, future_free=option.free
--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -156,3 +156,13 @@
     assert bench.plan().stops == []
     bench.advance(1)
     assert bench.plan().stops == []
+
+
+def test_a_gang_with_more_tasks_than_workers_preempts():
+    """A plan made room for one task of it on each worker only."""
+    bench = Bench(entry('w1'), entry('w2'), guaranteed=12)
+    flood = step(16, estimated_ms=80_000)
+    start_jobs(bench, job_spec('flood', flood, priority=2))
+    bench.advance(1)
+    bench.submit(job_spec('urgent', step(12, is_gang=True), priority=0))
+    assert len(bench.plan().stops) == 12
