--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict, deque
+from collections import defaultdict, deque
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -49,7 +49,7 @@
 from .sampling import select_examined
 from .shapes import Shape, shape_of
 from .worker_crashes import is_stable
-from .worker_reliability import MIN_QUARANTINED_MAJORITY
+from .worker_reliability import find_mostly_quarantined_pools
 from .workers import FULL_SPEED_PERCENT, Worker
 
 if TYPE_CHECKING:
@@ -391,7 +391,11 @@
         # What is stopped for a unit must not take the capacity back.
         waiting.sort(key=lambda unit: unit.ref not in engine.preemptions)
     candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
-    engine.mostly_quarantined_pools = _mostly_quarantined_pools(engine, now_s)
+    engine.mostly_quarantined_pools = find_mostly_quarantined_pools(
+        engine.reliability,
+        [one for one in engine.workers.values() if is_in_service(engine, one)],
+        now_s,
+    )
     if waiting:
         for worker in engine.workers.values():
             is_open = is_schedulable(engine, worker, now_s)
@@ -425,30 +429,6 @@
     return is_listed and entry.domain not in engine.desired_state.closed_domains
 
 
-def _mostly_quarantined_pools(
-    engine: Engine, now_s: float
-) -> frozenset[PoolName]:
-    """Return the pools with more quarantined workers in service than others."""
-    quarantined = Counter(
-        engine.workers[worker].entry.pool
-        for worker in engine.reliability.quarantined_workers(now_s)
-        if worker in engine.workers
-        and is_in_service(engine, engine.workers[worker])
-    )
-    if not quarantined:
-        return frozenset()
-    in_service = Counter(
-        worker.entry.pool
-        for worker in engine.workers.values()
-        if is_in_service(engine, worker)
-    )
-    return frozenset(
-        pool
-        for pool, count in quarantined.items()
-        if count >= MIN_QUARANTINED_MAJORITY and 2 * count > in_service[pool]
-    )
-
-
 def _make_candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
     entry = worker.entry
     return Candidate(
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -9,9 +9,14 @@
 the workers, which then get one unit at a time at once.
 """
 
+from collections import Counter
+from collections.abc import Iterable
+
 import msgspec
 
 from ..ids import JobId, WorkerId
+from .ids import PoolName
+from .workers import Worker
 
 # Different jobs that fail in a row before a worker is quarantined.
 QUARANTINE_AFTER_JOBS = 2
@@ -67,14 +72,6 @@
         evidence = self._evidence.get(worker)
         return evidence is not None and now_s < evidence.quarantined_until_s
 
-    def quarantined_workers(self, now_s: float) -> list[WorkerId]:
-        """Return the workers that get no work now."""
-        return [
-            worker
-            for worker, evidence in self._evidence.items()
-            if now_s < evidence.quarantined_until_s
-        ]
-
     def is_on_probation(self, worker: WorkerId, now_s: float) -> bool:
         """Return whether the worker gets one unit at a time, if any."""
         evidence = self._evidence.get(worker)
@@ -92,6 +89,23 @@
         self._evidence.pop(worker, None)
 
 
+def find_mostly_quarantined_pools(
+    reliability: WorkerReliability, in_service: Iterable[Worker], now_s: float
+) -> frozenset[PoolName]:
+    """Return the pools most of whose workers ``in_service`` are quarantined."""
+    quarantined: Counter[PoolName] = Counter()
+    total: Counter[PoolName] = Counter()
+    for worker in in_service:
+        pool = worker.entry.pool
+        total[pool] += 1
+        quarantined[pool] += reliability.is_quarantined(worker.id, now_s)
+    return frozenset(
+        pool
+        for pool, count in quarantined.items()
+        if count >= MIN_QUARANTINED_MAJORITY and 2 * count > total[pool]
+    )
+
+
 def _quarantine(evidence: _Evidence, now_s: float) -> None:
     if now_s < evidence.quarantined_until_s:
         return
