Plan starts in passes of limited size, and compare an end with its unit only

Then each end looked at all units of its job, 2 ms of 1,500.

Bench.start_all of the tests, which places all units that fit, repeats partial passes.

--- a/src/bulrushcove/batch/completion.py
+++ b/src/bulrushcove/batch/completion.py
@@ -42,7 +42,7 @@
         unit.failures += 1
     stops = _abort_gang(unit, end.kind)
     _reset_unit(unit, now_s)
-    _end_job_if_decided(unit.job, unix_ms, now_s)
+    _end_job_if_decided(unit.job, (unit,), unix_ms, now_s)
     return stops + _allocations_of_stopped_job(unit.job)
 
 
@@ -69,7 +69,7 @@
     plan.changed = list(changed.values())
     for job in plan.changed:
         if not job.has_ended:
-            _end_job_if_decided(job, unix_ms, now_s)
+            _end_job_if_decided(job, job.units, unix_ms, now_s)
             plan.ended.extend([job] if job.has_ended else ())
     return plan
 
@@ -96,7 +96,7 @@
 
     Returns the allocations that must be stopped for it.
     """
-    _end_job_if_decided(job, unix_ms, now_s)
+    _end_job_if_decided(job, job.units, unix_ms, now_s)
     return _allocations_of_stopped_job(job)
 
 
@@ -126,11 +126,14 @@
     unit.ready_since_s = now_s
 
 
-def _end_job_if_decided(job: Job, unix_ms: int, now_s: float) -> None:
+def _end_job_if_decided(
+    job: Job, changed: Iterable[Unit], unix_ms: int, now_s: float
+) -> None:
+    """End ``job`` if one of its ``changed`` units failed or all are done."""
     if job.has_ended:
         return
     limit = job.spec.terms.max_attempts
-    for unit in job.units:
+    for unit in changed:
         reason = _failure_reason(unit, limit)
         if reason:
             job.reason = reason
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -47,6 +47,8 @@
 # Ended jobs stay in memory and in the store for this long. Callers are
 # promised 120 s.
 ENDED_JOB_RETENTION_S = 600.0
+# Starts that are planned at once: 1,500 kept the leader's loop busy for 2 s.
+MAX_STARTS_PER_PASS = 300
 _FAILED_ENDS = frozenset((EndKind.FAILED,))
 
 
@@ -268,7 +270,7 @@
         outlasting = find_outlasting_runs(self, now_s)
         plan.stops.extend(mark_for_stop(outlasting, StopReason.WORKER_DRAINING))
         plan.advice_request = current.next_advice_request()
-        plan.is_partial = current.decider.is_partial
+        plan.is_partial |= current.decider.is_partial
         return plan
 
     def remove_ended_jobs(self, now_s: float) -> list[JobId]:
@@ -342,6 +344,9 @@
     """Place the waiting units in order; urgent ones may preempt others."""
     changed: dict[JobId, Job] = {}
     for unit in current.waiting:
+        if len(plan.starts) >= MAX_STARTS_PER_PASS:
+            plan.is_partial = True
+            break
         allocations = current.place(unit)
         if allocations:
             plan.starts.extend(allocations)
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -128,6 +128,11 @@
     def start_all(self):
         """Place all units that fit and confirm their starts."""
         plan = self.plan()
+        next_plan = plan
+        while next_plan.starts and next_plan.is_partial:
+            next_plan = self.plan()
+            plan.starts.extend(next_plan.starts)
+            plan.extend(next_plan)
         for allocation in plan.starts:
             allocation.is_start_sent = True
             allocation.start_deadline_ms = self.clock_ms + 1500
--- a/tests/test_batch_scheduling_pass.py
+++ b/tests/test_batch_scheduling_pass.py
@@ -5,8 +5,10 @@
 import pytest
 from batch_builders import Bench, job_spec, racks, step
 
-from bulrushcove.batch import preemption_decider
+from bulrushcove.batch import completion, preemption_decider
+from bulrushcove.batch.engine import MAX_STARTS_PER_PASS
 from bulrushcove.batch.preemption_decider import MAX_PREEMPTIONS
+from bulrushcove.batch.workers import EndKind
 
 WORKERS = 48
 # Scanning every allocation for every waiting unit took over ten times as long.
@@ -89,3 +91,32 @@
     monkeypatch.setattr(bench.engine.estimates, 'objective_s', count_call)
     assert len(bench.plan().starts) == 8
     assert calls == ['wide']
+
+
+def test_many_starts_are_planned_in_several_passes():
+    """1,500 starts at once kept the loop busy for 2 s, and leaders changed."""
+    bench = Bench(*racks(6, WORKERS // 6))
+    bench.submit(job_spec('wide', step(WORKERS * 8)))
+    first = bench.plan()
+    assert len(first.starts) == MAX_STARTS_PER_PASS
+    assert first.is_partial
+    second = bench.plan()
+    assert len(first.starts) + len(second.starts) == WORKERS * 8
+    assert not second.is_partial
+
+
+def test_the_end_of_a_run_is_compared_with_its_own_unit_only(monkeypatch):
+    """Each end looked at all units of its job: 2 ms of 1,500."""
+    bench = Bench(*racks(1, 1))
+    bench.submit(job_spec('wide', step(100)))
+    first = bench.start_all().starts[0]
+    failure_reason = completion._failure_reason
+    compared = []
+
+    def record_call(unit, max_attempts):
+        compared.append(unit)
+        return failure_reason(unit, max_attempts)
+
+    monkeypatch.setattr(completion, '_failure_reason', record_call)
+    bench.end(first, EndKind.DONE)
+    assert compared == [first.unit]
