Count the time that a submission waited for a suspended VM

Ruled out: repeats of an accepted and cancelled job, which is known for 600 s.

A delay of the loop of more than 0.5 s now counts against the deadline of submissions that are read until 0.25 s after it. A second cause that the users' counts may have; suspected, not shown.

--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -75,11 +75,16 @@
     async def submit(self, spec: JobSpec, deadline_s: float) -> None:
         """Return once ``spec`` is accepted and stored.
 
+        The time for which the submission may have waited for this process,
+        which may have been suspended, counts against ``deadline_s``: its caller
+        may have given up and cancelled the job.
+
         Raises ``JobRefusedError`` or ``ServiceUnavailableError`` if it is not
         accepted and never will be, ``JobConflictError`` if the id belongs to
         another job, and ``OutcomeUnknownError`` if it may be accepted.
         """
         started_at_s = self._clock.monotonic_s()
+        deadline_s -= self._leadership.loop_delay.longest_wait_s()
         may_be_accepted = False
         while not self._should_give_up(
             started_at_s, deadline_s, may_be_accepted
@@ -154,7 +159,16 @@
         )
 
     async def handle_submit(self, request: Submit) -> Submitted:
-        """Submit a job for this VM or a peer; forward it at most once."""
+        """Submit a job for a peer; forward it at most once.
+
+        Not if it may have waited here for longer than the peer waits.
+        """
+        waited_ms = self._leadership.loop_delay.longest_wait_s() * MS_PER_S
+        request = msgspec.structs.replace(
+            request, wait_ms=request.wait_ms - int(waited_ms)
+        )
+        if request.wait_ms <= 0:
+            return Submitted(SubmitOutcome.NOT_LEADER, 'received too late')
         scheduler = self._leading_scheduler()
         if scheduler is not None:
             return await self._submit_locally(scheduler, request)
@@ -220,8 +234,9 @@
 
     async def _submit_once(self, spec: JobSpec, left_s: float) -> Submitted:
         request = Submit(spec, int(left_s * MS_PER_S))
-        if self._leading_scheduler() is not None:
-            return await self.handle_submit(request)
+        scheduler = self._leading_scheduler()
+        if scheduler is not None:
+            return await self._submit_locally(scheduler, request)
         target = _choose_target(self._leadership, self._peers)
         if target is None:
             return Submitted(SubmitOutcome.NOT_LEADER)
--- a/src/bulrushcove/node/loop_delay.py
+++ b/src/bulrushcove/node/loop_delay.py
@@ -21,6 +21,10 @@
 SIGNIFICANT_DELAY_S = 0.1
 # Shorter delays are normal and not recorded.
 MIN_DELAY_S = 0.01
+# A delay above this counts against the deadlines of the calls that waited.
+MIN_COUNTED_WAIT_S = 0.5
+# The calls that waited for a delay to end are handled within this time.
+CATCH_UP_S = 0.25
 # A delay above this is logged.
 LOGGED_DELAY_S = 0.25
 
@@ -50,6 +54,23 @@
             total_s += max(0, self._clock.monotonic_s() - self._next_tick_at_s)
         return total_s > SIGNIFICANT_DELAY_S
 
+    def longest_wait_s(self) -> float:
+        """Return how long a call that is handled now may have waited.
+
+        It may have arrived when the latest delay began. Delays of up to
+        ``MIN_COUNTED_WAIT_S`` do not count.
+        """
+        now_s = self._clock.monotonic_s()
+        waits_s = [
+            now_s - ended_at_s + delay_s
+            for ended_at_s, delay_s in self._delays
+            if now_s - ended_at_s < CATCH_UP_S
+        ]
+        if self._next_tick_at_s:
+            waits_s.append(now_s - self._next_tick_at_s)
+        longest_s = max(waits_s, default=0.0)
+        return longest_s if longest_s > MIN_COUNTED_WAIT_S else 0.0
+
     def record_tick(self) -> None:
         """Record that the timer has fired."""
         now_s = self._clock.monotonic_s()
--- a/tests/test_node_job_request_router.py
+++ b/tests/test_node_job_request_router.py
@@ -16,7 +16,12 @@
     ServiceUnavailableError,
 )
 from bulrushcove.node.job_request_router import JobRequestRouter
-from bulrushcove.node.messages import JobAnswer, SubmitOutcome, Submitted
+from bulrushcove.node.messages import (
+    JobAnswer,
+    Submit,
+    SubmitOutcome,
+    Submitted,
+)
 from bulrushcove.node.peers import PeerNotConnectedError
 
 JOB = JobId('a' * 16)
@@ -50,6 +55,7 @@
             leader=SimpleNamespace(address='vm-2:1'),
             is_leader_reachable=True,
             has_authority=True,
+            loop_delay=SimpleNamespace(longest_wait_s=float),
         )
         self.clock = SystemClock()
         self.router = JobRequestRouter(
@@ -163,3 +169,23 @@
         await rig.router.submit(
             SimpleNamespace(job=JOB), rig.clock.monotonic_s() + 60
         )
+
+
+async def test_a_submission_that_outwaited_its_caller_is_not_accepted(rig):
+    """The caller had given up and cancelled the job, which then ran."""
+    rig.leadership.loop_delay.longest_wait_s = lambda: 60.0
+    rig.peers.responses = [Submitted(SubmitOutcome.ACCEPTED)]
+    with pytest.raises(ServiceUnavailableError):
+        await rig.router.submit(
+            SimpleNamespace(job=JOB), rig.clock.monotonic_s() + 3
+        )
+    assert not rig.peers.addresses
+
+
+async def test_a_submission_that_outwaited_a_peer_is_not_forwarded(rig):
+    rig.leadership.loop_delay.longest_wait_s = lambda: 60.0
+    rig.peers.responses = [Submitted(SubmitOutcome.ACCEPTED)]
+    request = Submit(SimpleNamespace(job=JOB), wait_ms=3000)
+    answer = await rig.router.handle_submit(request)
+    assert answer.outcome is SubmitOutcome.NOT_LEADER
+    assert not rig.peers.addresses
--- a/tests/test_node_loop_delay.py
+++ b/tests/test_node_loop_delay.py
@@ -51,3 +51,18 @@
     started_at_s = clock.monotonic_s()
     tick_after(loop_delay, clock, TICK_S)
     assert not loop_delay.was_late_since(started_at_s)
+
+
+def test_a_call_may_have_waited_since_a_suspension_began(loop_delay, clock):
+    clock.advance(3.0)
+    assert loop_delay.longest_wait_s() == pytest.approx(3.0 - TICK_S)
+    loop_delay.record_tick()
+    clock.advance(0.05)
+    assert loop_delay.longest_wait_s() == pytest.approx(3.05 - TICK_S)
+
+
+def test_calls_do_not_wait_while_ticks_are_regular(loop_delay, clock):
+    tick_after(loop_delay, clock, 3.0)
+    for _ in range(6):
+        tick_after(loop_delay, clock, TICK_S)
+    assert loop_delay.longest_wait_s() == 0
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -19,6 +19,7 @@
 # Time until a new configuration or a closed domain takes effect on all VMs.
 CONFIGURATION_DELAY_S = 3.0
 CLOSED_DOMAIN_DELAY_S = 5.0
+CALL_DEADLINE_S = 3.0
 # Time until the runs of a cancelled job have ended.
 CANCELLED_WORK_STOPS_S = 3.4
 
@@ -306,3 +307,22 @@
             for worker in deployment.workers
             for task, _ in worker.running
         )
+
+
+async def test_a_submission_of_a_caller_that_gave_up_does_not_run():
+    """It waited in a suspended VM, and ran after its cancellation."""
+    async with Deployment(nodes=3, workers=2) as deployment:
+        assert await deployment.submit(OTHER_JOB) == 200
+        leader = deployment.nodes.index(deployment.find_leader())
+        node = (leader + 1) % len(deployment.nodes)
+        deployment.nodes[node].send_signal(signal.SIGSTOP)
+        try:
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(CALL_DEADLINE_S):
+                    await deployment.submit(JOB, node=node)
+            status, _ = await deployment.call('DELETE', JOB, node=leader)
+        finally:
+            deployment.nodes[node].send_signal(signal.SIGCONT)
+        assert status == 410
+        await asyncio.sleep(CANCELLED_WORK_STOPS_S)
+        assert find_runs(deployment, JOB) == []
