Log how, and by which leader, a cancellation was answered

Now the VM that answers logs the phase, the leader and its epoch, and a submission that is accepted only when it was sent again logs how long that took. A closed stream logs the incarnation of its peer, and a VM logs the streams that it closes itself: the others ended with their process.

No logic changes. Seen on real processes by test_the_log_of_a_vm_tells_how_it_answered_a_cancellation.

--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -86,12 +86,15 @@
         started_at_s = self._clock.monotonic_s()
         deadline_s -= self._leadership.loop_delay.longest_wait_s()
         may_be_accepted = False
+        attempts = 0
         while not self._should_give_up(
             started_at_s, deadline_s, may_be_accepted
         ):
             left_s = deadline_s - self._clock.monotonic_s() - RESPONSE_MARGIN_S
+            attempts += 1
             response = await self._submit_once(spec, left_s)
             if response.outcome is SubmitOutcome.ACCEPTED:
+                _log_accepted(spec.job, attempts, self._ms_since(started_at_s))
                 return
             _raise_if_final(response, may_be_accepted)
             if response.outcome is SubmitOutcome.UNKNOWN:
@@ -122,10 +125,14 @@
         cancelled all the same.
         """
         request = Inquiry(job, organisation, should_cancel)
+        started_at_s = self._clock.monotonic_s()
         may_be_cancelled = False
         while self._clock.monotonic_s() + RESPONSE_MARGIN_S < deadline_s:
             response = await self._inquire(request, deadline_s)
             if response is not None and response.is_known:
+                _log_cancellation(
+                    request, response, self._ms_since(started_at_s)
+                )
                 return JobPhase(response.phase) if response.phase else None
             may_be_cancelled |= should_cancel and response is not None
             await asyncio.sleep(RETRY_S)
@@ -182,7 +189,8 @@
     async def handle_inquiry(self, request: Inquiry) -> JobAnswer:
         """Return the phase of one job, cancelled first if so requested."""
         scheduler = self._leading_scheduler()
-        if scheduler is None:
+        leader = self._leadership.leader
+        if scheduler is None or leader is None:
             return await self._forward(
                 request, JobAnswer, JobAnswer('', is_known=False)
             )
@@ -200,7 +208,9 @@
             )
         if not await self._check.may_return_phase(phase, received_at_s):
             return JobAnswer('', is_known=False)
-        return JobAnswer(phase.value if phase else '')
+        return JobAnswer(
+            phase.value if phase else '', leader=leader.vm, epoch=leader.epoch
+        )
 
     async def handle_count_pending(self, request: CountPending) -> PendingCount:
         """Return how many jobs of one queue have not started."""
@@ -213,6 +223,9 @@
         is_current = await self._check.may_return_state()
         return PendingCount(count if is_current else None)
 
+    def _ms_since(self, started_at_s: float) -> int:
+        return round((self._clock.monotonic_s() - started_at_s) * MS_PER_S)
+
     def _should_give_up(
         self, started_at_s: float, deadline_s: float, may_be_accepted: bool
     ) -> bool:
@@ -352,6 +365,34 @@
         return response
 
 
+def _log_accepted(job: JobId, attempts: int, elapsed_ms: int) -> None:
+    """Log a submission that was accepted only when it was sent again."""
+    if attempts > 1:
+        log_event(
+            logger,
+            'submission.accepted_late',
+            job=job,
+            attempts=attempts,
+            ms=elapsed_ms,
+        )
+
+
+def _log_cancellation(
+    request: Inquiry, response: JobAnswer, elapsed_ms: int
+) -> None:
+    """Log how, and by which leader, a cancellation was answered."""
+    if request.cancels:
+        log_event(
+            logger,
+            'cancellation.answered',
+            job=request.job,
+            phase=response.phase or 'none',
+            leader=response.leader,
+            epoch=response.epoch,
+            ms=elapsed_ms,
+        )
+
+
 def _choose_target(leadership: Leadership, peers: Peers) -> str | None:
     """Return the address to which a request to the leader is sent.
 
--- a/src/bulrushcove/node/messages.py
+++ b/src/bulrushcove/node/messages.py
@@ -109,6 +109,9 @@
     phase: str
     # False: the responding VM does not know.
     is_known: bool = True
+    # The leader that answered, and its epoch.
+    leader: VmId = VmId('')
+    epoch: Epoch = Epoch(0)
 
 
 class CountPending(msgspec.Struct, frozen=True):
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -115,6 +115,7 @@
         except PeerUnreachableError:
             if _is_silent(connection, sent_at_s):
                 # The stream may be dead; the next request opens a new one.
+                _log_dropped(connection, address, 'no response')
                 self._drop(address, connection)
             raise
 
@@ -122,6 +123,7 @@
         """Close the stream to ``address``; pending requests fail at once."""
         connection = self._connections.get(address)
         if connection is not None:
+            _log_dropped(connection, address, 'closed by this VM')
             self._drop(address, connection)
 
     async def _connect(self, address: str) -> Connection:
@@ -186,6 +188,17 @@
     log_event(logger, 'peer.address_unusable', error=error)
 
 
+def _log_dropped(connection: Connection, address: str, reason: str) -> None:
+    """Log that this VM closes a stream: the process of its peer may live."""
+    log_event(
+        logger,
+        'peer.stream_dropped',
+        peer=connection.peer.vm if connection.peer else 'unknown',
+        address=address,
+        reason=reason,
+    )
+
+
 def _is_silent(connection: Connection, sent_at_s: float) -> bool:
     """Return whether nothing arrived for too long on ``connection``.
 
--- a/src/bulrushcove/streams.py
+++ b/src/bulrushcove/streams.py
@@ -208,5 +208,6 @@
         'stream.closed',
         level=logging.WARNING if isinstance(exc, WireError) else logging.INFO,
         peer=connection.peer.vm if connection.peer else 'unknown',
+        incarnation=connection.peer.incarnation if connection.peer else None,
         error=f'{type(exc).__name__}: {exc}',
     )
--- a/tests/test_node_replaced_leader.py
+++ b/tests/test_node_replaced_leader.py
@@ -35,7 +35,7 @@
     """A leader that was confirmed when it was created."""
 
     def __init__(self, clock, epoch):
-        self.leader = SimpleNamespace(epoch=epoch, address='vm-1:1')
+        self.leader = SimpleNamespace(vm='vm-1', epoch=epoch, address='vm-1:1')
         self.is_leader = True
         self.loop_delay = SimpleNamespace(longest_wait_s=float)
         self.confirmed_at_s = clock.monotonic_s()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -258,6 +258,36 @@
         assert 'bulrushcove_jobs_accepted_total{queue="r-1"} 1' in text
 
 
+def find_cancellations(node):
+    """Return job, phase and leader of each cancellation that it answered."""
+    lines = node.log_path.read_text(encoding='utf-8').splitlines()
+    found = []
+    for line in lines:
+        if 'event=cancellation.answered' in line:
+            fields = dict(
+                word.split('=', 1) for word in line.split() if '=' in word
+            )
+            assert int(fields['epoch']) > 0
+            found.append((fields['job'], fields['phase'], fields['leader']))
+    return found
+
+
+async def test_the_log_of_a_vm_tells_how_it_answered_a_cancellation():
+    """A 2xx left no line, and a 410 did not name the leader."""
+    async with Deployment() as deployment:
+        assert await deployment.submit(JOB, duration_s=30) == 200
+        leader = deployment.find_leader()
+        node = 1 - deployment.nodes.index(leader)
+        for job, expected_status in ((JOB, 200), (OTHER_JOB, 410)):
+            status, _ = await deployment.call('DELETE', job, node=node)
+            assert status == expected_status
+        assert find_cancellations(deployment.nodes[node]) == [
+            (JOB, 'cancelled', leader.name),
+            (OTHER_JOB, 'none', leader.name),
+        ]
+        assert find_cancellations(leader) == []
+
+
 async def test_queue_with_advice_uses_allowed_workers():
     route = {**CONFIG['routes'][0], 'advice': ADVICE}
     async with Deployment() as deployment:
