Refuse submissions of jobs that were cancelled before

What callers saw: a caller left a submission unanswered, cancelled the job at another VM and was answered 410; the job was accepted 0.1 to 1 s later and ran to its end.

Cause: 410 to a cancellation was true when it was given, and bound nobody. The VM that held the submission sent it again to the next leader until the caller's deadline, and that leader knew nothing of the cancellation. The same holds for a submission in a stream, or in a VM that was suspended for less than 0.5 s. That a caller has left cannot be relied on: a suspended VM does not hear it.

Now the leader stores the cancellation of an unknown job, by id and organisation, before it answers 410, and refuses later submissions with 409 on every VM; later leaders load it. A submission that is withdrawn while a cancellation waits for it is treated alike; that failed with an unexpected error.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -11,6 +11,7 @@
 from ..ids import JobId, WorkerId
 from .admission import check_same_job, refuse_unplaceable
 from .advice import TicketCache
+from .cancellations import Cancellations
 from .completion import apply_run_end, apply_unmatched_ends, cancel_job
 from .crash_handler import CrashHandler
 from .draining import find_outlasting_runs
@@ -58,6 +59,8 @@
     def __init__(self) -> None:
         """Create an engine without jobs and workers."""
         self.jobs: dict[JobId, Job] = {}
+        # Of jobs that were not known then; their submissions are refused.
+        self.cancellations = Cancellations()
         # Jobs that have not ended or still hold allocations.
         self.active: dict[JobId, Job] = {}
         self.workers: dict[WorkerId, Worker] = {}
@@ -94,13 +97,15 @@
     ) -> tuple[Job, bool]:
         """Return the accepted job and whether it is new.
 
-        Raises ``JobRefusedError`` if no worker can ever run it, and
-        ``JobConflictError`` if its id is used with different content.
+        Raises ``JobRefusedError`` if no worker can ever run it,
+        ``JobConflictError`` if its id is used with different content, and
+        ``JobCancelledError`` if it was cancelled before.
         """
         known = self.jobs.get(spec.job)
         if known is not None:
             check_same_job(known.spec, spec)
             return known, False
+        self.cancellations.refuse_cancelled(spec.job, spec.terms.organisation)
         refuse_unplaceable(spec, self, now_s)
         job = new_job(spec, unix_ms, now_s)
         self.jobs[job.id] = job
--- a/src/bulrushcove/batch/exceptions.py
+++ b/src/bulrushcove/batch/exceptions.py
@@ -15,6 +15,10 @@
     """The job id is already used by a job with different content."""
 
 
+class JobCancelledError(BatchError):
+    """The job was cancelled before it was accepted, and never will be."""
+
+
 class JobRefusedError(BatchError):
     """The job was refused and will not run.
 
--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -6,6 +6,12 @@
 
 import msgspec
 
+from ..batch.cancellations import (
+    CancellationRecord,
+    Cancellations,
+    decode_cancellation,
+    encode_cancellation,
+)
 from ..batch.exceptions import RecordError
 from ..batch.job_state import Job, JobPhase
 from ..batch.records import (
@@ -19,7 +25,14 @@
 from ..ids import JobId
 from ..logs import log_event
 from ..store import StoredValue, WatchableStore
-from .store_keys import JOBS_PREFIX, PROGRESS_PREFIX, job_key, progress_key
+from .store_keys import (
+    CANCELLATIONS_PREFIX,
+    JOBS_PREFIX,
+    PROGRESS_PREFIX,
+    cancellation_key,
+    job_key,
+    progress_key,
+)
 from .store_writer import StoreWriter
 
 logger = logging.getLogger(__name__)
@@ -31,6 +44,7 @@
     """Jobs that a new leader read from the store."""
 
     jobs: list[Job]
+    cancellations: list[tuple[JobId, CancellationRecord]]
     # Store revision of each record, by key.
     revisions: dict[str, int]
 
@@ -45,14 +59,13 @@
         self._submission_writes: dict[JobId, PendingWrite] = {}
         # Writes of job ends that are not stored yet.
         self._end_writes: dict[JobId, PendingWrite] = {}
+        # Writes of cancellations that are not stored yet.
+        self._cancellation_writes: dict[JobId, PendingWrite] = {}
 
     def write_submission(self, job: Job) -> None:
         """Write the submission of an accepted job."""
         write = self.store_writer.put(job_key(job.id), encode_submission(job))
-        self._submission_writes[job.id] = write
-        write.add_done_callback(
-            lambda _: self._submission_writes.pop(job.id, None)
-        )
+        _track(self._submission_writes, job.id, write)
 
     def pending_submission(self, job: JobId) -> PendingWrite | None:
         """Return the pending write of a submission; None if it is stored."""
@@ -71,9 +84,7 @@
     def write_end(self, job: Job) -> None:
         """Write the end of ``job``; it is shown as running until stored."""
         log_job_event('job.ended', job)
-        write = self.write_progress(job)
-        self._end_writes[job.id] = write
-        write.add_done_callback(lambda _: self._end_writes.pop(job.id, None))
+        _track(self._end_writes, job.id, self.write_progress(job))
 
     def pending_end(self, job: JobId) -> PendingWrite | None:
         """Return the pending write of a job's end; None if it is stored."""
@@ -83,6 +94,20 @@
         """Return the phase of ``job`` that survives a failover."""
         return JobPhase.RUNNING if job.id in self._end_writes else job.phase
 
+    def write_cancellation(
+        self, job: JobId, record: CancellationRecord
+    ) -> PendingWrite:
+        """Write the cancellation of an unknown job; return the write."""
+        write = self.store_writer.put(
+            cancellation_key(job), encode_cancellation(record)
+        )
+        _track(self._cancellation_writes, job, write)
+        return write
+
+    def pending_cancellation(self, job: JobId) -> PendingWrite | None:
+        """Return the pending write of a cancellation; None if it is stored."""
+        return self._cancellation_writes.get(job)
+
     def withdraw(self, job: Job) -> bool:
         """Withdraw the writes of a new job.
 
@@ -102,14 +127,21 @@
             self.store_writer.put(submission_key, None)
             self.store_writer.put(progress_key(job), None, after=submission_key)
 
+    def delete_cancellations(self, jobs: Iterable[JobId]) -> None:
+        """Delete the cancellations of ``jobs``."""
+        for job in jobs:
+            self.store_writer.put(cancellation_key(job), None)
+
 
 async def load_jobs(store: WatchableStore, clock: Clock) -> LoadedJobs:
-    """Read all jobs from the store; raises ``StoreError``.
+    """Read all jobs and cancellations from the store; raises ``StoreError``.
 
     A record that cannot be decoded is logged, skipped and left in the store.
     """
-    jobs, progress = await asyncio.gather(
-        store.scan(JOBS_PREFIX), store.scan(PROGRESS_PREFIX)
+    jobs, progress, cancellations = await asyncio.gather(
+        store.scan(JOBS_PREFIX),
+        store.scan(PROGRESS_PREFIX),
+        store.scan(CANCELLATIONS_PREFIX),
     )
     encoded_progress = {
         item.key.removeprefix(PROGRESS_PREFIX): item.value
@@ -117,24 +149,31 @@
     }
     restored = []
     for item in jobs.found:
-        job_id = item.key.removeprefix(JOBS_PREFIX)
+        job_id = JobId(item.key.removeprefix(JOBS_PREFIX))
         try:
             restored.append(_restore(item, encoded_progress.get(job_id), clock))
         except RecordError as exc:
-            log_event(
-                logger,
-                'job.record_unreadable',
-                level=logging.ERROR,
-                job=job_id,
-                error=exc,
-            )
-    found = (*jobs.found, *progress.found)
+            _log_unreadable(job_id, exc)
+    found = (*jobs.found, *progress.found, *cancellations.found)
     return LoadedJobs(
         restored,
+        _decode_cancellations(cancellations.found),
         {stored_value.key: stored_value.mod_revision for stored_value in found},
     )
 
 
+def restore_cancellations(
+    cancellations: Cancellations,
+    loaded: Iterable[tuple[JobId, CancellationRecord]],
+    clock: Clock,
+) -> None:
+    """Add those that a new leader has loaded to ``cancellations``."""
+    now_s = clock.monotonic_s()
+    for job, record in loaded:
+        age_s = _age_s(record.cancelled_unix_ms, clock)
+        cancellations.add(job, record.organisations, now_s - age_s)
+
+
 def log_job_event(event: str, job: Job) -> None:
     """Log ``event`` with the terms, phase and size of ``job``."""
     terms = job.spec.terms
@@ -166,6 +205,42 @@
     return job
 
 
+def _decode_cancellations(
+    found: Iterable[StoredValue],
+) -> list[tuple[JobId, CancellationRecord]]:
+    decoded = []
+    for item in found:
+        job_id = JobId(item.key.removeprefix(CANCELLATIONS_PREFIX))
+        try:
+            decoded.append((job_id, decode_cancellation(item.value)))
+        except RecordError as exc:
+            _log_unreadable(job_id, exc)
+    return decoded
+
+
+def _log_unreadable(job: JobId, exc: RecordError) -> None:
+    log_event(
+        logger,
+        'job.record_unreadable',
+        level=logging.ERROR,
+        job=job,
+        error=exc,
+    )
+
+
+def _track(
+    writes: dict[JobId, PendingWrite], job: JobId, write: PendingWrite
+) -> None:
+    """Keep ``write`` in ``writes`` until it is done, or a later one is."""
+
+    def forget(done: PendingWrite) -> None:
+        if writes.get(job) is done:
+            writes.pop(job)
+
+    writes[job] = write
+    write.add_done_callback(forget)
+
+
 def _age_s(unix_ms: int, clock: Clock) -> float:
     """Return the time since ``unix_ms``; zero if another clock was ahead."""
     return max(0, clock.unix_ms() - unix_ms) / MS_PER_S
--- a/src/bulrushcove/node/job_requests.py
+++ b/src/bulrushcove/node/job_requests.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable, Iterable
 
 from ..batch.admission import outage_retry_s
+from ..batch.cancellations import CancellationRecord
 from ..batch.engine import Engine
+from ..batch.exceptions import JobCancelledError
 from ..batch.ids import QueueName
 from ..batch.job_spec import JobSpec
 from ..batch.job_state import Allocation, Job, JobPhase
@@ -45,15 +47,21 @@
         """Accept ``spec`` and return once it is stored.
 
         Raises ``JobRefusedError``, ``JobConflictError``,
-        ``ServiceUnavailableError`` or ``LeadershipLostError``.
+        ``JobCancelledError``, ``ServiceUnavailableError`` or
+        ``LeadershipLostError``.
         """
         if self._is_store_unavailable() and spec.job not in self._engine.jobs:
             raise self._unavailable_error(spec)
-        job, is_new = self._engine.submit(
-            spec,
-            unix_ms=self._clock.unix_ms(),
-            now_s=self._clock.monotonic_s(),
-        )
+        try:
+            job, is_new = self._engine.submit(
+                spec,
+                unix_ms=self._clock.unix_ms(),
+                now_s=self._clock.monotonic_s(),
+            )
+        except JobCancelledError:
+            # Not final before a new leader would know it.
+            await _wait_until_done(self._records.pending_cancellation(spec.job))
+            raise
         if is_new:
             self._records.write_submission(job)
             self._metrics.record_accepted_job(job)
@@ -69,25 +77,23 @@
     ) -> JobPhase | None:
         """Cancel a job and return its phase once that is stored.
 
-        Returns None if ``organisation`` has no such job.
+        Returns None if ``organisation`` has no such job; its submission is
+        refused from then on. Raises ``LeadershipLostError``.
         """
         job = self._find_job(job_id, organisation)
-        if job is None:
-            return None
-        if not job.has_ended:
-            stops = self._engine.cancel(
-                job,
-                unix_ms=self._clock.unix_ms(),
-                now_s=self._clock.monotonic_s(),
-            )
-            self._records.write_end(job)
-            self.stop_runs(stops)
-        # A repeated call also waits: a new leader must not undo what was
-        # reported as cancelled.
-        write = self._records.pending_end(job.id)
-        if write is not None:
-            await asyncio.shield(write)
-        return job.phase
+        while job is not None:
+            self._cancel_if_active(job)
+            # A repeated call also waits: a new leader must not undo what was
+            # reported as cancelled.
+            try:
+                await _wait_until_done(self._records.pending_end(job_id))
+            except WriteWithdrawnError:
+                # It was not accepted after all, but may be submitted again.
+                job = self._find_job(job_id, organisation)
+            else:
+                return job.phase
+        await self._refuse_later(job_id, organisation)
+        return None
 
     def find_phase(
         self, job_id: JobId, organisation: OrganisationId
@@ -100,6 +106,27 @@
         """Return how many jobs of ``queue`` have not started."""
         return self._engine.count_queued(queue)
 
+    def _cancel_if_active(self, job: Job) -> None:
+        if job.has_ended:
+            return
+        stops = self._engine.cancel(
+            job,
+            unix_ms=self._clock.unix_ms(),
+            now_s=self._clock.monotonic_s(),
+        )
+        self._records.write_end(job)
+        self.stop_runs(stops)
+
+    async def _refuse_later(
+        self, job_id: JobId, organisation: OrganisationId
+    ) -> None:
+        """Refuse submissions of an unknown job; return once that is stored."""
+        organisations = self._engine.cancellations.add(
+            job_id, (organisation,), self._clock.monotonic_s()
+        )
+        record = CancellationRecord(organisations, self._clock.unix_ms())
+        await asyncio.shield(self._records.write_cancellation(job_id, record))
+
     async def _wait_until_stored(self, job: Job, write: PendingWrite) -> None:
         """Wait until ``job`` is stored.
 
@@ -136,6 +163,12 @@
         return job
 
 
+async def _wait_until_done(write: PendingWrite | None) -> None:
+    """Wait for a write; None: there is none."""
+    if write is not None:
+        await asyncio.shield(write)
+
+
 def _do_nothing() -> None:
     """Stand in for a handler that is set later."""
 
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -16,7 +16,12 @@
 from ..store import WatchableStore
 from .advice_requests import AdviceRequester
 from .background_tasks import BackgroundTasks
-from .job_records import JobRecords, PendingWrite, load_jobs
+from .job_records import (
+    JobRecords,
+    PendingWrite,
+    load_jobs,
+    restore_cancellations,
+)
 from .job_requests import JobRequestHandler
 from .leadership import Leadership
 from .lease_expiry_writer import LeaseExpiryWriter
@@ -151,6 +156,9 @@
         self.engine.restore(
             loaded.jobs, self._clock.monotonic_s() + longest_wait_s
         )
+        restore_cancellations(
+            self.engine.cancellations, loaded.cancellations, self._clock
+        )
         self.is_loaded = True
         log_event(
             logger,
@@ -195,6 +203,9 @@
             remove_departed(engine.workers, engine.reliability, now_s)
         )
         self._records.delete(engine.remove_ended_jobs(now_s))
+        self._records.delete_cancellations(
+            engine.cancellations.remove_expired(now_s)
+        )
         engine.prune_active_jobs()
         self._metrics.record_engine_state(engine)
 
--- a/src/bulrushcove/node/store_keys.py
+++ b/src/bulrushcove/node/store_keys.py
@@ -12,6 +12,8 @@
 # Accepted submissions, and the progress of their jobs.
 JOBS_PREFIX = f'{KEY_PREFIX}jobs/'
 PROGRESS_PREFIX = f'{KEY_PREFIX}progress/'
+# Cancellations of jobs that were not known then.
+CANCELLATIONS_PREFIX = f'{KEY_PREFIX}cancelled/'
 
 
 def vm_key(vm: VmId) -> str:
@@ -27,3 +29,8 @@
 def progress_key(job: JobId) -> str:
     """Return the key of a job's progress record."""
     return f'{PROGRESS_PREFIX}{job}'
+
+
+def cancellation_key(job: JobId) -> str:
+    """Return the key of the cancellation of a job that was not known."""
+    return f'{CANCELLATIONS_PREFIX}{job}'
--- a/tests/test_node_job_request_router.py
+++ b/tests/test_node_job_request_router.py
@@ -6,6 +6,7 @@
 import pytest
 from fake_watchable_store import FakeWatchableStore
 
+from bulrushcove.batch.exceptions import JobCancelledError
 from bulrushcove.batch.job_state import JobPhase
 from bulrushcove.clock import SystemClock
 from bulrushcove.exceptions import PeerUnreachableError
@@ -163,6 +164,30 @@
         )
 
 
+async def test_a_cancelled_submission_is_not_sent_again(rig):
+    """The leader that refuses it knows what earlier leaders accepted."""
+    rig.peers.responses = [
+        PeerUnreachableError('no response'),
+        Submitted(SubmitOutcome.CANCELLED, 'cancelled'),
+    ]
+    with pytest.raises(JobCancelledError, match='cancelled'):
+        await rig.router.submit(
+            SimpleNamespace(job=JOB), rig.clock.monotonic_s() + 60
+        )
+    assert len(rig.peers.addresses) == 2
+
+
+async def test_a_submission_is_not_sent_again_for_ever(rig, monkeypatch):
+    """Callers may state a deadline of days; cancellations are forgotten."""
+    monkeypatch.setattr(router_module, 'MAX_SUBMISSION_TIME_S', DEADLINE_S)
+    rig.peers.responses = [PeerUnreachableError('no response')]
+    with pytest.raises(OutcomeUnknownError):
+        async with asyncio.timeout(3 * DEADLINE_S):
+            await rig.router.submit(
+                SimpleNamespace(job=JOB), rig.clock.monotonic_s() + 1e6
+            )
+
+
 async def test_a_refused_submission_is_reported_at_once(rig):
     rig.peers.responses = [Submitted(SubmitOutcome.UNAVAILABLE, 'away', 1.0)]
     with pytest.raises(ServiceUnavailableError, match='away'):
--- a/tests/test_node_job_requests.py
+++ b/tests/test_node_job_requests.py
@@ -7,17 +7,27 @@
 from fake_watchable_store import FakeWatchableStore
 from test_node_store_writer import open_store_writer
 
+from bulrushcove.batch.cancellations import CANCELLATION_RETENTION_S
 from bulrushcove.batch.engine import ENDED_JOB_RETENTION_S, Engine
+from bulrushcove.batch.exceptions import JobCancelledError
 from bulrushcove.batch.job_state import JobPhase
 from bulrushcove.clock import ManualClock
 from bulrushcove.exceptions import StoreUnavailableError
 from bulrushcove.metrics import new_metrics
 from bulrushcove.node import job_requests as job_requests_module
 from bulrushcove.node.exceptions import ServiceUnavailableError
-from bulrushcove.node.job_records import JobRecords, load_jobs
+from bulrushcove.node.job_records import (
+    JobRecords,
+    load_jobs,
+    restore_cancellations,
+)
 from bulrushcove.node.job_requests import JobRequestHandler
 from bulrushcove.node.metrics import NodeMetrics
-from bulrushcove.node.store_keys import job_key, progress_key
+from bulrushcove.node.store_keys import (
+    CANCELLATIONS_PREFIX,
+    job_key,
+    progress_key,
+)
 
 TIMEOUT_S = 5
 
@@ -40,6 +50,18 @@
         )
         return self
 
+    async def change_leader(self):
+        """Go on as a new leader that loads what is stored."""
+        await self.store_writer.stop()
+        loaded = await load_jobs(self.store, self.clock)
+        self.engine = Engine()
+        self.engine.restore(loaded.jobs, self.clock.monotonic_s())
+        restore_cancellations(
+            self.engine.cancellations, loaded.cancellations, self.clock
+        )
+        await self.open()
+        self.store_writer.revisions.update(loaded.revisions)
+
     async def reload(self):
         """Return the phases of the jobs as a new leader loads them."""
         loaded = await load_jobs(self.store, self.clock)
@@ -159,3 +181,87 @@
     while harness.store_writer.backlog or await harness.reload():
         await settle()
     assert left_alone == []
+
+
+@pytest.mark.parametrize('leader_changes', [0, 1, 2])
+async def test_a_job_that_was_cancelled_before_is_refused(
+    harness, leader_changes
+):
+    """A VM sent the submission again after the answer 410."""
+    assert await harness.job_requests.cancel('job', ORGANISATION) is None
+    for _ in range(leader_changes):
+        await harness.change_leader()
+    with pytest.raises(JobCancelledError):
+        await harness.job_requests.submit(job_spec('job'))
+    assert harness.engine.jobs == {}
+    assert await harness.reload() == {}
+
+
+async def test_a_cancellation_of_an_unknown_job_is_stored_first(harness):
+    """A new leader would have accepted the job."""
+    harness.store.down = True
+    calls = (
+        asyncio.create_task(harness.job_requests.cancel('job', ORGANISATION)),
+        asyncio.create_task(harness.job_requests.submit(job_spec('job'))),
+        asyncio.create_task(harness.job_requests.cancel('job', ORGANISATION)),
+    )
+    await settle()
+    assert not any(call.done() for call in calls)
+    harness.store.down = False
+    async with asyncio.timeout(TIMEOUT_S):
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+    assert answers[0] is None
+    assert isinstance(answers[1], JobCancelledError)
+    assert answers[2] is None
+
+
+async def test_organisations_do_not_cancel_the_jobs_of_others(harness):
+    """Callers choose the ids of jobs."""
+    for organisation in ('other', 'third'):
+        await harness.job_requests.cancel('job', organisation)
+    await harness.change_leader()
+    with pytest.raises(JobCancelledError):
+        await harness.job_requests.submit(job_spec('job', organisation='other'))
+    await harness.job_requests.submit(job_spec('job'))
+    assert await harness.reload() == {'job': JobPhase.QUEUED}
+
+
+async def test_a_job_withdrawn_while_it_is_cancelled_stays_cancelled(harness):
+    """The cancellation failed with an unexpected error."""
+    harness.store.down = True
+    submission = asyncio.create_task(
+        harness.job_requests.submit(job_spec('job'))
+    )
+    await settle()
+    cancellation = asyncio.create_task(
+        harness.job_requests.cancel('job', ORGANISATION)
+    )
+    await settle()
+    harness.clock.advance(0.5)
+    with pytest.raises(ServiceUnavailableError):
+        async with asyncio.timeout(TIMEOUT_S):
+            await submission
+    harness.store.down = False
+    async with asyncio.timeout(TIMEOUT_S):
+        assert await cancellation is None
+    harness.clock.advance(1.1)
+    with pytest.raises(JobCancelledError):
+        await harness.job_requests.submit(job_spec('job'))
+
+
+async def test_a_cancellation_of_an_unknown_job_is_removed(harness):
+    """Callers can cancel any id, and none of them is ever submitted."""
+    for _ in range(2):
+        await harness.job_requests.cancel('job', ORGANISATION)
+        harness.clock.advance(CANCELLATION_RETENTION_S * 0.6)
+        await harness.change_leader()
+    now_s = harness.clock.monotonic_s()
+    cancellations = harness.engine.cancellations
+    assert cancellations.remove_expired(now_s) == []
+    harness.clock.advance(CANCELLATION_RETENTION_S / 2)
+    expired = cancellations.remove_expired(harness.clock.monotonic_s())
+    assert expired == ['job']
+    harness.job_requests._records.delete_cancellations(expired)
+    await settle()
+    assert (await harness.store.scan(CANCELLATIONS_PREFIX)).found == ()
+    await harness.job_requests.submit(job_spec('job'))
--- a/tests/test_odd_store_values.py
+++ b/tests/test_odd_store_values.py
@@ -7,11 +7,20 @@
 from batch_builders import job_spec, step
 from fake_watchable_store import FakeWatchableStore
 
+from bulrushcove.batch.cancellations import (
+    CancellationRecord,
+    encode_cancellation,
+)
 from bulrushcove.batch.job_state import new_job
 from bulrushcove.batch.records import encode_submission
 from bulrushcove.clock import ManualClock
+from bulrushcove.ids import OrganisationId
 from bulrushcove.node.job_records import load_jobs
-from bulrushcove.node.store_keys import job_key, progress_key
+from bulrushcove.node.store_keys import (
+    cancellation_key,
+    job_key,
+    progress_key,
+)
 from bulrushcove.platform.http_client import Reply
 from bulrushcove.platform.store import PlatformStore
 from bulrushcove.store import Write
@@ -82,3 +91,17 @@
     await store.commit((Write(progress_key('0' * 16), b'', 0),))
     loaded = await load_jobs(store, ManualClock())
     assert [job.id for job in loaded.jobs] == ['1' * 16]
+
+
+async def test_an_odd_cancellation_record_is_skipped():
+    """The leader that read it failed, and so did the next one."""
+    store = FakeWatchableStore(ManualClock())
+    record = CancellationRecord((OrganisationId('mill'),), 1)
+    for name, stored in (
+        ('0' * 16, b''),
+        ('1' * 16, b'\x92\xc0\xc0'),
+        ('2' * 16, encode_cancellation(record)),
+    ):
+        await store.commit((Write(cancellation_key(name), stored, 0),))
+    loaded = await load_jobs(store, ManualClock())
+    assert loaded.cancellations == [('2' * 16, record)]
