Lead by a new record after this VM has stepped down

What callers saw: 503 for two seconds, as a VM won and lost the same epoch five times; with it, a job that was cancelled (410) could run.

Cause: a VM that had stepped down and found its own record in the store, whose lease had ended, led by it again: with an ended lease, and with the epoch of the term before. A write of that term that the store carried out late took effect, since its condition on the epoch held: the submission of a job that the new term did not know.

Now its own record of an earlier term is replaced like that of another VM.

The test of this commit fails without the change.

--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -71,6 +71,8 @@
         self._monitor = LeaderMonitor(settings.vm, peers, clock, loop_delay)
         # Epoch of the last record read that another VM wrote.
         self._last_read_epoch = Epoch(0)
+        # Epoch by which this process led last; zero: it has not led.
+        self._own_epoch = Epoch(0)
         # When that leader was last known to hold the record.
         self._last_read_at_s = 0.0
         self._is_leader = False
@@ -225,12 +227,18 @@
         if leader is None:
             await self._campaign(None)
             return
-        if leader.incarnation == self._peers.hello.incarnation:
+        is_own = leader.incarnation == self._peers.hello.incarnation
+        if is_own and leader.epoch != self._own_epoch:
             # This VM's own write took effect, but its response was lost.
             await self._become_leader(leader, sent_at_s)
             return
         self._last_read_epoch = leader.epoch
         self._last_read_at_s = sent_at_s
+        if is_own:
+            # Late writes and orders of the term that this VM has ended carry
+            # its epoch: a new record rejects them.
+            await self._campaign(leader)
+            return
         if replace is not None and replace.epoch == leader.epoch:
             log_event(
                 logger,
@@ -263,7 +271,7 @@
         is_current = asyncio.create_task(
             self._records.is_current_after(delay_s, previous)
         )
-        if previous is not None:
+        if previous is not None and previous.epoch != self._own_epoch:
             if await self._monitor.answers_during(previous, is_current):
                 log_event(
                     logger,
@@ -303,6 +311,7 @@
             and self._last_read_epoch == self._monitor.ended_epoch
         )
         self.previous_epoch = self._last_read_epoch
+        self._own_epoch = leader.epoch
         self.leader = leader
         self._monitor.reset()
         self._is_leader = True
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -135,6 +135,22 @@
     assert rig.leadership.is_leader
 
 
+async def test_each_term_of_a_leader_has_an_epoch_of_its_own(rig):
+    """Late writes of an earlier term took effect under the same epoch."""
+    await rig.leadership.start()
+    await rig.wait_gained()
+    first = rig.leadership.leader
+    rig.gained.clear()
+    await rig.leadership.step_down('a transaction cannot be sent')
+    rig.leadership.handle_record_changed()
+    await rig.wait_gained()
+    second = rig.leadership.leader
+    assert second.epoch > first.epoch
+    assert rig.store.values[LEADER_KEY].mod_revision == second.epoch
+    assert rig.leadership.previous_epoch == first.epoch
+    assert not rig.leadership.has_previous_leader_ended
+
+
 async def test_an_unreachable_leader_is_replaced_and_its_lease_ended(rig):
     other = await rig.other_leader()
     end_lease = rig.store.end_lease
