Refuse a cancelled submission only by a leader that is confirmed

What callers would see: 409, cancelled, from a leader that had been replaced before it could store the cancellation; the next leader would accept the job. Also 200 to a repeated cancellation whose first write had failed.

Cause: a write that failed as leadership was lost was forgotten, like one that was stored, and who asked again was not made to wait for it; 409 for a cancelled id was not confirmed with the store as the other refusals are.

A failed write is kept, so that all who wait for it fail. A cancelled id is a kind of conflict, is confirmed like one, and needs no outcome of its own in the streams, which VMs of the version before could not decode.

--- a/src/bulrushcove/batch/exceptions.py
+++ b/src/bulrushcove/batch/exceptions.py
@@ -15,8 +15,8 @@
     """The job id is already used by a job with different content."""
 
 
-class JobCancelledError(BatchError):
-    """The job was cancelled before it was accepted, and never will be."""
+class JobCancelledError(JobConflictError):
+    """The job id was cancelled before a job with it was accepted."""
 
 
 class JobRefusedError(BatchError):
--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -33,7 +33,7 @@
     job_key,
     progress_key,
 )
-from .store_writer import StoreWriter
+from .store_writer import LeadershipLostError, StoreWriter
 
 logger = logging.getLogger(__name__)
 
@@ -231,10 +231,14 @@
 def _track(
     writes: dict[JobId, PendingWrite], job: JobId, write: PendingWrite
 ) -> None:
-    """Keep ``write`` in ``writes`` until it is done, or a later one is."""
+    """Keep ``write`` in ``writes`` until it is stored or withdrawn.
+
+    One that fails as leadership is lost stays: who waits for it fails, too.
+    """
 
     def forget(done: PendingWrite) -> None:
-        if writes.get(job) is done:
+        is_lost = isinstance(done.exception(), LeadershipLostError)
+        if writes.get(job) is done and not is_lost:
             writes.pop(job)
 
     writes[job] = write
--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -8,12 +8,7 @@
 
 import msgspec
 
-from ..batch.exceptions import (
-    BatchError,
-    JobCancelledError,
-    JobConflictError,
-    JobRefusedError,
-)
+from ..batch.exceptions import JobConflictError, JobRefusedError
 from ..batch.ids import QueueName
 from ..batch.job_spec import JobSpec
 from ..batch.job_state import JobPhase
@@ -87,10 +82,10 @@
         which may have been suspended, counts against ``deadline_s``: its caller
         may have given up and cancelled the job.
 
-        Raises ``JobRefusedError``, ``JobCancelledError`` or
-        ``ServiceUnavailableError`` if it is not accepted and never will be,
-        ``JobConflictError`` if the id belongs to another job, and
-        ``OutcomeUnknownError`` if it may be accepted.
+        Raises ``JobRefusedError`` or ``ServiceUnavailableError`` if it is not
+        accepted and never will be, ``JobConflictError`` if the id belongs to
+        another job or was cancelled, and ``OutcomeUnknownError`` if it may be
+        accepted.
         """
         started_at_s = self._clock.monotonic_s()
         deadline_s = min(deadline_s, started_at_s + MAX_SUBMISSION_TIME_S)
@@ -272,8 +267,10 @@
         try:
             async with asyncio.timeout(request.wait_ms / MS_PER_S):
                 await scheduler.job_requests.submit(request.spec)
-        except (ServiceUnavailableError, JobCancelledError) as exc:
-            return _rejected(exc)
+        except ServiceUnavailableError as exc:
+            return Submitted(
+                SubmitOutcome.UNAVAILABLE, str(exc), exc.retry_after_s
+            )
         except (JobRefusedError, JobConflictError) as exc:
             # A new leader may have accepted this job.
             if await self._check.is_confirmed_since(received_at_s):
@@ -436,14 +433,10 @@
     return JobAnswer(decode_progress(progress.found[0].value).phase)
 
 
-def _rejected(exc: BatchError | ServiceUnavailableError) -> Submitted:
+def _rejected(exc: JobRefusedError | JobConflictError) -> Submitted:
     """Return the response to a submission that was not accepted."""
     if isinstance(exc, JobRefusedError):
         return Submitted(SubmitOutcome.REFUSED, str(exc), exc.retry_after_s)
-    if isinstance(exc, ServiceUnavailableError):
-        return Submitted(SubmitOutcome.UNAVAILABLE, str(exc), exc.retry_after_s)
-    if isinstance(exc, JobCancelledError):
-        return Submitted(SubmitOutcome.CANCELLED, str(exc))
     return Submitted(SubmitOutcome.CONFLICT, str(exc))
 
 
@@ -455,8 +448,6 @@
     """
     if response.outcome is SubmitOutcome.CONFLICT:
         raise JobConflictError(response.message)
-    if response.outcome is SubmitOutcome.CANCELLED:
-        raise JobCancelledError(response.message)
     if may_be_accepted:
         return
     if response.outcome is SubmitOutcome.REFUSED:
--- a/src/bulrushcove/node/messages.py
+++ b/src/bulrushcove/node/messages.py
@@ -69,8 +69,6 @@
     CONFLICT = 'conflict'
     # Not accepted: the store is unavailable, whatever the load.
     UNAVAILABLE = 'away'
-    # Cancelled before it was accepted, and will not be accepted later.
-    CANCELLED = 'cancelled'
     # It is unknown whether the job is, or will be, accepted.
     UNKNOWN = 'unknown'
     # Not accepted: no leader was reached. The sender may retry.
--- a/src/bulrushcove/platform/job_api.py
+++ b/src/bulrushcove/platform/job_api.py
@@ -15,7 +15,6 @@
 from ..batch.exceptions import (
     BatchError,
     InvalidJobError,
-    JobCancelledError,
     JobConflictError,
     JobRefusedError,
 )
@@ -67,8 +66,6 @@
         # The job may have been accepted: callers retry with the same id.
         OutcomeUnknownError: HTTPStatus.GATEWAY_TIMEOUT,
         JobConflictError: HTTPStatus.CONFLICT,
-        # Not a status after which callers send the same id again.
-        JobCancelledError: HTTPStatus.CONFLICT,
         TooLargeError: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     }
 )
--- a/tests/test_node_job_requests.py
+++ b/tests/test_node_job_requests.py
@@ -25,9 +25,12 @@
 from bulrushcove.node.metrics import NodeMetrics
 from bulrushcove.node.store_keys import (
     CANCELLATIONS_PREFIX,
+    LEADER_KEY,
     job_key,
     progress_key,
 )
+from bulrushcove.node.store_writer import LeadershipLostError
+from bulrushcove.store import Write
 
 TIMEOUT_S = 5
 
@@ -215,6 +218,24 @@
     assert answers[2] is None
 
 
+async def test_a_replaced_leader_refuses_nothing_that_is_not_stored(harness):
+    """It answered that a job was cancelled; the next leader accepted it."""
+    await harness.job_requests.submit(job_spec('known'))
+    found = (await harness.store.read(LEADER_KEY)).found[0]
+    await harness.store.commit((Write(LEADER_KEY, b'x', found.mod_revision),))
+    for name in ('known', 'unknown'):
+        for _ in range(2):
+            with pytest.raises(LeadershipLostError):
+                await harness.job_requests.cancel(name, ORGANISATION)
+            await settle()
+    assert (
+        harness.job_requests.find_phase('known', ORGANISATION)
+        is JobPhase.RUNNING
+    )
+    with pytest.raises(LeadershipLostError):
+        await harness.job_requests.submit(job_spec('unknown'))
+
+
 async def test_organisations_do_not_cancel_the_jobs_of_others(harness):
     """Callers choose the ids of jobs."""
     for organisation in ('other', 'third'):
