Log a stream that its own VM closes as idle

What readers of the logs saw: streams "end with 0 bytes" in the log of one VM, without a line of the other. OPERATIONS.md says that its process ended.

Cause: a VM closes a stream on which nothing arrives for 8 s, and logged that at level debug only. Followers open streams to each other when they do not hear the leader, so these streams close 8 s later. Also, each request that failed with a stream logged its end again.

Both new tests fail without the change.

--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -115,16 +115,14 @@
         except PeerUnreachableError:
             if _is_silent(connection, sent_at_s):
                 # The stream may be dead; the next request opens a new one.
-                _log_dropped(connection, address, 'no response')
-                self._drop(address, connection)
+                self._drop(address, connection, 'no response')
             raise
 
     def close_stream(self, address: str) -> None:
         """Close the stream to ``address``; pending requests fail at once."""
         connection = self._connections.get(address)
         if connection is not None:
-            _log_dropped(connection, address, 'closed by this VM')
-            self._drop(address, connection)
+            self._drop(address, connection, 'closed by this VM')
 
     async def _connect(self, address: str) -> Connection:
         lock = self._locks.setdefault(address, asyncio.Lock())
@@ -154,8 +152,9 @@
     async def _serve(self, address: str, connection: Connection) -> None:
         try:
             await connection.run(IDLE_TIMEOUT_S)
+        except TimeoutError:
+            self._drop(address, connection, 'idle')
         except (OSError, EOFError, WireError) as exc:
-            # The idle timeout raises TimeoutError, which is an OSError.
             log_event(
                 logger,
                 'peer.stream_closed',
@@ -166,9 +165,14 @@
         finally:
             self._drop(address, connection)
 
-    def _drop(self, address: str, connection: Connection) -> None:
+    def _drop(
+        self, address: str, connection: Connection, reason: str = ''
+    ) -> None:
+        """Close ``connection``; log the ``reason`` if this VM has one."""
         if self._connections.get(address) is connection:
             self._connections.pop(address)
+            if reason:
+                _log_dropped(connection, address, reason)
         connection.close()
 
 
--- a/tests/test_node_peers.py
+++ b/tests/test_node_peers.py
@@ -1,6 +1,7 @@
 """Streams between VMs that several requests share."""
 
 import asyncio
+import logging
 
 import pytest
 from test_streams import HOST, find_free_port, make_hello
@@ -11,6 +12,7 @@
     ConfigurationRequest,
     parse_message,
 )
+from bulrushcove.node import peers as peers_module
 from bulrushcove.node.messages import SubmitOutcome, Submitted
 from bulrushcove.node.peers import MAX_SILENCE_S, SAMPLE_SIZE, Peers
 from bulrushcove.wire import encode
@@ -91,6 +93,42 @@
     assert len(rig.hellos) == 2
 
 
+def reasons_logged(caplog):
+    """Return why streams were dropped, by the log of both VMs."""
+    return [
+        record.reason
+        for record in caplog.records
+        if record.msg == 'peer.stream_dropped'
+    ]
+
+
+async def test_a_stream_closed_as_idle_is_logged(rig, caplog, monkeypatch):
+    """The log of its peer read as if the process had ended."""
+    monkeypatch.setattr(peers_module, 'IDLE_TIMEOUT_S', 0.2)
+    caplog.set_level(logging.INFO)
+    await rig.request(FAST, 1)
+    await asyncio.sleep(0.5)
+    assert reasons_logged(caplog) == ['idle']
+    closed = [
+        record.peer
+        for record in caplog.records
+        if record.msg == 'stream.closed'
+    ]
+    assert closed == [rig.peers.hello.vm]
+
+
+async def test_a_silent_stream_is_logged_once(rig, caplog):
+    """Each request that failed with the stream logged it again."""
+    caplog.set_level(logging.INFO)
+    rig.is_mute = True
+    timeout_s = MAX_SILENCE_S + 0.05
+    await asyncio.gather(
+        *(rig.request(FAST, timeout_s) for _ in range(3)),
+        return_exceptions=True,
+    )
+    assert reasons_logged(caplog) == ['no response']
+
+
 def test_few_addresses_are_passed_on_in_a_large_deployment():
     """Each pong listed all VMs: 6 KB at 300 VMs, 1,200 times a second."""
     rig = Rig()
