Keep room in a busy leader's log for lines of jobs

Cause: a process writes 400 lines a second at most and drops the others, in the order in which they come. A new leader of hundreds of workers spends nearly all of them on starts and ends of runs.

Lines that name a worker get 300 of the 400, so that what a process can write does not grow.

--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -27,6 +27,8 @@
 )
 # Enough for a busy scheduler; writing a line takes about 40 microseconds.
 MAX_LINES_PER_S = 400
+# The others are left to jobs, callers and leaders, whose lines are few.
+MAX_WORKER_LINES_PER_S = 300
 # Errors remembered so that each is logged once; beyond, some are logged again.
 MAX_LOGGED_ERRORS = 256
 CHARACTERS_TO_QUOTE = frozenset(' ="\n\r\t\\')
@@ -89,9 +91,10 @@
 class BoundedHandler(logging.Handler):
     """Writes lines to a file descriptor without ever blocking the process.
 
-    Drops lines beyond ``MAX_LINES_PER_S``, except errors, and while the
-    reader does not keep up. The next line that is written carries the number
-    of lines dropped before it.
+    Drops lines beyond ``MAX_LINES_PER_S``, those that name a worker beyond
+    ``MAX_WORKER_LINES_PER_S``, errors excepted, and lines that the reader does
+    not keep up with. The next line that is written carries the number of lines
+    dropped before it.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -101,6 +104,7 @@
         self._descriptor = descriptor
         self._current_second = 0
         self._lines_in_second = 0
+        self._worker_lines_in_second = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -109,11 +113,8 @@
         if second != self._current_second:
             self._current_second = second
             self._lines_in_second = 0
-        self._lines_in_second += 1
-        if (
-            self._lines_in_second > MAX_LINES_PER_S
-            and record.levelno < logging.ERROR
-        ):
+            self._worker_lines_in_second = 0
+        if self._is_beyond_limit(record):
             self.dropped += 1
             return
         line = self.format(record)
@@ -127,6 +128,18 @@
         else:
             self.dropped = 0
 
+    def _is_beyond_limit(self, record: logging.LogRecord) -> bool:
+        """Count the line of ``record``; return whether it is dropped."""
+        if hasattr(record, 'worker') and record.levelno < logging.ERROR:
+            self._worker_lines_in_second += 1
+            if self._worker_lines_in_second > MAX_WORKER_LINES_PER_S:
+                return True
+        self._lines_in_second += 1
+        return (
+            self._lines_in_second > MAX_LINES_PER_S
+            and record.levelno < logging.ERROR
+        )
+
 
 def setup_bounded_logs(level: str = 'info') -> None:
     """Log key=value pairs to standard output through ``BoundedHandler``."""
