Send stops that found no link to their worker once there is one

What callers would see: a run of a cancelled job goes on, and the polls renew its lease; found by reading, in no record.

Cause: a stop is sent through the link to its worker. A worker listed with another address has none until its first poll is due; a stop ordered then was dropped, and the new link sent only the stops that the old one had sent before. A run whose start was confirmed before is not looked at again when a report lists it.

Now a new link sends the stops of all runs that are to be stopped: each has a stop reason, set where the stop is decided.

Evidence: the test of this commit fails on (no stop is sent) and passes with the change; tests/test_node_worker_link.py and tests/test_node_leader_changes.py pass.

--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from ..batch.engine import Engine
-from ..batch.job_state import Allocation, AllocationPhase
+from ..batch.job_state import Allocation
 from ..batch.membership import mark_unlisted, record_entry
 from ..batch.workers import Worker, WorkerEntry
 from ..clock import Clock
@@ -197,7 +197,7 @@
             self.order_stops(
                 allocation
                 for allocation in worker.allocations.values()
-                if allocation.phase is AllocationPhase.STOPPING
+                if allocation.stop_reason is not None
             )
             await _wait_for_first_poll(link)
 
--- a/tests/test_node_worker_registry.py
+++ b/tests/test_node_worker_registry.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from batch_builders import Bench, entry, report
+from batch_builders import Bench, entry, job_spec, report
 from fake_watchable_store import FakeWatchableStore
 from test_node_worker_link import FakeWorkerClient, RecordingEventHandler
 
@@ -34,17 +34,17 @@
     """Workers in the store; those named ``dark-...`` are silent."""
 
     def __init__(self):
-        bench = Bench()
+        self.bench = Bench()
         # Addresses that workers have moved to, and the clients made.
         self.addresses = {}
         self.clients = []
-        self.engine = bench.engine
+        self.engine = self.bench.engine
         self.store = FakeWatchableStore(ManualClock())
         self.registry = WorkerRegistry(
             self.engine,
             self.store,
             WorkerAdapter('', self.decode, self.make_client, lambda _: None),
-            RecordingEventHandler(bench),
+            RecordingEventHandler(self.bench),
             epoch=Epoch(1),
             settings=SimpleNamespace(
                 max_lease_ms=8000, cpu_cores=SMALL_VM_CORES
@@ -82,6 +82,12 @@
         ]
 
 
+async def wait_for(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 @pytest.fixture
 async def deployment(monkeypatch):
     monkeypatch.setattr(registry_module, 'FIRST_POLL_SLOT_S', 0.01)
@@ -129,9 +135,31 @@
     await asyncio.sleep(0.05)
     old_link = deployment.registry.find_link('w1')
     await deployment.move('w1', 'elsewhere:80')
-    async with asyncio.timeout(5):
-        while deployment.registry.find_link('w1') is old_link:
-            await asyncio.sleep(0.01)
+    await wait_for(lambda: deployment.registry.find_link('w1') is not old_link)
     await asyncio.sleep(0.05)
     assert deployment.clients == [('w1', 'w1:80'), ('w1', 'elsewhere:80')]
     assert old_link.should_stop
+
+
+async def test_a_stop_that_found_no_link_is_sent_once_there_is_one(
+    deployment, monkeypatch
+):
+    """The run of a cancelled job went on, and its lease was renewed."""
+    monkeypatch.setattr(registry_module, 'ENTRY_BATCHING_DELAY_S', 0.01)
+    await deployment.list_workers('w1')
+    await deployment.registry.start()
+    await asyncio.sleep(0.05)
+    registry = deployment.registry
+    deployment.bench.submit(job_spec('job'))
+    (run,) = deployment.bench.start_all().starts
+    # Other workers are polled first.
+    registry._first_polls = asyncio.Semaphore(0)
+    await deployment.move('w1', 'elsewhere:80')
+    await wait_for(lambda: registry.find_link('w1') is None)
+    registry.order_stops(
+        deployment.engine.cancel(run.unit.job, unix_ms=1, now_s=1)
+    )
+    registry._first_polls.release()
+    await wait_for(lambda: registry.find_link('w1') is not None)
+    await asyncio.sleep(0.05)
+    assert registry.find_link('w1').client.stops == [run.ref]
