Take a transaction that failed in the store for one that may be stored

What callers would see: 503 to a submission, which says that the job never runs, and the job runs all the same; found by reading, in no record.

Cause: any status of a transaction but 200 and 412 counted as 'had no effect', also 500, 502 and 504. Such a write can be withdrawn. The store promises that nothing was done for 503 only; 4xx are rejections of the call.

Now a 5xx other than 503 leaves the outcome open, as a lost response does: the write is repeated under its conditions, and not withdrawn. The same holds for the calls about leases.

Evidence: the test fails on for 500, 502 and 504, and passes with the change; 4xx, 429 and 503 are rejections as before. tests/test_platform_store.py, test_node_store_writer.py, test_node_relayed_store.py, test_node_leadership.py and test_standin_platform.py pass.

--- a/src/bulrushcove/platform/store.py
+++ b/src/bulrushcove/platform/store.py
@@ -291,6 +291,8 @@
             raise StoreOutcomeUnknownError(str(exc)) from exc
         if reply.status in _REJECTED_STATUSES:
             raise StoreUnavailableError(f'{path}: status {reply.status}')
+        if reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            raise StoreOutcomeUnknownError(f'{path}: status {reply.status}')
         return reply
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,10 +7,15 @@
 import pytest
 
 from bulrushcove.clock import SystemClock
-from bulrushcove.exceptions import StoreLinkBusyError, StoreUnavailableError
+from bulrushcove.exceptions import (
+    StoreLinkBusyError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
 from bulrushcove.node.adaptive_timeout import MAX_TIMEOUT_S, MIN_TIMEOUT_S
 from bulrushcove.platform import http_client as client_module
 from bulrushcove.platform.store import PlatformStore
+from bulrushcove.store import Write
 
 HOST = '127.0.0.1'
 VALUE = b'x' * 150_000
@@ -38,6 +43,8 @@
         self.parts_sent = PART_COUNT
         self.is_mute = False
         self.small_delay_s = 0.0
+        # Status of the response to a transaction.
+        self.status = 200
 
     async def handle(self, reader, writer):
         self.writers.append(writer)
@@ -50,7 +57,10 @@
             self.paths.append(path)
             if self.is_mute:
                 continue
-            if path == '/api/kv-keep/1':
+            if path == '/api/kv-txn':
+                writer.write(b'HTTP/1.1 %d X\r\n' % self.status)
+                writer.write(b'Content-Length: 0\r\n\r\n')
+            elif path == '/api/kv-keep/1':
                 await asyncio.sleep(self.small_delay_s)
                 await self.send(writer, json.dumps({'current-rev': 7}).encode())
             else:
@@ -161,3 +171,20 @@
     assert await rig.client.renew_lease(1)
     await large_read
     assert rig.client._adaptive_timeout.timeout_s == MIN_TIMEOUT_S
+
+
+@pytest.mark.parametrize('status', [500, 502, 504])
+async def test_a_transaction_that_failed_in_the_store_may_be_stored(
+    rig, status
+):
+    """Its submission was withdrawn and refused with 503, which is final."""
+    rig.server.status = status
+    with pytest.raises(StoreOutcomeUnknownError):
+        await rig.client.commit((Write('k', b'v', 0),))
+
+
+@pytest.mark.parametrize('status', [400, 404, 413, 429, 503])
+async def test_a_transaction_that_the_store_rejected_had_no_effect(rig, status):
+    rig.server.status = status
+    with pytest.raises(StoreUnavailableError):
+        await rig.client.commit((Write('k', b'v', 0),))
