--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -33,6 +33,8 @@
         self.start_outcome = OrderOutcome.DONE
         # Outcomes of the first starts; later ones get ``start_outcome``.
         self.initial_start_outcomes = []
+        # Outcomes of the first stops; later ones are carried out.
+        self.initial_stop_outcomes = []
 
     async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
         self.leases.append(lease_end_ms)
@@ -52,6 +54,8 @@
 
     async def stop(self, epoch, ref):
         self.stops.append(ref)
+        if self.initial_stop_outcomes:
+            return OrderReply(self.initial_stop_outcomes.pop(0), 1000)
         return OrderReply(OrderOutcome.DONE, 1000)
 
     async def close(self):
@@ -367,3 +371,36 @@
     harness.event_handler.has_authority = True
     await settle()
     assert harness.client.stops == [harness.allocation.ref]
+
+
+@pytest.mark.parametrize(
+    'outcome',
+    [
+        OrderOutcome.UNKNOWN,
+        OrderOutcome.NOT_SENT,
+        OrderOutcome.UNHEALTHY,
+        OrderOutcome.OTHER_WORKER,
+    ],
+)
+async def test_a_stop_is_sent_until_the_worker_carries_it_out(
+    harness, outcome, monkeypatch
+):
+    monkeypatch.setattr(orders_module, 'STOP_RETRY_S', 0.001)
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    harness.client.initial_stop_outcomes = [outcome, outcome]
+    harness.link.orders.order_stop(harness.allocation)
+    await settle()
+    assert len(harness.client.stops) == 3
+    assert set(harness.client.stops) == {harness.allocation.ref}
+    assert harness.allocation.stop_confirmed_at_s is not None
+
+
+async def test_a_run_that_ended_is_not_stopped_again(harness):
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    harness.client.initial_stop_outcomes = [OrderOutcome.UNKNOWN]
+    harness.link.orders.order_stop(harness.allocation)
+    harness.worker.allocations.clear()
+    await settle()
+    assert harness.client.stops == []
