Soak: callers leave a submission and cancel it at another VM

The soak did not see it: its callers waited 3 s for an answer, so a VM had no time left to send the submission to the next leader after they had cancelled; and it excused runs that end late while faults are about.

Now, while the leader is suspended or dead and not replaced, callers leave 0.01 to 0.6 s after they sent a submission, and cancel at another VM until that is answered with 200 or 410. What runs on after a 410 is a violation also while faults are about: the job was accepted after the answer.

--- a/dev/node_soak.py
+++ b/dev/node_soak.py
@@ -22,7 +22,7 @@
     check_task,
 )
 from dev.node_soak_faults import MAX_PAUSE_S, NodeFaults
-from dev.platform_standin.deployment import Deployment
+from dev.platform_standin.deployment import Deployment, Node
 
 LOAD_DURATION_S = 12.0
 # Accepted jobs must end within this time of the last fault: covers the longest
@@ -34,6 +34,13 @@
 CANCEL_RETRY_S = 0.3
 SUBMIT_INTERVAL_S = 0.5
 QUERY_INTERVAL_S = 0.1
+# Callers that leave without an answer, while the leader is lost: how often they
+# come, when they leave, and how long their tasks take: longer than a cancelled
+# job may run.
+LEAVE_INTERVAL_S = 0.05
+EARLIEST_LEAVE_S = 0.01
+LATEST_LEAVE_S = 0.6
+LEFT_TASK_DURATION_S = 6.0
 RECENT_JOBS = 4
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -57,9 +64,31 @@
     is_cancel_sent: bool = False
     # The state with which it was acknowledged.
     acknowledged_state: str = ''
+    # Whether it was acknowledged with 410: no such job was accepted before.
+    is_cancelled_unknown: bool = False
     payload: str = ''
     state: str = ''
 
+    def note_answer(self, status: int) -> None:
+        """Note the answer to a submission; 0: there was none."""
+        self.is_accepted = self.is_accepted or status == STATUS_OK
+        self.is_always_refused = (
+            self.is_always_refused and status in REFUSED_STATUSES
+        )
+
+    def check_cancelled(
+        self, task: str, history: list[RunEvent], undisturbed_since_s: float
+    ) -> list[str]:
+        """Return how a task breaks the bounds if the job was cancelled."""
+        if self.cancelled_at_s is None:
+            return []
+        if self.is_cancelled_unknown:
+            # It was accepted after the answer, which no fault excuses.
+            undisturbed_since_s = self.cancelled_at_s
+        return check_cancelled_task(
+            task, history, self.cancelled_at_s, undisturbed_since_s
+        )
+
     @property
     def possible_states(self) -> frozenset[str]:
         """Return the states in which the job may have ended.
@@ -103,6 +132,7 @@
                 self._faults.inject(end_s),
                 self._faults.suspend_leader(self._load_random),
                 self._query_jobs(end_s),
+                self._submit_and_leave(end_s),
             )
             await self._faults.clear()
             self._violations.extend(await self._wait_for_ends())
@@ -136,13 +166,11 @@
                 {'count': 1, 'cpu': 1000, 'gpu': 1, 'after': [0]}
             )
         for _ in range(source.randint(1, 3)):
-            status = await self._submit(source, job, body)
+            node = source.randrange(len(self.deployment.nodes))
+            status, _ = await self._call_node(node, 'POST', job, json=body)
             submitted = self.jobs[job]
             submitted.payload = body['spec']
-            submitted.is_accepted = submitted.is_accepted or status == STATUS_OK
-            submitted.is_always_refused = (
-                submitted.is_always_refused and status in REFUSED_STATUSES
-            )
+            submitted.note_answer(status)
             if status == STATUS_OK:
                 break
         has_no_answer = not self.jobs[job].is_accepted and not status
@@ -150,15 +178,54 @@
         if has_no_answer or is_unwanted:
             await self._cancel_job(job)
 
-    async def _cancel_job(self, job: str) -> None:
-        """Cancel a job, repeatedly until that is acknowledged."""
+    async def _submit_and_leave(self, end_s: float) -> None:
+        """Submit while the leader is lost; leave before there is an answer."""
+        async with asyncio.TaskGroup() as callers:
+            while time.monotonic() < end_s:
+                await asyncio.sleep(LEAVE_INTERVAL_S)
+                leader = self._faults.find_lost_leader()
+                if leader is not None:
+                    callers.create_task(self._submit_one_and_leave(leader))
+
+    async def _submit_one_and_leave(self, lost_leader: Node) -> None:
+        source = self._load_random
+        job = f'{source.getrandbits(64):016x}'
+        followers = [
+            index
+            for index, node in enumerate(self.deployment.nodes)
+            if node is not lost_leader
+        ]
+        node, other_node = source.sample(followers, 2)
+        payload = str(LEFT_TASK_DURATION_S)
+        submitted = self.jobs[job]
+        submitted.payload = payload
+        status, _ = await self._call_node(
+            node,
+            'POST',
+            job,
+            timeout_s=source.uniform(EARLIEST_LEAVE_S, LATEST_LEAVE_S),
+            json={
+                'spec': payload,
+                'steps': [{'count': 1, 'cpu': 1000, 'gpu': 1}],
+            },
+        )
+        submitted.note_answer(status)
+        if not status:
+            await self._cancel_job(job, other_node)
+
+    async def _cancel_job(self, job: str, node: int | None = None) -> None:
+        """Cancel a job, repeatedly until that is acknowledged.
+
+        At ``node`` if it is given, else at any node.
+        """
         submitted = self.jobs[job]
         for _ in range(MAX_CANCEL_ATTEMPTS):
             submitted.is_cancel_sent = True
-            status, state = await self._call_any('DELETE', job)
+            status, state = await self._call_any('DELETE', job, node)
             if status in {STATUS_OK, STATUS_GONE}:
                 submitted.cancelled_at_s = time.time()
                 submitted.acknowledged_state = state
+                submitted.is_cancelled_unknown = status == STATUS_GONE
                 return
             await asyncio.sleep(CANCEL_RETRY_S)
 
@@ -179,9 +246,12 @@
                     job = self._load_random.choice(accepted[-RECENT_JOBS:])
                     queries.create_task(self._call_any('GET', job))
 
-    async def _call_any(self, method: str, job: str) -> tuple[int, str]:
-        """Call any node about a job; record an answer that is wrong."""
-        node = self._load_random.randrange(len(self.deployment.nodes))
+    async def _call_any(
+        self, method: str, job: str, node: int | None = None
+    ) -> tuple[int, str]:
+        """Call ``node``, or any, about a job; record a wrong answer."""
+        if node is None:
+            node = self._load_random.randrange(len(self.deployment.nodes))
         status, state = await self._call_node(node, method, job)
         if status == STATUS_GONE and self.jobs[job].is_accepted:
             self._violations.append(
@@ -190,20 +260,18 @@
             )
         return status, state
 
-    async def _submit(
-        self, source: random.Random, job: str, body: dict[str, object]
-    ) -> int:
-        """Submit a job at a random node; return the status."""
-        node = source.randrange(len(self.deployment.nodes))
-        status, _ = await self._call_node(node, 'POST', job, json=body)
-        return status
-
     async def _call_node(
-        self, node: int, method: str, job: str, **request_options: object
+        self,
+        node: int,
+        method: str,
+        job: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        **request_options: object,
     ) -> tuple[int, str]:
         """Return status and state of the response; status 0: there was none."""
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 status, body = await self.deployment.call(
                     method, job, node=node, **request_options
                 )
@@ -261,15 +329,11 @@
                 violations.append(
                     f'{task}: ran although every submission was refused'
                 )
-            if submitted.cancelled_at_s is not None:
-                violations.extend(
-                    check_cancelled_task(
-                        task,
-                        history,
-                        submitted.cancelled_at_s,
-                        self._faults.ended_at_s + CONTACT_S,
-                    )
+            violations.extend(
+                submitted.check_cancelled(
+                    task, history, self._faults.ended_at_s + CONTACT_S
                 )
+            )
         return violations
 
     def _check_start_orders(self) -> list[str]:
--- a/dev/node_soak_faults.py
+++ b/dev/node_soak_faults.py
@@ -26,6 +26,7 @@
         self.names: list[str] = []
         # When the last fault ended, in Unix time.
         self.ended_at_s = 0.0
+        self._suspended: set[Node] = set()
 
     def draw_one_in(self, count: int) -> bool:
         """Return True once in ``count`` times."""
@@ -56,11 +57,17 @@
             await asyncio.sleep(SEARCH_INTERVAL_S)
             leader = self._find_leader()
         self.names.append('suspend_leader')
-        leader.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(LEADER_SUSPENSION_S)
-        leader.send_signal(signal.SIGCONT)
+        await self._suspend(leader, LEADER_SUSPENSION_S)
         self.ended_at_s = time.time()
 
+    def find_lost_leader(self) -> Node | None:
+        """Return the leader if it is suspended or dead and not replaced yet."""
+        leader = self._find_leader()
+        if leader is None or leader in self._suspended:
+            return leader
+        is_dead = leader.process.returncode is not None
+        return leader if is_dead else None
+
     async def clear(self) -> None:
         """End all faults and wait until the nodes are ready."""
         self.deployment.store.responses_to_drop = 0
@@ -86,9 +93,14 @@
         )
 
     async def _pause_node(self, node: Node) -> None:
+        await self._suspend(node, self.random.uniform(0.5, MAX_FAULT_S))
+
+    async def _suspend(self, node: Node, duration_s: float) -> None:
         node.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.5, MAX_FAULT_S))
+        self._suspended.add(node)
+        await asyncio.sleep(duration_s)
         node.send_signal(signal.SIGCONT)
+        self._suspended.discard(node)
 
     async def _disrupt_store_connection(self, node: Node) -> None:
         mode = self.random.choice(list(ProxyMode)[1:])
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dev.node_soak import Soak
+from dev.node_soak import Soak, SubmittedJob
 from dev.node_soak_checks import (
     check_cancelled_task,
     check_start_order,
@@ -60,6 +60,15 @@
     assert check_cancelled_task('t', history, 10, 20) == []
 
 
+@pytest.mark.parametrize('is_unknown', [False, True])
+def test_check_reports_a_job_accepted_after_its_cancellation(is_unknown):
+    """A fault may keep a run from being stopped, but not excuse its start."""
+    submitted = SubmittedJob(cancelled_at_s=10, is_cancelled_unknown=is_unknown)
+    history = [(12.9, 'begin', 't', 1), (20.3, 'done', 't', 1)]
+    violations = submitted.check_cancelled('t', history, 20)
+    assert bool(violations) == is_unknown
+
+
 @pytest.mark.parametrize(
     'order',
     [StartOrder('t', 'other', ''), StartOrder('t', 'work', 'of another task')],
