--- a/src/bulrushcove/batch/cancellations.py
+++ b/src/bulrushcove/batch/cancellations.py
@@ -1,10 +1,11 @@
 """Cancellations of jobs that were not known when they were cancelled.
 
 The submission of such a job may still arrive: another VM holds it, or sends it
-again to the next leader. The cancellation was answered, so it is refused.
+again to the next leader. It is refused then, as the cancellation was answered.
 """
 
 from collections.abc import Iterable
+from itertools import takewhile
 
 import msgspec
 
@@ -12,8 +13,7 @@
 from ..ids import JobId, OrganisationId
 from .exceptions import JobCancelledError, RecordError
 
-# Longer than a submission can be on its way: VMs send it again for 60 s at
-# most, and a stream that is cut off delivers what it holds for some minutes.
+# Longer than a VM sends a submission again, and than a stream may hold it.
 CANCELLATION_RETENTION_S = 600.0
 
 _encoder = msgspec.msgpack.Encoder()
@@ -51,10 +51,11 @@
 
 
 class Cancellations:
-    """Ids of unknown jobs that were cancelled, by the leader's memory."""
+    """Cancelled ids of unknown jobs, as the leader holds them."""
 
     def __init__(self) -> None:
         """Start without any."""
+        # In the order of their latest cancellations.
         self._by_job: dict[JobId, _Cancellation] = {}
 
     def add(
@@ -63,18 +64,16 @@
         organisations: Iterable[OrganisationId],
         cancelled_at_s: float,
     ) -> tuple[OrganisationId, ...]:
-        """Refuse ``job`` to ``organisations`` from now on.
+        """Record that ``organisations`` cancelled ``job``.
 
-        Returns all organisations to which it is refused, sorted.
+        ``cancelled_at_s`` must not decrease from call to call. Returns all
+        organisations that have cancelled it, sorted.
         """
-        cancellation = self._by_job.setdefault(
-            job, _Cancellation(set(), cancelled_at_s)
-        )
-        cancellation.organisations.update(organisations)
-        cancellation.cancelled_at_s = max(
-            cancellation.cancelled_at_s, cancelled_at_s
-        )
-        return tuple(sorted(cancellation.organisations))
+        known = self._by_job.pop(job, None)
+        cancelled_by = known.organisations if known else set()
+        cancelled_by.update(organisations)
+        self._by_job[job] = _Cancellation(cancelled_by, cancelled_at_s)
+        return tuple(sorted(cancelled_by))
 
     def refuse_cancelled(
         self, job: JobId, organisation: OrganisationId
@@ -88,11 +87,13 @@
 
     def remove_expired(self, now_s: float) -> list[JobId]:
         """Remove those past their retention time; returns their jobs."""
-        expired = [
-            job
-            for job, cancellation in self._by_job.items()
-            if now_s - cancellation.cancelled_at_s > CANCELLATION_RETENTION_S
-        ]
+        oldest_s = now_s - CANCELLATION_RETENTION_S
+        expired = list(
+            takewhile(
+                lambda job: self._by_job[job].cancelled_at_s < oldest_s,
+                self._by_job,
+            )
+        )
         for job in expired:
             self._by_job.pop(job)
         return expired
