Name the epoch in the log lines of a job

The clocks of VMs differ, and tenure.won may be cut off: whether a job was accepted before or after its cancellation was answered follows from the epochs, which every VM sees in one order. submission.accepted_late is named answered_late, as it also tells of jobs that had been accepted before, and cancelled since.

--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -62,6 +62,22 @@
         # Writes of cancellations that are not stored yet.
         self._cancellation_writes: dict[JobId, PendingWrite] = {}
 
+    def log_job_event(self, event: str, job: Job) -> None:
+        """Log ``event`` with the terms, phase and size of ``job``."""
+        terms = job.spec.terms
+        log_event(
+            logger,
+            event,
+            job=job.id,
+            queue=terms.queue,
+            organisation=terms.organisation,
+            priority=terms.priority,
+            phase=job.phase.value,
+            tasks=sum(unit.size for unit in job.units),
+            epoch=self.store_writer.epoch,
+            reason=job.reason or None,
+        )
+
     def write_submission(self, job: Job) -> None:
         """Write the submission of an accepted job."""
         write = self.store_writer.put(job_key(job.id), encode_submission(job))
@@ -83,7 +99,7 @@
 
     def write_end(self, job: Job) -> None:
         """Write the end of ``job``; it is shown as running until stored."""
-        log_job_event('job.ended', job)
+        self.log_job_event('job.ended', job)
         _track(self._end_writes, job.id, self.write_progress(job))
 
     def pending_end(self, job: JobId) -> PendingWrite | None:
@@ -169,27 +185,13 @@
 ) -> None:
     """Add those that a new leader has loaded to ``cancellations``."""
     now_s = clock.monotonic_s()
-    for job, record in loaded:
+    for job, record in sorted(
+        loaded, key=lambda found: found[1].cancelled_unix_ms
+    ):
         age_s = _age_s(record.cancelled_unix_ms, clock)
         cancellations.add(job, record.organisations, now_s - age_s)
 
 
-def log_job_event(event: str, job: Job) -> None:
-    """Log ``event`` with the terms, phase and size of ``job``."""
-    terms = job.spec.terms
-    log_event(
-        logger,
-        event,
-        job=job.id,
-        queue=terms.queue,
-        organisation=terms.organisation,
-        priority=terms.priority,
-        phase=job.phase.value,
-        tasks=sum(unit.size for unit in job.units),
-        reason=job.reason or None,
-    )
-
-
 def _restore(
     item: StoredValue, encoded_progress: bytes | None, clock: Clock
 ) -> Job:
--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -99,7 +99,9 @@
             attempts += 1
             response = await self._submit_once(spec, left_s)
             if response.outcome is SubmitOutcome.ACCEPTED:
-                _log_accepted(spec.job, attempts, self._ms_since(started_at_s))
+                _log_late_acceptance(
+                    spec.job, attempts, self._ms_since(started_at_s)
+                )
                 return
             _raise_if_final(response, may_be_accepted)
             if response.outcome is SubmitOutcome.UNKNOWN:
@@ -370,12 +372,15 @@
         return response
 
 
-def _log_accepted(job: JobId, attempts: int, elapsed_ms: int) -> None:
-    """Log a submission that was accepted only when it was sent again."""
+def _log_late_acceptance(job: JobId, attempts: int, elapsed_ms: int) -> None:
+    """Log a submission that was answered only when it was sent again.
+
+    The job may have been accepted at an earlier attempt, or ended since.
+    """
     if attempts > 1:
         log_event(
             logger,
-            'submission.accepted_late',
+            'submission.answered_late',
             job=job,
             attempts=attempts,
             ms=elapsed_ms,
--- a/src/bulrushcove/node/job_requests.py
+++ b/src/bulrushcove/node/job_requests.py
@@ -13,7 +13,7 @@
 from ..clock import Clock
 from ..ids import JobId, OrganisationId
 from .exceptions import ServiceUnavailableError
-from .job_records import JobRecords, PendingWrite, log_job_event
+from .job_records import JobRecords, PendingWrite
 from .metrics import NodeMetrics
 from .store_writer import WriteWithdrawnError
 
@@ -59,13 +59,13 @@
                 now_s=self._clock.monotonic_s(),
             )
         except JobCancelledError:
-            # Not final before a new leader would know it.
-            await _wait_until_done(self._records.pending_cancellation(spec.job))
+            # Until it is stored, a new leader would accept the job.
+            await _wait_if_pending(self._records.pending_cancellation(spec.job))
             raise
         if is_new:
             self._records.write_submission(job)
             self._metrics.record_accepted_job(job)
-            log_job_event('job.accepted', job)
+            self._records.log_job_event('job.accepted', job)
             # The record of the first run often fits in the same transaction.
             self.run_pass()
         write = self._records.pending_submission(job.id)
@@ -86,13 +86,13 @@
             # A repeated call also waits: a new leader must not undo what was
             # reported as cancelled.
             try:
-                await _wait_until_done(self._records.pending_end(job_id))
+                await _wait_if_pending(self._records.pending_end(job_id))
             except WriteWithdrawnError:
                 # It was not accepted after all, but may be submitted again.
                 job = self._find_job(job_id, organisation)
             else:
                 return job.phase
-        await self._refuse_later(job_id, organisation)
+        await self._record_cancellation(job_id, organisation)
         return None
 
     def find_phase(
@@ -117,10 +117,10 @@
         self._records.write_end(job)
         self.stop_runs(stops)
 
-    async def _refuse_later(
+    async def _record_cancellation(
         self, job_id: JobId, organisation: OrganisationId
     ) -> None:
-        """Refuse submissions of an unknown job; return once that is stored."""
+        """Record the cancellation of an unknown job; return once stored."""
         organisations = self._engine.cancellations.add(
             job_id, (organisation,), self._clock.monotonic_s()
         )
@@ -140,7 +140,7 @@
             if self._records.withdraw(job):
                 # No start was sent: starts wait until their record is stored.
                 self._engine.discard_job(job)
-                log_job_event('job.withdrawn', job)
+                self._records.log_job_event('job.withdrawn', job)
         try:
             await asyncio.shield(write)
         except WriteWithdrawnError as exc:
@@ -163,8 +163,8 @@
         return job
 
 
-async def _wait_until_done(write: PendingWrite | None) -> None:
-    """Wait for a write; None: there is none."""
+async def _wait_if_pending(write: PendingWrite | None) -> None:
+    """Wait until ``write`` is stored; None: nothing waits to be stored."""
     if write is not None:
         await asyncio.shield(write)
 
--- a/src/bulrushcove/node/store_writer.py
+++ b/src/bulrushcove/node/store_writer.py
@@ -65,6 +65,7 @@
         # Last known store revision of each key; zero: absent.
         self.revisions: dict[str, int] = {}
         self.transaction_count = 0
+        self.epoch = leader.epoch
         self._store = store
         self._leadership = leadership
         self._leader = leader
--- a/tests/test_node_job_requests.py
+++ b/tests/test_node_job_requests.py
@@ -1,4 +1,4 @@
-"""Submissions and cancellations while the store is unavailable."""
+"""Submissions and cancellations on the leader."""
 
 import asyncio
 
