--- a/src/bulrushcove/node/store_writer.py
+++ b/src/bulrushcove/node/store_writer.py
@@ -62,7 +62,7 @@
     ) -> None:
         """Write as long as ``leader`` is the record in the store."""
         super().__init__()
-        # Last known store revision of each key; zero: absent.
+        # Last known store revision of each key that is in the store.
         self.revisions: dict[str, int] = {}
         self.transaction_count = 0
         self.epoch = leader.epoch
@@ -193,8 +193,10 @@
             self._leadership.confirm(sent_at_s)
             for key, pending in batch.writes.items():
                 is_deleted = pending.value is None
-                self.revisions[key] = (
-                    0 if is_deleted else response.store_revision
+                _record_revision(
+                    self.revisions,
+                    key,
+                    0 if is_deleted else response.store_revision,
                 )
                 _resolve(pending)
             batch.writes.clear()
@@ -266,7 +268,7 @@
             return False
         for key, pending in tuple(batch.items()):
             found = current.get(key, _absent_value(key))
-            self.revisions[key] = found.mod_revision
+            _record_revision(self.revisions, key, found.mod_revision)
             stored_value = found.value if found.mod_revision else None
             if stored_value == pending.value:
                 _resolve(pending)
@@ -302,6 +304,16 @@
         return False
 
 
+def _record_revision(
+    revisions: dict[str, int], key: str, revision: int
+) -> None:
+    """Record the store revision of ``key``; zero: it is absent."""
+    if revision:
+        revisions[key] = revision
+    else:
+        revisions.pop(key, None)
+
+
 def _fail(writes: dict[str, PendingWrite]) -> None:
     for key, pending in writes.items():
         if not pending.stored.done():
--- a/tests/test_node_store_writer.py
+++ b/tests/test_node_store_writer.py
@@ -365,3 +365,15 @@
         await wait_until_stored(store_writer.put('other', b'1'))
     assert store_writer._leadership.step_down_reason
     await store_writer.stop()
+
+
+async def test_revisions_of_deleted_records_are_forgotten():
+    """They stayed for each job that a leader had ever removed."""
+    store = FakeWatchableStore()
+    store_writer = await open_store_writer(store)
+    for value in (b'v', None):
+        await wait_until_stored(store_writer.put('k', value))
+    assert store_writer.revisions == {}
+    await wait_until_stored(store_writer.put('k', b'v'))
+    assert store_writer.revisions == {'k': store.values['k'].mod_revision}
+    await store_writer.stop()
