--- a/tests/test_cancelled_submissions.py
+++ b/tests/test_cancelled_submissions.py
@@ -11,6 +11,7 @@
 from dev.platform_standin.deployment import Deployment
 
 ACCEPTED_JOB = '5c0e7a21d94b36f8'
+OTHER_JOB = '5c0e7a21d94b36f9'
 NODES = 3
 JOBS = 16
 # When callers leave, in seconds after their submission.
@@ -67,13 +68,41 @@
     return violations
 
 
-async def test_a_job_that_was_cancelled_before_is_refused_by_every_vm():
-    """It was accepted: 410 to its cancellation bound nobody."""
+async def wait_for_leader(deployment, node):
+    """Wait until a leader answers calls at ``node``."""
+    async with asyncio.timeout(ACKNOWLEDGEMENT_TIMEOUT_S):
+        status = 503
+        while status == 503:
+            status, _ = await deployment.call('GET', OTHER_JOB, node=node)
+
+
+def count_refused(deployment):
+    """Return how many submissions were refused as cancelled before."""
+    return sum(
+        node.log_path.read_text(encoding='utf-8').count(
+            'was cancelled before it was accepted'
+        )
+        for node in deployment.nodes
+    )
+
+
+@pytest.mark.parametrize('is_leader_killed', [False, True])
+async def test_a_job_that_was_cancelled_before_is_refused_by_every_vm(
+    is_leader_killed,
+):
+    """410 to its cancellation had no effect on its submission."""
     body = {'spec': '6', 'steps': [{'count': 1, 'cpu': 1000, 'gpu': 1}]}
     async with Deployment(nodes=NODES) as deployment:
+        assert await deployment.submit(OTHER_JOB) == 200
         status, _ = await deployment.call('DELETE', ACCEPTED_JOB, node=1)
         assert status == 410
-        for node in range(NODES):
+        remaining = list(range(NODES))
+        if is_leader_killed:
+            leader = deployment.find_leader()
+            await leader.stop(signal.SIGKILL)
+            remaining.remove(deployment.nodes.index(leader))
+            await wait_for_leader(deployment, remaining[0])
+        for node in remaining:
             status, answer = await deployment.call(
                 'POST', ACCEPTED_JOB, node=node, json=body
             )
@@ -82,7 +111,11 @@
             status, _ = await deployment.call('GET', ACCEPTED_JOB, node=node)
             assert status == 410
         status, _ = await deployment.call(
-            'POST', ACCEPTED_JOB, json=body, credential='key-2'
+            'POST',
+            ACCEPTED_JOB,
+            node=remaining[0],
+            json=body,
+            credential='key-2',
         )
         assert status == 200
 
@@ -125,3 +158,6 @@
         await asyncio.sleep(CANCEL_S + STOP_S)
         assert cancelled_at_s
         assert find_violations(deployment, cancelled_at_s) == []
+        if leader_signal is signal.SIGSTOP:
+            # Some were sent again after their cancellation was answered.
+            assert count_refused(deployment)
