--- a/dev/platform_standin/deployment.py
+++ b/dev/platform_standin/deployment.py
@@ -180,35 +180,11 @@
 
     async def __aenter__(self) -> 'Deployment':
         """Start all servers and processes; wait until the nodes are ready."""
-        ports = choose_ports(2 + len(self.workers) + 5 * self._node_count)
-        adviser_address = f'{HOST}:{ports.pop()}'
-        await self._start_server(
-            self.adviser.make_application(), adviser_address
-        )
-        store_address = f'{HOST}:{ports.pop()}'
-        await self._start_server(self.store.make_application(), store_address)
-        for worker in self.workers:
-            address = f'{HOST}:{ports.pop()}'
-            self._addresses[worker.worker_id] = address
-            await self._start_server(worker.make_application(), address)
-            self.register_worker(worker)
-        self.write_configuration(CONFIG)
-        for number in range(self._node_count):
-            node_ports = [ports.pop() for _ in range(4)]
-            proxy = Proxy(ports.pop(), int(store_address.partition(':')[2]))
-            await proxy.start()
-            proxy_address = f'{HOST}:{proxy.port}'
-            node = Node(
-                f'vm-{number}', node_ports, proxy_address, adviser_address
-            )
-            node.proxy = proxy
-            self.nodes.append(node)
-        self.http = aiohttp.ClientSession()
-        seeds = [node.stream_address for node in self.nodes]
-        for node in self.nodes:
-            await node.start(seeds)
-        for node in self.nodes:
-            await self.wait_until_ready(node)
+        try:
+            await self._start()
+        except BaseException:
+            await self._stop()
+            raise
         return self
 
     async def __aexit__(
@@ -218,13 +194,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop all processes and servers."""
-        for node in self.nodes:
-            await node.stop(signal.SIGKILL)
-            await node.proxy.close()
-        if self.http is not None:
-            await self.http.close()
-        for runner in self._runners:
-            await runner.cleanup()
+        await self._stop()
 
     def write_configuration(self, config: Mapping[str, Any]) -> None:
         """Write the operators' configuration to the store."""
@@ -320,6 +290,46 @@
                 return node
         raise LookupError('the leader is none of the nodes')
 
+    async def _start(self) -> None:
+        ports = choose_ports(2 + len(self.workers) + 5 * self._node_count)
+        adviser_address = f'{HOST}:{ports.pop()}'
+        await self._start_server(
+            self.adviser.make_application(), adviser_address
+        )
+        store_address = f'{HOST}:{ports.pop()}'
+        await self._start_server(self.store.make_application(), store_address)
+        for worker in self.workers:
+            address = f'{HOST}:{ports.pop()}'
+            self._addresses[worker.worker_id] = address
+            await self._start_server(worker.make_application(), address)
+            self.register_worker(worker)
+        self.write_configuration(CONFIG)
+        for number in range(self._node_count):
+            node_ports = [ports.pop() for _ in range(4)]
+            proxy = Proxy(ports.pop(), int(store_address.partition(':')[2]))
+            await proxy.start()
+            proxy_address = f'{HOST}:{proxy.port}'
+            node = Node(
+                f'vm-{number}', node_ports, proxy_address, adviser_address
+            )
+            node.proxy = proxy
+            self.nodes.append(node)
+        self.http = aiohttp.ClientSession()
+        seeds = [node.stream_address for node in self.nodes]
+        for node in self.nodes:
+            await node.start(seeds)
+        for node in self.nodes:
+            await self.wait_until_ready(node)
+
+    async def _stop(self) -> None:
+        for node in self.nodes:
+            await node.stop(signal.SIGKILL)
+            await node.proxy.close()
+        if self.http is not None:
+            await self.http.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
     async def _is_ready(self, node: Node) -> bool:
         try:
             async with self.http.get(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from dev.platform_standin import deployment as deployment_module
 from dev.platform_standin.deployment import CONFIG, Deployment
 from dev.platform_standin.proxy import ProxyMode
 
@@ -44,6 +45,18 @@
             await asyncio.sleep(0.05)
 
 
+async def test_a_deployment_that_does_not_get_ready_leaves_no_process(
+    monkeypatch,
+):
+    """Its node programs stayed, and slowed down the tests after it."""
+    monkeypatch.setattr(deployment_module, 'READY_TIMEOUT_S', 0.1)
+    deployment = Deployment(nodes=2)
+    with pytest.raises(TimeoutError):
+        await deployment.__aenter__()
+    assert len(deployment.nodes) == 2
+    assert all(node.process.returncode is not None for node in deployment.nodes)
+
+
 async def test_job_can_be_submitted_to_any_vm():
     async with Deployment() as deployment:
         assert await deployment.submit(JOB, node=1, count=3) == 200
