--- a/src/bulrushcove/batch/cancellations.py
+++ b/src/bulrushcove/batch/cancellations.py
@@ -22,7 +22,7 @@
 class CancellationRecord(msgspec.Struct, frozen=True, array_like=True):
     """Value stored under ``bulrushcove/cancelled/``."""
 
-    # Ids of jobs are chosen by callers: each organisation binds only itself.
+    # Callers choose the ids of jobs, so each counts for its own organisation.
     organisations: tuple[OrganisationId, ...]
     # Time of the latest cancellation.
     cancelled_unix_ms: int
--- a/src/bulrushcove/logs.py
+++ b/src/bulrushcove/logs.py
@@ -27,7 +27,7 @@
 )
 # Enough for a busy scheduler; writing a line takes about 40 microseconds.
 MAX_LINES_PER_S = 400
-# The others are left to jobs, callers and leaders, whose lines are few.
+# Lines that name a worker; the rest is for jobs, callers and leaders.
 MAX_WORKER_LINES_PER_S = 300
 # Errors remembered so that each is logged once; beyond, some are logged again.
 MAX_LOGGED_ERRORS = 256
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -69,7 +69,7 @@
         self._clock = clock
         self._records = LeaderRecordStore(settings, store, peers, clock)
         self._monitor = LeaderMonitor(settings.vm, peers, clock, loop_delay)
-        # Epoch of the last record read that another VM wrote.
+        # Epoch of the last record read by which this VM does not lead.
         self._last_read_epoch = Epoch(0)
         # Epoch by which this process led last; zero: it has not led.
         self._own_epoch = Epoch(0)
