--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -253,6 +253,9 @@
 
 async def test_logs_and_metrics_contain_a_job():
     async with Deployment() as deployment:
+        # The leader answers: the first attempt of the submission reaches it.
+        status, _ = await deployment.call('DELETE', OTHER_JOB)
+        assert status == 410
         assert await deployment.submit(JOB) == 200
         await deployment.wait_for_state(JOB, 'succeeded')
         leader = deployment.find_leader()
