Let no preference of placement leave idle what a waiting unit needs

Callers: after hopeless jobs a gang waited for 11.6 to 12.0 s beside idle workers: on two workers, on one, beside long tasks, and where all workers of its label were quarantined but not most of the pool (LOST allows 3 s). Of twelve single tasks on four workers on probation eight waited for 3 s.

Cause: evidence against a worker was a bar with a fixed length. The same held for reservations, for workers with an isolated run, and for headroom and racks in a pool whose rest was quarantined.

Now evidence orders the workers (Standing) and limits harm: a quarantined worker is tried by one unit, 1.5 s after its last failure, if most of the workers that the unit may use are quarantined, or if the unit has waited for 2 s under light load. Each unit that runs on for 0.5 s lets two more come. Units of jobs that have failed leave trials to others.

--- a/src/bulrushcove/batch/backfill_reservation.py
+++ b/src/bulrushcove/batch/backfill_reservation.py
@@ -84,7 +84,8 @@
 
     Earliest first, as many as ``unit`` has tasks or a few more.
     """
-    if candidate.is_on_probation or candidate.reserved_after_s is not None:
+    is_limited = candidate.units_left is not None
+    if is_limited or candidate.reserved_after_s is not None:
         return []
     future_capacities: list[FutureCapacity] = []
     free = candidate.free
--- /dev/null
+++ b/src/bulrushcove/batch/candidate_selection.py
@@ -0,0 +1,278 @@
+"""Candidates of a scheduling pass to which a unit may go, now or by now.
+
+A unit goes first to workers that nothing speaks against. What it prefers to
+leave free or to avoid, it uses later; see ``preferences``.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..clock import MS_PER_S
+from ..ids import WorkerId
+from .advice import needs_advice, step_ref_of
+from .headroom import GANG_HEADROOM_WAIT_S, select_headroom_workers
+from .ids import PoolName
+from .isolation import may_join_isolated_run
+from .job_spec import TaskSize
+from .job_state import Unit
+from .placement import Candidate
+from .preferences import (
+    LIGHT_LOAD_SHARE,
+    MAX_PREFERENCE_WAIT_S,
+    TEMPORARY_PREFERENCES,
+    Preference,
+    can_run,
+    used_share,
+)
+from .queue_order import URGENT
+from .worker_reliability import (
+    Standing,
+    are_jobs_at_fault,
+    are_mostly_quarantined,
+)
+
+if TYPE_CHECKING:
+    from .engine import Engine
+
+# A unit of a job that has failed leaves workers that are on trial to others for
+# this long.
+MAX_GIVING_WAY_S = 2.5
+
+# What decides which workers can run a task: pool, label and size.
+Requirements = tuple[PoolName, str, TaskSize]
+# Which of its preferences a unit may have given up. Units of one shape fit on
+# the same workers only if these are equal.
+Patience = tuple[bool, bool, bool]
+
+
+class CandidateSelection:
+    """Selects the candidates for each unit; valid for one pass."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        waiting: list[Unit],
+        candidates: dict[PoolName, list[Candidate]],
+        now_s: float,
+    ) -> None:
+        """Select among the ``candidates`` of each pool for ``waiting``."""
+        self.waiting = waiting
+        self._engine = engine
+        self._candidates = candidates
+        self._now_s = now_s
+        # Workers kept free for urgent work, by pool; computed when the first
+        # non-urgent unit of the pool is placed.
+        self._headroom: dict[PoolName, frozenset[WorkerId]] = {}
+        # Candidates by pool that evidence does not speak against.
+        self._trusted = {
+            pool: [one for one in group if _is_trusted(one)]
+            for pool, group in candidates.items()
+        }
+        # The same and those to try, by what a step requires of a worker.
+        self._open: dict[Requirements, list[Candidate]] = {}
+        # What units of jobs that never failed require. The others give way to
+        # them on workers that are on trial.
+        self._tried_first = {
+            _requirements_of(unit)
+            for unit in waiting
+            if not unit.job.has_failed_run
+        }
+        # Whether all units have been tried once in this pass.
+        self._has_tried_others = False
+        self._is_lightly_loaded = {
+            pool: used_share(group) < LIGHT_LOAD_SHARE
+            for pool, group in candidates.items()
+        }
+        # The same for the workers that a unit may use.
+        self._has_light_part: dict[Requirements, bool] = {}
+
+    def _open_candidates(self, unit: Unit) -> list[Candidate]:
+        """Return the candidates to which ``unit`` may go at once."""
+        return self._with_tickets(unit, self._open_to_step(unit))
+
+    def _usable_candidates(self, unit: Unit) -> list[Candidate]:
+        """Return the candidates that ``unit`` may use now.
+
+        A non-urgent unit may not use the headroom, nor a reserved worker
+        unless it ends before the reserved capacity is needed.
+        """
+        group = self._open_candidates(unit)
+        headroom = self._headroom_workers(unit, group)
+        return [
+            candidate
+            for candidate in group
+            if candidate.worker not in headroom
+            and self._may_use(unit, candidate)
+        ]
+
+    def _distrusted_candidates(self, unit: Unit) -> list[Candidate]:
+        """Return further candidates to which ``unit`` may go by now."""
+        group = self._candidates.get(unit.job.spec.terms.pool, [])
+        opened = self._open_to_step(unit)
+        takes_quarantined = self._gives_up(Preference.NOT_QUARANTINED, unit)
+        takes_isolated = self._gives_up(Preference.NOT_ISOLATED, unit)
+        has_more = takes_quarantined or takes_isolated
+        if not has_more or len(opened) == len(group):
+            return []
+        known = set(opened)
+        return [
+            candidate
+            for candidate in group
+            if candidate not in known
+            and (takes_isolated or candidate.isolated_run_age_s is None)
+            and may_join_isolated_run(unit, candidate)
+            and (
+                candidate.standing is not Standing.QUARANTINED
+                or (takes_quarantined and candidate.is_trial_due)
+            )
+        ]
+
+    def _may_use(self, unit: Unit, candidate: Candidate) -> bool:
+        """Return whether the candidate is not kept for another unit."""
+        if self._gives_way(unit, candidate):
+            return False
+        is_urgent = unit.job.spec.terms.priority == URGENT
+        if is_urgent or candidate.reserved_after_s is None:
+            return True
+        remaining_s = self._engine.estimates.remaining_ms(unit) / MS_PER_S
+        return remaining_s <= candidate.reserved_after_s or self._gives_up(
+            Preference.NOT_RESERVED, unit
+        )
+
+    def _allows_remote_rack(self, unit: Unit) -> bool:
+        return self._gives_up(Preference.RACK, unit)
+
+    def _patience(self, unit: Unit) -> Patience:
+        """Return which of its preferences ``unit`` may have given up."""
+        waited_s = self._now_s - unit.ready_since_s
+        return (
+            self._has_waited(unit),
+            waited_s > GANG_HEADROOM_WAIT_S,
+            self._is_tried_last(unit),
+        )
+
+    def _has_waited(self, unit: Unit) -> bool:
+        """Return whether ``unit`` has waited for its preferences for long."""
+        return self._now_s - unit.ready_since_s >= MAX_PREFERENCE_WAIT_S
+
+    def _gives_up(self, preference: Preference, unit: Unit) -> bool:
+        """Return whether ``unit`` no longer waits for ``preference``."""
+        return (
+            preference in TEMPORARY_PREFERENCES
+            and self._has_waited(unit)
+            and self._has_light_load(unit)
+        )
+
+    def _is_tried_last(self, unit: Unit) -> bool:
+        """Return whether ``unit`` leaves workers on trial to other units."""
+        waited_s = self._now_s - unit.ready_since_s
+        return unit.job.has_failed_run and (
+            not self._has_tried_others or waited_s < MAX_GIVING_WAY_S
+        )
+
+    def _with_tickets(
+        self, unit: Unit, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Return the candidates that the placement adviser allows ``unit``."""
+        if not needs_advice(unit):
+            return candidates
+        find = self._engine.tickets.find
+        workers = self._engine.workers
+        step = step_ref_of(unit)
+        return [
+            candidate
+            for candidate in candidates
+            if find(step, workers[candidate.worker], self._now_s)
+        ]
+
+    def _open_to_step(self, unit: Unit) -> list[Candidate]:
+        """Return the trusted candidates, and quarantined ones to try.
+
+        Where most of the workers that ``unit`` may use are quarantined, few
+        or none are left that it could wait for.
+        """
+        pool = unit.job.spec.terms.pool
+        group = self._candidates.get(pool, [])
+        trusted = self._trusted.get(pool, [])
+        if len(trusted) == len(group):
+            return group
+        requirements = _requirements_of(unit)
+        if requirements not in self._open:
+            eligible = self._eligible_candidates(unit)
+            standings = [candidate.standing for candidate in eligible]
+            in_pool = [candidate.standing for candidate in group]
+            is_open = are_jobs_at_fault(standings) or are_jobs_at_fault(in_pool)
+            may_try = are_mostly_quarantined(standings)
+            self._open[requirements] = trusted + [
+                candidate
+                for candidate in eligible
+                if candidate.standing is Standing.QUARANTINED
+                and candidate.isolated_run_age_s is None
+                and (is_open or (may_try and candidate.is_trial_due))
+            ]
+        return self._open[requirements]
+
+    def _eligible_candidates(self, unit: Unit) -> list[Candidate]:
+        """Return the candidates that could run a task of ``unit`` if empty."""
+        pool, label, size = _requirements_of(unit)
+        return [
+            candidate
+            for candidate in self._candidates.get(pool, [])
+            if can_run(candidate, label, size)
+        ]
+
+    def _has_light_load(self, unit: Unit) -> bool:
+        """Return whether the pool, or what ``unit`` may use, is half free."""
+        pool = unit.job.spec.terms.pool
+        if self._is_lightly_loaded.get(pool, False):
+            return True
+        requirements = _requirements_of(unit)
+        if requirements not in self._has_light_part:
+            eligible = self._eligible_candidates(unit)
+            self._has_light_part[requirements] = (
+                used_share(eligible) < LIGHT_LOAD_SHARE
+            )
+        return self._has_light_part[requirements]
+
+    def _gives_way(self, unit: Unit, candidate: Candidate) -> bool:
+        """Return whether other units are better suited to try a worker.
+
+        A failure of a job that has failed before tells little of the worker.
+        """
+        if candidate.units_left is None or not self._is_tried_last(unit):
+            return False
+        return any(
+            can_run(candidate, label, size)
+            for pool, label, size in self._tried_first
+            if pool == unit.job.spec.terms.pool
+        )
+
+    def _headroom_workers(
+        self, unit: Unit, group: list[Candidate]
+    ) -> frozenset[WorkerId]:
+        if unit.job.spec.terms.priority == URGENT:
+            return frozenset()
+        pool = unit.job.spec.terms.pool
+        waited_s = self._now_s - unit.ready_since_s
+        if unit.size > 1 and waited_s > GANG_HEADROOM_WAIT_S:
+            return frozenset()
+        if self._gives_up(Preference.NOT_HEADROOM, unit):
+            return frozenset()
+        if pool not in self._headroom:
+            rate = self._engine.urgent_demand.rate(self._now_s)
+            self._headroom[pool] = select_headroom_workers(group, rate)
+        return self._headroom[pool]
+
+
+def _is_trusted(candidate: Candidate) -> bool:
+    """Return whether nothing but a limit speaks against new work there."""
+    is_quarantined = candidate.standing is Standing.QUARANTINED
+    return not is_quarantined and candidate.isolated_run_age_s is None
+
+
+def _requirements_of(unit: Unit) -> Requirements:
+    """Return what decides which workers could run a task of ``unit``."""
+    step = unit.spec
+    pool = unit.job.spec.terms.pool
+    return (pool, step.required_label, step.requirements)
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -16,7 +16,7 @@
 from .crash_handler import CrashHandler
 from .draining import find_outlasting_runs
 from .headroom import UrgentDemand
-from .ids import PoolName, QueueName, UnitRef
+from .ids import QueueName, UnitRef
 from .job_spec import JobSpec
 from .job_state import (
     Allocation,
@@ -67,8 +67,6 @@
         self.desired_state = DesiredState()
         self.estimates = RuntimeEstimates()
         self.reliability = WorkerReliability()
-        # As of the last pass; their quarantined workers get work as well.
-        self.mostly_quarantined_pools: frozenset[PoolName] = frozenset()
         self.crashes = CrashHandler()
         self.tickets = TicketCache()
         self.lease_expiry = LeaseExpiryTable()
@@ -316,6 +314,7 @@
                     unit.job.spec.terms.queue, duration_s * MS_PER_S
                 )
         elif end.kind in _FAILED_ENDS:
+            unit.job.has_failed_run = True
             self.reliability.record_failure(
                 allocation.worker, unit.job.id, now_s
             )
@@ -347,16 +346,17 @@
 
 def _run_pass(current: SchedulingPass, plan: Plan) -> None:
     """Place the waiting units in order; urgent ones may preempt others."""
-    changed: dict[JobId, Job] = {}
     for unit in current.waiting:
         if len(plan.starts) >= MAX_STARTS_PER_PASS:
             plan.is_partial = True
             break
         allocations = current.place(unit)
-        if allocations:
-            plan.starts.extend(allocations)
-            changed[unit.job.id] = unit.job
-            continue
-        plan.stops.extend(current.preempt(unit))
-        current.reserve(unit)
+        plan.starts.extend(allocations)
+        if not allocations:
+            plan.stops.extend(current.preempt(unit))
+            current.reserve(unit)
+    if not plan.is_partial:
+        for retried in current.units_tried_last():
+            plan.starts.extend(current.place(retried))
+    changed = {start.unit.job.id: start.unit.job for start in plan.starts}
     plan.changed = list(changed.values())
--- a/src/bulrushcove/batch/isolation.py
+++ b/src/bulrushcove/batch/isolation.py
@@ -30,6 +30,8 @@
 # Then it may share a worker, but not one that has just been restarted: a crash
 # of that one would tell nothing of the task. Others are waited for this long.
 MAX_STABLE_WAIT_S = 30.0
+# A suspect does not join an isolated run that is younger.
+MIN_JOINED_AGE_S = 2.5
 # Capacity of a worker that takes no other run.
 _NONE_FREE = TaskSize(-1, -1, -1)
 
@@ -106,7 +108,7 @@
         for candidate in candidates
         if candidate.reserved_after_s is None
         and candidate.is_stable
-        and not candidate.is_on_probation
+        and candidate.units_left is None
         and count_fitting_tasks(candidate, step, future_free=candidate.capacity)
     ]
     suitable.sort(key=lambda pair: pair[0])
@@ -116,9 +118,26 @@
     return len(reserved)
 
 
-def has_isolated_run(worker: Worker) -> bool:
-    """Return whether ``worker`` runs a task that must not share it."""
-    return any(one.is_isolated for one in worker.allocations.values())
+def isolated_run_age_s(worker: Worker, now_s: float) -> float | None:
+    """Return for how long a task that should not share ``worker`` has run.
+
+    None if there is none, 0 if its start is not confirmed.
+    """
+    ages_s = [
+        now_s - (allocation.start_confirmed_at_s or now_s)
+        for allocation in worker.allocations.values()
+        if allocation.is_isolated
+    ]
+    return min(ages_s, default=None)
+
+
+def may_join_isolated_run(unit: Unit, candidate: Candidate) -> bool:
+    """Return whether ``unit`` may share a worker with an isolated run, if any.
+
+    Two suspects on one worker would be accused of each other's crashes.
+    """
+    age_s = candidate.isolated_run_age_s
+    return age_s is None or not unit.crashes or age_s >= MIN_JOINED_AGE_S
 
 
 def _max_wait_s(unit: Unit, history: CrashHistory) -> float:
@@ -141,7 +160,7 @@
         for candidate, _ in group
         if candidate.is_idle and (candidate.is_stable or not is_strict)
     ]
-    hosts.sort(key=lambda host: (not host.is_stable, host.is_suspect))
+    hosts.sort(key=lambda host: (not host.is_stable, host.standing))
     hosts = hosts[: len(indices)]
     if len(hosts) < len(indices):
         return None
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -202,6 +202,8 @@
     units: list[Unit] = msgspec.field(default_factory=list)
     # Whether a task of the job has ever been placed.
     has_started: bool = False
+    # Whether a run of the job has failed under the current leader.
+    has_failed_run: bool = False
     # Why the job failed; empty if it has not.
     reason: str = ''
 
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -15,15 +15,13 @@
 from ..ids import RackId, WorkerId
 from .job_spec import StepSpec, TaskSize
 from .job_state import Unit
+from .worker_reliability import Standing
 
 # Limit for tasks that require no resources.
 MAX_TASKS_PER_WORKER = 1_000_000
 # Pairs of free capacity and requirements that are remembered: the workers of a
 # pool have few different values.
 COUNT_CACHE_SIZE = 4096
-# After this time a unit in a lightly loaded pool may run outside its preferred
-# rack and in the headroom; in other pools it waits on for its rack.
-REMOTE_RACK_WAIT_S = 2.0
 
 
 class Candidate(msgspec.Struct, eq=False, kw_only=True):
@@ -34,13 +32,18 @@
     labels: frozenset[str]
     free: TaskSize
     capacity: TaskSize
-    # Whether it failed a task lately; other candidates are preferred.
-    is_suspect: bool = False
+    # How far it is trusted; other candidates are preferred to lower ones.
+    standing: Standing = Standing.TRUSTED
+    # How many more units it may get; None: any number.
+    units_left: int | None = None
+    # Whether it may be tried although it is quarantined.
+    is_trial_due: bool = False
     # Whether it has no runs, and whether it has been up for a while.
     is_idle: bool = False
     is_stable: bool = False
-    # Whether it takes one unit at a time.
-    is_on_probation: bool = False
+    # For how long it has run a task that should not share it; None: it does
+    # not run one.
+    isolated_run_age_s: float | None = None
     # Whether best-effort tasks are slowed down there.
     is_throttled: bool = False
     # Seconds from now after which it is reserved for a waiting unit;
@@ -73,11 +76,10 @@
         return 0
     if step.max_per_worker:
         limit = min(limit, step.max_per_worker - placed)
-    if candidate.is_on_probation:
-        # One unit at a time: a task, or members of one gang.
-        is_empty = free == candidate.capacity
+    if candidate.units_left is not None:
+        # A unit is a task, or the members of one gang.
         unit_size = step.task_count if step.is_gang else 1
-        limit = min(limit, unit_size) if is_empty else 0
+        limit = min(limit, unit_size * candidate.units_left)
     return max(limit, 0)
 
 
@@ -122,10 +124,14 @@
 
 
 def deduct_requirements(chosen: Iterable[Candidate], step: StepSpec) -> None:
-    """Deduct the requirements of one task from each entry of ``chosen``."""
+    """Deduct one task of a unit of ``step`` from each entry of ``chosen``."""
+    used: set[Candidate] = set()
     for candidate in chosen:
         candidate.free = candidate.free.minus(step.requirements)
         candidate.is_idle = False
+        if candidate.units_left and candidate not in used:
+            candidate.units_left -= 1
+        used.add(candidate)
 
 
 def fitting_candidates(
@@ -224,9 +230,9 @@
 
 def _rack_by_rack(ranked: list[Fit]) -> list[Candidate]:
     """Return the candidates of ``ranked``, all of a rack in succession."""
-    racks: dict[tuple[bool, RackId], list[Candidate]] = defaultdict(list)
+    racks: dict[tuple[Standing, RackId], list[Candidate]] = defaultdict(list)
     for candidate, _ in ranked:
-        racks[candidate.is_suspect, candidate.rack].append(candidate)
+        racks[candidate.standing, candidate.rack].append(candidate)
     return list(chain.from_iterable(racks.values()))
 
 
@@ -242,15 +248,16 @@
 ) -> tuple[float, ...]:
     """Return a key that sorts the fullest rack and worker first.
 
-    Suspect workers come last. Workers are compared by free accelerators, then
-    CPU; by CPU, then memory if the tasks need no accelerators.
+    Workers that are trusted less come last. Workers are compared by free
+    accelerators, then CPU; by CPU, then memory if the tasks need no
+    accelerators.
     """
     free = candidate.free
     if needed.accelerators:
         free_amounts = (free.accelerators, free.cpu_millicores)
     else:
         free_amounts = (free.cpu_millicores, free.memory_mb)
-    return (candidate.is_suspect, rack_free, *free_amounts)
+    return (candidate.standing, rack_free, *free_amounts)
 
 
 @lru_cache(maxsize=COUNT_CACHE_SIZE)
--- a/src/bulrushcove/batch/preemption_plan.py
+++ b/src/bulrushcove/batch/preemption_plan.py
@@ -154,7 +154,7 @@
     option = _VictimOption(candidate, [], candidate.free, 0)
     if count_fitting_tasks(candidate, step):
         return option
-    if candidate.is_on_probation:
+    if candidate.units_left is not None:
         return None
     priority = unit.job.spec.terms.priority
     for victim in forecast.victims(candidate.worker, priority, borrowers):
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from ..clock import MS_PER_S
 from ..ids import WorkerId
 from .advice import AdviceRequest, StepRef, needs_advice, step_ref_of
 from .backfill_reservation import (
@@ -14,14 +13,14 @@
     RESERVE_AFTER_S,
     find_earliest_placement,
 )
+from .candidate_selection import CandidateSelection, Patience
 from .capacity_forecast import CapacityForecast
-from .headroom import GANG_HEADROOM_WAIT_S, select_headroom_workers
 from .ids import PoolName
 from .isolation import (
     find_isolated_placement,
-    has_isolated_run,
     indices_to_isolate,
     isolate_runs,
+    isolated_run_age_s,
     needs_stable_worker,
     reserve_idle_workers,
 )
@@ -35,7 +34,6 @@
     unstopped_allocations,
 )
 from .placement import (
-    REMOTE_RACK_WAIT_S,
     Candidate,
     count_fitting_tasks,
     deduct_requirements,
@@ -49,7 +47,6 @@
 from .sampling import select_examined
 from .shapes import Shape, shape_of
 from .worker_crashes import is_stable
-from .worker_reliability import find_mostly_quarantined_pools
 from .workers import FULL_SPEED_PERCENT, Worker
 
 if TYPE_CHECKING:
@@ -59,12 +56,9 @@
 PREEMPTION_RESERVATION_S = 2.5
 # Smaller units fit between small tasks without a reservation.
 MIN_RESERVED_ACCELERATORS = 4
-# A pool with a lower share in use has enough free capacity to run tasks
-# outside their preferred rack.
-LIGHT_LOAD_SHARE = 0.5
 
 
-class SchedulingPass:
+class SchedulingPass(CandidateSelection):
     """One pass over the waiting units, in queue order.
 
     It tracks the free capacity that is left on the candidates.
@@ -78,38 +72,29 @@
         now_s: float,
     ) -> None:
         """Schedule ``waiting`` onto the ``candidates`` of each pool."""
-        self.waiting = waiting
-        self._engine = engine
-        self._candidates = candidates
-        self._now_s = now_s
-        # Workers kept free for urgent work, by pool; computed when the first
-        # non-urgent unit of the pool is placed.
-        self._headroom: dict[PoolName, frozenset[WorkerId]] = {}
+        super().__init__(engine, waiting, candidates, now_s)
         self._examined: dict[Shape, Sequence[Candidate]] = {}
         # Number of units with a backfill reservation in this pass.
         self._reservation_count = 0
         # Candidates for the next single tasks of a step, the best first.
-        self._ranked: dict[StepRef, deque[Candidate]] = {}
+        self._ranked: dict[tuple[StepRef, Patience], deque[Candidate]] = {}
         # Shapes that did not fit, so that equal units are not tried again.
-        self._unplaceable: set[Shape] = set()
+        self._unplaceable: set[tuple[Shape, Patience]] = set()
         self._forecast = CapacityForecast(engine.workers, engine.estimates)
         self.decider = PreemptionDecider(engine, self._forecast, now_s)
-        self._is_lightly_loaded = {
-            pool: _used_share(group) < LIGHT_LOAD_SHARE
-            for pool, group in candidates.items()
-        }
 
     def place(self, unit: Unit) -> list[Allocation]:
         """Place ``unit``; returns its allocations, none if it does not fit."""
         if unit.phase is not UnitPhase.WAITING or unit.job.has_ended:
             return []
-        shape = shape_of(unit)
-        if shape in self._unplaceable:
+        # Of two equal units only the older one may give up preferences.
+        key = (shape_of(unit), self._patience(unit))
+        if key in self._unplaceable:
             self._deduct_preempted_capacity(unit)
             return []
         chosen = self._choose_candidates(unit)
         if chosen is None:
-            self._unplaceable.add(shape)
+            self._unplaceable.add(key)
             self._deduct_preempted_capacity(unit)
             return []
         deduct_requirements(chosen, unit.spec)
@@ -118,6 +103,20 @@
         isolate_runs(unit, indices_to_isolate(unit, self._now_s), chosen)
         return allocations
 
+    def units_tried_last(self) -> list[Unit]:
+        """Return the units to place again, after all others were placed.
+
+        They may use workers that are on trial from now on.
+        """
+        self._has_tried_others = True
+        return [
+            unit
+            for unit in self.waiting
+            if unit.job.has_failed_run
+            and unit.phase is UnitPhase.WAITING
+            and not self._is_tried_last(unit)
+        ]
+
     def preempt(self, unit: Unit) -> list[Allocation]:
         """Preempt for ``unit``; returns the allocations to stop.
 
@@ -145,7 +144,7 @@
         if indices_to_isolate(unit, self._now_s):
             if self._reservation_count < MAX_RESERVATIONS:
                 self._reservation_count += reserve_idle_workers(
-                    unit, self._allowed_candidates(unit), self._forecast
+                    unit, self._open_candidates(unit), self._forecast
                 )
             return
         terms = unit.job.spec.terms
@@ -190,24 +189,56 @@
                 isolated,
                 [
                     candidate
-                    for candidate in self._allowed_candidates(unit)
+                    for candidate in self._open_candidates(unit)
                     if self._may_use(unit, candidate)
                 ],
                 placed=_count_placed_tasks(unit),
                 allows_remote_rack=self._allows_remote_rack(unit),
             )
+        chosen = self._choose_trusted(unit)
+        if chosen is None and self._has_waited(unit):
+            return self._choose_distrusted(unit)
+        return chosen
+
+    def _choose_trusted(self, unit: Unit) -> list[Candidate] | None:
+        """Return candidates that evidence does not speak against."""
         needs_stable = needs_stable_worker(unit, self._now_s)
         is_single = unit.size == 1 and not unit.spec.max_per_worker
         if is_single and not needs_stable:
             candidate = self._choose_ranked(unit)
             return [candidate] if candidate else None
-        return find_placement(
+        return self._find_placement(
             unit,
             [
                 candidate
                 for candidate in self._usable_candidates(unit)
                 if candidate.is_stable or not needs_stable
             ],
+        )
+
+    def _choose_distrusted(self, unit: Unit) -> list[Candidate] | None:
+        """Return candidates for a unit that the trusted ones do not hold."""
+        distrusted = self._distrusted_candidates(unit)
+        if not distrusted:
+            return None
+        needs_stable = needs_stable_worker(unit, self._now_s)
+        return self._find_placement(
+            unit,
+            [
+                candidate
+                for candidate in self._usable_candidates(unit)
+                + self._with_tickets(unit, distrusted)
+                if (candidate.is_stable or not needs_stable)
+                and not self._gives_way(unit, candidate)
+            ],
+        )
+
+    def _find_placement(
+        self, unit: Unit, candidates: list[Candidate]
+    ) -> list[Candidate] | None:
+        return find_placement(
+            unit,
+            candidates,
             placed=_count_placed_tasks(unit),
             allows_remote_rack=self._allows_remote_rack(unit),
         )
@@ -218,8 +249,8 @@
         Candidates are ranked once for the tasks of a step, which may be
         hundreds, and again when none of them fits any more.
         """
-        step = step_ref_of(unit)
-        ranked = self._ranked.get(step)
+        key = (step_ref_of(unit), self._patience(unit))
+        ranked = self._ranked.get(key)
         while ranked:
             fits = count_fitting_tasks(ranked[0], unit.spec)
             if fits and self._may_use(unit, ranked[0]):
@@ -232,98 +263,33 @@
                 allows_remote_rack=self._allows_remote_rack(unit),
             )
         )
-        self._ranked[step] = ranked
+        self._ranked[key] = ranked
         return ranked[0] if ranked else None
 
-    def _allows_remote_rack(self, unit: Unit) -> bool:
-        waited_s = self._now_s - unit.ready_since_s
-        pool = unit.job.spec.terms.pool
-        return waited_s >= REMOTE_RACK_WAIT_S and self._is_lightly_loaded.get(
-            pool, False
-        )
-
     def _make_advice_request(self, unit: Unit) -> AdviceRequest | None:
         adviser = find_adviser(
             self._engine.desired_state.policy, unit.job.spec.terms.queue
         )
-        group = self._candidates.get(unit.job.spec.terms.pool, [])
         workers = [
-            self._engine.workers[candidate.worker] for candidate in group
+            self._engine.workers[candidate.worker]
+            for candidate in self._open_to_step(unit)
+            + self._distrusted_candidates(unit)
         ]
         return self._engine.tickets.next_request(
             unit, adviser, workers, self._now_s
         )
 
-    def _allowed_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return the candidates that the placement adviser allows ``unit``."""
-        group = self._candidates.get(unit.job.spec.terms.pool, [])
-        if not needs_advice(unit):
-            return group
-        find = self._engine.tickets.find
-        workers = self._engine.workers
-        step = step_ref_of(unit)
-        return [
-            candidate
-            for candidate in group
-            if find(step, workers[candidate.worker], self._now_s)
-        ]
-
     def _examined_candidates(self, unit: Unit) -> Sequence[Candidate]:
         """Return the candidates to examine for capacity not free yet."""
         shape = shape_of(unit)
         examined = self._examined.get(shape)
         if examined is None:
             examined = select_examined(
-                unit, self._allowed_candidates(unit), self._engine.pass_count
+                unit, self._open_candidates(unit), self._engine.pass_count
             )
             self._examined[shape] = examined
         return examined
 
-    def _usable_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return the candidates that ``unit`` may use now.
-
-        A non-urgent unit may not use the headroom, nor a reserved worker
-        unless it ends before the reserved capacity is needed.
-        """
-        group = self._allowed_candidates(unit)
-        if unit.job.spec.terms.priority == URGENT:
-            return group
-        headroom = self._headroom_workers(unit, group)
-        remaining_s = self._engine.estimates.remaining_ms(unit) / MS_PER_S
-        return [
-            candidate
-            for candidate in group
-            if candidate.worker not in headroom
-            and _ends_before_reservation(candidate, remaining_s)
-        ]
-
-    def _may_use(self, unit: Unit, candidate: Candidate) -> bool:
-        """Return whether ``unit`` may still use a ranked candidate.
-
-        It may have been reserved since it was ranked.
-        """
-        is_urgent = unit.job.spec.terms.priority == URGENT
-        if is_urgent or candidate.reserved_after_s is None:
-            return True
-        remaining_s = self._engine.estimates.remaining_ms(unit) / MS_PER_S
-        return _ends_before_reservation(candidate, remaining_s)
-
-    def _headroom_workers(
-        self, unit: Unit, group: list[Candidate]
-    ) -> frozenset[WorkerId]:
-        pool = unit.job.spec.terms.pool
-        waited_s = self._now_s - unit.ready_since_s
-        if unit.size > 1 and waited_s > GANG_HEADROOM_WAIT_S:
-            return frozenset()
-        if waited_s > REMOTE_RACK_WAIT_S and self._is_lightly_loaded.get(
-            pool, False
-        ):
-            return frozenset()
-        if pool not in self._headroom:
-            rate = self._engine.urgent_demand.rate(self._now_s)
-            self._headroom[pool] = select_headroom_workers(group, rate)
-        return self._headroom[pool]
-
     def _deduct_preempted_capacity(self, unit: Unit) -> None:
         """Deduct the capacity that is being preempted for ``unit``."""
         reservation = self._engine.preemptions.get(unit.ref)
@@ -391,23 +357,17 @@
         # What is stopped for a unit must not take the capacity back.
         waiting.sort(key=lambda unit: unit.ref not in engine.preemptions)
     candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
-    engine.mostly_quarantined_pools = find_mostly_quarantined_pools(
-        engine.reliability,
-        [one for one in engine.workers.values() if is_in_service(engine, one)],
-        now_s,
-    )
     if waiting:
         for worker in engine.workers.values():
-            is_open = is_schedulable(engine, worker, now_s)
-            if is_open and not has_isolated_run(worker):
+            if is_schedulable(engine, worker):
                 candidates[worker.entry.pool].append(
                     _make_candidate(engine, worker, now_s)
                 )
     return SchedulingPass(engine, waiting, candidates, now_s)
 
 
-def is_schedulable(engine: Engine, worker: Worker, now_s: float) -> bool:
-    """Return whether ``worker`` may be given new work."""
+def is_schedulable(engine: Engine, worker: Worker) -> bool:
+    """Return whether no promise would be broken by new work on ``worker``."""
     is_responding = (
         worker.has_reported
         and not worker.failed_polls
@@ -415,11 +375,7 @@
     )
     if not is_responding or worker.orphans or not is_in_service(engine, worker):
         return False
-    if worker.id in engine.lease_expiry.named:
-        return False
-    if worker.entry.pool in engine.mostly_quarantined_pools:
-        return True
-    return not engine.reliability.is_quarantined(worker.id, now_s)
+    return worker.id not in engine.lease_expiry.named
 
 
 def is_in_service(engine: Engine, worker: Worker) -> bool:
@@ -431,26 +387,23 @@
 
 def _make_candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
     entry = worker.entry
+    reliability = engine.reliability
     return Candidate(
         worker=worker.id,
         rack=entry.rack,
         labels=entry.labels,
         free=worker.free_capacity(),
         capacity=entry.capacity,
-        is_suspect=engine.reliability.is_suspect(worker.id, now_s),
-        is_on_probation=engine.reliability.is_on_probation(worker.id, now_s),
+        standing=reliability.standing(worker.id, now_s),
+        units_left=reliability.count_trial_units(worker, now_s),
+        is_trial_due=reliability.is_trial_due(worker.id, now_s),
         is_idle=not worker.allocations,
         is_stable=is_stable(worker, now_s),
+        isolated_run_age_s=isolated_run_age_s(worker, now_s),
         is_throttled=worker.speed_percent < FULL_SPEED_PERCENT,
     )
 
 
-def _ends_before_reservation(candidate: Candidate, remaining_s: float) -> bool:
-    """Return whether a unit ends before the candidate's reservation begins."""
-    reserved_after_s = candidate.reserved_after_s
-    return reserved_after_s is None or remaining_s <= reserved_after_s
-
-
 def _count_placed_tasks(unit: Unit) -> dict[WorkerId, int]:
     """Return how many tasks of the unit's step run on each worker.
 
@@ -472,9 +425,3 @@
         victim.is_aborting = True
         stops.extend(unstopped_allocations(victim))
     return mark_for_stop(stops, StopReason.PREEMPTED)
-
-
-def _used_share(group: list[Candidate]) -> float:
-    total = sum(candidate.capacity.weight_cores for candidate in group)
-    free = sum(candidate.free.weight_cores for candidate in group)
-    return 1 - free / total if total else 1
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -1,21 +1,24 @@
-"""Quarantine of workers on which unrelated jobs fail or stall.
+"""Evidence that a worker is broken: failures and stalls of unrelated jobs.
 
 A worker that fails every task although it reports good health, or on which
 tasks stall, looks idle and would attract the whole queue. It is quarantined
-for a while, then on probation: it gets one unit at a time until one succeeds,
-at most for a limited time. After that a single failure quarantines it again.
+for a while, then on probation. The same evidence is seen where jobs can never
+be done and the workers are sound, so it is a preference for other workers and
+a limit on harm, never a reason to leave the worker idle for long: while it is
+quarantined it is tried again if the waiting unit has hardly any other worker.
 
-Where most workers of a pool are quarantined, the jobs are at fault rather than
-the workers, which then get one unit at a time at once.
+A worker that is tried gets one unit. With each unit that runs on for a moment
+it gets two more, so that a sound worker is in full use soon.
 """
 
-from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection
+from enum import IntEnum
 
 import msgspec
 
 from ..ids import JobId, WorkerId
-from .ids import PoolName
+from .ids import UnitRef
+from .job_state import AllocationPhase
 from .workers import Worker
 
 # Different jobs that fail in a row before a worker is quarantined.
@@ -25,14 +28,33 @@
 MAX_QUARANTINE_S = 12.0
 # A worker that gets no unit, or a long one, must not stay on probation.
 MAX_PROBATION_S = 12.0
-# Fewer quarantined workers do not open a pool of which they are the majority.
-MIN_QUARANTINED_MAJORITY = 3
 # For this long after a failure a worker is used only where no other one fits.
 SUSPECT_S = 4.0
+# A quarantined worker is not tried again earlier after a failure, so that one
+# that fails at once harms few units.
+TRIAL_PAUSE_S = 1.5
+# So many quarantined workers, most of those that a unit may use, show that
+# jobs are at fault: they are tried without a pause.
+MIN_QUARANTINED_MAJORITY = 3
+# A unit that has run for this long shows that its worker starts tasks.
+PROVEN_AFTER_S = 0.5
+UNITS_PER_PROVEN_UNIT = 2
+
+
+class Standing(IntEnum):
+    """How far a worker is trusted; lower ones are preferred."""
+
+    TRUSTED = 0
+    # It failed a task lately.
+    SUSPECT = 1
+    PROBATION = 2
+    QUARANTINED = 3
 
 
 class _Evidence(msgspec.Struct):
     failed_jobs: set[JobId] = msgspec.field(default_factory=set)
+    # When the last failure or stall was recorded.
+    updated_at_s: float = 0.0
     # Length of the last quarantine; 0: none since the last success.
     quarantine_s: float = 0.0
     quarantined_until_s: float = 0.0
@@ -56,6 +78,7 @@
         """Record that a task of ``job`` failed or could not start."""
         evidence = self._evidence.setdefault(worker, _Evidence())
         evidence.failed_jobs.add(job)
+        evidence.updated_at_s = now_s
         evidence.suspect_until_s = now_s + SUSPECT_S
         if (
             evidence.quarantine_s
@@ -65,45 +88,95 @@
 
     def record_stall(self, worker: WorkerId, now_s: float) -> None:
         """Record that a task makes no progress on the worker."""
-        _quarantine(self._evidence.setdefault(worker, _Evidence()), now_s)
+        evidence = self._evidence.setdefault(worker, _Evidence())
+        evidence.updated_at_s = now_s
+        _quarantine(evidence, now_s)
 
-    def is_quarantined(self, worker: WorkerId, now_s: float) -> bool:
-        """Return whether the worker gets no work now."""
+    def standing(self, worker: WorkerId, now_s: float) -> Standing:
+        """Return how far the worker is trusted now."""
         evidence = self._evidence.get(worker)
-        return evidence is not None and now_s < evidence.quarantined_until_s
+        if evidence is None:
+            return Standing.TRUSTED
+        if now_s < evidence.quarantined_until_s:
+            return Standing.QUARANTINED
+        probation_ends_at_s = evidence.quarantined_until_s + MAX_PROBATION_S
+        if evidence.quarantine_s and now_s < probation_ends_at_s:
+            return Standing.PROBATION
+        is_suspect = now_s < evidence.suspect_until_s
+        return Standing.SUSPECT if is_suspect else Standing.TRUSTED
+
+    def is_quarantined(self, worker: WorkerId, now_s: float) -> bool:
+        """Return whether the worker is used only where others do not fit."""
+        return self.standing(worker, now_s) is Standing.QUARANTINED
 
     def is_on_probation(self, worker: WorkerId, now_s: float) -> bool:
-        """Return whether the worker gets one unit at a time, if any."""
-        evidence = self._evidence.get(worker)
-        if evidence is None or not evidence.quarantine_s:
-            return False
-        return now_s < evidence.quarantined_until_s + MAX_PROBATION_S
+        """Return whether the worker gets few units at a time, if any."""
+        return self.standing(worker, now_s) >= Standing.PROBATION
 
-    def is_suspect(self, worker: WorkerId, now_s: float) -> bool:
-        """Return whether other workers are preferred to this one."""
+    def is_trial_due(self, worker: WorkerId, now_s: float) -> bool:
+        """Return whether the last failure is long enough ago for a trial."""
         evidence = self._evidence.get(worker)
-        return evidence is not None and now_s < evidence.suspect_until_s
+        return (
+            evidence is None or now_s >= evidence.updated_at_s + TRIAL_PAUSE_S
+        )
+
+    def is_quarantined_since(
+        self, worker: WorkerId, placed_at_s: float, now_s: float
+    ) -> bool:
+        """Return whether a quarantined worker has failed after a placement."""
+        evidence = self._evidence.get(worker)
+        return (
+            evidence is not None
+            and placed_at_s < evidence.updated_at_s
+            and now_s < evidence.quarantined_until_s
+        )
+
+    def count_trial_units(self, worker: Worker, now_s: float) -> int | None:
+        """Return how many more units the worker may get; None: any number.
+
+        Units that were placed before the last failure do not count.
+        """
+        evidence = self._evidence.get(worker.id)
+        if not self.is_on_probation(worker.id, now_s):
+            return None
+        units: set[UnitRef] = set()
+        proven: set[UnitRef] = set()
+        for allocation in worker.allocations.values():
+            unit = allocation.unit
+            if unit.placed_at_s < evidence.updated_at_s:
+                continue
+            units.add(unit.ref)
+            running_since_s = allocation.start_confirmed_at_s
+            if (
+                allocation.phase is AllocationPhase.RUNNING
+                and running_since_s is not None
+                and now_s - running_since_s >= PROVEN_AFTER_S
+            ):
+                proven.add(unit.ref)
+        limit = 1 + UNITS_PER_PROVEN_UNIT * len(proven)
+        return max(0, limit - len(units))
 
     def forget(self, worker: WorkerId) -> None:
         """Drop the failures of a worker that was restarted or removed."""
         self._evidence.pop(worker, None)
 
 
-def find_mostly_quarantined_pools(
-    reliability: WorkerReliability, in_service: Iterable[Worker], now_s: float
-) -> frozenset[PoolName]:
-    """Return the pools most of whose workers ``in_service`` are quarantined."""
-    quarantined: Counter[PoolName] = Counter()
-    total: Counter[PoolName] = Counter()
-    for worker in in_service:
-        pool = worker.entry.pool
-        total[pool] += 1
-        quarantined[pool] += reliability.is_quarantined(worker.id, now_s)
-    return frozenset(
-        pool
-        for pool, count in quarantined.items()
-        if count >= MIN_QUARANTINED_MAJORITY and 2 * count > total[pool]
-    )
+def are_jobs_at_fault(standings: Collection[Standing]) -> bool:
+    """Return whether failures on these workers speak against the jobs.
+
+    ``standings`` are those of all workers that a unit may use.
+    """
+    count = _count_quarantined(standings)
+    return count >= MIN_QUARANTINED_MAJORITY and 2 * count > len(standings)
+
+
+def are_mostly_quarantined(standings: Collection[Standing]) -> bool:
+    """Return whether most of the workers that a unit may use are."""
+    return 2 * _count_quarantined(standings) > len(standings)
+
+
+def _count_quarantined(standings: Collection[Standing]) -> int:
+    return sum(each is Standing.QUARANTINED for each in standings)
 
 
 def _quarantine(evidence: _Evidence, now_s: float) -> None:
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -84,7 +84,11 @@
         # The capacity may have shrunk since the placement.
         if worker.exceeds_capacity():
             return False
-        return is_schedulable(self._engine, worker, self._clock.monotonic_s())
+        if self._engine.reliability.is_quarantined_since(
+            worker.id, allocation.unit.placed_at_s, self._clock.monotonic_s()
+        ):
+            return False
+        return is_schedulable(self._engine, worker)
 
     def may_resend_start(self, allocation: Allocation) -> bool:
         """Return whether an unanswered start of ``allocation`` is sent again.
--- a/tests/test_node_worker_events.py
+++ b/tests/test_node_worker_events.py
@@ -59,3 +59,22 @@
     assert all(handler.is_start_wanted(start) for start in starts[1:])
     shrink(bench, 8)
     assert len(bench.plan().starts) == 1
+
+
+@pytest.mark.parametrize(
+    ('failed_after_s', 'is_sent'), [(0, False), (-2, True)]
+)
+def test_start_is_not_sent_to_a_worker_that_has_failed_since(
+    failed_after_s, is_sent
+):
+    """A start that tries a quarantined worker was placed later and is sent."""
+    bench, handler, (start,) = place_tasks(1)
+    reliability = bench.engine.reliability
+    failed_at_s = start.unit.placed_at_s + 0.01 + failed_after_s
+    handler._clock = SimpleNamespace(
+        monotonic_s=lambda: start.unit.placed_at_s + 0.02
+    )
+    for job in ('hopeless-1', 'hopeless-2'):
+        reliability.record_failure('w1', job, failed_at_s)
+    assert reliability.is_quarantined('w1', handler._clock.monotonic_s())
+    assert handler.is_start_wanted(start) == is_sent
