--- a/src/bulrushcove/batch/candidate_selection.py
+++ b/src/bulrushcove/batch/candidate_selection.py
@@ -71,6 +71,11 @@
         }
         # The same and those to try, by what a step requires of a worker.
         self._open: dict[Requirements, list[Candidate]] = {}
+        self._has_trials = any(
+            one.units_left is not None
+            for group in candidates.values()
+            for one in group
+        )
         # What units of jobs that never failed require. The others give way to
         # them on workers that are on trial.
         self._tried_first = {
@@ -166,10 +171,10 @@
 
     def _is_tried_last(self, unit: Unit) -> bool:
         """Return whether ``unit`` leaves workers on trial to other units."""
+        if not self._has_trials or not unit.job.has_failed_run:
+            return False
         waited_s = self._now_s - unit.ready_since_s
-        return unit.job.has_failed_run and (
-            not self._has_tried_others or waited_s < MAX_GIVING_WAY_S
-        )
+        return not self._has_tried_others or waited_s < MAX_GIVING_WAY_S
 
     def _with_tickets(
         self, unit: Unit, candidates: list[Candidate]
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -355,8 +355,10 @@
         if not allocations:
             plan.stops.extend(current.preempt(unit))
             current.reserve(unit)
-    if not plan.is_partial:
-        for retried in current.units_tried_last():
-            plan.starts.extend(current.place(retried))
+    for retried in current.units_tried_last():
+        if len(plan.starts) >= MAX_STARTS_PER_PASS:
+            plan.is_partial = True
+            break
+        plan.starts.extend(current.place(retried))
     changed = {start.unit.job.id: start.unit.job for start in plan.starts}
     plan.changed = list(changed.values())
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -108,12 +108,13 @@
 
         They may use workers that are on trial from now on.
         """
+        left_out = [unit for unit in self.waiting if self._is_tried_last(unit)]
         self._has_tried_others = True
         return [
             unit
-            for unit in self.waiting
-            if unit.job.has_failed_run
-            and unit.phase is UnitPhase.WAITING
+            for unit in left_out
+            if unit.phase is UnitPhase.WAITING
+            and unit.ref not in self._engine.preemptions
             and not self._is_tried_last(unit)
         ]
 
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -137,7 +137,7 @@
         Units that were placed before the last failure do not count.
         """
         evidence = self._evidence.get(worker.id)
-        if not self.is_on_probation(worker.id, now_s):
+        if evidence is None or not self.is_on_probation(worker.id, now_s):
             return None
         units: set[UnitRef] = set()
         proven: set[UnitRef] = set()
