--- a/src/bulrushcove/batch/candidate_selection.py
+++ b/src/bulrushcove/batch/candidate_selection.py
@@ -1,7 +1,7 @@
-"""Candidates of a scheduling pass to which a unit may go, now or by now.
+"""Selects the workers that a unit may use in a scheduling pass.
 
-A unit goes first to workers that nothing speaks against. What it prefers to
-leave free or to avoid, it uses later; see ``preferences``.
+First those that nothing speaks against; once the unit has waited, also those
+that it would rather avoid or leave free for others (see ``preferences``).
 """
 
 from __future__ import annotations
@@ -69,7 +69,7 @@
             pool: [one for one in group if _is_trusted(one)]
             for pool, group in candidates.items()
         }
-        # The same and those to try, by what a step requires of a worker.
+        # Those and quarantined ones to try, by what a step requires.
         self._open: dict[Requirements, list[Candidate]] = {}
         self._has_trials = any(
             one.units_left is not None
@@ -83,7 +83,7 @@
             for unit in waiting
             if not unit.job.has_failed_run
         }
-        # Whether all units have been tried once in this pass.
+        # Whether all waiting units have had their turn in this pass.
         self._has_tried_others = False
         self._is_lightly_loaded = {
             pool: used_share(group) < LIGHT_LOAD_SHARE
@@ -93,7 +93,7 @@
         self._has_light_part: dict[Requirements, bool] = {}
 
     def _open_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return the candidates to which ``unit`` may go at once."""
+        """Return the candidates that ``unit`` need not wait for."""
         return self._with_tickets(unit, self._open_to_step(unit))
 
     def _usable_candidates(self, unit: Unit) -> list[Candidate]:
@@ -112,7 +112,7 @@
         ]
 
     def _distrusted_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return further candidates to which ``unit`` may go by now."""
+        """Return the further candidates that ``unit`` has waited long enough for."""
         group = self._candidates.get(unit.job.spec.terms.pool, [])
         opened = self._open_to_step(unit)
         takes_quarantined = self._gives_up(Preference.NOT_QUARANTINED, unit)
@@ -146,6 +146,7 @@
         )
 
     def _allows_remote_rack(self, unit: Unit) -> bool:
+        """Return whether ``unit`` may run outside its preferred rack."""
         return self._gives_up(Preference.RACK, unit)
 
     def _patience(self, unit: Unit) -> Patience:
@@ -256,6 +257,7 @@
     def _headroom_workers(
         self, unit: Unit, group: list[Candidate]
     ) -> frozenset[WorkerId]:
+        """Return the workers that ``unit`` must leave to urgent work."""
         if unit.job.spec.terms.priority == URGENT:
             return frozenset()
         pool = unit.job.spec.terms.pool
--- a/src/bulrushcove/batch/stall_detection.py
+++ b/src/bulrushcove/batch/stall_detection.py
@@ -2,8 +2,8 @@
 
 Finds tasks that stall on a worker although it reports good health. The
 members of a gang advance together, so a stalled gang does not show
-which worker is at fault: its run is moved, and each of its workers is tried
-again by one unit after a quarantine.
+which worker is at fault: its run is moved, and each of its workers is
+quarantined and tried again (``worker_reliability``).
 
 A task may also be so long that a percent of it takes longer than the timeout.
 One that stalls on one worker after the other is given more time in each further
