--- a/src/bulrushcove/batch/candidate_selection.py
+++ b/src/bulrushcove/batch/candidate_selection.py
@@ -112,7 +112,7 @@
         ]
 
     def _distrusted_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return the further candidates that ``unit`` has waited long enough for."""
+        """Return further candidates, for which ``unit`` has waited enough."""
         group = self._candidates.get(unit.job.spec.terms.pool, [])
         opened = self._open_to_step(unit)
         takes_quarantined = self._gives_up(Preference.NOT_QUARANTINED, unit)
