--- a/tests/idle_capacity_model.py
+++ b/tests/idle_capacity_model.py
@@ -11,13 +11,14 @@
 
 from bulrushcove.batch.crash_history import CrashHistory
 from bulrushcove.batch.job_state import JobPhase, UnitPhase
+from bulrushcove.batch.stall_detection import STALL_TIMEOUT_S
 from bulrushcove.batch.workers import EndKind
 
 PASS_INTERVAL_S = 0.25
 # Users are promised a start within this time where a unit fits twice over and
 # under half of the pool is in use.
 MAX_START_S = 3.0
-# Time after a crash in which they are not; by the same promise.
+# The promise does not hold for this long after a crash.
 CALM_S = 4.0
 # Longest time until the jobs of the history have ended.
 MAX_HISTORY_S = 60.0
@@ -119,24 +120,12 @@
         for number, row in enumerate(history.hopeless):
             self.submit_hopeless(f'hopeless-{number}', *row)
             self.run_for(RUN_S)
-        stalled = []
-        for number, label in enumerate(history.stalling):
-            self.stalling.add(f'stalling-{number}')
-            spec = step(1, 1, required_label=label)
-            stalled.append(self.submit(job_spec(f'stalling-{number}', spec)))
-        if stalled:
-            self.run_for(4.0)
-        for job in stalled:
-            for allocation in self.engine.cancel(
-                job, unix_ms=self.unix_ms, now_s=self.now_s
-            ):
-                self.end(allocation, EndKind.STOPPED)
+        if history.stalling:
+            self._stall(history.stalling)
         self._await_failures()
         for number in range(history.suspects):
             suspect = self.submit(job_spec(f'suspect-{number}'))
-            suspect.units[0].crashes[0] = CrashHistory(
-                shared=1, longest_ms=4000
-            )
+            suspect.units[0].crashes[0] = SUSPECT
         if history.large_gang:
             spec = step(
                 len(self.engine.workers), history.large_gang, is_gang=True
@@ -180,6 +169,20 @@
         elif job in self.quick:
             self.end(allocation, EndKind.DONE)
 
+    def _stall(self, labels):
+        """Run tasks that stall on a worker, then cancel them."""
+        jobs = []
+        for number, label in enumerate(labels):
+            self.stalling.add(f'stalling-{number}')
+            spec = step(1, 1, required_label=label)
+            jobs.append(self.submit(job_spec(f'stalling-{number}', spec)))
+        self.run_for(STALL_TIMEOUT_S + 2 * PASS_INTERVAL_S)
+        for job in jobs:
+            for allocation in self.engine.cancel(
+                job, unix_ms=self.unix_ms, now_s=self.now_s
+            ):
+                self.end(allocation, EndKind.STOPPED)
+
     def _await_failures(self):
         until_s = self.now_s + MAX_HISTORY_S
         while self.now_s < until_s and any(
