Keep organisations within their limits

The configuration may limit what an organisation has running over all domains.

A ledger (batch/organisation_usage.py) sums the allocations of all workers, of changed workers only; runs whose lease expired on workers that have not reported since and runs that a worker still reports count, too. A pass starts a unit only if its organisation stays within the newest known limit; room is held for a large unit that has waited. A job of which one unit is above the limit is refused. A VM campaigns only once it has read the configuration.

--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 from .exceptions import JobConflictError, JobRefusedError
-from .job_spec import JobSpec, StepSpec
+from .job_spec import JobSpec, StepSpec, TaskSize
+from .limit_gate import find_limits, size_fits
+from .policy import Policy
 from .runtime_estimates import RuntimeEstimates
 from .workers import Worker
 
@@ -40,8 +42,10 @@
 def refuse_unplaceable(spec: JobSpec, engine: Engine, now_s: float) -> None:
     """Raise ``JobRefusedError`` if no worker can ever run some step.
 
-    Accepts every job while the pool has no listed worker.
+    Accepts every job while the pool has no listed worker, unless a step is
+    larger than its organisation may have running.
     """
+    _refuse_above_limit(spec, engine.desired_state.policy)
     workers = [
         worker
         for worker in engine.workers.values()
@@ -57,6 +61,28 @@
             )
 
 
+def _refuse_above_limit(spec: JobSpec, policy: Policy | None) -> None:
+    organisation = spec.terms.organisation
+    limit = find_limits(policy).get(organisation)
+    if limit is None:
+        return
+    for number, step in enumerate(spec.steps):
+        unit_size = step.size.times(step.task_count if step.is_gang else 1)
+        if not size_fits(unit_size, limit):
+            raise JobRefusedError(
+                f'step {number} needs {_describe(unit_size)} at once, above '
+                f'the limit of {organisation}: {_describe(limit)}',
+                UNPLACEABLE_RETRY_S,
+            )
+
+
+def _describe(size: TaskSize) -> str:
+    return (
+        f'{size.cpu_millicores} millicores, {size.memory_mb} MB, '
+        f'{size.accelerators} accelerators'
+    )
+
+
 def outage_retry_s(
     spec: JobSpec, estimates: RuntimeEstimates, lasted_s: float
 ) -> float:
--- /dev/null
+++ b/src/bulrushcove/batch/allocation_table.py
@@ -0,0 +1,35 @@
+"""The allocations of one worker, with a number that tells of each change.
+
+It counts additions, ``pop`` and ``clear``, the changes that are made. Sums
+over hundreds of workers are computed anew only for those that changed.
+"""
+
+from typing import Any
+
+from .ids import RunRef
+from .job_state import Allocation
+
+
+class AllocationTable(dict[RunRef, Allocation]):
+    """Allocations of a worker by the reference of their run."""
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        super().__init__()
+        # Number of changes so far.
+        self.revision = 0
+
+    def __setitem__(self, ref: RunRef, allocation: Allocation) -> None:
+        """Add ``allocation``."""
+        self.revision += 1
+        super().__setitem__(ref, allocation)
+
+    def pop(self, ref: RunRef, *default: Any) -> Any:
+        """Remove and return an allocation, like ``dict.pop``."""
+        self.revision += 1
+        return super().pop(ref, *default)
+
+    def clear(self) -> None:
+        """Remove all allocations."""
+        self.revision += 1
+        super().clear()
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Iterable
 
-from ..clock import MS_PER_S
 from ..ids import JobId, WorkerId
 from .admission import check_same_job, refuse_unplaceable
 from .advice import TicketCache
@@ -30,6 +29,7 @@
 )
 from .lease_expiry import LeaseExpiryTable
 from .membership import placeholder_worker
+from .organisation_usage import OrganisationUsage
 from .plan import Plan
 from .policy import DesiredState
 from .preemption_plan import PreemptionPlan
@@ -71,6 +71,7 @@
         self.tickets = TicketCache()
         self.lease_expiry = LeaseExpiryTable()
         self.urgent_demand = UrgentDemand()
+        self.organisation_usage = OrganisationUsage()
         # Passes so far; each examines other workers of a large pool.
         self.pass_count = 0
         # Preemptions in progress, and until when their capacity is reserved.
@@ -310,9 +311,7 @@
             )
             if is_complete_run and not unit.spec.is_service:
                 duration_s = now_s - allocation.start_confirmed_at_s
-                self.estimates.record_run(
-                    unit.job.spec.terms.queue, duration_s * MS_PER_S
-                )
+                self.estimates.record_run(unit.job.spec.terms.queue, duration_s)
         elif end.kind in _FAILED_ENDS:
             unit.job.has_failed_run = True
             self.reliability.record_failure(
--- a/src/bulrushcove/batch/job_spec.py
+++ b/src/bulrushcove/batch/job_spec.py
@@ -52,6 +52,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> 'TaskSize':
+        """Return ``count`` times this size."""
+        return TaskSize(
+            self.cpu_millicores * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
     @property
     def weight_cores(self) -> float:
         """Return the size in cores, with accelerators converted to cores."""
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -83,6 +83,18 @@
     return max(limit, 0)
 
 
+def fits_when_idle(unit: Unit, candidates: Iterable[Candidate]) -> bool:
+    """Return whether ``unit`` fits the candidates if nothing runs there."""
+    fitting = 0
+    for candidate in candidates:
+        fitting += count_fitting_tasks(
+            candidate, unit.spec, future_free=candidate.capacity
+        )
+        if fitting >= unit.size:
+            return True
+    return False
+
+
 def find_placement(
     unit: Unit,
     candidates: Sequence[Candidate],
--- a/src/bulrushcove/batch/policy.py
+++ b/src/bulrushcove/batch/policy.py
@@ -4,7 +4,7 @@
 
 from ..ids import DomainName, OrganisationId
 from .ids import PoolName, QueueName
-from .job_spec import QueueTerms
+from .job_spec import QueueTerms, TaskSize
 
 
 class Adviser(msgspec.Struct, frozen=True, kw_only=True):
@@ -46,11 +46,15 @@
 
 
 class Organisation(msgspec.Struct, frozen=True, kw_only=True):
-    """An organisation, its credentials and its guaranteed capacity."""
+    """An organisation, its credentials and its capacity."""
 
     name: OrganisationId
     credentials: frozenset[str] = frozenset()
     guaranteed_accelerators: int = 0
+    # What it may have running over all domains; 0: no limit.
+    limit: TaskSize = TaskSize()
+    # Its share in proportion to others when all is full; 0: none is set.
+    weight: float = 0.0
 
 
 class Pool(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/bulrushcove/batch/runtime_estimates.py
+++ b/src/bulrushcove/batch/runtime_estimates.py
@@ -41,13 +41,13 @@
         """Start without any completed run."""
         self._means: dict[QueueName, _Mean] = {}
 
-    def record_run(self, queue: QueueName, duration_ms: float) -> None:
-        """Record a run of ``duration_ms`` from its start to its completion.
+    def record_run(self, queue: QueueName, duration_s: float) -> None:
+        """Record a run of ``duration_s`` from its start to its completion.
 
         A run resumed from a checkpoint says little about the whole run time
         and must not be recorded.
         """
-        self._means.setdefault(queue, _Mean()).add(duration_ms)
+        self._means.setdefault(queue, _Mean()).add(duration_s * MS_PER_S)
 
     def task_ms(self, queue: QueueName, step: StepSpec) -> float:
         """Return the expected milliseconds of a task of ``step``."""
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -33,11 +33,13 @@
     ready_units,
     unstopped_allocations,
 )
+from .limit_gate import LimitGate, find_limits
 from .placement import (
     Candidate,
     count_fitting_tasks,
     deduct_requirements,
     find_placement,
+    fits_when_idle,
     rank_candidates,
 )
 from .policy import find_adviser
@@ -69,10 +71,15 @@
         engine: Engine,
         waiting: list[Unit],
         candidates: dict[PoolName, list[Candidate]],
+        limit_gate: LimitGate,
         now_s: float,
     ) -> None:
-        """Schedule ``waiting`` onto the ``candidates`` of each pool."""
+        """Schedule ``waiting`` onto the ``candidates`` of each pool.
+
+        Only what ``limit_gate`` admits may start.
+        """
         super().__init__(engine, waiting, candidates, now_s)
+        self._limit_gate = limit_gate
         self._examined: dict[Shape, Sequence[Candidate]] = {}
         # Number of units with a backfill reservation in this pass.
         self._reservation_count = 0
@@ -87,6 +94,10 @@
         """Place ``unit``; returns its allocations, none if it does not fit."""
         if unit.phase is not UnitPhase.WAITING or unit.job.has_ended:
             return []
+        if not self._limit_gate.admits(unit):
+            # Others must not be kept from what was preempted for it.
+            self._engine.preemptions.pop(unit.ref, None)
+            return []
         # Of two equal units only the older one may give up preferences.
         key = (shape_of(unit), self._patience(unit))
         if key in self._unplaceable:
@@ -99,6 +110,7 @@
             return []
         deduct_requirements(chosen, unit.spec)
         self._engine.preemptions.pop(unit.ref, None)
+        self._limit_gate.record_start(unit)
         allocations = self._start_run(unit, chosen)
         isolate_runs(unit, indices_to_isolate(unit, self._now_s), chosen)
         return allocations
@@ -131,17 +143,22 @@
             unit, self._now_s
         ):
             return []
+        if not self._limit_gate.admits(unit):
+            return []
         plan = self.decider.find_plan(unit, self._examined_candidates(unit))
         if plan is None:
             return []
         reserved_until_s = self._now_s + PREEMPTION_RESERVATION_S
         self._engine.preemptions[unit.ref] = (plan, reserved_until_s)
         deduct_requirements(plan.placement, unit.spec)
+        self._limit_gate.record_start(unit)
         self.decider.record_capacity_change()
         return _stop_victims(plan)
 
     def reserve(self, unit: Unit) -> None:
         """Reserve the workers that will have capacity for ``unit`` first."""
+        if not self._limit_gate.admits(unit):
+            return
         if indices_to_isolate(unit, self._now_s):
             if self._reservation_count < MAX_RESERVATIONS:
                 self._reservation_count += reserve_idle_workers(
@@ -296,6 +313,7 @@
         reservation = self._engine.preemptions.get(unit.ref)
         if reservation is None:
             return
+        self._limit_gate.record_start(unit)
         plan, _ = reservation
         worker_ids = {target.worker for target in plan.placement}
         by_worker = {
@@ -364,7 +382,28 @@
                 candidates[worker.entry.pool].append(
                     _make_candidate(engine, worker, now_s)
                 )
-    return SchedulingPass(engine, waiting, candidates, now_s)
+    limit_gate = _make_limit_gate(engine, waiting, candidates, now_s)
+    return SchedulingPass(engine, waiting, candidates, limit_gate, now_s)
+
+
+def _make_limit_gate(
+    engine: Engine,
+    waiting: list[Unit],
+    candidates: dict[PoolName, list[Candidate]],
+    now_s: float,
+) -> LimitGate:
+    limits = find_limits(engine.desired_state.policy)
+    if not limits:
+        return LimitGate(limits, {})
+    used = engine.organisation_usage.update(engine.workers, engine.jobs)
+    gate = LimitGate(limits, used)
+
+    def can_ever_run(unit: Unit) -> bool:
+        group = candidates.get(unit.job.spec.terms.pool, [])
+        return fits_when_idle(unit, group)
+
+    gate.hold_for_waiting(waiting, now_s, can_ever_run)
+    return gate
 
 
 def is_schedulable(engine: Engine, worker: Worker) -> bool:
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -8,6 +8,7 @@
 
 from ..clock import MS_PER_S
 from ..ids import DomainName, RackId, WorkerId
+from .allocation_table import AllocationTable
 from .ids import PoolName, RunRef
 from .job_spec import TaskSize
 from .job_state import Allocation
@@ -138,7 +139,9 @@
     has_reported: bool = False
     # Whether this leader has received a report with all unacknowledged ends.
     has_complete_report: bool = False
-    allocations: dict[RunRef, Allocation] = msgspec.field(default_factory=dict)
+    allocations: AllocationTable = msgspec.field(
+        default_factory=AllocationTable
+    )
     # Runs that ended as their lease expired while the worker was silent. They
     # may have crashed it: its next incarnation tells.
     expired: list[Allocation] = msgspec.field(default_factory=list)
--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -117,6 +117,7 @@
         self._operator_entries = PrefixCache(
             self._store, adapter.operator_prefix, self._update_desired_state
         )
+        self._leadership.is_configured = self._has_read_configuration
         self._servers: list[web.ServerRunner] = []
 
     async def on_start(self) -> None:
@@ -200,6 +201,9 @@
             )
         )
 
+    def _has_read_configuration(self) -> bool:
+        return self._operator_entries.revision > 0
+
     def _reload(self) -> None:
         try:
             settings = self._adapter.reload_settings()
--- a/src/bulrushcove/node/leadership.py
+++ b/src/bulrushcove/node/leadership.py
@@ -56,6 +56,9 @@
         # Called when this VM becomes the leader, and when it steps down.
         self.on_gained: Callable[[LeaderRecord], Awaitable[None]] = _do_nothing
         self.on_lost: Callable[[str], Awaitable[None]] = _do_nothing
+        # Whether this VM has read the operators' configuration. A leader must
+        # know the limits and closed domains before its first start.
+        self.is_configured: Callable[[], bool] = _always
         # Whether this VM is shutting down; it does not campaign then.
         self.is_draining = False
         # Whether the previous leader's process is known to have ended, so that
@@ -262,7 +265,7 @@
             )
 
     async def _campaign(self, previous: LeaderRecord | None) -> None:
-        if self.is_draining:
+        if self.is_draining or not self.is_configured():
             return
         delay_s = campaign_delay_s(
             self._records.round_trip_s, self._settings.cpu_cores
@@ -343,5 +346,10 @@
         return
 
 
+def _always() -> bool:
+    """Stand in for a condition that is set later."""
+    return True
+
+
 async def _do_nothing(_event: object) -> None:
     """Stand in for a handler that is set later."""
--- a/src/bulrushcove/platform/store_entries.py
+++ b/src/bulrushcove/platform/store_entries.py
@@ -39,6 +39,10 @@
 MAX_UNIX_MS = 253_402_300_799_999
 # Far above any factor in use; with it a due time still fits a float.
 MAX_STRETCH = 1_000_000
+# Far above any pool of workers, and exact in a float.
+MAX_LIMIT = 1_000_000_000_000
+# Far above any share in use; its quotients are exact enough in a float.
+MAX_WEIGHT = 1_000_000
 # A week; a worker announces at most minutes.
 MAX_DRAIN_MS = 604_800_000
 # The id of a worker goes into an HTTP header: printable ASCII without spaces,
@@ -89,10 +93,24 @@
     gpu: WireInt = 0
 
 
+_Limit = Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT)]
+
+
+class _Cap(msgspec.Struct, rename=_HYPHENATED):
+    """What may run over all servers; 0: no limit."""
+
+    # In millicores.
+    cpu: _Limit = 0
+    mem_mb: _Limit = 0
+    gpu: _Limit = 0
+
+
 class _Tenant(msgspec.Struct, rename=_HYPHENATED):
     name: str
     api_keys: list[str] = []
     guaranteed: _Guaranteed | None = None
+    weight: Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)] = 0
+    cap: _Cap | None = None
 
 
 class _Config(msgspec.Struct, rename=_HYPHENATED):
@@ -220,10 +238,13 @@
 
 def _make_organisation(tenant: _Tenant) -> Organisation:
     guaranteed = tenant.guaranteed
+    cap = tenant.cap or _Cap()
     return Organisation(
         name=OrganisationId(tenant.name),
         credentials=frozenset(tenant.api_keys),
         guaranteed_accelerators=guaranteed.gpu if guaranteed else 0,
+        limit=TaskSize(cap.cpu, cap.mem_mb, cap.gpu),
+        weight=tenant.weight,
     )
 
 
--- /dev/null
+++ b/tests/test_batch_organisation_limits.py
@@ -0,0 +1,330 @@
+"""Limits of organisations: the ledger, the gate of a pass and refusals."""
+
+import msgspec
+import pytest
+from batch_builders import ORGANISATION, Bench, entry, job_spec, racks, step
+
+from bulrushcove.batch.exceptions import JobRefusedError
+from bulrushcove.batch.job_spec import TaskSize
+from bulrushcove.batch.job_state import (
+    AllocationPhase,
+    JobPhase,
+    StopReason,
+    UnitPhase,
+)
+from bulrushcove.batch.limit_gate import HOLD_AFTER_S
+from bulrushcove.batch.organisation_usage import sum_sizes
+from bulrushcove.batch.policy import Organisation
+from bulrushcove.batch.workers import EndKind
+from bulrushcove.ids import OrganisationId
+
+OTHER = OrganisationId('other')
+
+
+def limited(accelerators=0, cpu=0, memory=0):
+    """Return the limit of an organisation in accelerators."""
+    return TaskSize(cpu, memory, accelerators)
+
+
+def sized(millicores, count, **others):
+    """Return a step of ``count`` tasks of one accelerator."""
+    return msgspec.structs.replace(
+        step(count, **others), size=TaskSize(millicores, 100, 1)
+    )
+
+
+def set_limits(engine, guaranteed=0, **limits):
+    """Set the limits of organisations by name."""
+    organisations = tuple(
+        Organisation(
+            name=OrganisationId(name),
+            limit=limit,
+            guaranteed_accelerators=guaranteed,
+        )
+        for name, limit in limits.items()
+    )
+    policy = msgspec.structs.replace(
+        engine.desired_state.policy,
+        organisations=organisations,
+        version=engine.desired_state.policy.version + 1,
+    )
+    engine.desired_state = msgspec.structs.replace(
+        engine.desired_state, policy=policy
+    )
+
+
+def used(engine, name=ORGANISATION):
+    """Return the accelerators that the ledger counts for ``name``."""
+    usage = engine.organisation_usage.update(engine.workers, engine.jobs)
+    return usage.get(name, TaskSize()).accelerators
+
+
+@pytest.fixture(name='bench')
+def make_bench():
+    """Return a bench of three racks with four workers of 8 accelerators."""
+    return Bench(*racks())
+
+
+def test_a_burst_starts_only_up_to_the_limit(bench):
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('burst', step(40)))
+    other = bench.submit(job_spec('other', step(5), organisation=OTHER))
+
+    bench.start_all()
+
+    assert used(bench.engine) == 10
+    assert all(unit.phase is UnitPhase.ACTIVE for unit in other.units)
+
+
+@pytest.mark.parametrize(
+    ('limit', 'started'),
+    [
+        (limited(cpu=7500), 7),
+        (limited(memory=350), 3),
+        (limited(6, cpu=5000), 5),
+        (limited(), 40),
+    ],
+)
+def test_each_resource_is_limited(bench, limit, started):
+    set_limits(bench.engine, mill=limit)
+    bench.submit(job_spec('burst', step(40)))
+
+    assert len(bench.start_all().starts) == started
+
+
+def test_a_gang_starts_whole_or_not_at_all(bench):
+    set_limits(bench.engine, mill=limited(10))
+    first = bench.submit(job_spec('first', step(7, is_gang=True)))
+    second = bench.submit(job_spec('second', step(4, is_gang=True)))
+
+    bench.start_all()
+
+    assert first.phase is JobPhase.RUNNING
+    assert second.phase is JobPhase.QUEUED
+    assert used(bench.engine) == 7
+
+
+def test_a_run_counts_until_its_end_is_known(bench):
+    set_limits(bench.engine, mill=limited(1))
+    bench.submit(job_spec('first'))
+    (allocation,) = bench.start_all().starts
+    bench.submit(job_spec('second'))
+
+    allocation.phase = AllocationPhase.STOPPING
+    assert not bench.plan().starts
+    bench.end(allocation, EndKind.DONE)
+
+    assert len(bench.plan().starts) == 1
+
+
+def test_a_start_that_is_not_confirmed_counts(bench):
+    set_limits(bench.engine, mill=limited(1))
+    bench.submit(job_spec('first'))
+    assert len(bench.plan().starts) == 1
+    bench.submit(job_spec('second'))
+
+    assert not bench.plan().starts
+
+
+def test_runs_on_silent_workers_count_also_after_their_lease(bench):
+    set_limits(bench.engine, mill=limited(1))
+    bench.submit(job_spec('first'))
+    (allocation,) = bench.start_all().starts
+    worker = bench.engine.workers[allocation.worker]
+    worker.failed_polls = 1
+    assert used(bench.engine) == 1
+
+    worker.leases_expire_at_s = bench.now_s - 1
+    bench.engine.expire_leases(unix_ms=bench.unix_ms, now_s=bench.now_s)
+    assert used(bench.engine) == 1
+    assert not bench.plan().starts
+
+    bench.report(allocation.worker)
+    assert used(bench.engine) == 0
+    assert len(bench.plan().starts) == 1
+
+
+def test_runs_that_were_given_up_count_while_they_are_reported(bench):
+    set_limits(bench.engine, mill=limited(1))
+    job = bench.submit(job_spec('first'))
+    (allocation,) = bench.start_all().starts
+    worker = bench.engine.workers[allocation.worker]
+    bench.engine.end_incarnation(
+        worker, unix_ms=bench.unix_ms, now_s=bench.now_s
+    )
+
+    bench.report(allocation.worker, running=[(allocation.ref, '', 0)])
+
+    assert worker.orphans
+    assert used(bench.engine) == 1
+    assert not bench.plan().starts
+    assert job.units[0].phase is UnitPhase.WAITING
+
+
+def test_a_new_leader_counts_what_the_records_name():
+    bench = Bench(*racks())
+    job = bench.submit(job_spec('first', step(3)))
+    bench.start_all()
+    successor = Bench(entry('w99'))
+    set_limits(successor.engine, mill=limited(4))
+
+    successor.engine.restore([job], leases_expire_at_s=200.0)
+    successor.submit(job_spec('second', step(3)))
+
+    assert used(successor.engine) == 3
+    assert len(successor.plan().starts) == 1
+
+
+def test_a_lowered_limit_starts_nothing_and_stops_nothing(bench):
+    set_limits(bench.engine, mill=limited(10))
+    job = bench.submit(job_spec('burst', step(20)))
+    running = bench.start_all().starts
+    set_limits(bench.engine, mill=limited(4))
+
+    plan = bench.plan()
+    assert not plan.starts
+    assert not plan.stops
+
+    for allocation in running[:6]:
+        bench.end(allocation, EndKind.DONE)
+    assert not bench.plan().starts
+    bench.end(running[6], EndKind.DONE)
+    assert len(bench.plan().starts) == 1
+    assert job.phase is JobPhase.RUNNING
+
+
+@pytest.mark.parametrize(('limit', 'stops'), [(3, True), (2, False)])
+def test_nothing_is_stopped_for_a_unit_that_may_not_start(limit, stops):
+    bench = Bench(entry('w1', accelerators=10))
+    set_limits(bench.engine, mill=limited(limit))
+    bench.submit(job_spec('running', step(2), priority=0))
+    bench.submit(job_spec('gang', step(8, is_gang=True), organisation=OTHER))
+    bench.advance(3)
+    bench.start_all()
+    bench.advance(3)
+    assert bench.start_all().starts
+    bench.submit(job_spec('urgent', priority=0))
+    bench.advance(2)
+    bench.confirm()
+
+    reasons = {stop.stop_reason for stop in bench.plan().stops}
+    assert (StopReason.PREEMPTED in reasons) is stops
+
+
+def test_no_worker_is_reserved_for_a_unit_that_may_not_start():
+    bench = Bench(entry('w1'))
+    set_limits(bench.engine, mill=limited(12))
+    bench.submit(job_spec('running', step(6)))
+    bench.start_all()
+    bench.submit(job_spec('gang', step(8, is_gang=True)))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    long = step(2, estimated_ms=60_000)
+    bench.submit(job_spec('other', long, organisation=OTHER))
+
+    assert len(bench.plan().starts) == 2
+
+
+def test_a_job_above_the_limit_is_refused_with_the_reason(bench):
+    set_limits(bench.engine, mill=limited(10, cpu=20_000))
+
+    with pytest.raises(JobRefusedError, match='above the limit of mill'):
+        bench.submit(job_spec('gang', step(11, is_gang=True)))
+    with pytest.raises(JobRefusedError, match='step 1 needs 24000 millicores'):
+        bench.submit(job_spec('cpu', step(), sized(4000, 6, is_gang=True)))
+    with pytest.raises(JobRefusedError):
+        set_limits(bench.engine, mill=limited(1))
+        bench.submit(job_spec('task', step(accelerators=2)))
+
+
+def test_a_wide_step_of_single_tasks_is_accepted(bench):
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('wide', step(100)))
+
+    assert len(bench.start_all().starts) == 10
+
+
+def test_a_job_that_a_lowered_limit_excludes_waits_as_queued(bench):
+    set_limits(bench.engine, mill=limited(10))
+    job = bench.submit(job_spec('gang', step(8, is_gang=True)))
+    set_limits(bench.engine, mill=limited(4))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S + 1)
+    small = bench.submit(job_spec('small', step(4)))
+
+    bench.start_all()
+
+    assert job.phase is JobPhase.QUEUED
+    assert small.phase is JobPhase.RUNNING
+
+
+def test_small_jobs_do_not_starve_a_gang(bench):
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('before', step(10)))
+    running = bench.start_all().starts
+    gang = bench.submit(job_spec('gang', step(6, is_gang=True)))
+    for number in range(40):
+        bench.submit(job_spec(f'small-{number}'))
+        bench.advance(1)
+        bench.end(running.pop(0), EndKind.DONE)
+        running.extend(bench.start_all().starts)
+        assert used(bench.engine) <= 10
+        if gang.phase is JobPhase.RUNNING:
+            break
+
+    assert gang.phase is JobPhase.RUNNING
+
+
+def test_small_jobs_use_the_limit_until_a_gang_has_waited(bench):
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('before', step(6)))
+    bench.start_all()
+    bench.submit(job_spec('gang', step(6, is_gang=True)))
+    small = bench.submit(job_spec('small', step(2)))
+
+    bench.start_all()
+
+    assert small.phase is JobPhase.RUNNING
+
+
+def test_no_room_is_held_for_a_gang_that_no_workers_hold():
+    bench = Bench(entry('w1'))
+    set_limits(bench.engine, mill=limited(10))
+    gang = bench.submit(job_spec('gang', step(10, is_gang=True)))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S + 1)
+    bench.submit(job_spec('small', step(4)))
+
+    bench.start_all()
+
+    assert gang.phase is JobPhase.QUEUED
+    assert used(bench.engine) == 4
+
+
+def test_best_effort_tasks_count_in_full(bench):
+    set_limits(bench.engine, mill=limited(cpu=3000))
+    bench.submit(job_spec('fill', step(10, 0, fills_idle=True)))
+
+    assert len(bench.start_all().starts) == 3
+    assert not bench.start_all().starts
+
+
+def test_the_ledger_equals_a_sum_of_all_allocations(bench):
+    set_limits(bench.engine, mill=limited(30), other=limited(9))
+    bench.submit(job_spec('one', sized(700, 40)))
+    bench.submit(job_spec('two', step(20), organisation=OTHER))
+    running = bench.start_all().starts
+    for allocation in running[::3]:
+        bench.end(allocation, EndKind.DONE)
+    bench.plan()
+    bench.engine.workers.pop(running[1].worker)
+
+    engine = bench.engine
+    units = (
+        allocation.unit
+        for worker in engine.workers.values()
+        for allocation in worker.allocations.values()
+    )
+    assert engine.organisation_usage.update(
+        engine.workers, engine.jobs
+    ) == sum_sizes(units)
--- a/tests/test_node_leadership.py
+++ b/tests/test_node_leadership.py
@@ -113,6 +113,20 @@
     await created.leadership.stop()
 
 
+async def test_a_vm_without_the_configuration_does_not_campaign(rig):
+    known = []
+    rig.leadership.is_configured = lambda: bool(known)
+    await rig.leadership.start()
+    await asyncio.sleep(0.1)
+    has_led_before = rig.gained.is_set()
+
+    known.append('configuration')
+    await rig.wait_gained()
+
+    assert not has_led_before
+    await rig.leadership.stop()
+
+
 async def test_the_epoch_is_the_revision_of_the_record(rig):
     await rig.leadership.start()
     await rig.wait_gained()
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bulrushcove.batch.ids import TaskRef
+from bulrushcove.batch.job_spec import TaskSize
 from bulrushcove.batch.policy import find_organisation, find_queue
 from bulrushcove.ids import JobId
 from bulrushcove.platform.exceptions import UndecodableError
@@ -98,6 +99,27 @@
     assert find_organisation(policy, '') is None
 
 
+def test_limits_and_weights_of_organisations_are_decoded():
+    policy = decode_policy(
+        b'{"version":1,"routes":[],"services":[],"tenants":['
+        b'{"name":"a","api-keys":["k"],"weight":2,"allowed-regions":[],'
+        b'"cap":{"cpu":688078,"mem-mb":3546863,"gpu":309}},'
+        b'{"name":"b","weight":0.5,"cap":{"gpu":0}},{"name":"c"}]}'
+    )
+    first, second, third = policy.organisations
+    assert (first.limit, first.weight) == (TaskSize(688078, 3546863, 309), 2)
+    assert (second.limit, second.weight) == (TaskSize(), 0.5)
+    assert (third.limit, third.weight) == (TaskSize(), 0)
+
+
+@pytest.mark.parametrize(
+    'field', ['"weight":-1', '"weight":1e9', '"cap":{"cpu":-1}', '"cap":3']
+)
+def test_a_limit_or_weight_that_makes_no_sense_is_refused(field):
+    start = '{"version":1,"routes":[],"services":[],"tenants":[{"name":"a",'
+    assert decode_policy(f'{start}{field}}}]}}'.encode()) is None
+
+
 @pytest.mark.parametrize('raw_entry', [b'', b'{"version":"x"}', b'\xff'])
 def test_undecodable_configuration_yields_no_policy(raw_entry):
     assert decode_policy(raw_entry) is None
