Share a full deployment by the organisations' weights

In force only where the configuration gives weights, and limits or weights that differ: no earlier configuration does.

--- a/src/bulrushcove/batch/limit_gate.py
+++ b/src/bulrushcove/batch/limit_gate.py
@@ -48,6 +48,8 @@
         None is held for a unit that is larger than the limit, or that the
         workers there are could not run (``can_ever_run``).
         """
+        if not self._limits:
+            return
         for name, unit in self._find_oldest(waiting, now_s).items():
             size = size_of(unit)
             if size_fits(size, self._limits[name]) and can_ever_run(unit):
--- a/src/bulrushcove/batch/organisation_usage.py
+++ b/src/bulrushcove/batch/organisation_usage.py
@@ -28,6 +28,8 @@
 
     def __init__(self) -> None:
         """Start without anything running."""
+        # Units that were ready in the last pass.
+        self.waiting: list[Unit] = []
         self._total: Usage = {}
         # The table that was summed last, its revision then and the sum.
         self._summed: dict[WorkerId, tuple[AllocationTable, int, Usage]] = {}
--- a/src/bulrushcove/batch/queue_order.py
+++ b/src/bulrushcove/batch/queue_order.py
@@ -6,7 +6,7 @@
 ones. Last are those so late that a further delay costs nothing.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..clock import MS_PER_S
 from ..ids import JobId
@@ -18,6 +18,8 @@
 # loses nothing more by a further delay.
 MAX_LATE_OBJECTIVES = 3
 
+# Parts of a sort key that do not depend on when a unit came or how large it is.
+_CLASS_PARTS = 3
 _ON_TIME = 0
 _LATE = 1
 _TOO_LATE = 2
@@ -41,6 +43,28 @@
     return sorted(waiting, key=sort_key)
 
 
+def make_classifier(
+    estimates: RuntimeEstimates, now_s: float
+) -> Callable[[Unit], tuple[float, ...]]:
+    """Return a function that tells the class of a waiting unit.
+
+    Units of a lower class go first, whatever organisations they are of.
+    """
+    classes: dict[tuple[JobId, int], tuple[float, ...]] = {}
+
+    def class_of(unit: Unit) -> tuple[float, ...]:
+        step = (unit.job.id, unit.step)
+        known = classes.get(step)
+        if known is None:
+            objective_s = estimates.objective_s(unit.job.spec)
+            key = _sort_key(unit, estimates, now_s, objective_s)
+            known = key[:_CLASS_PARTS]
+            classes[step] = known
+        return known
+
+    return class_of
+
+
 def _sort_key(
     unit: Unit, estimates: RuntimeEstimates, now_s: float, objective_s: float
 ) -> tuple[float, ...]:
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -30,7 +30,6 @@
     Unit,
     UnitPhase,
     mark_for_stop,
-    ready_units,
     unstopped_allocations,
 )
 from .limit_gate import LimitGate, find_limits
@@ -45,9 +44,10 @@
 from .policy import find_adviser
 from .preemption_decider import PreemptionDecider
 from .preemption_plan import PreemptionPlan
-from .queue_order import URGENT, sort_waiting_units
+from .queue_order import URGENT
 from .sampling import select_examined
 from .shapes import Shape, shape_of
+from .waiting_units import sort_ready_units, sum_usage
 from .worker_crashes import is_stable
 from .workers import FULL_SPEED_PERCENT, Worker
 
@@ -363,18 +363,9 @@
         for ref, reservation in engine.preemptions.items()
         if now_s <= reservation[1]
     }
-    waiting = sort_waiting_units(
-        (
-            unit
-            for job in engine.active.values()
-            for unit in ready_units(job, unix_ms, now_s)
-        ),
-        engine.estimates,
-        now_s,
-    )
-    if engine.preemptions:
-        # What is stopped for a unit must not take the capacity back.
-        waiting.sort(key=lambda unit: unit.ref not in engine.preemptions)
+    used = sum_usage(engine)
+    waiting = sort_ready_units(engine, used, unix_ms, now_s)
+    engine.organisation_usage.waiting = waiting
     candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
     if waiting:
         for worker in engine.workers.values():
@@ -382,30 +373,13 @@
                 candidates[worker.entry.pool].append(
                     _make_candidate(engine, worker, now_s)
                 )
-    limit_gate = _make_limit_gate(engine, waiting, candidates, now_s)
+    limit_gate = LimitGate(find_limits(engine.desired_state.policy), used)
+    limit_gate.hold_for_waiting(
+        waiting, now_s, lambda unit: _fits_when_idle(unit, candidates)
+    )
     return SchedulingPass(engine, waiting, candidates, limit_gate, now_s)
 
 
-def _make_limit_gate(
-    engine: Engine,
-    waiting: list[Unit],
-    candidates: dict[PoolName, list[Candidate]],
-    now_s: float,
-) -> LimitGate:
-    limits = find_limits(engine.desired_state.policy)
-    if not limits:
-        return LimitGate(limits, {})
-    used = engine.organisation_usage.update(engine.workers, engine.jobs)
-    gate = LimitGate(limits, used)
-
-    def can_ever_run(unit: Unit) -> bool:
-        group = candidates.get(unit.job.spec.terms.pool, [])
-        return fits_when_idle(unit, group)
-
-    gate.hold_for_waiting(waiting, now_s, can_ever_run)
-    return gate
-
-
 def is_schedulable(engine: Engine, worker: Worker) -> bool:
     """Return whether no promise would be broken by new work on ``worker``."""
     is_responding = (
@@ -425,6 +399,13 @@
     return is_listed and entry.domain not in engine.desired_state.closed_domains
 
 
+def _fits_when_idle(
+    unit: Unit, candidates: dict[PoolName, list[Candidate]]
+) -> bool:
+    pool = unit.job.spec.terms.pool
+    return fits_when_idle(unit, candidates.get(pool, []))
+
+
 def _make_candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
     entry = worker.entry
     reliability = engine.reliability
