Expect progress of runs in place of a timeout of 3.5 s

Cause: a run without a new percent for 3.5 s was stopped, a gang with all its members, and all its workers quarantined. A percent of long tasks on slow workers or far from their data takes longer than that on sound workers.

Now the limit of each run comes from its own rate, siblings, queue and declared time; the other runs on its workers tell a standstill from a long task; a stop is weighed against the work that it throws away; workers are suspected, then tried, before gangs are stopped (docs/design).

After a stall the trial units of a worker count as proof once they show progress: 0.5 s of running proves nothing on a worker that stands still.

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -33,6 +33,7 @@
 from .plan import Plan
 from .policy import DesiredState
 from .preemption_plan import PreemptionPlan
+from .progress_model import ProgressModel
 from .reconcile import (
     AllocationEnd,
     ReportChanges,
@@ -41,7 +42,6 @@
 )
 from .runtime_estimates import RuntimeEstimates
 from .scheduling_pass import SchedulingPass, prepare_pass
-from .stall_detection import record_stalls
 from .worker_reliability import WorkerReliability
 from .workers import EndKind, Worker, WorkerReport, find_expired_workers
 
@@ -66,6 +66,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.desired_state = DesiredState()
         self.estimates = RuntimeEstimates()
+        self.progress = ProgressModel(self.workers, self.estimates.task_ms)
         self.reliability = WorkerReliability()
         self.crashes = CrashHandler()
         self.tickets = TicketCache()
@@ -178,6 +179,7 @@
                 report_changes.unconfirmed, StopReason.START_UNANSWERED
             )
         )
+        plan.suspicions = self.progress.observe(worker, now_s)
         return plan, report_changes
 
     def confirm_starts(
@@ -267,9 +269,7 @@
         current = prepare_pass(self, unix_ms=unix_ms, now_s=now_s)
         plan = Plan()
         _run_pass(current, plan)
-        plan.stops.extend(
-            mark_for_stop(record_stalls(self, now_s), StopReason.STALLED)
-        )
+        _stop_stalled_runs(plan, self.progress, self.reliability, now_s)
         outlasting = find_outlasting_runs(self, now_s)
         plan.stops.extend(mark_for_stop(outlasting, StopReason.WORKER_DRAINING))
         plan.advice_request = current.next_advice_request()
@@ -344,6 +344,19 @@
     return StopReason.TASK_DONE if unit.phase is UnitPhase.DONE else None
 
 
+def _stop_stalled_runs(
+    plan: Plan,
+    progress: ProgressModel,
+    reliability: WorkerReliability,
+    now_s: float,
+) -> None:
+    plan.stalls = progress.find_stalls(now_s)
+    for stall in plan.stalls:
+        for worker in stall.blamed:
+            reliability.record_stall(worker, now_s)
+        plan.stops.extend(mark_for_stop(stall.allocations, StopReason.STALLED))
+
+
 def _run_pass(current: SchedulingPass, plan: Plan) -> None:
     """Place the waiting units in order; urgent ones may preempt others."""
     for unit in current.waiting:
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -84,6 +84,17 @@
     speed_percent: int = 100
     # When ``percent`` last increased.
     last_progress_at_s: float = 0.0
+    # The worker's clock when the run was first reported, or about when it was
+    # placed, and when its progress was last reported; 0: not known.
+    started_clock_ms: int = 0
+    progress_clock_ms: int = 0
+    # Milliseconds that its last percents took, how many percents were timed,
+    # and whether the rate was counted for its queue. 0: not known.
+    percent_ms: float = 0.0
+    rated_percents: int = 0
+    is_rate_learnt: bool = False
+    # Progress that its last checkpoint holds.
+    saved_percent: int = 0
     # Last checkpoint that the worker reported for it, and when it was new.
     checkpoint: str = ''
     checkpointed_at_s: float = 0.0
--- a/src/bulrushcove/batch/plan.py
+++ b/src/bulrushcove/batch/plan.py
@@ -5,6 +5,7 @@
 from ..ids import JobId
 from .advice import AdviceRequest
 from .job_state import Allocation, Job
+from .progress_model import Stall, Suspicion
 from .worker_crashes import AccusedRun
 
 
@@ -19,6 +20,10 @@
     stops: list[Allocation] = msgspec.field(default_factory=list)
     # Runs that a crash of their worker was counted against.
     accused: list[AccusedRun] = msgspec.field(default_factory=list)
+    # Runs that make their worker suspected of standing still, and those whose
+    # stop follows from a standstill.
+    suspicions: list[Suspicion] = msgspec.field(default_factory=list)
+    stalls: list[Stall] = msgspec.field(default_factory=list)
     # Whether another pass must follow immediately.
     is_partial: bool = False
     # Request for the first waiting unit that lacks tickets.
@@ -30,6 +35,8 @@
         self.ended.extend(other.ended)
         self.stops.extend(other.stops)
         self.accused.extend(other.accused)
+        self.suspicions.extend(other.suspicions)
+        self.stalls.extend(other.stalls)
 
     def starts_by_job(self) -> dict[JobId, list[Allocation]]:
         """Return the starts that must wait until their job is stored."""
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -13,6 +13,7 @@
 
 from .ids import RunRef
 from .job_state import Allocation, AllocationPhase
+from .run_progress import record_checkpoint, record_percent, record_start
 from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
 from .workers import EndedTask, EndKind, RunningTask, Worker, WorkerReport
 
@@ -163,11 +164,15 @@
         report_changes.confirmed.append(allocation)
     confirm_running(allocation, now_s)
     allocation.load = running.load
+    if not allocation.progress_clock_ms:
+        record_start(allocation, running.percent, worker.clock_ms)
     if running.percent > allocation.percent:
-        allocation.percent = running.percent
+        record_percent(allocation, running.percent, worker.clock_ms)
         allocation.last_progress_at_s = now_s
     if running.checkpoint:
-        _record_checkpoint(allocation, running.checkpoint, now_s)
+        _record_checkpoint(
+            allocation, running.checkpoint, worker.clock_ms, now_s
+        )
     if _has_survived(allocation, now_s):
         allocation.is_isolated = False
         allocation.unit.crashes.pop(allocation.index)
@@ -175,10 +180,11 @@
 
 
 def _record_checkpoint(
-    allocation: Allocation, checkpoint: str, now_s: float
+    allocation: Allocation, checkpoint: str, clock_ms: int, now_s: float
 ) -> None:
     allocation.unit.checkpoint = checkpoint
     if checkpoint != allocation.checkpoint:
+        record_checkpoint(allocation, clock_ms)
         allocation.checkpoint = checkpoint
         allocation.checkpointed_at_s = now_s
 
@@ -208,6 +214,7 @@
     for allocation in worker.allocations.values():
         if allocation.ref not in listed and allocation.last_progress_at_s:
             allocation.last_progress_at_s = now_s
+            allocation.progress_clock_ms = worker.clock_ms
 
 
 def _is_unconfirmed_start_of_earlier_leader(allocation: Allocation) -> bool:
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -42,6 +42,8 @@
     stalls: int = 0
     # Number of the run whose failure was counted last.
     failed_run: int = 0
+    # Clocks of the workers when the tasks began there, in milliseconds.
+    clocks_ms: tuple[int, ...] = ()
 
 
 class Progress(msgspec.Struct, frozen=True, array_like=True):
@@ -123,12 +125,16 @@
 def _unit_record(unit: Unit) -> UnitRecord:
     workers: tuple[str, ...] = ()
     incarnations: tuple[int, ...] = ()
+    clocks_ms: tuple[int, ...] = ()
     if unit.allocations:
         allocations = [unit.allocations.get(index) for index in unit.indices]
         workers = tuple(one.worker if one else '' for one in allocations)
         incarnations = tuple(
             one.worker_started_unix_ms if one else 0 for one in allocations
         )
+        clocks_ms = tuple(
+            one.started_clock_ms if one else 0 for one in allocations
+        )
     return UnitRecord(
         unit.phase.value,
         unit.run,
@@ -144,6 +150,7 @@
         unit.crashes,
         unit.stalls,
         unit.failed_run,
+        clocks_ms,
     )
 
 
@@ -155,10 +162,11 @@
     unit.crashes = dict(stored.crashes)
     unit.stalls = stored.stalls
     unit.failed_run = stored.failed_run
-    # Records of earlier versions name no incarnations.
+    # Records of earlier versions name no incarnations and no clocks.
     incarnations = chain(stored.incarnations, repeat(0))
-    for index, worker, incarnation in zip(
-        unit.indices, stored.workers, incarnations, strict=False
+    clocks_ms = chain(stored.clocks_ms, repeat(0))
+    for index, worker, incarnation, clock_ms in zip(
+        unit.indices, stored.workers, incarnations, clocks_ms, strict=False
     ):
         if worker:
             unit.allocations[index] = Allocation(
@@ -167,6 +175,7 @@
                 run=stored.run,
                 worker=WorkerId(worker),
                 worker_started_unix_ms=incarnation,
+                started_clock_ms=clock_ms,
                 is_start_sent=True,
                 is_isolated=index in stored.isolated,
             )
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -43,6 +43,7 @@
 from .policy import find_adviser
 from .preemption_decider import PreemptionDecider
 from .preemption_plan import PreemptionPlan
+from .progress_model import count_trial_units, suspicion_standing
 from .queue_order import URGENT, sort_waiting_units
 from .sampling import select_examined
 from .shapes import Shape, shape_of
@@ -329,6 +330,7 @@
             self._forecast.invalidate(candidate.worker)
             worker = self._engine.workers[candidate.worker]
             allocation.worker_started_unix_ms = worker.entry.started_unix_ms
+            allocation.started_clock_ms = worker.estimate_clock_ms(self._now_s)
             worker.allocations[allocation.ref] = allocation
         return list(unit.allocations.values())
 
@@ -395,8 +397,11 @@
         labels=entry.labels,
         free=worker.free_capacity(),
         capacity=entry.capacity,
-        standing=reliability.standing(worker.id, now_s),
-        units_left=reliability.count_trial_units(worker, now_s),
+        standing=max(
+            reliability.standing(worker.id, now_s),
+            suspicion_standing(worker, now_s),
+        ),
+        units_left=_count_units_left(engine, worker, now_s),
         is_trial_due=reliability.is_trial_due(worker.id, now_s),
         is_idle=not worker.allocations,
         is_stable=is_stable(worker, now_s),
@@ -405,6 +410,17 @@
     )
 
 
+def _count_units_left(
+    engine: Engine, worker: Worker, now_s: float
+) -> int | None:
+    """Return how many more units the worker may get; None: any number."""
+    limits = (
+        engine.reliability.count_trial_units(worker, now_s),
+        count_trial_units(worker, now_s),
+    )
+    return min((one for one in limits if one is not None), default=None)
+
+
 def _count_placed_tasks(unit: Unit) -> dict[WorkerId, int]:
     """Return how many tasks of the unit's step run on each worker.
 
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -8,7 +8,8 @@
 quarantined it is tried again if the waiting unit has hardly any other worker.
 
 A worker that is tried gets one unit. With each unit that runs on for a moment
-it gets two more, so that a sound worker is in full use soon.
+it gets two more, so that a sound worker is in full use soon. Where a run has
+stalled, a unit must show progress for that.
 """
 
 from collections.abc import Collection
@@ -18,7 +19,7 @@
 
 from ..ids import JobId, WorkerId
 from .ids import UnitRef
-from .job_state import AllocationPhase
+from .job_state import Allocation, AllocationPhase
 from .workers import Worker
 
 # Different jobs that fail in a row before a worker is quarantined.
@@ -59,6 +60,8 @@
     quarantine_s: float = 0.0
     quarantined_until_s: float = 0.0
     suspect_until_s: float = 0.0
+    # Whether a run made no progress there.
+    has_stalled: bool = False
 
 
 class WorkerReliability:
@@ -90,6 +93,7 @@
         """Record that a task makes no progress on the worker."""
         evidence = self._evidence.setdefault(worker, _Evidence())
         evidence.updated_at_s = now_s
+        evidence.has_stalled = True
         _quarantine(evidence, now_s)
 
     def standing(self, worker: WorkerId, now_s: float) -> Standing:
@@ -146,12 +150,7 @@
             if unit.placed_at_s < evidence.updated_at_s:
                 continue
             units.add(unit.ref)
-            running_since_s = allocation.start_confirmed_at_s
-            if (
-                allocation.phase is AllocationPhase.RUNNING
-                and running_since_s is not None
-                and now_s - running_since_s >= PROVEN_AFTER_S
-            ):
+            if _is_proven(allocation, evidence, now_s):
                 proven.add(unit.ref)
         limit = 1 + UNITS_PER_PROVEN_UNIT * len(proven)
         return max(0, limit - len(units))
@@ -175,6 +174,19 @@
     return 2 * _count_quarantined(standings) > len(standings)
 
 
+def _is_proven(
+    allocation: Allocation, evidence: _Evidence, now_s: float
+) -> bool:
+    """Return whether the run shows that the worker is sound."""
+    running_since_s = allocation.start_confirmed_at_s
+    is_running = allocation.phase is AllocationPhase.RUNNING
+    if not is_running or running_since_s is None:
+        return False
+    if evidence.has_stalled and not allocation.percent:
+        return False
+    return now_s - running_since_s >= PROVEN_AFTER_S
+
+
 def _count_quarantined(standings: Collection[Standing]) -> int:
     return sum(each is Standing.QUARANTINED for each in standings)
 
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -164,6 +164,11 @@
     # When the first of them failed.
     silent_since_s: float = 0.0
     last_report_at_s: float = 0.0
+    # Since when it is suspected of standing still, 0: it is not; when its runs
+    # progressed last, on its clock; how many jobs are silent there.
+    suspected_since_s: float = 0.0
+    suspected_clock_ms: int = 0
+    silent_jobs: int = 0
     # Speed of best-effort tasks, and when it was last changed.
     speed_percent: int = FULL_SPEED_PERCENT
     speed_changed_at_s: float = 0.0
@@ -206,6 +211,8 @@
         self.ends = ReportedEnds()
         self.max_lease_end_ms = 0
         self.orphans.clear()
+        self.suspected_since_s = 0.0
+        self.silent_jobs = 0
 
     def estimate_clock_ms(self, now_s: float) -> int:
         """Return an estimate of its clock at ``now_s``, never too high."""
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -2,7 +2,7 @@
 
 from ..batch.engine import Engine
 from ..batch.job_state import Job
-from ..batch.worker_crashes import AccusedRun
+from ..batch.plan import Plan
 from ..metrics import Metrics
 
 
@@ -35,6 +35,14 @@
             'bulrushcove_jobs_given_up_total',
             'Jobs that failed as a task crashes its workers.',
         )
+        self._suspected_runs = metrics.counter(
+            'bulrushcove_suspected_runs_total',
+            'Runs that were silent for longer than expected, by basis.',
+        )
+        self._stalled_runs = metrics.counter(
+            'bulrushcove_stalled_runs_total',
+            'Runs that were stopped as they stood still, by basis.',
+        )
         self._loop_delay_seconds = metrics.histogram(
             'bulrushcove_loop_delay_seconds',
             'Delays of the event loop above 10 ms.',
@@ -56,11 +64,17 @@
         """Count an accepted job."""
         self._accepted_jobs.inc({'queue': job.spec.terms.queue})
 
-    def record_accused_run(self, accused: AccusedRun) -> None:
-        """Count a run that may have crashed its worker."""
-        self._accused_runs.inc({})
-        if accused.history.is_conclusive:
-            self._jobs_given_up.inc({})
+    def record_evidence(self, plan: Plan) -> None:
+        """Count the runs that may have crashed, or stand still on, a worker."""
+        for accused in plan.accused:
+            self._accused_runs.inc({})
+            if accused.history.is_conclusive:
+                self._jobs_given_up.inc({})
+        for suspicion in plan.suspicions:
+            basis = suspicion.expectation.basis
+            self._suspected_runs.inc({'basis': basis.value})
+        for stall in plan.stalls:
+            self._stalled_runs.inc({'basis': stall.basis.value})
 
     def record_engine_state(self, engine: Engine) -> None:
         """Set the gauges from the leader's engine."""
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -29,7 +29,7 @@
 from .metrics import NodeMetrics
 from .settings import NodeSettings
 from .store_writer import LeadershipLostError, StoreWriter, WriteWithdrawnError
-from .worker_events import WorkerEventHandler, log_accused_run
+from .worker_events import WorkerEventHandler, log_evidence
 from .worker_registry import WorkerAdapter, WorkerRegistry
 
 # Changes within this time are handled by one scheduling pass.
@@ -236,9 +236,8 @@
 
         Starts are sent once their job's record is stored, stops at once.
         """
-        for accused in plan.accused:
-            log_accused_run(accused)
-            self._metrics.record_accused_run(accused)
+        log_evidence(plan)
+        self._metrics.record_evidence(plan)
         starts = plan.starts_by_job()
         for job in plan.changed:
             write = self._records.write_progress(job)
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -27,6 +27,7 @@
 from .background_tasks import BackgroundTasks
 from .job_records import JobRecords
 from .leadership import Leadership, longest_lease_s
+from .standstill_log import log_stall, log_suspicion
 from .store_writer import LeadershipLostError, WriteWithdrawnError
 from .worker_link import WorkerLink
 
@@ -261,7 +262,17 @@
     return is_done or unit.is_aborting or unit.job.has_ended
 
 
-def log_accused_run(accused: AccusedRun) -> None:
+def log_evidence(plan: Plan) -> None:
+    """Log what speaks against runs or workers."""
+    for accused in plan.accused:
+        _log_accused_run(accused)
+    for suspicion in plan.suspicions:
+        log_suspicion(suspicion)
+    for stall in plan.stalls:
+        log_stall(stall)
+
+
+def _log_accused_run(accused: AccusedRun) -> None:
     """Log a crash that counts against a run, and the job if it is given up."""
     ref = accused.allocation.ref
     history = accused.history
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -274,9 +274,14 @@
         if not self._event_handler.longest_lease_ms(worker):
             # Polled again soon, so that the lease is renewed in time.
             return OPEN_ORDER_WAIT_MS
-        if worker.orphans or any(
-            allocation.phase is not AllocationPhase.RUNNING
-            for allocation in worker.allocations.values()
+        # Progress ends a suspicion.
+        if (
+            worker.suspected_since_s
+            or worker.orphans
+            or any(
+                allocation.phase is not AllocationPhase.RUNNING
+                for allocation in worker.allocations.values()
+            )
         ):
             return OPEN_ORDER_WAIT_MS
         if has_colocated_services(worker):
