Stop an organisation's own work for its guaranteed urgent work

An urgent job that the guarantee covers waited for as long as other work of its own organisation filled the limit. After MAX_RELEASE_WAIT_S its less urgent work is stopped, least loss first (batch/limit_preemption.py).

--- a/src/bulrushcove/batch/limit_gate.py
+++ b/src/bulrushcove/batch/limit_gate.py
@@ -67,6 +67,20 @@
             needed = needed.plus(held[1])
         return size_fits(needed, limit)
 
+    def excess(self, unit: Unit) -> TaskSize:
+        """Return what must end before ``unit`` is within the limit.
+
+        Parts without a limit, or within it, are not above 0.
+        """
+        name = unit.job.spec.terms.organisation
+        limit = self._limits.get(name, NOTHING)
+        over = self._used.get(name, NOTHING).plus(size_of(unit)).minus(limit)
+        return TaskSize(
+            over.cpu_millicores if limit.cpu_millicores else 0,
+            over.memory_mb if limit.memory_mb else 0,
+            over.accelerators if limit.accelerators else 0,
+        )
+
     def record_start(self, unit: Unit) -> None:
         """Count ``unit``, which starts, or for which others are stopped."""
         name = unit.job.spec.terms.organisation
--- a/src/bulrushcove/batch/preemption_decider.py
+++ b/src/bulrushcove/batch/preemption_decider.py
@@ -17,7 +17,9 @@
 from .backfill_reservation import find_earliest_placement
 from .capacity_forecast import CapacityForecast
 from .guarantee import is_within_guarantee
+from .job_spec import TaskSize
 from .job_state import Unit
+from .limit_preemption import find_own_victims
 from .placement import Candidate
 from .preemption_plan import PreemptionPlan, is_worth_loss, plan_preemption
 from .shapes import Shape, shape_of
@@ -86,6 +88,27 @@
         self._declined[key] = self._changes
         return None
 
+    def find_own_victims(
+        self, unit: Unit, excess: TaskSize
+    ) -> list[Unit] | None:
+        """Return what its organisation stops for ``unit``, above its limit.
+
+        None if nothing: the guarantee does not cover ``unit``, it waits for
+        runs that may end by themselves, or no stop would help.
+        """
+        name = unit.job.spec.terms.organisation
+        waited_s = self._now_s - unit.ready_since_s
+        if waited_s < MAX_RELEASE_WAIT_S or not self._is_covered(name):
+            return None
+        running = (
+            other
+            for job in self._engine.active.values()
+            if job.spec.terms.organisation == name
+            for other in job.units
+            if other.allocations
+        )
+        return find_own_victims(excess, running, self._forecast.loss_core_s)
+
     def _release_wait_s(
         self, unit: Unit, candidates: Sequence[Candidate]
     ) -> float:
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING
 
 from ..ids import WorkerId
@@ -43,7 +43,6 @@
 )
 from .policy import find_adviser
 from .preemption_decider import PreemptionDecider
-from .preemption_plan import PreemptionPlan
 from .queue_order import URGENT
 from .sampling import select_examined
 from .shapes import Shape, shape_of
@@ -144,7 +143,7 @@
         ):
             return []
         if not self._limit_gate.admits(unit):
-            return []
+            return self._stop_own_work(unit)
         plan = self.decider.find_plan(unit, self._examined_candidates(unit))
         if plan is None:
             return []
@@ -153,7 +152,7 @@
         deduct_requirements(plan.placement, unit.spec)
         self._limit_gate.record_start(unit)
         self.decider.record_capacity_change()
-        return _stop_victims(plan)
+        return _stop_units(plan.victims)
 
     def reserve(self, unit: Unit) -> None:
         """Reserve the workers that will have capacity for ``unit`` first."""
@@ -198,6 +197,18 @@
                     return request
         return None
 
+    def _stop_own_work(self, unit: Unit) -> list[Allocation]:
+        """Stop other work of the organisation, whose limit ``unit`` waits for.
+
+        The unit holds what is freed, as if it ran.
+        """
+        excess = self._limit_gate.excess(unit)
+        victims = self.decider.find_own_victims(unit, excess)
+        if victims is None:
+            return []
+        self._limit_gate.record_start(unit)
+        return _stop_units(victims)
+
     def _choose_candidates(self, unit: Unit) -> list[Candidate] | None:
         """Return a candidate for each task of ``unit``; None if none fit."""
         isolated = indices_to_isolate(unit, self._now_s)
@@ -440,9 +451,9 @@
     return counts
 
 
-def _stop_victims(plan: PreemptionPlan) -> list[Allocation]:
+def _stop_units(victims: Iterable[Unit]) -> list[Allocation]:
     stops = []
-    for victim in plan.victims:
+    for victim in victims:
         victim.is_aborting = True
         stops.extend(unstopped_allocations(victim))
     return mark_for_stop(stops, StopReason.PREEMPTED)
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -211,6 +211,68 @@
     assert (StopReason.PREEMPTED in reasons) is stops
 
 
+def preempted(plan):
+    """Return the jobs of which the plan preempts runs."""
+    return {
+        stop.unit.job.id
+        for stop in plan.stops
+        if stop.stop_reason is StopReason.PREEMPTED
+    }
+
+
+def fill_limit(bench, guaranteed, priority=1):
+    """Let the organisation use all of its limit of 10; return the job."""
+    set_limits(bench.engine, guaranteed, mill=limited(10))
+    job = bench.submit(job_spec('own', step(10), priority=priority))
+    bench.submit(job_spec('other', step(4), organisation=OTHER))
+    bench.start_all()
+    return job
+
+
+def test_guaranteed_work_stops_own_work_that_fills_the_limit(bench):
+    fill_limit(bench, guaranteed=4)
+    urgent = bench.submit(job_spec('urgent', step(3), priority=0))
+    assert not preempted(bench.plan())
+    bench.advance(1)
+
+    plan = bench.plan()
+    assert preempted(plan) == {'own'}
+    assert len(plan.stops) == 3
+    # What is being stopped is enough, and nothing else takes its place.
+    assert not preempted(bench.plan())
+    for allocation in plan.stops:
+        bench.end(allocation, EndKind.STOPPED)
+    bench.start_all()
+
+    assert all(unit.allocations for unit in urgent.units)
+    assert used(bench.engine) == 10
+
+
+@pytest.mark.parametrize(('guaranteed', 'priority'), [(2, 1), (0, 1), (99, 0)])
+def test_own_work_is_kept_beyond_the_guarantee_or_if_urgent(
+    bench, guaranteed, priority
+):
+    fill_limit(bench, guaranteed, priority)
+    bench.submit(job_spec('urgent', step(3), priority=0))
+    bench.plan()
+    bench.advance(1)
+
+    assert not preempted(bench.plan())
+
+
+def test_nothing_is_stopped_where_it_does_not_help(bench):
+    set_limits(bench.engine, 99, mill=limited(10))
+    bench.submit(job_spec('urgent-before', step(8), priority=0))
+    bench.submit(job_spec('own', step(2)))
+    bench.start_all()
+    gang = step(5, is_gang=True)
+    bench.submit(job_spec('urgent', gang, priority=0))
+    bench.plan()
+    bench.advance(1)
+
+    assert not preempted(bench.plan())
+
+
 def test_no_worker_is_reserved_for_a_unit_that_may_not_start():
     bench = Bench(entry('w1'))
     set_limits(bench.engine, mill=limited(12))
