Test that clients outside the limits end no process

One row a kind of client, two kinds at once, the other addresses, and requests inside the limits that were refused. A crowd of 250 connections (40 streams) on a node program that is its own leader, memory-mb 80, max-fds 350 or 4100 by the settings of the test. Bounds: memory-mb, max-fds less the 200 reserved for files, the process lives, one ordinary job is served afterwards.

They run in a call of their own, one at a time, after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SECONDS ?= 60
 JOBS ?= 3
 SEEDS ?= 10
+ALONE = tests/test_hostile_clients.py
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
@@ -18,9 +19,11 @@
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch $(STAMP)
 
-# Files run side by side; JOBS=0 runs one after the other.
+# Files run side by side; JOBS=0 runs one after the other. Those that fill a
+# machine run alone, one test at a time, also after a failure of the others.
 test: venv
-	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile $(ALONE:%=--ignore=%); \
+	others=$$?; $(BIN)/python -m pytest -n 0 $(ALONE) && exit $$others
 
 lint: venv
 	$(BIN)/ruff format --check $(SOURCES)
--- a/dev/platform_standin/deployment.py
+++ b/dev/platform_standin/deployment.py
@@ -29,6 +29,7 @@
 READY_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.05
 STOP_GRACE_S = 6.0
+NO_LIMITS: MappingProxyType[str, int] = MappingProxyType({})
 
 CONFIG: MappingProxyType[str, Any] = MappingProxyType(
     {
@@ -78,7 +79,7 @@
 max-hold-ms = 6000
 stop-ms = 400
 grace-s = {grace_s}
-"""
+{limits}"""
 
 
 class Node:
@@ -90,11 +91,12 @@
         ports: list[int],
         store_address: str,
         adviser_address: str,
+        limits: Mapping[str, int],
     ) -> None:
         """Configure the process; ``start`` runs it.
 
         ``ports`` are those of the front, readiness, stream and metrics
-        servers, in this order.
+        servers, in this order; ``limits`` are those of the machine.
         """
         self.name = name
         self.api_address = f'{HOST}:{ports[0]}'
@@ -107,6 +109,7 @@
         self._ports = ports
         self._store_address = store_address
         self._adviser_address = adviser_address
+        self._limits = dict(limits)
         directory = Path(tempfile.mkdtemp(prefix='bulrushcove-'))
         self.log_path = directory / 'log'
         self._settings_path = directory / 'settings.toml'
@@ -159,14 +162,28 @@
             store=self._store_address,
             adviser=self._adviser_address,
             grace_s=STOP_GRACE_S,
+            limits=self._render_limits(),
         )
 
+    def _render_limits(self) -> str:
+        lines = [f'{name} = {limit}' for name, limit in self._limits.items()]
+        return '\n'.join(('[limits]', *lines, '')) if lines else ''
+
 
 class Deployment:
     """A running deployment; use it as an asynchronous context manager."""
 
-    def __init__(self, nodes: int = 2, workers: int = 2) -> None:
-        """Set up ``nodes`` node programs and ``workers`` workers."""
+    def __init__(
+        self,
+        nodes: int = 2,
+        workers: int = 2,
+        limits: Mapping[str, int] = NO_LIMITS,
+    ) -> None:
+        """Set up ``nodes`` node programs and ``workers`` workers.
+
+        ``limits`` go into the settings of each node program, by their names
+        there; empty: the settings have none.
+        """
         self.store = StandinStore()
         self.adviser = StandinAdviser()
         self.workers = [
@@ -174,6 +191,7 @@
         ]
         self.nodes: list[Node] = []
         self._node_count = nodes
+        self._limits = limits
         self._runners: list[web.AppRunner] = []
         self._addresses: dict[str, str] = {}
         self.http: aiohttp.ClientSession | None = None
@@ -310,7 +328,11 @@
             await proxy.start()
             proxy_address = f'{HOST}:{proxy.port}'
             node = Node(
-                f'vm-{number}', node_ports, proxy_address, adviser_address
+                f'vm-{number}',
+                node_ports,
+                proxy_address,
+                adviser_address,
+                self._limits,
             )
             node.proxy = proxy
             self.nodes.append(node)
