Keep clients outside the limits within the machine

Cause: nothing bounded what was received and unfinished. The HTTP server kept an object a chunk and what it had not parsed of each connection, the body was copied with each piece, heads and bodies had no end in time, streams held 4 MB of a frame each without an end. Heads inside max-header-bytes were answered 400, as the parser had limits of its own; both time-outs of the configuration were not read.

Now a request reaches the HTTP server once it is whole. Until then its bytes are kept as they are (node/request_assembly.py, node/chunked_body.py), counted against one budget for all addresses and streams (node/connection_budget.py, from memory-mb and max-fds), and chunks are decoded in turns of the loop (node/chunk_turns.py). Beyond the budget the largest unfinished request, or the connection longest without a whole one, is closed; a request that is handled never is, so no answer changes its meaning. Limits of the configuration are in force for the next request. A response to a call of ours ends at 8 MB.

Ruled out: limits of the parser alone (a chunk still costs an object), pausing instead of closing (unread bytes count too, and ordinary callers wait), 503 to those beyond the budget (an earlier attempt of the job may run).

--- a/src/bulrushcove/batch/policy.py
+++ b/src/bulrushcove/batch/policy.py
@@ -64,6 +64,21 @@
     is_standby: bool = False
 
 
+class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits that callers are granted; in force until operators set others."""
+
+    # From the request line to the empty line after the header fields.
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    # From the first byte of a head to its last.
+    header_timeout_ms: int = 3000
+    # Longest silence between two requests, or within a body.
+    idle_timeout_ms: int = 15_000
+
+
+DEFAULT_REQUEST_LIMITS = RequestLimits()
+
+
 class Policy(msgspec.Struct, frozen=True, kw_only=True):
     """One version of the configuration; version numbers only increase."""
 
@@ -71,7 +86,7 @@
     queues: tuple[Queue, ...]
     organisations: tuple[Organisation, ...]
     pools: tuple[Pool, ...]
-    max_body_bytes: int
+    request_limits: RequestLimits = DEFAULT_REQUEST_LIMITS
 
 
 def find_queue(policy: Policy, host: str, path: str) -> Queue | None:
--- a/src/bulrushcove/connection.py
+++ b/src/bulrushcove/connection.py
@@ -19,6 +19,10 @@
 FrameHandler = Callable[[Hello, Frame], Awaitable[msgspec.Struct | None]]
 
 HELLO_TIMEOUT_S = 2.0
+# A hello is a few names; a longer one is not kept until it ends.
+MAX_HELLO_BYTES = 16_384
+# Further frames stay unread while so many of a stream are being handled.
+MAX_OPEN_HANDLERS = 1024
 FIRST_CLIENT_CORRELATION = 1
 FIRST_SERVER_CORRELATION = 2
 CORRELATION_STEP = 2
@@ -32,6 +36,10 @@
 logger = logging.getLogger(__name__)
 
 
+def _ignore_arriving(_kept_bytes: int) -> None:
+    """Let a frame be of any legal size."""
+
+
 class Connection:
     """One open stream; ``peer`` is None until its hello has arrived."""
 
@@ -41,8 +49,13 @@
         writer: asyncio.StreamWriter,
         on_frame: FrameHandler,
         first_correlation: int,
+        on_arriving: Callable[[int], None] = _ignore_arriving,
     ) -> None:
-        """Wrap an open stream; ``run`` handles its frames."""
+        """Wrap an open stream; ``run`` handles its frames.
+
+        ``on_arriving`` gets the number of bytes that are kept of a frame that
+        is arriving; zero once it is complete.
+        """
         self.peer: Hello | None = None
         # Loop time at which a part of a frame last arrived; zero: none has.
         self.received_at_s = 0.0
@@ -51,6 +64,7 @@
         self._reader = reader
         self._writer = writer
         self._on_frame = on_frame
+        self._on_arriving = on_arriving
         self._next_correlation = first_correlation
         self._own_parity = first_correlation % CORRELATION_STEP
         self._pending: dict[int, asyncio.Future[Frame]] = {}
@@ -63,7 +77,9 @@
         """
         self.send(hello)
         async with asyncio.timeout(HELLO_TIMEOUT_S):
-            frame = await read_frame(self._reader)
+            frame = await read_frame(
+                self._reader, self._record_received, MAX_HELLO_BYTES
+            )
         if frame.kind != Hello.__name__:
             raise WireError(f'first frame is {frame.kind!r}, not a hello')
         self.peer = parse_message(Hello, frame.fields)
@@ -82,6 +98,10 @@
                         self._reader, self._record_received
                     )
                 self._dispatch(frame)
+                if len(self._handlers) >= MAX_OPEN_HANDLERS:
+                    await asyncio.wait(
+                        self._handlers, return_when=asyncio.FIRST_COMPLETED
+                    )
         finally:
             self.close()
 
@@ -145,9 +165,10 @@
                 raise TimeoutError
             wait_s = FRAME_CHECK_INTERVAL_S
 
-    def _record_received(self, missing_bytes: int) -> None:
+    def _record_received(self, arrived_bytes: int, missing_bytes: int) -> None:
         self.received_at_s = asyncio.get_running_loop().time()
         self._missing_bytes = missing_bytes
+        self._on_arriving(arrived_bytes if missing_bytes else 0)
 
     def _is_frame_arriving(self) -> bool:
         silent_s = asyncio.get_running_loop().time() - self.received_at_s
--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -10,7 +10,12 @@
 from aiohttp import web
 from mode import Service
 
-from ..batch.policy import DesiredState, newer_desired_state
+from ..batch.policy import (
+    DEFAULT_REQUEST_LIMITS,
+    DesiredState,
+    RequestLimits,
+    newer_desired_state,
+)
 from ..clock import MS_PER_S, Clock
 from ..exceptions import PeerUnreachableError
 from ..hello import NODE_ROLE, make_hello
@@ -18,8 +23,11 @@
 from ..messages import Acknowledged, Hello, parse_message
 from ..metrics import new_metrics
 from ..store import WatchableStore
+from ..streams import BACKLOG
 from ..wire import Frame
 from .address_registry import AddressRegistry
+from .connection_budget import derive_budget
+from .connection_guard import ConnectionGuard
 from .http_ports import RequestHandler, make_metrics_handler, start_http_server
 from .job_request_router import JobRequestRouter
 from .leadership import Leadership
@@ -95,8 +103,19 @@
         self._desired_state = DesiredState()
         self._is_draining = False
         self._metrics = NodeMetrics(new_metrics())
+        self._guard = ConnectionGuard(
+            derive_budget(settings.memory_mb, settings.max_descriptors),
+            self._get_request_limits,
+            self._metrics.record_refused_client,
+        )
         hello = make_hello(settings.vm, settings.domain, NODE_ROLE)
-        self._peers = Peers(hello, settings.stream_address, self._on_frame)
+        self._peers = Peers(
+            hello,
+            settings.stream_address,
+            self._on_frame,
+            admit=self._guard.admit_stream,
+            accept_batch=min(BACKLOG, self._guard.accept_batch),
+        )
         self._peers.add_addresses(settings.seed_addresses)
         self._store = RelayedStore(adapter.store, self._peers, clock)
         self._loop_delay = LoopDelay(clock, self._metrics)
@@ -139,7 +158,9 @@
                 make_metrics_handler(self._metrics),
             ),
         ):
-            self._servers.append(await start_http_server(address, handler))
+            self._servers.append(
+                await start_http_server(address, handler, self._guard)
+            )
         leader_record = PrefixCache(
             self._store,
             LEADER_KEY,
@@ -149,6 +170,7 @@
         )
         registry = AddressRegistry(self._settings.vm, self._store, self._peers)
         for service in (
+            self._guard,
             self._loop_delay,
             self._peers,
             registry,
@@ -190,6 +212,10 @@
         """Close the connections to the platform."""
         await self._adapter.close()
 
+    def _get_request_limits(self) -> RequestLimits:
+        policy = self._desired_state.policy
+        return policy.request_limits if policy else DEFAULT_REQUEST_LIMITS
+
     def _is_ready(self) -> bool:
         return (
             not self._is_draining
--- a/src/bulrushcove/node/exceptions.py
+++ b/src/bulrushcove/node/exceptions.py
@@ -1,5 +1,7 @@
 """Errors of the node program."""
 
+from http import HTTPStatus
+
 from ..exceptions import BulrushcoveError
 
 
@@ -21,3 +23,12 @@
 
 class OutcomeUnknownError(NodeError):
     """It is unknown whether the request took effect."""
+
+
+class RequestRefusedError(NodeError):
+    """The bytes of a request are outside the limits; it was not handled."""
+
+    def __init__(self, status: HTTPStatus, message: str) -> None:
+        """Keep ``status`` for the response."""
+        super().__init__(message)
+        self.status = status
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -15,6 +15,10 @@
         self._calls = metrics.counter(
             'bulrushcove_calls_total', 'Answers to callers by status.'
         )
+        self._refused_clients = metrics.counter(
+            'bulrushcove_clients_refused_total',
+            'Requests and connections outside the limits by reason.',
+        )
         self._call_seconds = metrics.histogram(
             'bulrushcove_call_seconds', 'Time to answer callers.'
         )
@@ -40,6 +44,10 @@
             'Delays of the event loop above 10 ms.',
         )
 
+    def record_refused_client(self, reason: str) -> None:
+        """Count a request or connection that was outside the limits."""
+        self._refused_clients.inc({'reason': reason})
+
     def record_response(
         self, method: str, status: int, duration_s: float
     ) -> None:
--- a/src/bulrushcove/node/peers.py
+++ b/src/bulrushcove/node/peers.py
@@ -13,7 +13,7 @@
 from ..exceptions import PeerUnreachableError, WireError
 from ..logs import MAX_LOGGED_ERRORS, log_event
 from ..messages import Hello, MessageType
-from ..streams import StreamServer
+from ..streams import BACKLOG, Admit, StreamServer, admit_all
 from ..wire import Frame
 from .addresses import AddressError, split_address
 from .background_tasks import BackgroundTasks
@@ -45,14 +45,28 @@
 class Peers(Service):
     """Streams that this VM opens to others, and those that others open."""
 
-    def __init__(self, hello: Hello, address: str, on_frame: FrameHandler):
-        """Accept streams at ``address`` and pass frames to ``on_frame``."""
+    def __init__(
+        self,
+        hello: Hello,
+        address: str,
+        on_frame: FrameHandler,
+        *,
+        admit: Admit = admit_all,
+        accept_batch: int = BACKLOG,
+    ) -> None:
+        """Accept streams at ``address`` and pass frames to ``on_frame``.
+
+        ``admit`` is told of each stream that others open, after at most
+        ``accept_batch`` were accepted at a time.
+        """
         super().__init__()
         self.hello = hello
         self.address = address
         # Stream addresses of other VMs, some of which may be gone.
         self.known_addresses: set[str] = set()
         self._on_frame = on_frame
+        self._admit = admit
+        self._accept_batch = accept_batch
         self._connections: dict[str, Connection] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._reader_tasks = BackgroundTasks()
@@ -60,7 +74,14 @@
     async def on_start(self) -> None:
         """Accept streams."""
         host, _, port = self.address.rpartition(':')
-        server = StreamServer(host, int(port), self.hello, self._on_frame)
+        server = StreamServer(
+            host,
+            int(port),
+            self.hello,
+            self._on_frame,
+            admit=self._admit,
+            accept_batch=self._accept_batch,
+        )
         await self.add_runtime_dependency(server)
 
     async def on_stop(self) -> None:
--- /dev/null
+++ b/src/bulrushcove/node/request_intake.py
@@ -0,0 +1,175 @@
+"""Takes in the bytes of one open connection; passes whole requests on.
+
+The HTTP server sees a request once all of it has arrived: what is unfinished
+costs its bytes alone, and a request that was not received whole never runs.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from .chunk_turns import ChunkTurns
+from .connection_guard import ConnectionGuard
+from .exceptions import RequestRefusedError
+from .request_assembly import RequestAssembly
+
+
+class HttpServer(Protocol):
+    """Handles the whole requests of one connection."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin with an open connection."""
+
+    def data_received(self, message: bytes) -> None:
+        """Handle a whole request."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End with the connection."""
+
+    def pause_writing(self) -> None:
+        """Stop writing."""
+
+    def resume_writing(self) -> None:
+        """Go on writing."""
+
+
+class RequestIntake:
+    """Assembles the requests of one connection, one after the other."""
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        guard: ConnectionGuard,
+        turns: ChunkTurns,
+        make_server: Callable[[], HttpServer],
+    ) -> None:
+        """Count the connection, which may close others.
+
+        ``make_server`` is called with the first request.
+        """
+        # None before the first request.
+        self.server: HttpServer | None = None
+        self._transport = transport
+        self._guard = guard
+        self._turns = turns
+        self._make_server = make_server
+        self._assembly = RequestAssembly()
+        self._loop = asyncio.get_running_loop()
+        # After a refusal, or the end of the connection.
+        self._is_ended = False
+        # Chunks decoded of the unfinished body; whether more wait.
+        self._decoded_chunks = 0
+        self._is_decoding = False
+        self._connection = guard.open(transport.abort)
+
+    def receive(self, piece: memoryview) -> None:
+        """Take bytes that arrived."""
+        if self._is_ended:
+            return
+        self._connection.heard_at_s = self._loop.time()
+        self._assembly.feed(piece)
+        if self._connection.is_handled or self._is_decoding:
+            self._transport.pause_reading()
+            self._hold()
+        else:
+            self._process()
+
+    def end(self, exc: Exception | None) -> None:
+        """Forget the connection, which was lost."""
+        self._is_ended = True
+        self._assembly = RequestAssembly()
+        self._guard.release(self._connection)
+        if self.server is not None:
+            self.server.connection_lost(exc)
+
+    def finish_request(self) -> None:
+        """Go on with the next request, once the response is written."""
+        self._loop.call_soon(self._begin_next)
+
+    def close_unless_handled(self) -> None:
+        """Close the connection unless a request of it is handled."""
+        if not self._connection.is_handled:
+            self._transport.abort()
+
+    def _begin_next(self) -> None:
+        self._connection.is_handled = False
+        self._connection.heard_at_s = self._loop.time()
+        if not self._is_ended:
+            self._process()
+
+    def _process(self) -> None:
+        try:
+            self._assembly.advance(self._guard.get_request_limits())
+        except RequestRefusedError as exc:
+            self._refuse(exc)
+            return
+        if self._assembly.needs_decoding:
+            self._is_decoding = True
+            self._turns.decode(self._decoded_chunks, self._decode)
+        else:
+            self._settle()
+
+    def _decode(self, max_chunks: int) -> int:
+        """Decode chunks in a turn of this connection; return how many."""
+        if self._is_ended:
+            return 0
+        try:
+            chunks = self._assembly.decode_chunks(max_chunks)
+        except RequestRefusedError as exc:
+            self._refuse(exc)
+            return 0
+        self._decoded_chunks += chunks
+        self._is_decoding = chunks == max_chunks
+        if not self._is_decoding:
+            self._settle()
+        return chunks
+
+    def _settle(self) -> None:
+        """Hand a whole request over, or wait for more bytes."""
+        self._transport.resume_reading()
+        if self._assembly.is_whole:
+            self._hand_over()
+            return
+        if not self._assembly.is_empty:
+            self._connection.begin_request(is_body=self._assembly.has_head)
+        self._hold()
+
+    def _hand_over(self) -> None:
+        message = self._assembly.take()
+        self._decoded_chunks = 0
+        self._connection.complete_request()
+        self._connection.is_handled = True
+        self._hold(len(message))
+        if self.server is None:
+            self.server = self._make_server()
+            self.server.connection_made(self._transport)
+        self.server.data_received(message)
+
+    def _hold(self, handled_bytes: int = 0) -> None:
+        held_bytes = self._assembly.held_bytes + handled_bytes
+        self._guard.hold(self._connection, held_bytes)
+
+    def _refuse(self, exc: RequestRefusedError) -> None:
+        """Answer and end; the client has the time of a head to read it."""
+        self._is_ended = True
+        self._guard.report_refusal(str(exc.status.value))
+        self._assembly = RequestAssembly()
+        self._connection.complete_request()
+        self._connection.begin_request(is_body=False)
+        self._transport.write(_render_refusal(exc))
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._hold()
+
+
+def _render_refusal(exc: RequestRefusedError) -> bytes:
+    body = msgspec.json.encode({'error': str(exc)})
+    status = exc.status
+    head = (
+        f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+    )
+    return head.encode() + body
--- a/src/bulrushcove/node/settings.py
+++ b/src/bulrushcove/node/settings.py
@@ -34,6 +34,9 @@
     min_store_lease_ms: int
     # CPU of the VM, in cores of the reference speed.
     cpu_cores: float = 1.0
+    # Memory and descriptors that the process may use; 0: not known.
+    memory_mb: int = 0
+    max_descriptors: int = 0
 
 
 def run_lease_ms(max_lease_ms: int) -> int:
--- a/src/bulrushcove/platform/http_client.py
+++ b/src/bulrushcove/platform/http_client.py
@@ -28,6 +28,8 @@
 MAX_BODY_PAUSE_S = 0.7
 # A page of 1 MB takes 8 s on a link of 1 Mbit/s, the slowest worth waiting for.
 MAX_BODY_S = 10.0
+# A page of the store has 1 MB and one entry of 1 MB at most, in base64.
+MAX_BODY_BYTES = 8 * 1024 * 1024
 _NO_LIMIT = aiohttp.ClientTimeout(total=None)
 
 # ValueError: the address, a header or the body cannot be encoded.
@@ -179,6 +181,8 @@
     time_limit.reschedule(began_at_s + MAX_BODY_PAUSE_S)
     async for chunk in response.content.iter_any():
         body.extend(chunk)
+        if len(body) > MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError('response is too large')
         time_limit.reschedule(
             min(loop.time() + MAX_BODY_PAUSE_S, began_at_s + MAX_BODY_S)
         )
--- a/src/bulrushcove/platform/job_api.py
+++ b/src/bulrushcove/platform/job_api.py
@@ -225,8 +225,10 @@
             )
         job = JobId(path_suffix)
         if request.method == 'POST':
-            body = await _read_body(request, policy.max_body_bytes)
-            spec = decode_job(job, body, queue, organisation)
+            limit_bytes = policy.request_limits.max_body_bytes
+            spec = decode_job(
+                job, await _read_body(request, limit_bytes), queue, organisation
+            )
             await self._service.submit(spec, deadline_s)
             return _json_response({})
         if request.method not in {'GET', 'DELETE'}:
@@ -304,12 +306,12 @@
 
 
 async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
-    body = b''
+    body = bytearray()
     async for chunk in request.content.iter_any():
         body += chunk
         if len(body) > limit_bytes:
             raise TooLargeError(f'body is larger than {limit_bytes} bytes')
-    return body
+    return bytes(body)
 
 
 def _job_state_response(job: JobId, phase: JobPhase | None) -> web.Response:
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -44,6 +44,9 @@
     # reference that core is, not a number of cores.
     cpu_share: float = 1.0
     cores: float = 1.0
+    # The process is ended beyond this memory; 0: not known, as for max_fds.
+    memory_mb: int = 0
+    max_fds: int = 0
 
 
 class _Settings(msgspec.Struct, rename='kebab'):
@@ -100,4 +103,6 @@
         stop_grace_ms=int(decoded.bounds.grace_s * MS_PER_S),
         min_store_lease_ms=decoded.platform.min_ttl_ms,
         cpu_cores=decoded.limits.cpu_share * decoded.limits.cores,
+        memory_mb=decoded.limits.memory_mb,
+        max_descriptors=decoded.limits.max_fds,
     )
--- a/src/bulrushcove/platform/store_entries.py
+++ b/src/bulrushcove/platform/store_entries.py
@@ -13,7 +13,14 @@
 
 from ..batch.ids import PoolName, QueueName
 from ..batch.job_spec import TaskSize
-from ..batch.policy import Adviser, Organisation, Policy, Pool, Queue
+from ..batch.policy import (
+    Adviser,
+    Organisation,
+    Policy,
+    Pool,
+    Queue,
+    RequestLimits,
+)
 from ..batch.workers import WorkerEntry
 from ..ids import DomainName, OrganisationId, RackId, WorkerId
 from ..logs import MAX_LOGGED_ERRORS, log_event
@@ -82,7 +89,10 @@
 
 
 class _Limits(msgspec.Struct, rename=_HYPHENATED):
+    max_header_bytes: WireInt = 16_384
     max_body_bytes: WireInt = 262_144
+    header_timeout_ms: WireInt = 3000
+    idle_timeout_ms: WireInt = 15_000
 
 
 class _Guaranteed(msgspec.Struct, rename=_HYPHENATED):
@@ -144,7 +154,7 @@
             _make_organisation(tenant) for tenant in config.tenants
         ),
         pools=tuple(_make_pool(service) for service in config.services),
-        max_body_bytes=config.limits.max_body_bytes,
+        request_limits=_make_request_limits(config.limits),
     )
 
 
@@ -196,6 +206,14 @@
     return DomainName(key.removeprefix(CLOSED_DOMAINS_PREFIX))
 
 
+def _make_request_limits(limits: _Limits) -> RequestLimits:
+    """Return the limits; one that is not above zero has its default."""
+    stated = msgspec.structs.asdict(limits)
+    return RequestLimits(
+        **{name: limit for name, limit in stated.items() if limit > 0}
+    )
+
+
 def _make_queue(route: _Route) -> Queue:
     advice = route.advice
     return Queue(
--- a/src/bulrushcove/streams.py
+++ b/src/bulrushcove/streams.py
@@ -6,6 +6,9 @@
 
 import asyncio
 import logging
+import socket
+from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 from mode import Service
@@ -23,10 +26,41 @@
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_DELAY_S = 0.5
 IDLE_TIMEOUT_S = 3.5
+# Connections that wait to be accepted.
+BACKLOG = 100
 
 logger = logging.getLogger(__name__)
 
 
+class Admission(Protocol):
+    """An accepted stream as the limits of its process see it."""
+
+    def set_arriving(self, kept_bytes: int) -> None:
+        """Set how much is kept of a frame that is arriving."""
+
+    def release(self) -> None:
+        """End with the stream."""
+
+
+# Admits a stream that the function passed in closes at once.
+Admit = Callable[[Callable[[], None]], Admission]
+
+
+class Unlimited:
+    """Admission where nothing limits streams."""
+
+    def set_arriving(self, kept_bytes: int) -> None:
+        """Let a frame be of any legal size."""
+
+    def release(self) -> None:
+        """Do nothing."""
+
+
+def admit_all(_close: Callable[[], None]) -> Admission:
+    """Admit a stream without limits."""
+    return Unlimited()
+
+
 class StreamServer(Service):
     """Accepts streams from peers and from the entry of the own VM."""
 
@@ -36,10 +70,15 @@
         port: int,
         hello: Hello,
         on_frame: FrameHandler,
+        *,
+        admit: Admit = admit_all,
+        accept_batch: int = BACKLOG,
     ) -> None:
         """Listen on ``host`` and ``port`` once started.
 
-        ``on_frame`` handles a received frame and returns the response.
+        ``on_frame`` handles a received frame and returns the response;
+        ``admit`` is told of each stream, after at most ``accept_batch`` were
+        accepted at a time.
         """
         super().__init__()
         self.connections: set[Connection] = set()
@@ -47,15 +86,20 @@
         self._port = port
         self._hello = hello
         self._on_frame = on_frame
+        self._admit = admit
+        self._accept_batch = accept_batch
         self._server: asyncio.Server | None = None
 
     async def on_start(self) -> None:
         """Open the listening socket."""
+        listener = socket.create_server(
+            (self._host, self._port), backlog=BACKLOG
+        )
+        # asyncio accepts up to its backlog at a time.
         self._server = await asyncio.start_server(
-            self._accept,
-            self._host,
-            self._port,
+            self._accept, sock=listener, backlog=self._accept_batch
         )
+        listener.listen(BACKLOG)
 
     async def on_stop(self) -> None:
         """Close the listening socket and all streams."""
@@ -75,8 +119,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        admission = self._admit(writer.transport.abort)
         connection = Connection(
-            reader, writer, self._on_frame, FIRST_SERVER_CORRELATION
+            reader,
+            writer,
+            self._on_frame,
+            FIRST_SERVER_CORRELATION,
+            admission.set_arriving,
         )
         self.connections.add(connection)
         try:
@@ -89,6 +138,7 @@
             # as an error.
             return
         finally:
+            admission.release()
             self.connections.discard(connection)
             connection.close()
 
--- a/src/bulrushcove/wire.py
+++ b/src/bulrushcove/wire.py
@@ -42,7 +42,7 @@
         body = msgpack.packb([WIRE_VERSION, kind, correlation, fields])
     except DECODE_ERRORS as exc:
         raise WireError(f'{kind}: {exc}') from exc
-    _check_length(len(body))
+    _check_length(len(body), MAX_FRAME_BYTES)
     return len(body).to_bytes(LENGTH_BYTES, 'big') + body
 
 
@@ -72,18 +72,19 @@
 
 async def read_frame(
     reader: asyncio.StreamReader,
-    on_bytes: Callable[[int], None] | None = None,
+    on_bytes: Callable[[int, int], None] | None = None,
+    max_bytes: int = MAX_FRAME_BYTES,
 ) -> Frame:
     """Read one frame.
 
-    Calls ``on_bytes`` whenever a part of it has arrived, with the number of
-    bytes that are still missing.
+    Calls ``on_bytes`` whenever a part of it has arrived, with the numbers of
+    bytes that have arrived and that are still missing.
 
     Raises ``WireError`` for a frame that violates the protocol and
     ``EOFError`` at the end of the stream.
     """
     length = int.from_bytes(await reader.readexactly(LENGTH_BYTES), 'big')
-    _check_length(length)
+    _check_length(length, max_bytes)
     body = bytearray()
     while len(body) < length:
         chunk = await reader.read(length - len(body))
@@ -91,12 +92,12 @@
             raise asyncio.IncompleteReadError(bytes(body), length)
         body.extend(chunk)
         if on_bytes is not None:
-            on_bytes(length - len(body))
+            on_bytes(len(body), length - len(body))
     return decode_body(bytes(body))
 
 
-def _check_length(length: int) -> None:
-    if length > MAX_FRAME_BYTES:
+def _check_length(length: int, max_bytes: int) -> None:
+    if length > max_bytes:
         raise WireError(
-            f'frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}',
+            f'frame of {length} bytes is over the limit of {max_bytes}',
         )
--- a/tests/batch_builders.py
+++ b/tests/batch_builders.py
@@ -75,7 +75,6 @@
             Organisation(name=ORGANISATION, guaranteed_accelerators=guaranteed),
         ),
         pools=(),
-        max_body_bytes=1000,
     )
     return DesiredState(policy=policy, closed_domains=frozenset(closed))
 
