--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -16,7 +16,8 @@
 from .crash_handler import CrashHandler
 from .draining import find_outlasting_runs
 from .headroom import UrgentDemand
-from .ids import QueueName, UnitRef
+from .ids import QueueName
+from .interference import InterferenceModel
 from .job_spec import JobSpec
 from .job_state import (
     Allocation,
@@ -32,7 +33,6 @@
 from .membership import placeholder_worker
 from .plan import Plan
 from .policy import DesiredState
-from .preemption_plan import PreemptionPlan
 from .reconcile import (
     AllocationEnd,
     ReportChanges,
@@ -40,7 +40,7 @@
     reconcile_worker,
 )
 from .runtime_estimates import RuntimeEstimates
-from .scheduling_pass import SchedulingPass, prepare_pass
+from .scheduling_pass import Preemptions, SchedulingPass, prepare_pass
 from .stall_detection import record_stalls
 from .worker_reliability import WorkerReliability
 from .workers import EndKind, Worker, WorkerReport, find_expired_workers
@@ -70,11 +70,12 @@
         self.crashes = CrashHandler()
         self.tickets = TicketCache()
         self.lease_expiry = LeaseExpiryTable()
+        self.interference = InterferenceModel()
         self.urgent_demand = UrgentDemand()
         # Passes so far; each examines other workers of a large pool.
         self.pass_count = 0
         # Preemptions in progress, and until when their capacity is reserved.
-        self.preemptions: dict[UnitRef, tuple[PreemptionPlan, float]] = {}
+        self.preemptions: Preemptions = {}
 
     def restore(self, jobs: Iterable[Job], leases_expire_at_s: float) -> None:
         """Add ``jobs`` that were loaded from the store.
@@ -84,6 +85,7 @@
         """
         for job in jobs:
             self.jobs[job.id] = job
+            self.interference.record_job(job.spec)
             if not job.has_ended or any(unit.allocations for unit in job.units):
                 self.active[job.id] = job
             for unit in job.units:
@@ -109,6 +111,7 @@
         self.jobs[job.id] = job
         self.active[job.id] = job
         self.urgent_demand.record_job(spec, now_s)
+        self.interference.record_job(spec)
         return job, True
 
     def discard_job(self, job: Job) -> None:
@@ -153,6 +156,10 @@
         report_changes = reconcile_worker(
             worker, report, requested_at_s=requested_at_s, now_s=now_s
         )
+        if self.interference.sees_images:
+            report_changes.interference = self.interference.observe(
+                worker, now_s
+            )
         plan = self.crashes.apply(
             report_changes.crash,
             self.workers.values(),
--- a/src/bulrushcove/batch/ids.py
+++ b/src/bulrushcove/batch/ids.py
@@ -1,4 +1,4 @@
-"""Identifiers of queues, pools, tasks, units and runs."""
+"""Identifiers of queues, pools, images, tasks, units and runs."""
 
 from typing import NamedTuple, NewType
 
@@ -6,6 +6,8 @@
 
 QueueName = NewType('QueueName', str)
 PoolName = NewType('PoolName', str)
+# Names what tasks run; those of one image behave alike.
+ImageName = NewType('ImageName', str)
 
 
 class TaskRef(NamedTuple):
--- a/src/bulrushcove/batch/job_spec.py
+++ b/src/bulrushcove/batch/job_spec.py
@@ -4,7 +4,7 @@
 
 from ..ids import JobId, OrganisationId, RackId
 from .exceptions import InvalidJobError
-from .ids import PoolName, QueueName
+from .ids import ImageName, PoolName, QueueName
 
 MILLICORES_PER_CORE = 1000
 # Cores that one accelerator counts as; from the users' price list.
@@ -86,8 +86,8 @@
     max_absent: int = 0
     # Best-effort: uses only CPU time that other tasks leave idle.
     fills_idle: bool = False
-    # Accepted from callers, but not used by the scheduler.
-    image: str = ''
+    # What the tasks run; those of one image behave alike. Empty: not known.
+    image: ImageName = ImageName('')
     # Target tail latency of a service task.
     target_tail_ms: int = 0
 
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -46,6 +46,9 @@
     isolated_run_age_s: float | None = None
     # Whether best-effort tasks are slowed down there.
     is_throttled: bool = False
+    # Expected slowdown of a unit's task and of its neighbours there, as a sum
+    # of shares; 0: none known. Valid for the unit that is being placed.
+    disturbance: float = 0.0
     # Seconds from now after which it is reserved for a waiting unit;
     # None if it is not reserved.
     reserved_after_s: float | None = None
@@ -230,9 +233,13 @@
 
 def _rack_by_rack(ranked: list[Fit]) -> list[Candidate]:
     """Return the candidates of ``ranked``, all of a rack in succession."""
-    racks: dict[tuple[Standing, RackId], list[Candidate]] = defaultdict(list)
+    racks: dict[tuple[Standing, float, RackId], list[Candidate]] = defaultdict(
+        list
+    )
     for candidate, _ in ranked:
-        racks[candidate.standing, candidate.rack].append(candidate)
+        racks[candidate.standing, candidate.disturbance, candidate.rack].append(
+            candidate
+        )
     return list(chain.from_iterable(racks.values()))
 
 
@@ -248,7 +255,8 @@
 ) -> tuple[float, ...]:
     """Return a key that sorts the fullest rack and worker first.
 
-    Workers that are trusted less come last. Workers are compared by free
+    Workers that are trusted less come last, then those where tasks slow each
+    other down. Workers are compared by free
     accelerators, then CPU; by CPU, then memory if the tasks need no
     accelerators.
     """
@@ -257,7 +265,12 @@
         free_amounts = (free.accelerators, free.cpu_millicores)
     else:
         free_amounts = (free.cpu_millicores, free.memory_mb)
-    return (candidate.standing, rack_free, *free_amounts)
+    return (
+        candidate.standing,
+        candidate.disturbance,
+        rack_free,
+        *free_amounts,
+    )
 
 
 @lru_cache(maxsize=COUNT_CACHE_SIZE)
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .ids import RunRef
+from .interference import PairChange
 from .job_state import Allocation, AllocationPhase
 from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
 from .workers import EndedTask, EndKind, RunningTask, Worker, WorkerReport
@@ -42,6 +43,8 @@
     unconfirmed: list[Allocation] = msgspec.field(default_factory=list)
     # Runs of suspects that have lasted long enough to clear them.
     survived: list[Allocation] = msgspec.field(default_factory=list)
+    # Pairs of images that were named or forgotten as slowing each other down.
+    interference: list[PairChange] = msgspec.field(default_factory=list)
     # Crash of the previous incarnation; None: there was none, or no runs.
     crash: WorkerCrash | None = None
 
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -15,7 +15,8 @@
 )
 from .candidate_selection import CandidateSelection, Patience
 from .capacity_forecast import CapacityForecast
-from .ids import PoolName
+from .disturbance import PassDisturbance
+from .ids import PoolName, UnitRef
 from .isolation import (
     find_isolated_placement,
     indices_to_isolate,
@@ -47,11 +48,16 @@
 from .sampling import select_examined
 from .shapes import Shape, shape_of
 from .worker_crashes import is_stable
-from .workers import FULL_SPEED_PERCENT, Worker
+from .workers import Worker
 
 if TYPE_CHECKING:
     from .engine import Engine
 
+# Preemptions in progress, and until when their capacity is reserved.
+Preemptions = dict[UnitRef, tuple[PreemptionPlan, float]]
+# Candidates, the best first, and how much a task costs there.
+Ranking = deque[tuple[Candidate, float]]
+
 # Preempted capacity stays reserved for the preempting unit this long.
 PREEMPTION_RESERVATION_S = 2.5
 # Smaller units fit between small tasks without a reservation.
@@ -76,8 +82,9 @@
         self._examined: dict[Shape, Sequence[Candidate]] = {}
         # Number of units with a backfill reservation in this pass.
         self._reservation_count = 0
-        # Candidates for the next single tasks of a step, the best first.
-        self._ranked: dict[tuple[StepRef, Patience], deque[Candidate]] = {}
+        # Candidates for the next single tasks of a step.
+        self._ranked: dict[tuple[StepRef, Patience], Ranking] = {}
+        self._disturbance = PassDisturbance(engine.interference, engine.workers)
         # Shapes that did not fit, so that equal units are not tried again.
         self._unplaceable: set[tuple[Shape, Patience]] = set()
         self._forecast = CapacityForecast(engine.workers, engine.estimates)
@@ -185,14 +192,16 @@
         """Return a candidate for each task of ``unit``; None if none fit."""
         isolated = indices_to_isolate(unit, self._now_s)
         if isolated:
+            usable = [
+                candidate
+                for candidate in self._open_candidates(unit)
+                if self._may_use(unit, candidate)
+            ]
+            self._disturbance.set_costs(unit.spec, usable)
             return find_isolated_placement(
                 unit,
                 isolated,
-                [
-                    candidate
-                    for candidate in self._open_candidates(unit)
-                    if self._may_use(unit, candidate)
-                ],
+                usable,
                 placed=_count_placed_tasks(unit),
                 allows_remote_rack=self._allows_remote_rack(unit),
             )
@@ -237,6 +246,7 @@
     def _find_placement(
         self, unit: Unit, candidates: list[Candidate]
     ) -> list[Candidate] | None:
+        self._disturbance.set_costs(unit.spec, candidates)
         return find_placement(
             unit,
             candidates,
@@ -253,19 +263,24 @@
         key = (step_ref_of(unit), self._patience(unit))
         ranked = self._ranked.get(key)
         while ranked:
-            fits = count_fitting_tasks(ranked[0], unit.spec)
-            if fits and self._may_use(unit, ranked[0]):
-                return ranked[0]
+            candidate, cost = ranked[0]
+            fits = count_fitting_tasks(candidate, unit.spec)
+            if fits and self._may_use(unit, candidate):
+                if self._disturbance.has_grown(unit.spec, candidate, cost):
+                    break
+                return candidate
             ranked.popleft()
-        ranked = deque(
-            rank_candidates(
-                unit,
-                self._usable_candidates(unit),
-                allows_remote_rack=self._allows_remote_rack(unit),
-            )
+        candidates = self._usable_candidates(unit)
+        self._disturbance.set_costs(unit.spec, candidates)
+        best_first = rank_candidates(
+            unit,
+            candidates,
+            allows_remote_rack=self._allows_remote_rack(unit),
+        )
+        self._ranked[key] = deque(
+            (candidate, candidate.disturbance) for candidate in best_first
         )
-        self._ranked[key] = ranked
-        return ranked[0] if ranked else None
+        return best_first[0] if best_first else None
 
     def _make_advice_request(self, unit: Unit) -> AdviceRequest | None:
         adviser = find_adviser(
@@ -327,6 +342,7 @@
             )
             unit.allocations[index] = allocation
             self._forecast.invalidate(candidate.worker)
+            self._disturbance.record_start(candidate.worker)
             worker = self._engine.workers[candidate.worker]
             allocation.worker_started_unix_ms = worker.entry.started_unix_ms
             worker.allocations[allocation.ref] = allocation
@@ -401,7 +417,7 @@
         is_idle=not worker.allocations,
         is_stable=is_stable(worker, now_s),
         isolated_run_age_s=isolated_run_age_s(worker, now_s),
-        is_throttled=worker.speed_percent < FULL_SPEED_PERCENT,
+        is_throttled=worker.is_throttled,
     )
 
 
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -8,7 +8,7 @@
 
 from ..clock import MS_PER_S
 from ..ids import DomainName, RackId, WorkerId
-from .ids import PoolName, RunRef
+from .ids import ImageName, PoolName, RunRef
 from .job_spec import TaskSize
 from .job_state import Allocation
 
@@ -164,7 +164,11 @@
     # When the first of them failed.
     silent_since_s: float = 0.0
     last_report_at_s: float = 0.0
-    # Speed of best-effort tasks, and when it was last changed.
+    # Images of best-effort tasks that certainly slow services there.
+    harmful_images: frozenset[ImageName] = frozenset()
+    # Speed of these and of all other best-effort tasks, and when one of them
+    # was last changed.
+    harmful_speed_percent: int = FULL_SPEED_PERCENT
     speed_percent: int = FULL_SPEED_PERCENT
     speed_changed_at_s: float = 0.0
 
@@ -173,6 +177,12 @@
         """Return the worker's id."""
         return self.entry.worker
 
+    @property
+    def is_throttled(self) -> bool:
+        """Return whether best-effort tasks are slowed down there."""
+        slowest = min(self.speed_percent, self.harmful_speed_percent)
+        return slowest < FULL_SPEED_PERCENT
+
     def matches_entry(self, entry: WorkerEntry) -> bool:
         """Return whether the worker is listed and ``entry`` has no change.
 
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -35,6 +35,10 @@
             'bulrushcove_jobs_given_up_total',
             'Jobs that failed as a task crashes its workers.',
         )
+        self._interfering_pairs = metrics.gauge(
+            'bulrushcove_interfering_pairs',
+            'Pairs of images of which one certainly slows the other.',
+        )
         self._loop_delay_seconds = metrics.histogram(
             'bulrushcove_loop_delay_seconds',
             'Delays of the event loop above 10 ms.',
@@ -71,3 +75,4 @@
             if worker.has_reported and not worker.failed_polls
         )
         self._usable_workers.set({}, usable)
+        self._interfering_pairs.set({}, len(engine.interference.named_pairs))
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -7,9 +7,10 @@
 from ..batch.advice import step_ref_of
 from ..batch.engine import Engine
 from ..batch.ids import RunRef
+from ..batch.interference import PairChange
 from ..batch.job_state import Allocation, AllocationPhase, Job, UnitPhase
 from ..batch.orders import OrderOutcome
-from ..batch.pacing import update_throttle
+from ..batch.pacing import speed_of, update_throttle
 from ..batch.plan import Plan
 from ..batch.reconcile import AllocationEnd
 from ..batch.scheduling_pass import is_in_service, is_schedulable
@@ -129,6 +130,8 @@
             _log_end(end)
         for ended in report_changes.unmatched_ends:
             _log_unmatched_end(worker, ended)
+        for pair in report_changes.interference:
+            _log_pair(pair)
         link = self.find_link(worker.id)
         if link is not None:
             self._send_report_orders(link, report_changes.orphans)
@@ -222,8 +225,12 @@
         for orphan in orphans:
             link.orders.stop_orphan(orphan)
         worker = link.worker
-        for allocation in update_throttle(worker, self._clock.monotonic_s()):
-            link.orders.order_throttle(allocation, worker.speed_percent)
+        for allocation in update_throttle(
+            worker,
+            self._clock.monotonic_s(),
+            self._engine.interference.harms,
+        ):
+            link.orders.order_throttle(allocation, speed_of(worker, allocation))
 
     async def _store_ends(
         self,
@@ -305,6 +312,17 @@
     )
 
 
+def _log_pair(pair: PairChange) -> None:
+    log_event(
+        logger,
+        'interference.learnt' if pair.is_named else 'interference.forgotten',
+        slowed=pair.victim,
+        by=pair.neighbour,
+        slowdown=round(pair.slowdown, 2),
+        observations=round(pair.observations, 1),
+    )
+
+
 def _log_unmatched_end(worker: Worker, ended: EndedTask) -> None:
     ref = ended.ref
     log_event(
--- a/src/bulrushcove/platform/job_api.py
+++ b/src/bulrushcove/platform/job_api.py
@@ -18,7 +18,7 @@
     JobConflictError,
     JobRefusedError,
 )
-from ..batch.ids import QueueName
+from ..batch.ids import ImageName, QueueName
 from ..batch.job_spec import JobSpec, StepSpec, TaskSize, check_job
 from ..batch.job_state import JobPhase
 from ..batch.policy import (
@@ -288,7 +288,7 @@
         is_service=step.perpetual,
         max_absent=step.may_miss,
         fills_idle=step.fills,
-        image=step.image,
+        image=ImageName(step.image),
         target_tail_ms=step.target_ms,
     )
 
--- a/tests/test_batch_pacing.py
+++ b/tests/test_batch_pacing.py
@@ -9,6 +9,8 @@
 from bulrushcove.batch.pacing import (
     SETTLE_S,
     has_colocated_services,
+    never_harms,
+    speed_of,
     update_throttle,
 )
 from bulrushcove.batch.workers import EndKind
@@ -175,3 +177,104 @@
     bench.submit(job_spec('later', step(fills_idle=True), priority=2))
     apply_report(bench, 0)
     assert len(bench.plan().starts) == 1
+
+
+def make_bench_with_two_images():
+    bench = Bench(entry('w1'))
+    service_step = step(is_service=True, target_tail_ms=TARGET_MS, image='web')
+    bench.submit(job_spec('serving', service_step))
+    for image in ('index', 'mail'):
+        filling = step(fills_idle=True, image=image)
+        bench.submit(job_spec(f'filling-{image}', filling, priority=2))
+    bench.start_all()
+    return bench
+
+
+def index_harms_web(victim, neighbour):
+    return (victim, neighbour) == ('web', 'index')
+
+
+def apply_tail(bench, tail_ms, harms=index_harms_web):
+    """Report a tail latency; returns the speeds of both images."""
+    bench.advance(REPORT_INTERVAL_S)
+    worker = bench.engine.workers['w1']
+    for allocation in allocations_of(bench, 'serving'):
+        allocation.load = tail_ms
+    for allocation in update_throttle(worker, bench.now_s, harms):
+        allocation.speed_percent = speed_of(worker, allocation)
+    return tuple(
+        allocations_of(bench, f'filling-{image}')[0].speed_percent
+        for image in ('index', 'mail')
+    )
+
+
+def test_the_image_that_harms_is_slowed_first():
+    bench = make_bench_with_two_images()
+    assert apply_tail(bench, 80) == (50, 100)
+    assert apply_tail(bench, TARGET_MS) == (0, 100)
+    # A second later the others might be the cause.
+    assert apply_tail(bench, TARGET_MS) == (0, 100)
+    assert apply_tail(bench, TARGET_MS) == (0, 0)
+
+
+def test_the_image_that_harms_is_sped_up_last():
+    bench = make_bench_with_two_images()
+    for _ in range(3):
+        apply_tail(bench, TARGET_MS)
+    speeds = [apply_tail(bench, 10) for _ in range(20)]
+    assert speeds[0] == (0, 0)
+    first_full = next(one for one in speeds if one[1] == 100)
+    assert first_full == (0, 100)
+    assert speeds[-1] == (100, 100)
+
+
+def test_without_evidence_all_are_slowed_alike():
+    bench = make_bench_with_two_images()
+    assert apply_tail(bench, 80, never_harms) == (50, 50)
+    assert apply_tail(bench, TARGET_MS, never_harms) == (0, 0)
+
+
+def test_all_are_paused_at_once_for_a_service_without_a_sure_cause():
+    """One service has a harmful neighbour, but another one is over."""
+    bench = make_bench_with_two_images()
+    other = step(is_service=True, target_tail_ms=TARGET_MS, image='search')
+    bench.submit(job_spec('serving-more', other))
+    bench.start_all()
+    allocations_of(bench, 'serving-more')[0].load = TARGET_MS
+    assert apply_tail(bench, 10) == (0, 0)
+
+
+def test_evidence_that_is_forgotten_slows_all_alike():
+    bench = make_bench_with_two_images()
+    assert apply_tail(bench, TARGET_MS) == (0, 100)
+    assert apply_tail(bench, 60, never_harms) == (0, 0)
+    speeds = [apply_tail(bench, 10, never_harms) for _ in range(10)]
+    assert speeds[-1] == (100, 100)
+
+
+def test_others_keep_their_speed_when_the_harmful_task_ends():
+    bench = make_bench_with_two_images()
+    assert apply_tail(bench, TARGET_MS) == (0, 100)
+    bench.end(allocations_of(bench, 'filling-index')[0], EndKind.DONE)
+    apply_report(bench, 60)
+    worker = bench.engine.workers['w1']
+    assert worker.speed_percent == 100
+    assert not worker.is_throttled
+
+
+@pytest.mark.parametrize('others_ms', [0, 30, 200])
+@pytest.mark.parametrize('harmful_ms', [0, 30, 200])
+def test_latency_over_target_is_short_whoever_is_blamed(harmful_ms, others_ms):
+    """Also where the evidence names the wrong image."""
+    bench = make_bench_with_two_images()
+    speeds = (100, 100)
+    over_s = 0
+    longest_s = 0
+    for _ in range(80):
+        tail_ms = (
+            40 + harmful_ms * speeds[0] / 100 + others_ms * speeds[1] / 100
+        )
+        over_s = over_s + REPORT_INTERVAL_S if tail_ms >= TARGET_MS else 0
+        longest_s = max(longest_s, over_s)
+        speeds = apply_tail(bench, tail_ms)
+    assert longest_s < MAX_IMPACT_S / 2
--- a/tests/test_node_worker_events.py
+++ b/tests/test_node_worker_events.py
@@ -1,11 +1,13 @@
 """Starts are sent only while their worker has the capacity for them."""
 
+import logging
 from types import SimpleNamespace
 
 import msgspec
 import pytest
-from batch_builders import Bench, entry, job_spec, step
+from batch_builders import Bench, entry, job_spec, report, step
 
+from bulrushcove.batch.interference import PairChange
 from bulrushcove.batch.job_spec import TaskSize
 from bulrushcove.clock import ManualClock
 from bulrushcove.node.worker_events import WorkerEventHandler
@@ -78,3 +80,47 @@
         reliability.record_failure('w1', job, failed_at_s)
     assert reliability.is_quarantined('w1', handler._clock.monotonic_s())
     assert handler.is_start_wanted(start) == is_sent
+
+
+def test_only_the_image_that_harms_is_ordered_to_pause(caplog):
+    """The change of pairs is logged, one line each."""
+    bench = Bench(entry('w1'))
+    service = step(is_service=True, target_tail_ms=100, image='web')
+    filling = [step(fills_idle=True, image=each) for each in ('index', 'mail')]
+    for number, spec in enumerate((service, *filling)):
+        bench.submit(job_spec(f'job-{number}', spec))
+    bench.start_all()
+    worker = bench.engine.workers['w1']
+    handler = WorkerEventHandler(
+        bench.engine,
+        SimpleNamespace(),
+        SimpleNamespace(has_authority=True),
+        ManualClock(),
+    )
+    ordered = []
+    orders = SimpleNamespace(
+        order_throttle=lambda allocation, percent: ordered.append(
+            (allocation.unit.spec.image, percent)
+        )
+    )
+    link = SimpleNamespace(worker=worker, orders=orders)
+    handler.find_link = lambda _worker: link
+    model = bench.engine.interference
+    model._named['web', 'index'] = 0.7
+    named = PairChange(
+        victim='web',
+        neighbour='index',
+        is_named=True,
+        slowdown=1.0,
+        observations=5.0,
+    )
+    model.observe = lambda *_args: [named]
+    rows = [(ref, '', 100, 100) for ref in worker.allocations]
+    with caplog.at_level(logging.INFO):
+        handler.handle_report(worker, report(2000, rows), bench.now_s)
+    assert ordered == [('index', 0)]
+    assert [
+        record.by
+        for record in caplog.records
+        if record.msg == 'interference.learnt'
+    ] == ['index']
