Do not take a halted task for stalled

Cause: a best-effort task that the leader had halted for a service made no progress for 3.5 s and was stopped as stalled, and its sound worker, which carries the service, was quarantined. The stall timer now restarts with each report while the run is slowed.

--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -15,7 +15,14 @@
 from .interference import PairChange
 from .job_state import Allocation, AllocationPhase
 from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
-from .workers import EndedTask, EndKind, RunningTask, Worker, WorkerReport
+from .workers import (
+    FULL_SPEED_PERCENT,
+    EndedTask,
+    EndKind,
+    RunningTask,
+    Worker,
+    WorkerReport,
+)
 
 
 class AllocationEnd(msgspec.Struct, frozen=True):
@@ -169,6 +176,9 @@
     if running.percent > allocation.percent:
         allocation.percent = running.percent
         allocation.last_progress_at_s = now_s
+    if allocation.speed_percent < FULL_SPEED_PERCENT:
+        # That it makes no progress is no fault of its worker.
+        allocation.last_progress_at_s = now_s
     if running.checkpoint:
         _record_checkpoint(allocation, running.checkpoint, now_s)
     if _has_survived(allocation, now_s):
--- a/tests/test_batch_pacing.py
+++ b/tests/test_batch_pacing.py
@@ -278,3 +278,36 @@
         longest_s = max(longest_s, over_s)
         speeds = apply_tail(bench, tail_ms)
     assert longest_s < MAX_IMPACT_S / 2
+
+
+def report_no_progress(bench, tail_ms, seconds):
+    """Report for a while; returns the stops that were planned."""
+    worker = bench.engine.workers['w1']
+    stops = []
+    for _ in range(round(seconds / REPORT_INTERVAL_S)):
+        bench.advance(REPORT_INTERVAL_S)
+        rows = [
+            (ref, '', 100, tail_ms)
+            if allocation.unit.spec.is_service
+            else (ref, '', 0, 0)
+            for ref, allocation in worker.allocations.items()
+        ]
+        bench.report('w1', rows)
+        for allocation in update_throttle(worker, bench.now_s):
+            allocation.speed_percent = speed_of(worker, allocation)
+        stops.extend(bench.plan().stops)
+    return stops
+
+
+def test_a_halted_task_does_not_count_as_stalled():
+    """It was stopped after 3.5 s, and its worker quarantined."""
+    bench = make_bench_with_two_images()
+    assert not report_no_progress(bench, TARGET_MS, 8)
+    reliability = bench.engine.reliability
+    assert not reliability.is_quarantined('w1', bench.now_s)
+
+
+def test_a_task_that_stalls_at_full_speed_is_still_found():
+    bench = make_bench_with_two_images()
+    assert not report_no_progress(bench, TARGET_MS, 4)
+    assert report_no_progress(bench, 10, 9)
