Order the speed of filling tasks that an earlier leader may have halted

Cause: a speed is not stored, and a new leader took each restored run for one at full speed, so that it never ordered it: a task that its predecessor had halted stayed halted while the services were well, until it was stopped as stalled. The speed of a restored best-effort run is now unknown, so that it is ordered after the first report: one call for each such run and change of leader. The test fails without the change (no order).

--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -12,6 +12,7 @@
 
 # Index of the unit of a gang step, which covers all tasks of the step.
 WHOLE_GANG = -1
+UNKNOWN_SPEED_PERCENT = -1
 
 
 class UnitPhase(Enum):
@@ -80,7 +81,8 @@
     percent: int = 0
     # Load as last reported; see ``RunningTask.load``.
     load: float = 0
-    # Throttle setting that the worker has confirmed.
+    # Throttle setting that the worker has confirmed; ``UNKNOWN_SPEED_PERCENT``
+    # if a previous leader may have set it.
     speed_percent: int = 100
     # When ``percent`` last increased.
     last_progress_at_s: float = 0.0
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -10,7 +10,16 @@
 from .crash_history import CrashHistory
 from .exceptions import RecordError
 from .job_spec import JobSpec
-from .job_state import Allocation, Job, JobPhase, Unit, UnitPhase, new_job
+from .job_state import (
+    UNKNOWN_SPEED_PERCENT,
+    Allocation,
+    Job,
+    JobPhase,
+    Unit,
+    UnitPhase,
+    new_job,
+)
+from .workers import FULL_SPEED_PERCENT
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -169,9 +178,17 @@
                 worker_started_unix_ms=incarnation,
                 is_start_sent=True,
                 is_isolated=index in stored.isolated,
+                speed_percent=_restored_speed_percent(unit),
             )
 
 
+def _restored_speed_percent(unit: Unit) -> int:
+    """Return the speed of a run that a previous leader has started."""
+    if unit.spec.fills_idle:
+        return UNKNOWN_SPEED_PERCENT
+    return FULL_SPEED_PERCENT
+
+
 def _decode(decoder: Any, stored: bytes) -> Any:
     try:
         return decoder.decode(stored)
--- a/tests/test_batch_pacing.py
+++ b/tests/test_batch_pacing.py
@@ -6,6 +6,7 @@
 from bulrushcove.batch.disruption_budget import is_within_disruption_budget
 from bulrushcove.batch.job_spec import StepSpec, TaskSize
 from bulrushcove.batch.job_state import AllocationPhase
+from bulrushcove.batch.membership import record_entry
 from bulrushcove.batch.pacing import (
     SETTLE_S,
     has_colocated_services,
@@ -13,6 +14,13 @@
     speed_of,
     update_throttle,
 )
+from bulrushcove.batch.records import (
+    decode_progress,
+    decode_submission,
+    encode_progress,
+    encode_submission,
+    restore_job,
+)
 from bulrushcove.batch.workers import EndKind
 
 TARGET_MS = 100
@@ -311,3 +319,33 @@
     bench = make_bench_with_two_images()
     assert not report_no_progress(bench, TARGET_MS, 4)
     assert report_no_progress(bench, 10, 9)
+
+
+def test_a_new_leader_orders_the_speed_of_tasks_that_run():
+    """The previous one may have halted them; the speed is not stored."""
+    earlier = make_bench_with_two_images()
+    bench = Bench()
+    jobs = [
+        restore_job(
+            decode_submission(encode_submission(job)),
+            decode_progress(encode_progress(job)),
+            bench.now_s,
+        )
+        for job in earlier.engine.jobs.values()
+    ]
+    bench.engine.restore(jobs, leases_expire_at_s=bench.now_s + 10)
+    worker = record_entry(
+        bench.engine.workers,
+        bench.engine.reliability,
+        entry('w1'),
+        bench.now_s,
+    )
+    bench.report('w1', [(ref, '', 0, 10) for ref in worker.allocations])
+    ordered = update_throttle(worker, bench.now_s)
+    assert {
+        allocation.unit.job.id: speed_of(worker, allocation)
+        for allocation in ordered
+    } == {'filling-index': 100, 'filling-mail': 100}
+    for allocation in ordered:
+        allocation.speed_percent = 100
+    assert not update_throttle(worker, bench.now_s)
