--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from .ids import RunRef
+from .interference import PairChange
 from .job_state import Allocation, AllocationPhase
 from .run_progress import record_checkpoint, record_percent, record_start
 from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
@@ -43,6 +44,8 @@
     unconfirmed: list[Allocation] = msgspec.field(default_factory=list)
     # Runs of suspects that have lasted long enough to clear them.
     survived: list[Allocation] = msgspec.field(default_factory=list)
+    # Pairs of images that were named or forgotten as slowing each other down.
+    interference: list[PairChange] = msgspec.field(default_factory=list)
     # Crash of the previous incarnation; None: there was none, or no runs.
     crash: WorkerCrash | None = None
 
@@ -169,6 +172,9 @@
     if running.percent > allocation.percent:
         record_percent(allocation, running.percent, worker.clock_ms)
         allocation.last_progress_at_s = now_s
+    if not allocation.speed_percent:
+        # That a halted run makes no progress is no fault of its worker.
+        allocation.progress_clock_ms = worker.clock_ms
     if running.checkpoint:
         _record_checkpoint(
             allocation, running.checkpoint, worker.clock_ms, now_s
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -9,7 +9,7 @@
 from ..clock import MS_PER_S
 from ..ids import DomainName, RackId, WorkerId
 from .allocation_table import AllocationTable
-from .ids import PoolName, RunRef
+from .ids import ImageName, PoolName, RunRef
 from .job_spec import TaskSize
 from .job_state import Allocation
 
@@ -172,7 +172,11 @@
     suspected_since_s: float = 0.0
     suspected_clock_ms: int = 0
     silent_jobs: int = 0
-    # Speed of best-effort tasks, and when it was last changed.
+    # Images of best-effort tasks that certainly slow services there.
+    harmful_images: frozenset[ImageName] = frozenset()
+    # Speed of these and of all other best-effort tasks, and when one of them
+    # was last changed.
+    harmful_speed_percent: int = FULL_SPEED_PERCENT
     speed_percent: int = FULL_SPEED_PERCENT
     speed_changed_at_s: float = 0.0
 
@@ -181,6 +185,12 @@
         """Return the worker's id."""
         return self.entry.worker
 
+    @property
+    def is_throttled(self) -> bool:
+        """Return whether best-effort tasks are slowed down there."""
+        slowest = min(self.speed_percent, self.harmful_speed_percent)
+        return slowest < FULL_SPEED_PERCENT
+
     def matches_entry(self, entry: WorkerEntry) -> bool:
         """Return whether the worker is listed and ``entry`` has no change.
 
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -47,6 +47,10 @@
             'bulrushcove_stalled_runs_total',
             'Runs that were stopped as they stood still, by basis.',
         )
+        self._interfering_pairs = metrics.gauge(
+            'bulrushcove_interfering_pairs',
+            'Pairs of images of which one certainly slows the other.',
+        )
         self._loop_delay_seconds = metrics.histogram(
             'bulrushcove_loop_delay_seconds',
             'Delays of the event loop above 10 ms.',
@@ -93,3 +97,4 @@
             if worker.has_reported and not worker.failed_polls
         )
         self._usable_workers.set({}, usable)
+        self._interfering_pairs.set({}, len(engine.interference.named_pairs))
