Leave complete members of gangs alone, and judge each by its own progress

A member that stands still while others go on was not judged at all.

Complete members are no evidence any more; a silent member is judged by its own progress, and the loss is the most that any member would lose. Other members count as siblings.

--- a/src/bulrushcove/batch/progress_expectation.py
+++ b/src/bulrushcove/batch/progress_expectation.py
@@ -137,7 +137,7 @@
         if not allocation.percent_ms:
             return None
         unit = allocation.unit
-        siblings_ms = _sibling_percent_ms(unit)
+        siblings_ms = _sibling_percent_ms(allocation)
         expected_ms = siblings_ms or self._spread(unit).mean_ms
         return expected_ms / allocation.percent_ms if expected_ms else None
 
@@ -145,7 +145,7 @@
         """Return the longest time to the first percent, and its basis."""
         unit = allocation.unit
         spread = self._spread(unit)
-        siblings_ms = _sibling_percent_ms(unit)
+        siblings_ms = _sibling_percent_ms(allocation)
         queue = unit.job.spec.terms.queue
         if spread.count >= MIN_SPREAD_RUNS:
             limit_ms, basis = LONGEST_FACTOR * spread.longest_ms, Basis.QUEUE
@@ -181,19 +181,21 @@
             yield worker.entry.rack
 
 
-def _sibling_percent_ms(unit: Unit) -> float:
-    """Return the mean of what a percent of the unit's siblings takes."""
-    rates_ms = list(islice(_sibling_rates_ms(unit), MAX_SIBLINGS))
+def _sibling_percent_ms(allocation: Allocation) -> float:
+    """Return the mean of what a percent of its step's other tasks takes."""
+    rates_ms = list(islice(_sibling_rates_ms(allocation), MAX_SIBLINGS))
     return sum(rates_ms) / len(rates_ms) if rates_ms else 0
 
 
-def _sibling_rates_ms(unit: Unit) -> Iterator[float]:
+def _sibling_rates_ms(allocation: Allocation) -> Iterator[float]:
+    unit = allocation.unit
     for other in islice(unit.job.units, MAX_EXAMINED_UNITS):
-        if other is unit or other.step != unit.step:
+        if other.step != unit.step:
             continue
-        for allocation in other.allocations.values():
-            if allocation.rated_percents >= MIN_RATED_PERCENTS:
-                yield allocation.percent_ms
+        for sibling in other.allocations.values():
+            is_rated = sibling.rated_percents >= MIN_RATED_PERCENTS
+            if is_rated and sibling is not allocation:
+                yield sibling.percent_ms
 
 
 _NO_RUNS = _Spread()
--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -21,6 +21,7 @@
 from .job_spec import StepSpec
 from .job_state import Allocation, AllocationPhase, Unit, unstopped_allocations
 from .progress_expectation import (
+    COMPLETE_PERCENT,
     MAX_BLAMING_STALLS,
     Basis,
     Expectation,
@@ -199,7 +200,6 @@
             or unit.is_aborting
             or any(
                 member.phase is not AllocationPhase.RUNNING
-                or member.percent > allocation.percent
                 for member in members
             )
         ):
@@ -212,7 +212,7 @@
         limit_ms *= _patience_factor(unit, expected, suspects)
         worker = self._workers[allocation.worker]
         silent_ms = worker.clock_ms - allocation.progress_clock_ms
-        lost_ms = unsaved_ms(allocation)
+        lost_ms = max(map(unsaved_ms, members))
         if silent_ms <= limit_ms or not self._is_stop_cheaper(
             unit, silent_ms, lost_ms, bool(suspects)
         ):
@@ -275,9 +275,13 @@
 
 
 def _is_judged(allocation: Allocation) -> bool:
-    """Return whether silence of the run tells of its worker or itself."""
-    spec = allocation.unit.spec
-    if spec.is_service or not allocation.speed_percent:
+    """Return whether silence of the run tells of its worker or itself.
+
+    A complete member of a gang waits for the others.
+    """
+    unit = allocation.unit
+    is_complete = unit.size > 1 and allocation.percent >= COMPLETE_PERCENT
+    if unit.spec.is_service or is_complete or not allocation.speed_percent:
         return False
     return bool(
         allocation.phase is AllocationPhase.RUNNING
--- a/tests/test_batch_progress.py
+++ b/tests/test_batch_progress.py
@@ -322,6 +322,40 @@
     assert not fleet.bench.plan().stops
 
 
+def test_a_complete_member_waits_for_its_gang():
+    """It is silent while the longest member works on, its worker sound."""
+    bench = Bench(entry('w1', accelerators=1), entry('w2', accelerators=1))
+    job = bench.submit(job_spec('gang', gang(2)))
+    bench.start_all()
+    first, last = job.units[0].allocations.values()
+    for percent in range(1, 60):
+        bench.advance(0.5)
+        row = (first.ref, '', min(100, 20 * percent))
+        bench.report(first.worker, running=[row])
+        bench.report(last.worker, running=[(last.ref, '', percent)])
+        assert not bench.plan().stops
+        assert not bench.engine.workers[first.worker].suspected_since_s
+
+
+def test_a_member_that_stands_still_alone_is_found():
+    bench = Bench(entry('w1', accelerators=1), entry('w2', accelerators=1))
+    job = bench.submit(job_spec('gang', gang(2)))
+    bench.start_all()
+    first, last = job.units[0].allocations.values()
+    for percent in range(1, 30):
+        bench.advance(0.5)
+        row = (first.ref, '', min(100, 5 * percent))
+        bench.report(first.worker, running=[row])
+        row = (last.ref, '', 5 * min(4, percent))
+        bench.report(last.worker, running=[row])
+        if bench.plan().stops:
+            break
+    assert last.stop_reason
+    reliability = bench.engine.reliability
+    assert reliability.is_quarantined(last.worker, bench.now_s)
+    assert not reliability.is_quarantined(first.worker, bench.now_s)
+
+
 def test_a_gang_that_is_not_complete_is_not_judged():
     """Its members wait for one that starts late."""
     bench = Bench(entry('w1'), entry('w2', accelerators=1))
