--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING
 
@@ -21,7 +21,6 @@
     find_isolated_placement,
     indices_to_isolate,
     isolate_runs,
-    isolated_run_age_s,
     needs_stable_worker,
     reserve_idle_workers,
 )
@@ -34,6 +33,7 @@
     unstopped_allocations,
 )
 from .limit_gate import LimitGate, find_limits
+from .pass_candidates import find_candidates
 from .placement import (
     Candidate,
     count_fitting_tasks,
@@ -45,13 +45,10 @@
 from .policy import find_adviser
 from .preemption_decider import PreemptionDecider
 from .preemption_plan import PreemptionPlan
-from .progress_model import count_trial_units, suspicion_standing
 from .queue_order import URGENT
 from .sampling import select_examined
 from .shapes import Shape, shape_of
 from .waiting_units import sort_ready_units, sum_usage
-from .worker_crashes import is_stable
-from .workers import Worker
 
 if TYPE_CHECKING:
     from .engine import Engine
@@ -396,13 +393,7 @@
     used = sum_usage(engine)
     waiting = sort_ready_units(engine, used, unix_ms, now_s)
     engine.organisation_usage.waiting = waiting
-    candidates: dict[PoolName, list[Candidate]] = defaultdict(list)
-    if waiting:
-        for worker in engine.workers.values():
-            if is_schedulable(engine, worker):
-                candidates[worker.entry.pool].append(
-                    _make_candidate(engine, worker, now_s)
-                )
+    candidates = find_candidates(engine, now_s) if waiting else {}
     limit_gate = LimitGate(find_limits(engine.desired_state.policy), used)
     limit_gate.hold_for_waiting(
         waiting, now_s, lambda unit: _fits_when_idle(unit, candidates)
@@ -410,25 +401,6 @@
     return SchedulingPass(engine, waiting, candidates, limit_gate, now_s)
 
 
-def is_schedulable(engine: Engine, worker: Worker) -> bool:
-    """Return whether no promise would be broken by new work on ``worker``."""
-    is_responding = (
-        worker.has_reported
-        and not worker.failed_polls
-        and not worker.unknown_incarnation_since_s
-    )
-    if not is_responding or worker.orphans or not is_in_service(engine, worker):
-        return False
-    return worker.id not in engine.lease_expiry.named
-
-
-def is_in_service(engine: Engine, worker: Worker) -> bool:
-    """Return whether ``worker`` is listed, not draining and its domain open."""
-    entry = worker.entry
-    is_listed = worker.is_listed and not entry.is_draining
-    return is_listed and entry.domain not in engine.desired_state.closed_domains
-
-
 def _fits_when_idle(
     unit: Unit, candidates: dict[PoolName, list[Candidate]]
 ) -> bool:
@@ -436,39 +408,6 @@
     return fits_when_idle(unit, candidates.get(pool, []))
 
 
-def _make_candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
-    entry = worker.entry
-    reliability = engine.reliability
-    return Candidate(
-        worker=worker.id,
-        rack=entry.rack,
-        labels=entry.labels,
-        free=worker.free_capacity(),
-        capacity=entry.capacity,
-        standing=max(
-            reliability.standing(worker.id, now_s),
-            suspicion_standing(worker, now_s),
-        ),
-        units_left=_count_units_left(engine, worker, now_s),
-        is_trial_due=reliability.is_trial_due(worker.id, now_s),
-        is_idle=not worker.allocations,
-        is_stable=is_stable(worker, now_s),
-        isolated_run_age_s=isolated_run_age_s(worker, now_s),
-        is_throttled=worker.is_throttled,
-    )
-
-
-def _count_units_left(
-    engine: Engine, worker: Worker, now_s: float
-) -> int | None:
-    """Return how many more units the worker may get; None: any number."""
-    limits = (
-        engine.reliability.count_trial_units(worker, now_s),
-        count_trial_units(worker, now_s),
-    )
-    return min((one for one in limits if one is not None), default=None)
-
-
 def _count_placed_tasks(unit: Unit) -> dict[WorkerId, int]:
     """Return how many tasks of the unit's step run on each worker.
 
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -11,9 +11,9 @@
 from ..batch.job_state import Allocation, AllocationPhase, Job, UnitPhase
 from ..batch.orders import OrderOutcome
 from ..batch.pacing import speed_of, update_throttle
+from ..batch.pass_candidates import is_in_service, is_schedulable
 from ..batch.plan import Plan
 from ..batch.reconcile import AllocationEnd
-from ..batch.scheduling_pass import is_in_service, is_schedulable
 from ..batch.worker_crashes import AccusedRun
 from ..batch.workers import (
     EndedTask,
