--- a/src/bulrushcove/batch/limit_preemption.py
+++ b/src/bulrushcove/batch/limit_preemption.py
@@ -33,15 +33,21 @@
         elif unit.job.spec.terms.priority:
             stoppable.append(unit)
     stoppable.sort(key=lambda own: (-own.job.spec.terms.priority, loss_of(own)))
+    return _choose_victims(missing, stoppable)
+
+
+def _choose_victims(
+    missing: TaskSize, stoppable: Iterable[Unit]
+) -> list[Unit] | None:
     victims: list[Unit] = []
-    for candidate in stoppable:
+    for unit in stoppable:
         if _is_covered(missing):
             break
-        freed = missing.minus(_held_by(candidate))
-        is_helpful = _positive(freed) != _positive(missing)
-        if is_helpful and is_within_disruption_budget((*victims, candidate)):
-            victims.append(candidate)
-            missing = freed
+        left = missing.minus(_held_by(unit))
+        is_helpful = _positive(left) != _positive(missing)
+        if is_helpful and is_within_disruption_budget((*victims, unit)):
+            victims.append(unit)
+            missing = left
     return victims if _is_covered(missing) else None
 
 
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -2,8 +2,10 @@
 
 from ..batch.engine import Engine
 from ..batch.job_state import Job
+from ..batch.organisation_status import OrganisationStatus
 from ..batch.worker_crashes import AccusedRun
 from ..metrics import Metrics
+from .organisation_reports import OrganisationReports
 
 
 class NodeMetrics:
@@ -27,6 +29,23 @@
         self._usable_workers = metrics.gauge(
             'bulrushcove_workers_usable', 'Workers that answer.'
         )
+        self._organisation_reports = OrganisationReports()
+        self._organisation_used = metrics.gauge(
+            'bulrushcove_organisation_used',
+            'What an organisation has running, by resource.',
+        )
+        self._organisation_limit = metrics.gauge(
+            'bulrushcove_organisation_limit',
+            'What an organisation may have running, by resource; 0: any.',
+        )
+        self._organisation_share_percent = metrics.gauge(
+            'bulrushcove_organisation_share_percent',
+            'Share of an organisation of all that run or wait, by weight.',
+        )
+        self._organisation_waiting = metrics.gauge(
+            'bulrushcove_organisation_waiting_units',
+            'Units that wait for the limit of their organisation, or for room.',
+        )
         self._accused_runs = metrics.counter(
             'bulrushcove_accused_runs_total',
             'Runs whose worker crashed soon after their start.',
@@ -62,7 +81,7 @@
         if accused.history.is_conclusive:
             self._jobs_given_up.inc({})
 
-    def record_engine_state(self, engine: Engine) -> None:
+    def record_engine_state(self, engine: Engine, now_s: float) -> None:
         """Set the gauges from the leader's engine."""
         self._active_jobs.set({}, len(engine.active))
         usable = sum(
@@ -71,3 +90,23 @@
             if worker.has_reported and not worker.failed_polls
         )
         self._usable_workers.set({}, usable)
+        for status in self._organisation_reports.take(engine, now_s):
+            self._record_organisation(status)
+
+    def _record_organisation(self, status: OrganisationStatus) -> None:
+        """Set the gauges of one organisation."""
+        labels = {'organisation': status.name}
+        for gauge, size in (
+            (self._organisation_used, status.used),
+            (self._organisation_limit, status.limit),
+        ):
+            gauge.set({**labels, 'resource': 'millicores'}, size.cpu_millicores)
+            gauge.set({**labels, 'resource': 'memory_mb'}, size.memory_mb)
+            gauge.set({**labels, 'resource': 'accelerators'}, size.accelerators)
+        self._organisation_share_percent.set(labels, status.share_percent)
+        self._organisation_waiting.set(
+            {**labels, 'for': 'limit'}, status.waiting_for_limit
+        )
+        self._organisation_waiting.set(
+            {**labels, 'for': 'room'}, status.waiting_for_room
+        )
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -207,7 +207,7 @@
             engine.cancellations.remove_expired(now_s)
         )
         engine.prune_active_jobs()
-        self._metrics.record_engine_state(engine)
+        self._metrics.record_engine_state(engine, now_s)
 
     def _run_pass_if_due(self) -> None:
         """Run a pass now, or soon if the last one took long."""
--- a/tests/worker_lives_model.py
+++ b/tests/worker_lives_model.py
@@ -782,12 +782,12 @@
     return f'{ref.task.job}.{ref.task.index} run {ref.run}'
 
 
-def play(script, **options):
+def play(script, world_class=World, **options):
     """Play ``script``, a coroutine function, on a new world; return it."""
     clock = ManualClock()
     loop = VirtualLoop(clock)
     asyncio.set_event_loop(loop)
-    world = World(clock, loop, **options)
+    world = world_class(clock, loop, **options)
     with MonkeyPatch.context() as monkeypatch:
         _make_deterministic(monkeypatch)
         _collect_errors(monkeypatch, world)
