Suspect a worker from the first report in which its runs are silent

Reports come each 1.5 s, and a silence below 1.6 s told nothing: the tasks of a tenth of the workers that stood still were found in the second silent report, 3 s late (median of 29 suspicions). A false suspicion costs a quarter of a second, as polls are frequent then.

--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -31,9 +31,10 @@
 from .worker_reliability import Standing
 from .workers import Worker
 
-# Reports come at least this often, so that a shorter silence tells nothing.
-MIN_SUSPECT_MS = 1600.0
-# A run is stopped after two such reports at the earliest.
+# Reports come each 1.5 s, those of suspected workers more often; between two of
+# them that are closer the clocks of reports and of work differ too much.
+MIN_SUSPECT_MS = 1000.0
+# A run is stopped after two reports without progress at the earliest.
 MIN_STALL_MS = 2500.0
 # Stop, placement and start of a run elsewhere; a gang needs room for all of
 # its members at once.
