--- a/src/bulrushcove/batch/interference.py
+++ b/src/bulrushcove/batch/interference.py
@@ -28,8 +28,9 @@
 MIN_OBSERVATIONS = 4.0
 MIN_WORKERS = 3
 MIN_UNITS = 3
-# A chance effect is beyond this about once in a thousand.
-SURE_STANDARD_ERRORS = 3.0
+# Pairs are reviewed every second: a chance effect must be rarer than one in
+# ten thousand.
+SURE_STANDARD_ERRORS = 4.0
 # Needed in either direction to name a pair, and to keep it. Two departures of
 # tasks at half speed weigh so much; strong harm is throttled soon.
 MIN_EACH_WAY = 0.5
