--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -7,7 +7,11 @@
 import pytest
 
 from bulrushcove.batch.ids import TaskRef
-from bulrushcove.batch.policy import find_organisation, find_queue
+from bulrushcove.batch.policy import (
+    RequestLimits,
+    find_organisation,
+    find_queue,
+)
 from bulrushcove.ids import JobId
 from bulrushcove.platform.exceptions import UndecodableError
 from bulrushcove.platform.program import decode_desired_state
@@ -79,6 +83,39 @@
     assert (settings.max_lease_ms, settings.stop_grace_ms) == (10_000, 6000)
 
 
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [('', (0, 0)), ('memory-mb = 160\nmax-fds = 1638', (160, 1638))],
+)
+def test_memory_and_descriptors_of_the_machine_are_decoded(limits, expected):
+    settings = decode_node_settings(
+        tomllib.loads(f'{SETTINGS}[limits]\n{limits}\n')
+    )
+    assert (settings.memory_mb, settings.max_descriptors) == expected
+
+
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        (b'{}', RequestLimits()),
+        (
+            b'{"max-header-bytes":1,"max-body-bytes":2,'
+            b'"header-timeout-ms":3,"idle-timeout-ms":4}',
+            RequestLimits(
+                max_header_bytes=1,
+                max_body_bytes=2,
+                header_timeout_ms=3,
+                idle_timeout_ms=4,
+            ),
+        ),
+        (b'{"max-header-bytes":0,"idle-timeout-ms":-1}', RequestLimits()),
+    ],
+)
+def test_limits_of_requests_are_decoded(stated, expected):
+    configuration = CONFIGURATION.replace(b'{"max-body-bytes":9}', stated)
+    assert decode_policy(configuration).request_limits == expected
+
+
 @pytest.mark.parametrize('missing', ['node', 'listen', 'platform'])
 def test_error_names_the_missing_setting(missing):
     document = tomllib.loads(SETTINGS)
