--- a/src/bulrushcove/batch/candidate_selection.py
+++ b/src/bulrushcove/batch/candidate_selection.py
@@ -267,7 +267,7 @@
         if self._gives_up(Preference.NOT_HEADROOM, unit):
             return frozenset()
         if pool not in self._headroom:
-            rate = self._engine.urgent_demand.rate(self._now_s)
+            rate = self._engine.evidence.urgent_demand.rate(self._now_s)
             self._headroom[pool] = select_headroom_workers(group, rate)
         return self._headroom[pool]
 
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -12,9 +12,8 @@
 from .advice import TicketCache
 from .cancellations import Cancellations
 from .completion import apply_run_end, apply_unmatched_ends, cancel_job
-from .crash_handler import CrashHandler
 from .draining import find_outlasting_runs
-from .headroom import UrgentDemand
+from .evidence import Evidence
 from .ids import QueueName
 from .interference import InterferenceModel
 from .job_spec import JobSpec
@@ -66,13 +65,11 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.desired_state = DesiredState()
         self.estimates = RuntimeEstimates()
-        self.progress = ProgressModel(self.workers, self.estimates.task_ms)
+        self.evidence = Evidence(self.workers, self.estimates.task_ms)
         self.reliability = WorkerReliability()
-        self.crashes = CrashHandler()
         self.tickets = TicketCache()
         self.lease_expiry = LeaseExpiryTable()
         self.interference = InterferenceModel()
-        self.urgent_demand = UrgentDemand()
         self.organisation_usage = OrganisationUsage()
         # Passes so far; each examines other workers of a large pool.
         self.pass_count = 0
@@ -112,7 +109,7 @@
         job = new_job(spec, unix_ms, now_s)
         self.jobs[job.id] = job
         self.active[job.id] = job
-        self.urgent_demand.record_job(spec, now_s)
+        self.evidence.urgent_demand.record_job(spec, now_s)
         self.interference.record_job(spec)
         return job, True
 
@@ -162,7 +159,7 @@
             report_changes.interference = self.interference.observe(
                 worker, now_s
             )
-        plan = self.crashes.apply(
+        plan = self.evidence.crashes.apply(
             report_changes.crash,
             self.workers.values(),
             unix_ms=unix_ms,
@@ -187,7 +184,7 @@
                 report_changes.unconfirmed, StopReason.START_UNANSWERED
             )
         )
-        plan.suspicions = self.progress.observe(worker, now_s)
+        plan.suspicions = self.evidence.progress.observe(worker, now_s)
         return plan, report_changes
 
     def confirm_starts(
@@ -240,7 +237,7 @@
         """
         plan = Plan()
         if is_replaced:
-            plan = self.crashes.apply_replacement(
+            plan = self.evidence.crashes.apply_replacement(
                 worker, self.workers.values(), unix_ms=unix_ms, now_s=now_s
             )
         ends = [
@@ -277,7 +274,9 @@
         current = prepare_pass(self, unix_ms=unix_ms, now_s=now_s)
         plan = Plan()
         _run_pass(current, plan)
-        _stop_stalled_runs(plan, self.progress, self.reliability, now_s)
+        _stop_stalled_runs(
+            plan, self.evidence.progress, self.reliability, now_s
+        )
         outlasting = find_outlasting_runs(self, now_s)
         plan.stops.extend(mark_for_stop(outlasting, StopReason.WORKER_DRAINING))
         plan.advice_request = current.next_advice_request()
--- a/tests/test_batch_progress.py
+++ b/tests/test_batch_progress.py
@@ -382,7 +382,7 @@
     for number in range(4):
         fleet.submit(job_spec(f'usual-{number}', single()))
     (slow,) = fleet.submit(job_spec('slow', single()))
-    rate = fleet.bench.engine.progress.relative_rate
+    rate = fleet.bench.engine.evidence.progress.relative_rate
     fleet.play(0.25)
     assert rate(run_of(slow)) is None
     fleet.play(10)
