Keep the ledger of organisations sound with tasks of size 0

Cause: a sum of nothing removed the organisation from the ledger while another worker still held a task of size 0 of it; the end of that task then raised a KeyError in each later pass, and nothing was scheduled any more. Any caller may send such a task.

Before: tests/test_batch_organisation_limits.py:: test_tasks_without_a_size_do_not_break_the_ledger fails with KeyError 'mill'. After: it passes, with the other tests of that file.

--- a/src/bulrushcove/batch/organisation_usage.py
+++ b/src/bulrushcove/batch/organisation_usage.py
@@ -65,9 +65,10 @@
 
     def _subtract(self, usage: Usage) -> None:
         for organisation, size in usage.items():
-            left = self._total[organisation].minus(size)
+            # None of a sum that tasks of size 0 are left of.
+            left = self._total.get(organisation, NOTHING).minus(size)
             if left == NOTHING:
-                self._total.pop(organisation)
+                self._total.pop(organisation, None)
             else:
                 self._total[organisation] = left
 
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -371,6 +371,26 @@
     assert not bench.start_all().starts
 
 
+def test_tasks_without_a_size_do_not_break_the_ledger():
+    bench = Bench(entry('w1', rack='r1'), entry('w2', rack='r2'))
+    set_limits(bench.engine, mill=limited(10))
+    nothing = msgspec.structs.replace(
+        step(required_label='r1'), size=TaskSize()
+    )
+    bench.submit(job_spec('nothing', nothing))
+    bench.submit(job_spec('one', step(required_label='r2')))
+    running = {run.unit.job.id: run for run in bench.start_all().starts}
+    for name in ('one', 'nothing'):
+        bench.plan()
+        bench.end(running[name], EndKind.DONE)
+
+    bench.plan()
+
+    assert not bench.engine.organisation_usage.update(
+        bench.engine.workers, bench.engine.jobs
+    )
+
+
 def test_the_ledger_equals_a_sum_of_all_allocations(bench):
     set_limits(bench.engine, mill=limited(30), other=limited(9))
     bench.submit(job_spec('one', sized(700, 40)))
