Let a VM campaign while it reads the configuration again

Cause: the test whether a VM has read the configuration asked for the revision of the cached entries, which is 0 while they are read again after the store lost its history. Until that scan ended, no such VM became leader, in every deployment. The cache now remembers that it was loaded once; the configuration it gave stays in force meanwhile.

Before: tests/test_node_application.py fails (is_configured() is False). After: it passes.

--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -228,7 +228,7 @@
         )
 
     def _has_read_configuration(self) -> bool:
-        return self._operator_entries.revision > 0
+        return self._operator_entries.has_loaded
 
     def _reload(self) -> None:
         try:
--- a/src/bulrushcove/node/prefix_cache.py
+++ b/src/bulrushcove/node/prefix_cache.py
@@ -48,6 +48,8 @@
         self.entries: Entries = {}
         # Store revision of the entries; zero: to be loaded.
         self.revision = 0
+        # Whether all entries were read once; also true while they are reloaded.
+        self.has_loaded = False
         # Whether the last scan or watch succeeded.
         self.is_current = False
         self._store = store
@@ -129,6 +131,7 @@
         )
         self.entries = entries
         self.revision = scan.store_revision
+        self.has_loaded = True
         self._report(changed)
 
     def _report(self, changed: frozenset[str]) -> None:
