Hold room under a limit only for units that wait for that limit

Causes, of small work waiting, and of gangs starving: - Room was held for a gang also where it fitted under the limit and waited for workers, and while less than half of the limit was used, where callers expect a start within 3 s. Room is now held only for a unit that does not fit, and binds nothing while each limit is less than half used. In the pass in which the room has come free the unit has it first, so that work ahead of it in the queue does not take it again and again. - Only the oldest large unit was looked at. One above a limit lowered since, or that no workers can run, took the hold from all others of its organisation. The oldest that can use it now has it. Whether a unit can ever run is found once for each shape.

Ruled out: asking for used + size of the other unit under half (a job of two tasks at once would wait with 4 of 10 used).

Before: of the new tests in tests/test_batch_organisation_limits.py test_no_room_is_held_for_a_gang_that_waits_for_workers, test_under_half_of_the_limit_nothing_waits_for_held_room[4-True] and test_a_gang_that_cannot_run_keeps_no_other_from_held_room fail. After: they pass. test_work_ahead_of_a_gang_does_not_take_the_room_it_waited_for passed before, too; it guards the pass in which the room comes free.

--- a/src/bulrushcove/batch/limit_gate.py
+++ b/src/bulrushcove/batch/limit_gate.py
@@ -2,14 +2,16 @@
 
 A unit, a gang as a whole, starts only if its organisation has at most its limit
 running then. A gang that does not fit for a while, as small units of its
-organisation take all that ends, has room held for it under the limit; urgent
-units need not leave it. Room is also held for a unit for which other work is
-being stopped.
+organisation take all that ends, has room held for it under the limit. Urgent
+units need not leave it, nor others while less than half of the limit is used.
+Room is also held for a unit for which other work is being stopped.
 
 It answers bursts of an organisation of up to many times its limit.
 """
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Set as AbstractSet
 
 from ..ids import OrganisationId
 from .ids import UnitRef
@@ -23,6 +25,7 @@
 HOLD_AFTER_S = 1.5
 # Smaller units fit into what single small tasks leave.
 MIN_HELD_ACCELERATORS = 4
+_LEAST = TaskSize(1, 1, 1)
 
 Limits = Mapping[OrganisationId, TaskSize]
 
@@ -42,30 +45,41 @@
         waiting: Iterable[Unit],
         now_s: float,
         can_ever_run: Callable[[Unit], bool],
-    ) -> None:
+        held_before: AbstractSet[UnitRef],
+    ) -> frozenset[UnitRef]:
         """Hold room for the oldest large unit of each organisation.
 
-        None is held for a unit that is larger than the limit, or that the
-        workers there are could not run (``can_ever_run``).
+        None is held for a unit that is larger than the limit, that the workers
+        there are could not run (``can_ever_run``), or that fits under the
+        limit: it waits for workers. Units that did not fit in the last pass
+        (``held_before``) are tried first, however. Returns those that do not
+        fit now.
         """
-        if not self._limits:
-            return
-        for name, unit in self._find_oldest(waiting, now_s).items():
-            size = size_of(unit)
-            if size_fits(size, self._limits[name]) and can_ever_run(unit):
-                self._held[name] = (unit.ref, size)
+        too_large = set()
+        for name, units in self._large_units(waiting, now_s).items():
+            to_hold_for = (
+                unit
+                for unit in sorted(units, key=_ready_since)
+                if self._needs_hold(unit, held_before) and can_ever_run(unit)
+            )
+            unit = next(to_hold_for, None)
+            if unit is None:
+                continue
+            self._held[name] = (unit.ref, size_of(unit))
+            if not self._is_within_limit(unit):
+                too_large.add(unit.ref)
+        return frozenset(too_large)
 
     def admits(self, unit: Unit) -> bool:
         """Return whether ``unit`` may start now."""
         terms = unit.job.spec.terms
-        limit = self._limits.get(terms.organisation)
-        if limit is None:
+        name = terms.organisation
+        if name not in self._limits:
             return True
-        needed = self._used[terms.organisation].plus(size_of(unit))
-        held = self._held.get(terms.organisation)
-        if held and held[0] != unit.ref and terms.priority != URGENT:
-            needed = needed.plus(held[1])
-        return size_fits(needed, limit)
+        needed = self._used[name].plus(size_of(unit))
+        if terms.priority != URGENT:
+            needed = needed.plus(self._size_held_from(unit))
+        return size_fits(needed, self._limits[name])
 
     def excess(self, unit: Unit) -> TaskSize:
         """Return what must end before ``unit`` is within the limit.
@@ -91,19 +105,44 @@
         if held and held[0] == unit.ref:
             self._held.pop(name)
 
-    def _find_oldest(
+    def _needs_hold(
+        self, unit: Unit, held_before: AbstractSet[UnitRef]
+    ) -> bool:
+        if unit.ref not in held_before and self._is_within_limit(unit):
+            return False
+        limit = self._limits[unit.job.spec.terms.organisation]
+        return size_fits(size_of(unit), limit)
+
+    def _is_within_limit(self, unit: Unit) -> bool:
+        name = unit.job.spec.terms.organisation
+        needed = self._used[name].plus(size_of(unit))
+        return size_fits(needed, self._limits[name])
+
+    def _size_held_from(self, unit: Unit) -> TaskSize:
+        """Return the size of the held room that ``unit`` has to leave."""
+        name = unit.job.spec.terms.organisation
+        ref, size = self._held.get(name, (unit.ref, NOTHING))
+        if ref == unit.ref:
+            return NOTHING
+        used, limit = self._used[name], self._limits[name]
+        is_free = size_fits(used.plus(size), limit)
+        # Exactly half of a limit is not under it.
+        is_under_half = size_fits(used.times(2).plus(_LEAST), limit)
+        # Under half callers expect a start, unless the held room is free: then
+        # it is used in this pass, or not held in the next.
+        return NOTHING if is_under_half and not is_free else size
+
+    def _large_units(
         self, waiting: Iterable[Unit], now_s: float
-    ) -> dict[OrganisationId, Unit]:
-        """Return the large unit of each organisation that waits longest."""
-        oldest: dict[OrganisationId, Unit] = {}
-        for unit in waiting:
-            name = unit.job.spec.terms.organisation
-            if name not in self._limits or not _is_held_for(unit, now_s):
-                continue
-            known = oldest.setdefault(name, unit)
-            if unit.ready_since_s < known.ready_since_s:
-                oldest[name] = unit
-        return oldest
+    ) -> dict[OrganisationId, list[Unit]]:
+        """Return the units of each organisation that room may be held for."""
+        large: dict[OrganisationId, list[Unit]] = defaultdict(list)
+        if self._limits:
+            for unit in waiting:
+                name = unit.job.spec.terms.organisation
+                if name in self._limits and _is_held_for(unit, now_s):
+                    large[name].append(unit)
+        return large
 
 
 def find_limits(policy: Policy | None) -> Limits:
@@ -139,3 +178,7 @@
         unit.size > 1 or unit.spec.size.accelerators >= MIN_HELD_ACCELERATORS
     )
     return is_large and now_s - unit.ready_since_s >= HOLD_AFTER_S
+
+
+def _ready_since(unit: Unit) -> float:
+    return unit.ready_since_s
--- a/src/bulrushcove/batch/organisation_usage.py
+++ b/src/bulrushcove/batch/organisation_usage.py
@@ -14,6 +14,7 @@
 
 from ..ids import JobId, OrganisationId, WorkerId
 from .allocation_table import AllocationTable
+from .ids import UnitRef
 from .job_spec import TaskSize
 from .job_state import Job, Unit, find_unit
 from .workers import Worker
@@ -30,6 +31,8 @@
         """Start without anything running."""
         # Units that were ready in the last pass.
         self.waiting: list[Unit] = []
+        # Units that room was held for in it, as they exceeded the limit.
+        self.held: frozenset[UnitRef] = frozenset()
         self._total: Usage = {}
         # The table that was summed last, its revision then and the sum.
         self._summed: dict[WorkerId, tuple[AllocationTable, int, Usage]] = {}
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import TYPE_CHECKING
 
 from ..ids import WorkerId
@@ -395,17 +395,29 @@
     engine.organisation_usage.waiting = waiting
     candidates = find_candidates(engine, now_s) if waiting else {}
     limit_gate = LimitGate(find_limits(engine.desired_state.policy), used)
-    limit_gate.hold_for_waiting(
-        waiting, now_s, lambda unit: _fits_when_idle(unit, candidates)
+    engine.organisation_usage.held = limit_gate.hold_for_waiting(
+        waiting,
+        now_s,
+        _make_idle_test(candidates),
+        engine.organisation_usage.held,
     )
     return SchedulingPass(engine, waiting, candidates, limit_gate, now_s)
 
 
-def _fits_when_idle(
-    unit: Unit, candidates: dict[PoolName, list[Candidate]]
-) -> bool:
-    pool = unit.job.spec.terms.pool
-    return fits_when_idle(unit, candidates.get(pool, []))
+def _make_idle_test(
+    candidates: dict[PoolName, list[Candidate]],
+) -> Callable[[Unit], bool]:
+    """Return a test whether a unit fits ``candidates`` without any runs."""
+    known: dict[Shape, bool] = {}
+
+    def fits(unit: Unit) -> bool:
+        shape = shape_of(unit)
+        if shape not in known:
+            pool = unit.job.spec.terms.pool
+            known[shape] = fits_when_idle(unit, candidates.get(pool, []))
+        return known[shape]
+
+    return fits
 
 
 def _count_placed_tasks(unit: Unit) -> dict[WorkerId, int]:
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -363,6 +363,84 @@
     assert used(bench.engine) == 4
 
 
+def test_no_room_is_held_for_a_gang_that_waits_for_workers():
+    racks_of_one = [entry(f'x{number}', rack='r2') for number in range(6)]
+    bench = Bench(entry('w1', rack='r1'), *racks_of_one)
+    set_limits(bench.engine, mill=limited(12))
+    full = step(accelerators=8, required_label='r1', estimated_ms=60_000)
+    bench.submit(job_spec('full', full, organisation=OTHER))
+    bench.start_all()
+    gang = step(4, accelerators=2, is_gang=True, required_label='r1')
+    waiting = bench.submit(job_spec('gang', gang))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    bench.plan()
+
+    # More than half of the limit, but the gang has the rest of it.
+    bench.submit(job_spec('small', step(12)))
+    bench.start_all()
+
+    assert waiting.phase is JobPhase.QUEUED
+    assert used(bench.engine) == 12
+
+
+@pytest.mark.parametrize(('running', 'is_started'), [(4, True), (5, False)])
+def test_under_half_of_the_limit_nothing_waits_for_held_room(
+    bench, running, is_started
+):
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('before', step(running)))
+    bench.start_all()
+    gang = bench.submit(job_spec('gang', step(8, is_gang=True)))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    small = bench.submit(job_spec('small', step(2, is_gang=True)))
+
+    bench.start_all()
+
+    assert gang.phase is JobPhase.QUEUED
+    assert (small.phase is JobPhase.RUNNING) is is_started
+
+
+def test_work_ahead_of_a_gang_does_not_take_the_room_it_waited_for(bench):
+    """The gang fits at once where the room that was missing comes free."""
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('before', step(7)))
+    running = bench.start_all().starts
+    gang = bench.submit(job_spec('gang', step(4, is_gang=True), priority=2))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    bench.plan()
+    bench.submit(job_spec('ahead', step(2)))
+    bench.end(running.pop(), EndKind.DONE)
+
+    bench.start_all()
+
+    assert gang.phase is JobPhase.RUNNING
+    assert used(bench.engine) == 10
+
+
+def test_a_gang_that_cannot_run_keeps_no_other_from_held_room(bench):
+    """Two gangs wait; the older one is larger than a limit lowered since."""
+    set_limits(bench.engine, mill=limited(20))
+    bench.submit(job_spec('before', step(10)))
+    running = bench.start_all().starts
+    bench.submit(job_spec('never', step(12, is_gang=True)))
+    set_limits(bench.engine, mill=limited(10))
+    bench.plan()
+    bench.advance(0.1)
+    gang = bench.submit(job_spec('gang', step(6, is_gang=True), priority=2))
+    for number in range(40):
+        bench.submit(job_spec(f'small-{number}'))
+        bench.advance(1)
+        bench.end(running.pop(0), EndKind.DONE)
+        running.extend(bench.start_all().starts)
+        if gang.phase is JobPhase.RUNNING:
+            break
+
+    assert gang.phase is JobPhase.RUNNING
+
+
 def test_best_effort_tasks_count_in_full(bench):
     set_limits(bench.engine, mill=limited(cpu=3000))
     bench.submit(job_spec('fill', step(10, 0, fills_idle=True)))
