Stop own work for urgent units only where workers would hold them

Causes: - Own work of an organisation was stopped for an urgent unit above the limit also where no worker could take it. What was freed was not kept for the unit once its place failed, so that the stopped work started again and was stopped again. Own work is stopped now only if the unit fits within 0.8 s or by preemption; its room under the limit, and its place until the room is free, are kept for 2.5 s. A unit that preempts keeps its room likewise. - Each urgent unit above the limit looked at all jobs and sorted all units of its organisation. They are collected once for each organisation and pass, a size that no stop helps is not tried again, and MAX_PREEMPTIONS holds for such units, too; the next pass follows at once.

--- a/src/bulrushcove/batch/limit_gate.py
+++ b/src/bulrushcove/batch/limit_gate.py
@@ -39,6 +39,8 @@
         self._used = {name: used.get(name, NOTHING) for name in limits}
         # For which unit of each organisation room is held under the limit.
         self._held: dict[OrganisationId, tuple[UnitRef, TaskSize]] = {}
+        # Units that count as used and may still start.
+        self._counted: set[UnitRef] = set()
 
     def hold_for_waiting(
         self,
@@ -74,13 +76,19 @@
         """Return whether ``unit`` may start now."""
         terms = unit.job.spec.terms
         name = terms.organisation
-        if name not in self._limits:
+        if name not in self._limits or unit.ref in self._counted:
             return True
         needed = self._used[name].plus(size_of(unit))
         if terms.priority != URGENT:
             needed = needed.plus(self._size_held_from(unit))
         return size_fits(needed, self._limits[name])
 
+    def hold_room(self, unit: Unit) -> None:
+        """Count ``unit``, which it admits, so that it may still start."""
+        if unit.ref not in self._counted and self.admits(unit):
+            self.record_start(unit)
+            self._counted.add(unit.ref)
+
     def excess(self, unit: Unit) -> TaskSize:
         """Return what must end before ``unit`` is within the limit.
 
@@ -98,7 +106,7 @@
     def record_start(self, unit: Unit) -> None:
         """Count ``unit``, which starts, or for which others are stopped."""
         name = unit.job.spec.terms.organisation
-        if name not in self._limits:
+        if name not in self._limits or unit.ref in self._counted:
             return
         self._used[name] = self._used[name].plus(size_of(unit))
         held = self._held.get(name)
--- a/src/bulrushcove/batch/limit_preemption.py
+++ b/src/bulrushcove/batch/limit_preemption.py
@@ -12,6 +12,9 @@
 from .job_state import AllocationPhase, Unit
 from .organisation_usage import NOTHING
 
+# Units of least loss that are looked at first: the tasks of a large gang.
+FIRST_CANDIDATES = 64
+
 
 def find_own_victims(
     excess: TaskSize,
@@ -62,3 +65,53 @@
 
 def _is_covered(missing: TaskSize) -> bool:
     return _positive(missing) == NOTHING
+
+
+class OwnWork:
+    """What one organisation may stop of its own; valid for one pass."""
+
+    def __init__(
+        self, running: Iterable[Unit], loss_of: Callable[[Unit], float]
+    ) -> None:
+        """Choose from ``running``, its units that hold allocations."""
+        # Size of what is being stopped.
+        self._freed = NOTHING
+        self._stoppable = []
+        # Sizes of units for which stopping did not help.
+        self._declined: set[TaskSize] = set()
+        for unit in running:
+            if _is_being_stopped(unit):
+                self._freed = self._freed.plus(_held_by(unit))
+            elif unit.job.spec.terms.priority:
+                self._stoppable.append(unit)
+        self._loss_of = loss_of
+        self._stoppable.sort(
+            key=lambda own: (-own.job.spec.terms.priority, loss_of(own))
+        )
+
+    def is_hopeless(self, size: TaskSize) -> bool:
+        """Return whether stopping did not help a unit of ``size`` before."""
+        return size in self._declined
+
+    def find_victims(
+        self, size: TaskSize, excess: TaskSize
+    ) -> list[Unit] | None:
+        """Return what to stop for a unit of ``size``, ``excess`` too much.
+
+        The caller stops it. None if that does not help.
+        """
+        missing = excess.minus(self._freed)
+        if _is_covered(missing):
+            return []
+        # The first of them are enough for most units.
+        first = self._stoppable[:FIRST_CANDIDATES]
+        victims = find_own_victims(missing, first, self._loss_of)
+        if victims is None:
+            victims = find_own_victims(missing, self._stoppable, self._loss_of)
+        if victims is None:
+            self._declined.add(size)
+            return None
+        for victim in victims:
+            self._freed = self._freed.plus(_held_by(victim))
+            self._stoppable.remove(victim)
+        return victims
--- a/src/bulrushcove/batch/organisation_usage.py
+++ b/src/bulrushcove/batch/organisation_usage.py
@@ -17,6 +17,7 @@
 from .ids import UnitRef
 from .job_spec import TaskSize
 from .job_state import Job, Unit, find_unit
+from .preemption_plan import PreemptionPlan
 from .workers import Worker
 
 Usage = dict[OrganisationId, TaskSize]
@@ -33,6 +34,9 @@
         self.waiting: list[Unit] = []
         # Units that room was held for in it, as they exceeded the limit.
         self.held: frozenset[UnitRef] = frozenset()
+        # What organisations stop of their own for units, where these are then
+        # expected to start, and until when that is kept for them.
+        self.freed_for: dict[UnitRef, tuple[PreemptionPlan, float]] = {}
         self._total: Usage = {}
         # The table that was summed last, its revision then and the sum.
         self._summed: dict[WorkerId, tuple[AllocationTable, int, Usage]] = {}
--- a/src/bulrushcove/batch/preemption_decider.py
+++ b/src/bulrushcove/batch/preemption_decider.py
@@ -19,7 +19,8 @@
 from .guarantee import is_within_guarantee
 from .job_spec import TaskSize
 from .job_state import Unit
-from .limit_preemption import find_own_victims
+from .limit_gate import size_of
+from .limit_preemption import OwnWork
 from .placement import Candidate
 from .preemption_plan import PreemptionPlan, is_worth_loss, plan_preemption
 from .shapes import Shape, shape_of
@@ -55,6 +56,10 @@
         self._is_guaranteed: dict[OrganisationId, bool] = {}
         # How many more units may preempt in this pass.
         self._preemptions_left = MAX_PREEMPTIONS
+        # What organisations run, collected when they ask for it.
+        self._own_work: dict[OrganisationId, OwnWork] = {}
+        # Units that no workers would hold in time, like ``_declined``.
+        self._placeless: dict[Shape, int] = {}
 
     def record_capacity_change(self) -> None:
         """Invalidate the cached decisions: capacity was used or reserved."""
@@ -77,37 +82,97 @@
         if not self._preemptions_left:
             self.is_partial = True
             return None
-        found = plan_preemption(unit, candidates, self._forecast)
-        if found is None and self._is_covered(terms.organisation):
-            found = plan_preemption(
-                unit, candidates, self._forecast, self._borrowers()
-            )
+        found = self._plan_stops(unit, candidates)
         if found is not None and self._is_justified(unit, found):
             self._preemptions_left -= 1
+            # Some of what it stops may be among it.
+            self._own_work.clear()
             return found
         self._declined[key] = self._changes
         return None
 
-    def find_own_victims(
-        self, unit: Unit, excess: TaskSize
-    ) -> list[Unit] | None:
+    def find_own_plan(
+        self,
+        unit: Unit,
+        excess: TaskSize,
+        candidates: Sequence[Candidate],
+        known: PreemptionPlan | None,
+    ) -> PreemptionPlan | None:
         """Return what its organisation stops for ``unit``, above its limit.
 
-        None if nothing: the guarantee does not cover ``unit``, it waits for
-        runs that may end by themselves, or no stop would help.
+        The placement is where the unit is expected to start then, that of
+        ``known`` if its organisation stops work for it already. None if
+        nothing is stopped: the guarantee does not cover ``unit``, it waits for
+        runs that may end by themselves, no stop would help, or no worker would
+        hold it.
         """
         name = unit.job.spec.terms.organisation
         waited_s = self._now_s - unit.ready_since_s
         if waited_s < MAX_RELEASE_WAIT_S or not self._is_covered(name):
             return None
-        running = (
-            other
-            for job in self._engine.active.values()
-            if job.spec.terms.organisation == name
-            for other in job.units
-            if other.allocations
+        own_work = self._find_own_work(name)
+        size = size_of(unit)
+        if own_work.is_hopeless(size):
+            return None
+        if not (known or self._preemptions_left):
+            self.is_partial = True
+            return None
+        placement = (
+            known.placement if known else self._find_place(unit, candidates)
+        )
+        if not placement:
+            return None
+        victims = own_work.find_victims(size, excess)
+        if victims is None:
+            return None
+        self._preemptions_left -= 0 if known else 1
+        loss_core_s = sum(map(self._forecast.loss_core_s, victims))
+        return PreemptionPlan(placement, tuple(victims), loss_core_s)
+
+    def _find_own_work(self, name: OrganisationId) -> OwnWork:
+        if name not in self._own_work:
+            running = (
+                unit
+                for job in self._engine.active.values()
+                if job.spec.terms.organisation == name
+                for unit in job.units
+                if unit.allocations
+            )
+            self._own_work[name] = OwnWork(running, self._forecast.loss_core_s)
+        return self._own_work[name]
+
+    def _find_place(
+        self, unit: Unit, candidates: Sequence[Candidate]
+    ) -> tuple[Candidate, ...]:
+        """Return where ``unit`` would start once it is within its limit.
+
+        That is where it fits soon, also by preemption; empty if nowhere.
+        """
+        terms = unit.job.spec.terms
+        key = (shape_of(unit), terms.queue, terms.organisation)
+        if self._placeless.get(key) == self._changes:
+            return ()
+        soon = find_earliest_placement(
+            unit, candidates, self._forecast, MAX_RELEASE_WAIT_S
         )
-        return find_own_victims(excess, running, self._forecast.loss_core_s)
+        if soon:
+            return tuple(future.candidate for future in soon)
+        plan = self._plan_stops(unit, candidates)
+        if plan is None:
+            self._placeless[key] = self._changes
+            return ()
+        return plan.placement
+
+    def _plan_stops(
+        self, unit: Unit, candidates: Sequence[Candidate]
+    ) -> PreemptionPlan | None:
+        """Return what to stop so that ``unit`` fits, whatever it costs."""
+        plan = plan_preemption(unit, candidates, self._forecast)
+        if plan is None and self._is_covered(unit.job.spec.terms.organisation):
+            return plan_preemption(
+                unit, candidates, self._forecast, self._borrowers()
+            )
+        return plan
 
     def _release_wait_s(
         self, unit: Unit, candidates: Sequence[Candidate]
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -84,6 +84,7 @@
         """
         super().__init__(engine, waiting, candidates, now_s)
         self._limit_gate = limit_gate
+        self._freed_for = engine.organisation_usage.freed_for
         self._examined: dict[Shape, Sequence[Candidate]] = {}
         # Number of units with a backfill reservation in this pass.
         self._reservation_count = 0
@@ -106,15 +107,16 @@
         # Of two equal units only the older one may give up preferences.
         key = (shape_of(unit), self._patience(unit))
         if key in self._unplaceable:
-            self._deduct_preempted_capacity(unit)
+            self._keep_what_was_freed(unit)
             return []
         chosen = self._choose_candidates(unit)
         if chosen is None:
             self._unplaceable.add(key)
-            self._deduct_preempted_capacity(unit)
+            self._keep_what_was_freed(unit)
             return []
         deduct_requirements(chosen, unit.spec)
         self._engine.preemptions.pop(unit.ref, None)
+        self._freed_for.pop(unit.ref, None)
         self._limit_gate.record_start(unit)
         allocations = self._start_run(unit, chosen)
         isolate_runs(unit, indices_to_isolate(unit, self._now_s), chosen)
@@ -206,14 +208,25 @@
     def _stop_own_work(self, unit: Unit) -> list[Allocation]:
         """Stop other work of the organisation, whose limit ``unit`` waits for.
 
-        The unit holds what is freed, as if it ran.
+        The unit holds what is freed, as if it ran, and a place for a while.
         """
-        excess = self._limit_gate.excess(unit)
-        victims = self.decider.find_own_victims(unit, excess)
-        if victims is None:
+        known, kept_until_s = self._freed_for.get(
+            unit.ref, (None, self._now_s + PREEMPTION_RESERVATION_S)
+        )
+        plan = self.decider.find_own_plan(
+            unit,
+            self._limit_gate.excess(unit),
+            () if known else self._examined_candidates(unit),
+            known,
+        )
+        if plan is None:
             return []
+        self._freed_for[unit.ref] = (plan, kept_until_s)
         self._limit_gate.record_start(unit)
-        return _stop_units(victims)
+        _deduct_placement(unit, plan, self._candidates)
+        if not known:
+            self.decider.record_capacity_change()
+        return _stop_units(plan.victims)
 
     def _choose_candidates(self, unit: Unit) -> list[Candidate] | None:
         """Return a candidate for each task of ``unit``; None if none fit."""
@@ -333,27 +346,13 @@
             self._examined[shape] = examined
         return examined
 
-    def _deduct_preempted_capacity(self, unit: Unit) -> None:
-        """Deduct the capacity that is being preempted for ``unit``."""
+    def _keep_what_was_freed(self, unit: Unit) -> None:
+        """Keep room and capacity that others leave for ``unit``."""
         reservation = self._engine.preemptions.get(unit.ref)
-        if reservation is None:
-            return
-        self._limit_gate.record_start(unit)
-        plan, _ = reservation
-        worker_ids = {target.worker for target in plan.placement}
-        by_worker = {
-            candidate.worker: candidate
-            for candidate in self._candidates.get(unit.job.spec.terms.pool, [])
-            if candidate.worker in worker_ids
-        }
-        deduct_requirements(
-            [
-                by_worker[target.worker]
-                for target in plan.placement
-                if target.worker in by_worker
-            ],
-            unit.spec,
-        )
+        if reservation is not None or unit.ref in self._freed_for:
+            self._limit_gate.hold_room(unit)
+        if reservation is not None:
+            _deduct_placement(unit, reservation[0], self._candidates)
 
     def _start_run(
         self, unit: Unit, chosen: list[Candidate]
@@ -390,6 +389,10 @@
         for ref, reservation in engine.preemptions.items()
         if now_s <= reservation[1]
     }
+    freed_for = engine.organisation_usage.freed_for
+    engine.organisation_usage.freed_for = {
+        ref: kept for ref, kept in freed_for.items() if now_s <= kept[1]
+    }
     used = sum_usage(engine)
     waiting = sort_ready_units(engine, used, unix_ms, now_s)
     engine.organisation_usage.waiting = waiting
@@ -404,6 +407,28 @@
     return SchedulingPass(engine, waiting, candidates, limit_gate, now_s)
 
 
+def _deduct_placement(
+    unit: Unit,
+    plan: PreemptionPlan,
+    candidates: dict[PoolName, list[Candidate]],
+) -> None:
+    """Deduct the capacity where ``plan`` places ``unit``."""
+    worker_ids = {target.worker for target in plan.placement}
+    by_worker = {
+        candidate.worker: candidate
+        for candidate in candidates.get(unit.job.spec.terms.pool, [])
+        if candidate.worker in worker_ids
+    }
+    deduct_requirements(
+        [
+            by_worker[target.worker]
+            for target in plan.placement
+            if target.worker in by_worker
+        ],
+        unit.spec,
+    )
+
+
 def _make_idle_test(
     candidates: dict[PoolName, list[Candidate]],
 ) -> Callable[[Unit], bool]:
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -15,6 +15,7 @@
 from bulrushcove.batch.limit_gate import HOLD_AFTER_S
 from bulrushcove.batch.organisation_usage import sum_sizes
 from bulrushcove.batch.policy import Organisation
+from bulrushcove.batch.preemption_decider import MAX_PREEMPTIONS
 from bulrushcove.batch.workers import EndKind
 from bulrushcove.ids import OrganisationId
 
@@ -273,6 +274,134 @@
     assert not preempted(bench.plan())
 
 
+def count_stops(bench, seconds):
+    """Return how many runs are preempted; each ends 0.25 s later."""
+    count = 0
+    for _ in range(int(seconds * 4)):
+        plan = bench.start_all()
+        stops = [
+            stop
+            for stop in plan.stops
+            if stop.stop_reason is StopReason.PREEMPTED
+        ]
+        count += len(stops)
+        bench.advance(0.25)
+        for stop in stops:
+            bench.end(stop, EndKind.STOPPED)
+    return count
+
+
+def own_work_beside(bench, *busy):
+    """Fill the limit of 10 on two workers, with ``busy`` on a third."""
+    for rack, worker in (('r1', 'w1'), ('r2', 'x1'), ('r2', 'x2')):
+        bench.add_worker(entry(worker, rack=rack))
+    set_limits(bench.engine, 8, mill=limited(10), other=limited(99))
+    bench.submit(job_spec('busy', *busy, priority=0, organisation=OTHER))
+    bench.start_all()
+    elsewhere = step(10, estimated_ms=60_000, required_label='r2')
+    bench.submit(job_spec('own', elsewhere))
+    bench.start_all()
+
+
+def test_own_work_is_not_stopped_for_units_that_no_worker_takes():
+    bench = Bench()
+    full = step(accelerators=8, required_label='r1', is_service=True)
+    own_work_beside(bench, full)
+    urgent = step(4, required_label='r1')
+    bench.submit(job_spec('urgent', urgent, priority=0))
+
+    assert not count_stops(bench, seconds=10)
+
+
+def test_own_work_is_stopped_only_for_as_many_units_as_workers_take():
+    bench = Bench()
+    most = step(7, required_label='r1', is_service=True)
+    own_work_beside(bench, most)
+    urgent = bench.submit(
+        job_spec('urgent', step(4, required_label='r1'), priority=0)
+    )
+
+    assert count_stops(bench, seconds=2) == 1
+    assert sum(bool(unit.allocations) for unit in urgent.units) == 1
+
+
+def test_own_work_does_not_take_back_what_it_was_stopped_for():
+    """The worker shrinks while own work is being stopped for the unit."""
+    bench = Bench()
+    own_work_beside(bench, step(4, required_label='r1', is_service=True))
+    urgent = step(4, required_label='r1', is_gang=True)
+    bench.submit(job_spec('urgent', urgent, priority=0))
+    bench.plan()
+    bench.advance(1)
+    stops = bench.plan().stops
+    assert len(stops) == 4
+    bench.engine.workers['w1'].entry = entry('w1', accelerators=4)
+    for stop in stops:
+        bench.end(stop, EndKind.STOPPED)
+
+    assert not bench.start_all().starts
+    assert not count_stops(bench, seconds=1)
+
+
+def test_limit_and_workers_are_both_freed_for_a_guaranteed_gang():
+    bench = Bench(entry('w1'), entry('x1', rack='r2'), entry('x2', rack='r2'))
+    set_limits(bench.engine, 8, mill=limited(10))
+    others = step(8, required_label='r1', estimated_ms=60_000)
+    bench.submit(job_spec('others', others, organisation=OTHER))
+    bench.start_all()
+    bench.submit(job_spec('own', step(10, estimated_ms=60_000)))
+    bench.start_all()
+    gang = step(8, required_label='r1', is_gang=True)
+    urgent = bench.submit(job_spec('urgent', gang, priority=0))
+
+    assert count_stops(bench, seconds=2) == 16
+    assert urgent.phase is JobPhase.RUNNING
+
+
+def test_a_unit_that_preempts_holds_its_room_under_the_limit():
+    bench = Bench(entry('w1'), entry('w2', rack='r2'))
+    set_limits(bench.engine, 99, mill=limited(8), other=limited(99))
+    fill = step(8, required_label='r1', estimated_ms=60_000)
+    bench.submit(job_spec('others', fill, organisation=OTHER))
+    bench.start_all()
+    gang = step(8, required_label='r1', is_gang=True)
+    urgent = bench.submit(job_spec('urgent', gang, priority=0))
+    bench.submit(job_spec('small', step(4)))
+
+    plan = bench.plan()
+    assert len(plan.stops) == 8
+    assert not plan.starts
+    bench.advance(0.1)
+    assert not bench.plan().starts
+    for stop in plan.stops:
+        bench.end(stop, EndKind.STOPPED)
+    bench.start_all()
+
+    assert urgent.phase is JobPhase.RUNNING
+    assert used(bench.engine) == 8
+
+
+def test_a_burst_of_urgent_units_above_the_limit_takes_short_passes():
+    """156 urgent tasks, 176 workers, and own work that fills the limit."""
+    bench = Bench(*racks(22, 8))
+    set_limits(bench.engine, 999, mill=limited(1000))
+    bench.submit(job_spec('own', step(1000, estimated_ms=60_000)))
+    while used(bench.engine) < 1000:
+        bench.start_all()
+    urgent = bench.submit(job_spec('urgent', step(156), priority=0))
+    bench.plan()
+    bench.advance(1)
+
+    passes = [bench.plan() for _ in range(24)]
+
+    stops = [len(plan.stops) for plan in passes]
+    assert sum(stops) == 156
+    assert max(stops) == MAX_PREEMPTIONS
+    # The next pass follows at once while units are left.
+    assert all(plan.is_partial for plan in passes[:19])
+    assert not any(unit.allocations for unit in urgent.units)
+
+
 def test_no_worker_is_reserved_for_a_unit_that_may_not_start():
     bench = Bench(entry('w1'))
     set_limits(bench.engine, mill=limited(12))
