Count runs on silent workers as long as their lease lets them go on

Causes: - Runs whose lease had expired counted until their worker reported. One that is listed and that only the leader cannot reach kept its organisation at its limit without an end. They count until 1 s, more than a stop takes, after the lease has certainly ended; the clock drift of 2 % is in that time. - A worker that went silent and off the list with runs that no record names was forgotten after 2.5 s while their lease ran on. It is kept, and they count, until the same time, also where it stays listed.

Before: test_runs_on_a_listed_silent_worker_count_no_longer_than_they_may_go_on and both cases of test_what_a_silent_worker_ran_counts_until_its_lease_ends fail. After: they pass.

Left: a new leader does not know the lease that an earlier one gave to runs that no record names, and may drop them early if their worker turns silent.

--- a/src/bulrushcove/batch/membership.py
+++ b/src/bulrushcove/batch/membership.py
@@ -82,7 +82,10 @@
 def remove_departed(
     workers: Workers, reliability: WorkerReliability, now_s: float
 ) -> list[WorkerId]:
-    """Remove unlisted workers without allocations; returns their ids."""
+    """Remove unlisted workers without allocations; returns their ids.
+
+    Those that may still run what was given up are kept until its lease ends.
+    """
     departed = [
         worker.id for worker in workers.values() if _has_departed(worker, now_s)
     ]
@@ -109,5 +112,7 @@
 def _has_departed(worker: Worker, now_s: float) -> bool:
     if worker.is_listed or worker.allocations:
         return False
+    if worker.orphans and worker.may_hold_lapsed_runs(now_s):
+        return False
     grace_s = CRASH_GRACE_S if worker.expired else UNLISTED_GRACE_S
     return now_s - worker.unlisted_since_s > grace_s
--- a/src/bulrushcove/batch/organisation_usage.py
+++ b/src/bulrushcove/batch/organisation_usage.py
@@ -3,8 +3,9 @@
 It is never below the truth. An allocation counts with its full size from its
 placement, before its start is sent, until its run is known to be over: while it
 starts, runs or is being stopped, and on workers that are silent. Also counted
-are runs whose lease expired on a worker that has not reported since, and runs
-that a worker reports although their allocation was given up.
+are runs whose lease expired on a worker that has not reported since, until it
+has certainly ended them, and runs that a worker reports although their
+allocation was given up, as long as it is heard of or their lease runs.
 
 A new leader has the allocations from the job records, which are stored before
 a start is sent and after its end is known.
@@ -45,8 +46,12 @@
         self,
         workers: Mapping[WorkerId, Worker],
         jobs: Mapping[JobId, Job],
+        now_s: float = 0.0,
     ) -> Usage:
-        """Return what each organisation has running on ``workers`` now."""
+        """Return what each organisation has running at ``now_s``.
+
+        Without it, runs whose lease ended long ago count, too.
+        """
         for worker in self._summed.keys() - workers.keys():
             self._subtract(self._summed.pop(worker)[2])
         for worker_id, worker in workers.items():
@@ -59,7 +64,8 @@
         usage = dict(self._total)
         for worker in workers.values():
             if worker.expired or worker.orphans:
-                _add(usage, sum_sizes(_units_without_allocation(worker, jobs)))
+                units = _units_without_allocation(worker, jobs, now_s)
+                _add(usage, sum_sizes(units))
         return usage
 
     def _sum_again(self, worker: WorkerId, table: AllocationTable) -> None:
@@ -92,11 +98,15 @@
 
 
 def _units_without_allocation(
-    worker: Worker, jobs: Mapping[JobId, Job]
+    worker: Worker, jobs: Mapping[JobId, Job], now_s: float
 ) -> Iterator[Unit]:
     """Yield the units of runs that may go on though they were given up."""
-    for allocation in worker.expired:
-        yield allocation.unit
+    may_hold_lapsed = worker.may_hold_lapsed_runs(now_s)
+    if may_hold_lapsed:
+        for allocation in worker.expired:
+            yield allocation.unit
+    if worker.failed_polls and not may_hold_lapsed:
+        return
     for ref in worker.orphans:
         job = jobs.get(ref.task.job)
         unit = find_unit(job, ref.task) if job else None
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -393,7 +393,7 @@
     engine.organisation_usage.freed_for = {
         ref: kept for ref, kept in freed_for.items() if now_s <= kept[1]
     }
-    used = sum_usage(engine)
+    used = sum_usage(engine, now_s)
     waiting = sort_ready_units(engine, used, unix_ms, now_s)
     engine.organisation_usage.waiting = waiting
     candidates = find_candidates(engine, now_s) if waiting else {}
--- a/src/bulrushcove/batch/waiting_units.py
+++ b/src/bulrushcove/batch/waiting_units.py
@@ -18,12 +18,12 @@
     from .engine import Engine
 
 
-def sum_usage(engine: Engine) -> Usage:
+def sum_usage(engine: Engine, now_s: float) -> Usage:
     """Return what organisations have running; empty if it is not needed."""
     policy = engine.desired_state.policy
     if not find_limits(policy) and not find_weights(policy):
         return {}
-    return engine.organisation_usage.update(engine.workers, engine.jobs)
+    return engine.organisation_usage.update(engine.workers, engine.jobs, now_s)
 
 
 def sort_ready_units(
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -21,6 +21,8 @@
 RECENT_REPORT_S = 2.5
 # Speed of a task that is not throttled.
 FULL_SPEED_PERCENT = 100
+# Workers end a run within this time of a stop or of the end of its lease.
+LAPSED_STOP_S = 1.0
 
 
 class EndKind(Enum):
@@ -266,6 +268,10 @@
             deadline_ms = max(deadline_ms, longest_ms)
         self.record_lease(deadline_ms)
 
+    def may_hold_lapsed_runs(self, now_s: float) -> bool:
+        """Return whether runs may go on there without a further lease."""
+        return now_s <= self.leases_expire_at_s + LAPSED_STOP_S
+
     def _update_lease_expiry(self) -> None:
         remaining_s = max(0, self.max_lease_end_ms - self.clock_ms) / MS_PER_S
         self.leases_expire_at_s = self.clock_read_at_s + remaining_s / (
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -13,10 +13,11 @@
     UnitPhase,
 )
 from bulrushcove.batch.limit_gate import HOLD_AFTER_S
+from bulrushcove.batch.membership import mark_unlisted, remove_departed
 from bulrushcove.batch.organisation_usage import sum_sizes
 from bulrushcove.batch.policy import Organisation
 from bulrushcove.batch.preemption_decider import MAX_PREEMPTIONS
-from bulrushcove.batch.workers import EndKind
+from bulrushcove.batch.workers import LAPSED_STOP_S, EndKind
 from bulrushcove.ids import OrganisationId
 
 OTHER = OrganisationId('other')
@@ -145,6 +146,56 @@
     assert len(bench.plan().starts) == 1
 
 
+def test_runs_on_a_listed_silent_worker_count_no_longer_than_they_may_go_on(
+    bench,
+):
+    """Only the leader cannot reach a worker that filled the limit."""
+    set_limits(bench.engine, mill=limited(8))
+    bench.submit(job_spec('first', step(8)))
+    starts = bench.start_all().starts
+    silent = {run.worker for run in starts}
+    for name in silent:
+        bench.engine.workers[name].failed_polls = 1
+        bench.engine.workers[name].leases_expire_at_s = bench.now_s
+    bench.advance(0.1)
+    bench.engine.expire_leases(unix_ms=bench.unix_ms, now_s=bench.now_s)
+
+    has_started = [bool(bench.plan().starts)]
+    bench.advance(LAPSED_STOP_S)
+    plan = bench.plan()
+
+    assert has_started == [False]
+    assert len(plan.starts) == 8
+    assert silent.isdisjoint(run.worker for run in plan.starts)
+    assert all(worker.is_listed for worker in bench.engine.workers.values())
+
+
+@pytest.mark.parametrize('is_listed', [True, False])
+def test_what_a_silent_worker_ran_counts_until_its_lease_ends(bench, is_listed):
+    set_limits(bench.engine, mill=limited(1))
+    bench.submit(job_spec('first'))
+    (allocation,) = bench.start_all().starts
+    worker = bench.engine.workers[allocation.worker]
+    bench.engine.end_incarnation(
+        worker, unix_ms=bench.unix_ms, now_s=bench.now_s
+    )
+    bench.report(worker.id, running=[(allocation.ref, '', 0)])
+    worker.record_lease(bench.clock_ms + 8_000)
+    worker.failed_polls = 1
+    if not is_listed:
+        mark_unlisted(bench.engine.workers, worker.id, bench.now_s)
+
+    counts = {}
+    for waited_s in (0, 4, 8, 12):
+        remove_departed(
+            bench.engine.workers, bench.engine.reliability, bench.now_s
+        )
+        counts[waited_s] = len(bench.plan().starts)
+        bench.advance(4)
+
+    assert counts == {0: 0, 4: 0, 8: 0, 12: 1}
+
+
 def test_runs_that_were_given_up_count_while_they_are_reported(bench):
     set_limits(bench.engine, mill=limited(1))
     job = bench.submit(job_spec('first'))
