Refuse changes of the allocation table that it would not count

Cause: the ledger of organisations sums a worker's allocations anew only if the table's number of changes rose; del, update, setdefault, popitem and |= did not raise it. Nothing uses them so far; they raise a TypeError now.

Before: five cases of test_a_change_of_allocations_that_is_not_counted_is_refused fail. After: they pass.

--- a/src/bulrushcove/batch/allocation_table.py
+++ b/src/bulrushcove/batch/allocation_table.py
@@ -1,10 +1,11 @@
 """The allocations of one worker, with a number that tells of each change.
 
-It counts additions, ``pop`` and ``clear``, the changes that are made. Sums
-over hundreds of workers are computed anew only for those that changed.
+It counts additions, ``pop`` and ``clear``, the changes that are made, and
+permits no others. Sums over hundreds of workers are computed anew only for
+those that changed.
 """
 
-from typing import Any
+from typing import Any, NoReturn
 
 from .ids import RunRef
 from .job_state import Allocation
@@ -33,3 +34,12 @@
         """Remove all allocations."""
         self.revision += 1
         super().clear()
+
+    def _refuse(self, *_args: Any, **_others: Any) -> NoReturn:
+        raise TypeError('allocation_table: this change would not be counted')
+
+    __delitem__ = _refuse
+    __ior__ = _refuse
+    popitem = _refuse
+    setdefault = _refuse
+    update = _refuse
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -4,6 +4,7 @@
 import pytest
 from batch_builders import ORGANISATION, Bench, entry, job_spec, racks, step
 
+from bulrushcove.batch.allocation_table import AllocationTable
 from bulrushcove.batch.exceptions import JobRefusedError
 from bulrushcove.batch.job_spec import TaskSize
 from bulrushcove.batch.job_state import (
@@ -668,3 +669,24 @@
     assert engine.organisation_usage.update(
         engine.workers, engine.jobs
     ) == sum_sizes(units)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        lambda table: table.__delitem__('run'),
+        lambda table: table.__ior__({}),
+        lambda table: table.popitem(),
+        lambda table: table.setdefault('run', None),
+        lambda table: table.update(run=None),
+    ],
+)
+def test_a_change_of_allocations_that_is_not_counted_is_refused(change):
+    table = AllocationTable()
+    table['run'] = None
+
+    with pytest.raises(TypeError, match='not be counted'):
+        change(table)
+
+    assert table == {'run': None}
+    assert table.revision == 1
