--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -4,6 +4,7 @@
 import pytest
 from batch_builders import ORGANISATION, Bench, entry, job_spec, racks, step
 
+from bulrushcove.batch.allocation_table import AllocationTable
 from bulrushcove.batch.exceptions import JobRefusedError
 from bulrushcove.batch.job_spec import TaskSize
 from bulrushcove.batch.job_state import (
@@ -13,9 +14,11 @@
     UnitPhase,
 )
 from bulrushcove.batch.limit_gate import HOLD_AFTER_S
+from bulrushcove.batch.membership import mark_unlisted, remove_departed
 from bulrushcove.batch.organisation_usage import sum_sizes
 from bulrushcove.batch.policy import Organisation
-from bulrushcove.batch.workers import EndKind
+from bulrushcove.batch.preemption_decider import MAX_PREEMPTIONS
+from bulrushcove.batch.workers import LAPSED_STOP_S, EndKind
 from bulrushcove.ids import OrganisationId
 
 OTHER = OrganisationId('other')
@@ -144,6 +147,56 @@
     assert len(bench.plan().starts) == 1
 
 
+def test_runs_on_a_listed_silent_worker_count_no_longer_than_they_may_go_on(
+    bench,
+):
+    """Only the leader cannot reach a worker that filled the limit."""
+    set_limits(bench.engine, mill=limited(8))
+    bench.submit(job_spec('first', step(8)))
+    starts = bench.start_all().starts
+    silent = {run.worker for run in starts}
+    for name in silent:
+        bench.engine.workers[name].failed_polls = 1
+        bench.engine.workers[name].leases_expire_at_s = bench.now_s
+    bench.advance(0.1)
+    bench.engine.expire_leases(unix_ms=bench.unix_ms, now_s=bench.now_s)
+
+    has_started = [bool(bench.plan().starts)]
+    bench.advance(LAPSED_STOP_S)
+    plan = bench.plan()
+
+    assert has_started == [False]
+    assert len(plan.starts) == 8
+    assert silent.isdisjoint(run.worker for run in plan.starts)
+    assert all(worker.is_listed for worker in bench.engine.workers.values())
+
+
+@pytest.mark.parametrize('is_listed', [True, False])
+def test_what_a_silent_worker_ran_counts_until_its_lease_ends(bench, is_listed):
+    set_limits(bench.engine, mill=limited(1))
+    bench.submit(job_spec('first'))
+    (allocation,) = bench.start_all().starts
+    worker = bench.engine.workers[allocation.worker]
+    bench.engine.end_incarnation(
+        worker, unix_ms=bench.unix_ms, now_s=bench.now_s
+    )
+    bench.report(worker.id, running=[(allocation.ref, '', 0)])
+    worker.record_lease(bench.clock_ms + 8_000)
+    worker.failed_polls = 1
+    if not is_listed:
+        mark_unlisted(bench.engine.workers, worker.id, bench.now_s)
+
+    counts = {}
+    for waited_s in (0, 4, 8, 12):
+        remove_departed(
+            bench.engine.workers, bench.engine.reliability, bench.now_s
+        )
+        counts[waited_s] = len(bench.plan().starts)
+        bench.advance(4)
+
+    assert counts == {0: 0, 4: 0, 8: 0, 12: 1}
+
+
 def test_runs_that_were_given_up_count_while_they_are_reported(bench):
     set_limits(bench.engine, mill=limited(1))
     job = bench.submit(job_spec('first'))
@@ -273,6 +326,134 @@
     assert not preempted(bench.plan())
 
 
+def count_stops(bench, seconds):
+    """Return how many runs are preempted; each ends 0.25 s later."""
+    count = 0
+    for _ in range(int(seconds * 4)):
+        plan = bench.start_all()
+        stops = [
+            stop
+            for stop in plan.stops
+            if stop.stop_reason is StopReason.PREEMPTED
+        ]
+        count += len(stops)
+        bench.advance(0.25)
+        for stop in stops:
+            bench.end(stop, EndKind.STOPPED)
+    return count
+
+
+def own_work_beside(bench, *busy):
+    """Fill the limit of 10 on two workers, with ``busy`` on a third."""
+    for rack, worker in (('r1', 'w1'), ('r2', 'x1'), ('r2', 'x2')):
+        bench.add_worker(entry(worker, rack=rack))
+    set_limits(bench.engine, 8, mill=limited(10), other=limited(99))
+    bench.submit(job_spec('busy', *busy, priority=0, organisation=OTHER))
+    bench.start_all()
+    elsewhere = step(10, estimated_ms=60_000, required_label='r2')
+    bench.submit(job_spec('own', elsewhere))
+    bench.start_all()
+
+
+def test_own_work_is_not_stopped_for_units_that_no_worker_takes():
+    bench = Bench()
+    full = step(accelerators=8, required_label='r1', is_service=True)
+    own_work_beside(bench, full)
+    urgent = step(4, required_label='r1')
+    bench.submit(job_spec('urgent', urgent, priority=0))
+
+    assert not count_stops(bench, seconds=10)
+
+
+def test_own_work_is_stopped_only_for_as_many_units_as_workers_take():
+    bench = Bench()
+    most = step(7, required_label='r1', is_service=True)
+    own_work_beside(bench, most)
+    urgent = bench.submit(
+        job_spec('urgent', step(4, required_label='r1'), priority=0)
+    )
+
+    assert count_stops(bench, seconds=2) == 1
+    assert sum(bool(unit.allocations) for unit in urgent.units) == 1
+
+
+def test_own_work_does_not_take_back_what_it_was_stopped_for():
+    """The worker shrinks while own work is being stopped for the unit."""
+    bench = Bench()
+    own_work_beside(bench, step(4, required_label='r1', is_service=True))
+    urgent = step(4, required_label='r1', is_gang=True)
+    bench.submit(job_spec('urgent', urgent, priority=0))
+    bench.plan()
+    bench.advance(1)
+    stops = bench.plan().stops
+    assert len(stops) == 4
+    bench.engine.workers['w1'].entry = entry('w1', accelerators=4)
+    for stop in stops:
+        bench.end(stop, EndKind.STOPPED)
+
+    assert not bench.start_all().starts
+    assert not count_stops(bench, seconds=1)
+
+
+def test_limit_and_workers_are_both_freed_for_a_guaranteed_gang():
+    bench = Bench(entry('w1'), entry('x1', rack='r2'), entry('x2', rack='r2'))
+    set_limits(bench.engine, 8, mill=limited(10))
+    others = step(8, required_label='r1', estimated_ms=60_000)
+    bench.submit(job_spec('others', others, organisation=OTHER))
+    bench.start_all()
+    bench.submit(job_spec('own', step(10, estimated_ms=60_000)))
+    bench.start_all()
+    gang = step(8, required_label='r1', is_gang=True)
+    urgent = bench.submit(job_spec('urgent', gang, priority=0))
+
+    assert count_stops(bench, seconds=2) == 16
+    assert urgent.phase is JobPhase.RUNNING
+
+
+def test_a_unit_that_preempts_holds_its_room_under_the_limit():
+    bench = Bench(entry('w1'), entry('w2', rack='r2'))
+    set_limits(bench.engine, 99, mill=limited(8), other=limited(99))
+    fill = step(8, required_label='r1', estimated_ms=60_000)
+    bench.submit(job_spec('others', fill, organisation=OTHER))
+    bench.start_all()
+    gang = step(8, required_label='r1', is_gang=True)
+    urgent = bench.submit(job_spec('urgent', gang, priority=0))
+    bench.submit(job_spec('small', step(4)))
+
+    plan = bench.plan()
+    assert len(plan.stops) == 8
+    assert not plan.starts
+    bench.advance(0.1)
+    assert not bench.plan().starts
+    for stop in plan.stops:
+        bench.end(stop, EndKind.STOPPED)
+    bench.start_all()
+
+    assert urgent.phase is JobPhase.RUNNING
+    assert used(bench.engine) == 8
+
+
+def test_a_burst_of_urgent_units_above_the_limit_takes_short_passes():
+    """156 urgent tasks, 176 workers, and own work that fills the limit."""
+    bench = Bench(*racks(22, 8))
+    set_limits(bench.engine, 999, mill=limited(1000))
+    bench.submit(job_spec('own', step(1000, estimated_ms=60_000)))
+    while used(bench.engine) < 1000:
+        bench.start_all()
+    urgent = bench.submit(job_spec('urgent', step(156), priority=0))
+    bench.plan()
+    bench.advance(1)
+
+    passes = [bench.plan() for _ in range(24)]
+
+    stops = [len(plan.stops) for plan in passes]
+    assert sum(stops) == 156
+    assert max(stops) == MAX_PREEMPTIONS
+    # The next pass follows at once while units are left.
+    assert all(plan.is_partial for plan in passes[:19])
+    assert not any(unit.allocations for unit in urgent.units)
+
+
 def test_no_worker_is_reserved_for_a_unit_that_may_not_start():
     bench = Bench(entry('w1'))
     set_limits(bench.engine, mill=limited(12))
@@ -363,6 +544,84 @@
     assert used(bench.engine) == 4
 
 
+def test_no_room_is_held_for_a_gang_that_waits_for_workers():
+    racks_of_one = [entry(f'x{number}', rack='r2') for number in range(6)]
+    bench = Bench(entry('w1', rack='r1'), *racks_of_one)
+    set_limits(bench.engine, mill=limited(12))
+    full = step(accelerators=8, required_label='r1', estimated_ms=60_000)
+    bench.submit(job_spec('full', full, organisation=OTHER))
+    bench.start_all()
+    gang = step(4, accelerators=2, is_gang=True, required_label='r1')
+    waiting = bench.submit(job_spec('gang', gang))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    bench.plan()
+
+    # More than half of the limit, but the gang has the rest of it.
+    bench.submit(job_spec('small', step(12)))
+    bench.start_all()
+
+    assert waiting.phase is JobPhase.QUEUED
+    assert used(bench.engine) == 12
+
+
+@pytest.mark.parametrize(('running', 'is_started'), [(4, True), (5, False)])
+def test_under_half_of_the_limit_nothing_waits_for_held_room(
+    bench, running, is_started
+):
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('before', step(running)))
+    bench.start_all()
+    gang = bench.submit(job_spec('gang', step(8, is_gang=True)))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    small = bench.submit(job_spec('small', step(2, is_gang=True)))
+
+    bench.start_all()
+
+    assert gang.phase is JobPhase.QUEUED
+    assert (small.phase is JobPhase.RUNNING) is is_started
+
+
+def test_work_ahead_of_a_gang_does_not_take_the_room_it_waited_for(bench):
+    """The gang fits at once where the room that was missing comes free."""
+    set_limits(bench.engine, mill=limited(10))
+    bench.submit(job_spec('before', step(7)))
+    running = bench.start_all().starts
+    gang = bench.submit(job_spec('gang', step(4, is_gang=True), priority=2))
+    bench.plan()
+    bench.advance(HOLD_AFTER_S)
+    bench.plan()
+    bench.submit(job_spec('ahead', step(2)))
+    bench.end(running.pop(), EndKind.DONE)
+
+    bench.start_all()
+
+    assert gang.phase is JobPhase.RUNNING
+    assert used(bench.engine) == 10
+
+
+def test_a_gang_that_cannot_run_keeps_no_other_from_held_room(bench):
+    """Two gangs wait; the older one is larger than a limit lowered since."""
+    set_limits(bench.engine, mill=limited(20))
+    bench.submit(job_spec('before', step(10)))
+    running = bench.start_all().starts
+    bench.submit(job_spec('never', step(12, is_gang=True)))
+    set_limits(bench.engine, mill=limited(10))
+    bench.plan()
+    bench.advance(0.1)
+    gang = bench.submit(job_spec('gang', step(6, is_gang=True), priority=2))
+    for number in range(40):
+        bench.submit(job_spec(f'small-{number}'))
+        bench.advance(1)
+        bench.end(running.pop(0), EndKind.DONE)
+        running.extend(bench.start_all().starts)
+        if gang.phase is JobPhase.RUNNING:
+            break
+
+    assert gang.phase is JobPhase.RUNNING
+
+
 def test_best_effort_tasks_count_in_full(bench):
     set_limits(bench.engine, mill=limited(cpu=3000))
     bench.submit(job_spec('fill', step(10, 0, fills_idle=True)))
@@ -371,6 +630,26 @@
     assert not bench.start_all().starts
 
 
+def test_tasks_without_a_size_do_not_break_the_ledger():
+    bench = Bench(entry('w1', rack='r1'), entry('w2', rack='r2'))
+    set_limits(bench.engine, mill=limited(10))
+    nothing = msgspec.structs.replace(
+        step(required_label='r1'), size=TaskSize()
+    )
+    bench.submit(job_spec('nothing', nothing))
+    bench.submit(job_spec('one', step(required_label='r2')))
+    running = {run.unit.job.id: run for run in bench.start_all().starts}
+    for name in ('one', 'nothing'):
+        bench.plan()
+        bench.end(running[name], EndKind.DONE)
+
+    bench.plan()
+
+    assert not bench.engine.organisation_usage.update(
+        bench.engine.workers, bench.engine.jobs
+    )
+
+
 def test_the_ledger_equals_a_sum_of_all_allocations(bench):
     set_limits(bench.engine, mill=limited(30), other=limited(9))
     bench.submit(job_spec('one', sized(700, 40)))
@@ -390,3 +669,24 @@
     assert engine.organisation_usage.update(
         engine.workers, engine.jobs
     ) == sum_sizes(units)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        lambda table: table.__delitem__('run'),
+        lambda table: table.__ior__({}),
+        lambda table: table.popitem(),
+        lambda table: table.setdefault('run', None),
+        lambda table: table.update(run=None),
+    ],
+)
+def test_a_change_of_allocations_that_is_not_counted_is_refused(change):
+    table = AllocationTable()
+    table['run'] = None
+
+    with pytest.raises(TypeError, match='not be counted'):
+        change(table)
+
+    assert table == {'run': None}
+    assert table.revision == 1
