Start units beside silent runs within the wait of callers

Cause: a suspected worker took one unit until something progressed there, and after a stall a trial unit proved nothing until its first percent. On sound workers with long tasks both last as long as a percent, so that units with room twice over waited beside idle workers without end.

Change: the limit of a worker that waits for progress is a preference like the others (PROGRESSING): in a lightly loaded pool a unit that has waited 2 s and finds no other room takes such a worker beyond its limit. Limits after failures stay; under load the limits hold as before.

--- a/src/bulrushcove/batch/candidate_selection.py
+++ b/src/bulrushcove/batch/candidate_selection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from ..clock import MS_PER_S
@@ -133,6 +134,19 @@
             )
         ]
 
+    def _exhausted_trials(self, unit: Unit) -> list[Candidate]:
+        """Return workers without progress that ``unit`` need not spare.
+
+        They take no more units for now, and it has waited enough for them.
+        """
+        if not self._gives_up(Preference.PROGRESSING, unit):
+            return []
+        return [
+            candidate
+            for candidate in self._candidates.get(unit.job.spec.terms.pool, [])
+            if candidate.awaits_progress and candidate.units_left == 0
+        ]
+
     def _may_use(self, unit: Unit, candidate: Candidate) -> bool:
         """Return whether the candidate is not kept for another unit."""
         if self._gives_way(unit, candidate):
@@ -205,7 +219,7 @@
             return group
         requirements = _requirements_of(unit)
         if requirements not in self._open:
-            eligible = self._eligible_candidates(unit)
+            eligible = _select_eligible(group, requirements)
             standings = [candidate.standing for candidate in eligible]
             in_pool = [candidate.standing for candidate in group]
             is_open = are_jobs_at_fault(standings) or are_jobs_at_fault(in_pool)
@@ -219,15 +233,6 @@
             ]
         return self._open[requirements]
 
-    def _eligible_candidates(self, unit: Unit) -> list[Candidate]:
-        """Return the candidates that could run a task of ``unit`` if empty."""
-        pool, label, size = _requirements_of(unit)
-        return [
-            candidate
-            for candidate in self._candidates.get(pool, [])
-            if can_run(candidate, label, size)
-        ]
-
     def _has_light_load(self, unit: Unit) -> bool:
         """Return whether the pool, or what ``unit`` may use, is half free."""
         pool = unit.job.spec.terms.pool
@@ -235,7 +240,9 @@
             return True
         requirements = _requirements_of(unit)
         if requirements not in self._has_light_part:
-            eligible = self._eligible_candidates(unit)
+            eligible = _select_eligible(
+                self._candidates.get(pool, []), requirements
+            )
             self._has_light_part[requirements] = (
                 used_share(eligible) < LIGHT_LOAD_SHARE
             )
@@ -272,6 +279,35 @@
         return self._headroom[pool]
 
 
+def choose_beyond_limits(
+    exhausted: list[Candidate],
+    choose: Callable[[], list[Candidate] | None],
+) -> list[Candidate] | None:
+    """Return what ``choose`` returns if ``exhausted`` take one unit more.
+
+    Their limit is lifted for this call alone.
+    """
+    if not exhausted:
+        return None
+    for candidate in exhausted:
+        candidate.units_left = 1
+    chosen = choose()
+    for candidate in exhausted:
+        if chosen is None or candidate not in chosen:
+            candidate.units_left = 0
+    return chosen
+
+
+def _select_eligible(
+    candidates: Iterable[Candidate], requirements: Requirements
+) -> list[Candidate]:
+    """Return the candidates that could run a task if they were empty."""
+    _, label, size = requirements
+    return [
+        candidate for candidate in candidates if can_run(candidate, label, size)
+    ]
+
+
 def _is_trusted(candidate: Candidate) -> bool:
     """Return whether nothing but a limit speaks against new work there."""
     is_quarantined = candidate.standing is Standing.QUARANTINED
--- a/src/bulrushcove/batch/pass_candidates.py
+++ b/src/bulrushcove/batch/pass_candidates.py
@@ -62,6 +62,8 @@
             suspicion_standing(worker, now_s),
         ),
         units_left=_count_units_left(engine, worker, now_s),
+        awaits_progress=bool(worker.suspected_since_s)
+        or reliability.has_stalled(worker.id),
         is_trial_due=reliability.is_trial_due(worker.id, now_s),
         is_idle=not worker.allocations,
         is_stable=is_stable(worker, now_s),
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -36,6 +36,8 @@
     standing: Standing = Standing.TRUSTED
     # How many more units it may get; None: any number.
     units_left: int | None = None
+    # Whether it may get more only once a run has progressed there.
+    awaits_progress: bool = False
     # Whether it may be tried although it is quarantined.
     is_trial_due: bool = False
     # Whether it has no runs, and whether it has been up for a while.
--- a/src/bulrushcove/batch/preferences.py
+++ b/src/bulrushcove/batch/preferences.py
@@ -39,6 +39,9 @@
     NOT_HEADROOM = auto()
     # The rack of the unit's data, or one rack for a whole gang.
     RACK = auto()
+    # Workers on which a run has progressed since they stalled or were
+    # suspected of standing still. Also ends with any progress there.
+    PROGRESSING = auto()
 
 
 # The preferences that units give up.
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -13,7 +13,11 @@
     RESERVE_AFTER_S,
     find_earliest_placement,
 )
-from .candidate_selection import CandidateSelection, Patience
+from .candidate_selection import (
+    CandidateSelection,
+    Patience,
+    choose_beyond_limits,
+)
 from .capacity_forecast import CapacityForecast
 from .disturbance import PassDisturbance
 from .ids import PoolName, UnitRef
@@ -109,6 +113,11 @@
             self._deduct_preempted_capacity(unit)
             return []
         chosen = self._choose_candidates(unit)
+        if chosen is None:
+            chosen = choose_beyond_limits(
+                self._exhausted_trials(unit),
+                lambda: self._choose_candidates(unit),
+            )
         if chosen is None:
             self._unplaceable.add(key)
             self._deduct_preempted_capacity(unit)
--- a/src/bulrushcove/batch/worker_reliability.py
+++ b/src/bulrushcove/batch/worker_reliability.py
@@ -9,7 +9,8 @@
 
 A worker that is tried gets one unit. With each unit that runs on for a moment
 it gets two more, so that a sound worker is in full use soon. Where a run has
-stalled, a unit must show progress for that.
+stalled, a unit must show progress for that, unless another one has waited for
+its preferences for long enough (see ``preferences``).
 """
 
 from collections.abc import Collection
@@ -117,6 +118,11 @@
         """Return whether the worker gets few units at a time, if any."""
         return self.standing(worker, now_s) >= Standing.PROBATION
 
+    def has_stalled(self, worker: WorkerId) -> bool:
+        """Return whether a run stalled there since the last success."""
+        evidence = self._evidence.get(worker)
+        return evidence is not None and evidence.has_stalled
+
     def is_trial_due(self, worker: WorkerId, now_s: float) -> bool:
         """Return whether the last failure is long enough ago for a trial."""
         evidence = self._evidence.get(worker)
--- a/tests/idle_capacity_model.py
+++ b/tests/idle_capacity_model.py
@@ -31,8 +31,9 @@
 CORES_PER_ACCELERATOR = 8
 RUN_S = 0.5
 SUSPECT = CrashHistory(shared=1, longest_ms=4000)
-# Longer than a history: their tasks run until the end.
-LONG_PERCENT_S = 5.0
+# Seconds of two percents of long tasks: with the longer one, their first
+# percent takes longer than any silence that nothing else explains.
+LONG_PERCENT_S = (5.0, 24.0)
 
 
 @dataclass
@@ -66,6 +67,8 @@
     # Units equal to the first one, each in a job of its own.
     copies: int = 1
     crashes: CrashHistory | None = None
+    # Seconds of two percents of a task.
+    long_percent_s: float = LONG_PERCENT_S[0]
     # Like ``History.hopeless``, but they come together with the unit.
     beside: list = field(default_factory=list)
 
@@ -75,6 +78,7 @@
 
     def __init__(self, play):
         super().__init__()
+        self.long_percent_s = play.long_percent_s
         self.clock_ms = int(play.uptime_s * 1000)
         for number, labels in enumerate(play.workers):
             self.add_worker(
@@ -163,7 +167,7 @@
         if allocation.unit.job.id in self.stalling:
             return 0
         begun_s = self.placed_at_s.get(allocation.ref, self.now_s)
-        return min(99, int((self.now_s - begun_s) / LONG_PERCENT_S * 2))
+        return min(99, int((self.now_s - begun_s) / self.long_percent_s * 2))
 
     def _end_if_over(self, allocation):
         job = allocation.unit.job.id
@@ -313,5 +317,6 @@
         uptime_s=draw(st.sampled_from((1.0, 100.0))),
         copies=draw(st.sampled_from((1, 1, 6))),
         crashes=draw(CRASHES),
+        long_percent_s=draw(st.sampled_from(LONG_PERCENT_S)),
         beside=draw(_few(st.tuples(LABELS, ACCELERATORS), 3)),
     )
