Count a worker as certain only if it alone holds all its silent runs

Cause: two gangs on the same workers were two silent jobs on each of them. The first worker that reported was certain to stand still, the others were cleared because of it (_stands_elsewhere), and it was blamed whether it was the one or not.

Change: silent jobs count more than one only where the workers of the silent runs have that worker alone in common.

Ruled out: counting gangs as one job; two gangs that share one worker alone do tell which it is.

--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from ..ids import JobId, WorkerId
+from ..ids import WorkerId
 from .ids import QueueName, UnitRef
 from .job_spec import StepSpec
 from .job_state import Allocation, AllocationPhase, Unit, unstopped_allocations
@@ -61,7 +61,8 @@
     allocation: Allocation
     silent_ms: float
     expectation: Expectation
-    # Jobs that are silent there for longer than expected.
+    # Jobs that are silent there for longer than expected; 1 if another worker
+    # may be the cause.
     silent_jobs: int
 
 
@@ -129,7 +130,7 @@
         if not evidence or _stands_elsewhere(evidence, worker, self._workers):
             self._end_suspicion(worker, runs)
             return []
-        worker.silent_jobs = len(_jobs_of(evidence))
+        worker.silent_jobs = _count_telling_jobs(evidence)
         if worker.suspected_since_s:
             return []
         worker.suspected_since_s = now_s
@@ -334,8 +335,17 @@
     )
 
 
-def _jobs_of(evidence: Iterable[Suspicion]) -> set[JobId]:
-    return {one.allocation.unit.job.id for one in evidence}
+def _count_telling_jobs(evidence: Iterable[Suspicion]) -> int:
+    """Return how many jobs tell that the worker holds them up.
+
+    Gangs on the same workers tell no more than one of them: any worker that
+    all of the silent runs share may be the cause.
+    """
+    units = [one.allocation.unit for one in evidence]
+    shared = set.intersection(
+        *({run.worker for run in unit.allocations.values()} for unit in units)
+    )
+    return len({unit.job.id for unit in units}) if len(shared) == 1 else 1
 
 
 def _select_suspects(
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -168,7 +168,7 @@
     silent_since_s: float = 0.0
     last_report_at_s: float = 0.0
     # Since when it is suspected of standing still, 0: it is not; when its runs
-    # progressed last, on its clock; how many jobs are silent there.
+    # progressed last, on its clock; how many silent jobs tell of it alone.
     suspected_since_s: float = 0.0
     suspected_clock_ms: int = 0
     silent_jobs: int = 0
--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -7,6 +7,8 @@
 # Users are promised a start within this time where there is room.
 MAX_START_S = 3.0
 PASS_S = 0.25
+# Longer than a standstill that costs more than the gangs here.
+MAX_STOP_S = 20.0
 
 
 def gang(count, **others):
@@ -53,3 +55,37 @@
     percents_s['slow'] = 12.0
     fleet.play(6)
     assert start_in_time(fleet, 6)
+
+
+@pytest.mark.parametrize('bad', ['w1', 'w2', 'w3'])
+def test_gangs_on_the_same_workers_clear_none_of_them(bad):
+    """That both are silent tells not which worker holds them up."""
+    names = ('w1', 'w2', 'w3')
+    fleet = Fleet(
+        *(entry(name, accelerators=8) for name in names),
+        percent_s=lambda _: 0.1,
+    )
+    fleet.submit(*(job_spec(name, gang(12, max_per_worker=4)) for name in 'ab'))
+    fleet.play(4)
+    fleet.standing = {bad}
+    until_s = fleet.bench.now_s + MAX_STOP_S
+    while not fleet.play(PASS_S):
+        assert fleet.bench.now_s < until_s
+    reliability = fleet.bench.engine.reliability
+    assert reliability.is_quarantined(bad, fleet.bench.now_s)
+
+
+@pytest.mark.parametrize('bad', ['w1', 'w2', 'w3'])
+def test_gangs_end_elsewhere_after_one_stop(bad):
+    """Both leave the worker that stands still."""
+    fleet = Fleet(
+        *(entry(f'w{number}', accelerators=8) for number in range(1, 7)),
+        percent_s=lambda _: 0.1,
+    )
+    jobs = fleet.submit(
+        *(job_spec(name, gang(12, max_per_worker=4)) for name in 'ab')
+    )
+    fleet.play(4)
+    fleet.standing = {bad}
+    assert len(fleet.play(30)) <= 24
+    assert all(job.has_ended for job in jobs)
