Count what a closed worker got since it was suspected

Cause: the units of a suspected worker were counted from the end of the 2 s in which it gets nothing new. Where most workers are suspected, closed ones are tried at once, without a limit then.

Change: its units are counted from the suspicion on.

Ruled out: trying no closed worker; where most are suspected none would be left.

--- a/src/bulrushcove/batch/pass_candidates.py
+++ b/src/bulrushcove/batch/pass_candidates.py
@@ -78,6 +78,6 @@
     """Return how many more units the worker may get; None: any number."""
     limits = (
         engine.reliability.count_trial_units(worker, now_s),
-        count_trial_units(worker, now_s),
+        count_trial_units(worker),
     )
     return min((one for one in limits if one is not None), default=None)
--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -262,15 +262,14 @@
     return Standing.QUARANTINED if is_closed else Standing.PROBATION
 
 
-def count_trial_units(worker: Worker, now_s: float) -> int | None:
+def count_trial_units(worker: Worker) -> int | None:
     """Return how many more units a suspected worker may get; None: any."""
-    if suspicion_standing(worker, now_s) is not Standing.PROBATION:
+    if not worker.suspected_since_s:
         return None
-    reopened_at_s = worker.suspected_since_s + MAX_CLOSED_S
     on_trial = {
         allocation.unit.ref
         for allocation in worker.allocations.values()
-        if allocation.unit.placed_at_s >= reopened_at_s
+        if allocation.unit.placed_at_s >= worker.suspected_since_s
     }
     return max(0, 1 - len(on_trial))
 
--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -17,6 +17,11 @@
     )
 
 
+def count_runs(worker, job):
+    runs = worker.allocations.values()
+    return sum(one.unit.job.id == job for one in runs)
+
+
 def start_in_time(fleet, count):
     jobs = fleet.submit(
         *(job_spec(f'waits-{number}', step()) for number in range(count))
@@ -89,3 +94,20 @@
     fleet.standing = {bad}
     assert len(fleet.play(30)) <= 24
     assert all(job.has_ended for job in jobs)
+
+
+def test_a_closed_worker_gets_one_unit():
+    """Also where most workers are suspected, so that all are tried."""
+    fleet = Fleet(
+        *(entry(f'w{number}', accelerators=8) for number in range(3)),
+        percent_s=lambda _: 0.1,
+    )
+    fleet.submit(job_spec('gang', gang(6, max_per_worker=2)))
+    fleet.play(6)
+    fleet.standing = {'w1'}
+    workers = fleet.workers.values()
+    while sum(bool(one.suspected_since_s) for one in workers) < len(workers):
+        assert not fleet.play(PASS_S)
+    fleet.submit(job_spec('new', step(18)))
+    fleet.play(PASS_S)
+    assert all(count_runs(worker, 'new') <= 1 for worker in workers)
