--- /dev/null
+++ b/tests/test_batch_suspicion.py
@@ -0,0 +1,113 @@
+"""Suspected workers: what they still get, and which of them is at fault."""
+
+import pytest
+from batch_builders import entry, job_spec, step
+from progress_fleet import Fleet
+
+# Users are promised a start within this time where there is room.
+MAX_START_S = 3.0
+PASS_S = 0.25
+# Longer than a standstill that costs more than the gangs here.
+MAX_STOP_S = 20.0
+
+
+def gang(count, **others):
+    return step(
+        count, is_gang=True, same_rack=True, estimated_ms=12_000, **others
+    )
+
+
+def count_runs(worker, job):
+    runs = worker.allocations.values()
+    return sum(one.unit.job.id == job for one in runs)
+
+
+def start_in_time(fleet, count):
+    jobs = fleet.submit(
+        *(job_spec(f'waits-{number}', step()) for number in range(count))
+    )
+    fleet.play(MAX_START_S + PASS_S)
+    return all(job.has_started for job in jobs)
+
+
+@pytest.mark.parametrize('percent_s', [8.0, 20.0, 60.0])
+def test_units_do_not_wait_for_a_first_percent(percent_s):
+    """Long tasks on sound workers, which are suspected or on trial."""
+    fleet = Fleet(entry('w1'), entry('w2'), percent_s=lambda _: percent_s)
+    fleet.submit(job_spec('long', step(2, max_per_worker=1)))
+    fleet.play(4.5)
+    assert start_in_time(fleet, 5)
+
+
+def test_units_start_on_standing_workers_where_no_other_is_left():
+    fleet = Fleet(entry('w1'), entry('w2'), percent_s=lambda _: 0.5)
+    fleet.submit(job_spec('long', gang(2, max_per_worker=1)))
+    fleet.play(30)
+    fleet.standing = {'w1', 'w2'}
+    fleet.play(6)
+    assert start_in_time(fleet, 6)
+
+
+def test_units_start_beside_a_gang_that_has_become_slow():
+    percents_s = {'slow': 0.5}
+    fleet = Fleet(
+        entry('w1'),
+        entry('w2'),
+        percent_s=lambda unit: percents_s.get(unit.job.id, 8.0),
+    )
+    fleet.submit(job_spec('slow', gang(2, max_per_worker=1)))
+    fleet.play(30)
+    percents_s['slow'] = 12.0
+    fleet.play(6)
+    assert start_in_time(fleet, 6)
+
+
+@pytest.mark.parametrize('bad', ['w1', 'w2', 'w3'])
+def test_gangs_on_the_same_workers_clear_none_of_them(bad):
+    """That both are silent tells not which worker holds them up."""
+    names = ('w1', 'w2', 'w3')
+    fleet = Fleet(
+        *(entry(name, accelerators=8) for name in names),
+        percent_s=lambda _: 0.1,
+    )
+    fleet.submit(*(job_spec(name, gang(12, max_per_worker=4)) for name in 'ab'))
+    fleet.play(4)
+    fleet.standing = {bad}
+    until_s = fleet.bench.now_s + MAX_STOP_S
+    while not fleet.play(PASS_S):
+        assert fleet.bench.now_s < until_s
+    reliability = fleet.bench.engine.reliability
+    assert reliability.is_quarantined(bad, fleet.bench.now_s)
+
+
+@pytest.mark.parametrize('bad', ['w1', 'w2', 'w3'])
+def test_gangs_end_elsewhere_after_one_stop(bad):
+    """Both leave the worker that stands still."""
+    fleet = Fleet(
+        *(entry(f'w{number}', accelerators=8) for number in range(1, 7)),
+        percent_s=lambda _: 0.1,
+    )
+    jobs = fleet.submit(
+        *(job_spec(name, gang(12, max_per_worker=4)) for name in 'ab')
+    )
+    fleet.play(4)
+    fleet.standing = {bad}
+    assert len(fleet.play(30)) <= 24
+    assert all(job.has_ended for job in jobs)
+
+
+def test_a_closed_worker_gets_one_unit():
+    """Also where most workers are suspected, so that all are tried."""
+    fleet = Fleet(
+        *(entry(f'w{number}', accelerators=8) for number in range(3)),
+        percent_s=lambda _: 0.1,
+    )
+    fleet.submit(job_spec('gang', gang(6, max_per_worker=2)))
+    fleet.play(6)
+    fleet.standing = {'w1'}
+    workers = fleet.workers.values()
+    while sum(bool(one.suspected_since_s) for one in workers) < len(workers):
+        assert not fleet.play(PASS_S)
+    fleet.submit(job_spec('new', step(18)))
+    fleet.play(PASS_S)
+    assert all(count_runs(worker, 'new') <= 1 for worker in workers)
