--- a/tests/test_batch_interference.py
+++ b/tests/test_batch_interference.py
@@ -324,3 +324,19 @@
     assert over_s[1] < 0.75 * over_s[0]
     done = [sum(loop.done for loop in loops) for loops in (without, learnt)]
     assert done[1] >= 0.98 * done[0]
+
+
+@pytest.mark.parametrize(
+    ('speed_percent', 'is_observed'), [(0, False), (20, False), (100, True)]
+)
+def test_a_neighbour_that_hardly_works_tells_nothing(
+    speed_percent, is_observed
+):
+    world = World(0, pause_s=1e9, is_paced=False)
+    world.run(3)
+    added = world.add(world.workers[0], 'index', fills_idle=True)
+    added.speed_percent = speed_percent
+    # Runs are observed for 4 s; the task lasts 3.5 s or more.
+    world.ends_at_s[added.ref] += 10
+    world.run(5)
+    assert bool(world.model._evidence) is is_observed
