--- a/tests/test_organisation_limits_model.py
+++ b/tests/test_organisation_limits_model.py
@@ -160,7 +160,7 @@
 def count_only(monkeypatch, counts):
     """Let the ledger count the allocations alone that ``counts`` tells."""
 
-    def update(ledger, workers, jobs):
+    def update(ledger, workers, jobs, now_s=0.0):
         return sum_sizes(
             allocation.unit
             for worker in workers.values()
