Count silence by the speed of a run, and excuse it without progress

Cause: the time in which a run was slowed down counted in full, against a limit for its present speed, so that a best-effort run was stopped at the first report at a higher speed. A run that a cut report did not list, and one that was halted, were dated anew as if they had progressed: that explained the silence of all others on the worker.

Change: the part of a silence that tells nothing (slowed down, halted, not listed) is kept apart from the last progress; limits and rates are at full speed.

Ruled out: beginning the silence anew with each new speed; it found the runs too late for test_a_task_that_stalls_at_full_speed_is_still_found, where a speed rises in steps (not changed, passes).

Before: in tests/test_batch_suspicion.py test_a_run_is_not_stopped_for_silence_before_a_new_speed[1] and test_a_run_missing_from_a_cut_report_is_no_progress failed. After: they pass, with test_batch_progress, _pacing, _cut_reports, _stalls and _interference.

--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -92,6 +92,11 @@
     progress_clock_ms: int = 0
     # Milliseconds that its last percents took, how many percents were timed,
     # and whether the rate was counted for its queue. 0: not known.
+    # Part of its silence that tells nothing, as it was slowed down, halted or
+    # not listed. Its speed at the last report, and the worker's clock then.
+    excused_ms: float = 0.0
+    reported_speed_percent: int = 100
+    reported_clock_ms: int = 0
     percent_ms: float = 0.0
     rated_percents: int = 0
     is_rate_learnt: bool = False
--- a/src/bulrushcove/batch/progress_expectation.py
+++ b/src/bulrushcove/batch/progress_expectation.py
@@ -19,7 +19,7 @@
 from .ids import QueueName
 from .job_spec import StepSpec
 from .job_state import Allocation, Unit
-from .workers import FULL_SPEED_PERCENT, Worker
+from .workers import Worker
 
 COMPLETE_PERCENT = 100
 # A run is silent for long after so many times what its last percents took.
@@ -125,8 +125,6 @@
             basis = Basis.OWN_RATE
         else:
             limit_ms, basis = self._first_percent_ms(allocation)
-        if unit.spec.fills_idle:
-            limit_ms *= FULL_SPEED_PERCENT / max(1, allocation.speed_percent)
         return Expectation(min(limit_ms * 2**doublings, MAX_LIMIT_MS), basis)
 
     def relative_rate(self, allocation: Allocation) -> float | None:
--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -27,7 +27,7 @@
     Expectation,
     ProgressExpectations,
 )
-from .run_progress import unsaved_ms
+from .run_progress import silent_since_ms, unsaved_ms
 from .worker_reliability import Standing
 from .workers import Worker
 
@@ -135,7 +135,7 @@
             return []
         worker.suspected_since_s = now_s
         worker.suspected_clock_ms = min(
-            one.allocation.progress_clock_ms for one in evidence
+            silent_since_ms(one.allocation) for one in evidence
         )
         return [
             msgspec.structs.replace(one, silent_jobs=worker.silent_jobs)
@@ -174,7 +174,7 @@
     ) -> list[Suspicion]:
         overdue = []
         for run in runs:
-            silent_ms = worker.clock_ms - run.progress_clock_ms
+            silent_ms = worker.clock_ms - silent_since_ms(run)
             if silent_ms > MIN_SUSPECT_MS:
                 expected = self._expectations.expectation(run)
                 if silent_ms > expected.limit_ms:
@@ -212,7 +212,7 @@
         limit_ms = max(MIN_STALL_MS, expected.limit_ms)
         limit_ms *= _patience_factor(unit, expected, suspects)
         worker = self._workers[allocation.worker]
-        silent_ms = worker.clock_ms - allocation.progress_clock_ms
+        silent_ms = worker.clock_ms - silent_since_ms(allocation)
         lost_ms = max(map(unsaved_ms, members))
         if silent_ms <= limit_ms or not self._is_stop_cheaper(
             unit, silent_ms, lost_ms, bool(suspects)
@@ -313,7 +313,7 @@
         for one in overdue
         if not one.allocation.unit.spec.fills_idle
         and last_progress_ms
-        <= one.allocation.progress_clock_ms + one.expectation.limit_ms
+        <= silent_since_ms(one.allocation) + one.expectation.limit_ms
     ]
 
 
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -14,7 +14,13 @@
 from .ids import RunRef
 from .interference import PairChange
 from .job_state import Allocation, AllocationPhase
-from .run_progress import record_checkpoint, record_percent, record_start
+from .run_progress import (
+    record_checkpoint,
+    record_excuse,
+    record_percent,
+    record_speed,
+    record_start,
+)
 from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
 from .workers import EndedTask, EndKind, RunningTask, Worker, WorkerReport
 
@@ -167,14 +173,12 @@
         report_changes.confirmed.append(allocation)
     confirm_running(allocation, now_s)
     allocation.load = running.load
+    record_speed(allocation, worker.clock_ms)
     if not allocation.progress_clock_ms:
         record_start(allocation, running.percent, worker.clock_ms)
     if running.percent > allocation.percent:
         record_percent(allocation, running.percent, worker.clock_ms)
         allocation.last_progress_at_s = now_s
-    if not allocation.speed_percent:
-        # That a halted run makes no progress is no fault of its worker.
-        allocation.progress_clock_ms = worker.clock_ms
     if running.checkpoint:
         _record_checkpoint(
             allocation, running.checkpoint, worker.clock_ms, now_s
@@ -220,7 +224,7 @@
     for allocation in worker.allocations.values():
         if allocation.ref not in listed and allocation.last_progress_at_s:
             allocation.last_progress_at_s = now_s
-            allocation.progress_clock_ms = worker.clock_ms
+            record_excuse(allocation, worker.clock_ms)
 
 
 def _is_unconfirmed_start_of_earlier_leader(allocation: Allocation) -> bool:
--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -1,9 +1,11 @@
 """Suspected workers: what they still get, and which of them is at fault."""
 
 import pytest
-from batch_builders import entry, job_spec, step
+from batch_builders import Bench, entry, job_spec, step
 from progress_fleet import Fleet
 
+from bulrushcove.batch.workers import RunningTask, WorkerReport
+
 # Users are promised a start within this time where there is room.
 MAX_START_S = 3.0
 PASS_S = 0.25
@@ -111,3 +113,73 @@
     fleet.submit(job_spec('new', step(18)))
     fleet.play(PASS_S)
     assert all(count_runs(worker, 'new') <= 1 for worker in workers)
+
+
+@pytest.mark.parametrize('slow_percent', [0, 1])
+def test_a_run_is_not_stopped_for_silence_before_a_new_speed(slow_percent):
+    bench = Bench(entry('w1'))
+    job = bench.submit(job_spec('filler', step(fills_idle=True)))
+    bench.start_all()
+    (run,) = job.units[0].allocations.values()
+    for percent in range(1, 5):
+        bench.advance(0.5)
+        bench.report('w1', running=[(run.ref, '', percent)])
+    run.speed_percent = slow_percent
+    for _ in range(40):
+        bench.advance(1)
+        bench.report('w1', running=[(run.ref, '', 4)])
+        assert not bench.plan().stops
+    run.speed_percent = 100
+    bench.advance(0.25)
+    bench.report('w1', running=[(run.ref, '', 4)])
+    assert not bench.plan().stops
+
+
+def test_a_new_speed_is_no_progress_of_the_worker():
+    bench = Bench(entry('w1'))
+    filler = bench.submit(job_spec('filler', step(fills_idle=True)))
+    jobs = [bench.submit(job_spec(name)) for name in 'ab']
+    bench.start_all()
+    (slowed,) = filler.units[0].allocations.values()
+    refs = [
+        run.ref
+        for job in (filler, *jobs)
+        for run in job.units[0].allocations.values()
+    ]
+    for tick in range(16):
+        bench.advance(0.5)
+        percent = min(tick, 6)
+        slowed.speed_percent = 50 if tick > 8 and tick % 2 else 100
+        bench.report('w1', running=[(ref, '', percent) for ref in refs])
+    assert bench.engine.workers['w1'].suspected_since_s
+
+
+def test_a_run_missing_from_a_cut_report_is_no_progress():
+    """The others there have fallen silent."""
+    bench = Bench(entry('w1'))
+    jobs = [bench.submit(job_spec(name)) for name in 'abc']
+    bench.start_all()
+    refs = [
+        run.ref for job in jobs for run in job.units[0].allocations.values()
+    ]
+    for tick in range(1, 5):
+        bench.advance(1)
+        bench.report('w1', running=[(ref, '', 5 * tick) for ref in refs])
+    worker = bench.engine.workers['w1']
+    for _ in range(4):
+        bench.advance(1)
+        report = WorkerReport(
+            clock_ms=bench.clock_ms,
+            started_unix_ms=worker.entry.started_unix_ms,
+            running=tuple(RunningTask(ref, '', 20) for ref in refs[:2]),
+            ended=(),
+            is_cut=True,
+        )
+        bench.engine.apply_report(
+            worker,
+            report,
+            requested_at_s=bench.now_s,
+            now_s=bench.now_s,
+            unix_ms=bench.unix_ms,
+        )
+    assert worker.suspected_since_s
