Count runs that have ended as progress of their worker

Cause: only current runs told when a worker had progressed last. Beside short tasks that start and end between two reports a long one was taken for standing still, and stopped.

Change: the worker keeps when runs that ended had progressed last; a run that is done has just then, except in the first report, whose ends may be old.

Ruled out: counting failed and stopped runs as progress.

Before: tests/test_batch_suspicion.py::test_runs_that_have_ended_show_progress failed. After: it passes.

--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -126,7 +126,7 @@
             self._overdue.pop(worker.id, None)
         else:
             self._overdue[worker.id] = [one.allocation for one in overdue]
-        evidence = _select_evidence(overdue, _last_progress_ms(runs))
+        evidence = _select_evidence(overdue, _last_progress_ms(worker, runs))
         if not evidence or _stands_elsewhere(evidence, worker, self._workers):
             self._end_suspicion(worker, runs)
             return []
@@ -185,7 +185,7 @@
         """End the suspicion; learn its length if the worker has gone on."""
         if not worker.suspected_since_s:
             return
-        resumed_ms = _last_progress_ms(runs)
+        resumed_ms = _last_progress_ms(worker, runs)
         if resumed_ms > worker.suspected_clock_ms:
             self._spells_ms.append(resumed_ms - worker.suspected_clock_ms)
         worker.suspected_since_s = 0.0
@@ -289,16 +289,14 @@
     )
 
 
-def _last_progress_ms(runs: Iterable[Allocation]) -> int:
-    """Return when any of ``runs`` progressed last; a start is no progress."""
-    return max(
-        (
-            run.progress_clock_ms
-            for run in runs
-            if run.progress_clock_ms > run.started_clock_ms
-        ),
-        default=0,
+def _last_progress_ms(worker: Worker, runs: Iterable[Allocation]) -> int:
+    """Return when any run there progressed last; a start is no progress."""
+    current_ms = (
+        run.progress_clock_ms
+        for run in runs
+        if run.progress_clock_ms > run.started_clock_ms
     )
+    return max((worker.ended_progress_ms, *current_ms))
 
 
 def _select_evidence(
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -263,4 +263,19 @@
     worker: Worker, end: AllocationEnd, report_changes: ReportChanges
 ) -> None:
     worker.allocations.pop(end.allocation.ref, None)
+    worker.ended_progress_ms = max(
+        worker.ended_progress_ms, _last_progress_ms(worker, end)
+    )
     report_changes.ends.append(end)
+
+
+def _last_progress_ms(worker: Worker, end: AllocationEnd) -> int:
+    """Return when the ended run progressed last; 0: not known.
+
+    What the first report lists may have ended long ago.
+    """
+    if end.kind is EndKind.DONE and worker.has_reported:
+        return worker.clock_ms
+    progress_ms = end.allocation.progress_clock_ms
+    has_progressed = progress_ms > end.allocation.started_clock_ms
+    return progress_ms if has_progressed else 0
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -172,6 +172,8 @@
     suspected_since_s: float = 0.0
     suspected_clock_ms: int = 0
     silent_jobs: int = 0
+    # When runs that have ended progressed last, on its clock; 0: not known.
+    ended_progress_ms: int = 0
     # Images of best-effort tasks that certainly slow services there.
     harmful_images: frozenset[ImageName] = frozenset()
     # Speed of these and of all other best-effort tasks, and when one of them
@@ -226,6 +228,7 @@
         self.orphans.clear()
         self.suspected_since_s = 0.0
         self.silent_jobs = 0
+        self.ended_progress_ms = 0
 
     def estimate_clock_ms(self, now_s: float) -> int:
         """Return an estimate of its clock at ``now_s``, never too high."""
--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -183,3 +183,16 @@
             unix_ms=bench.unix_ms,
         )
     assert worker.suspected_since_s
+
+
+def test_runs_that_have_ended_show_progress():
+    """A long task beside a chain of short ones, which end between reports."""
+    percents_s = {'long': 6.0}
+    fleet = Fleet(
+        entry('w1'),
+        percent_s=lambda unit: percents_s.get(unit.job.id, 0.0025),
+    )
+    fleet.submit(job_spec('long', step()))
+    for number in range(24):
+        fleet.submit(job_spec(f'short-{number}', step()))
+        assert not fleet.play(0.5)
