Learn the length of a standstill only where two jobs resume

Cause: each worker of a silent gang learnt the same standstill once more, and a run whose percent takes longer than expected taught one too, so that three of them soon told how long the next would last.

Change: only a worker that is certain to have stood still, and on which two jobs resumed, tells a length.

Ruled out: a window of time for one event; certainty gives one worker of a gang.

Before: in tests/test_batch_suspicion.py test_a_standstill_of_a_gang_teaches_no_length (6 lengths) and test_long_percents_teach_no_length (2) failed. After: they pass. That lengths are used at all had no test: test_past_standstills_tell_how_long_the_next_one_lasts fails without them.

--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -134,6 +134,7 @@
         if worker.suspected_since_s:
             return []
         worker.suspected_since_s = now_s
+        worker.suspected_report_ms = worker.clock_ms
         worker.suspected_clock_ms = min(
             silent_since_ms(one.allocation) for one in evidence
         )
@@ -182,11 +183,20 @@
         return overdue
 
     def _end_suspicion(self, worker: Worker, runs: list[Allocation]) -> None:
-        """End the suspicion; learn its length if the worker has gone on."""
+        """End the suspicion; learn its length if it was a standstill.
+
+        One job may be long by itself; a gang is silent on all of its workers.
+        """
         if not worker.suspected_since_s:
             return
-        resumed_ms = _last_progress_ms(worker, runs)
-        if resumed_ms > worker.suspected_clock_ms:
+        resumed = {
+            run.unit.job.id
+            for run in runs
+            if run.progress_clock_ms > worker.suspected_report_ms
+        }
+        is_certain = worker.silent_jobs >= CONFIRMING_JOBS
+        if is_certain and len(resumed) >= CONFIRMING_JOBS:
+            resumed_ms = _last_progress_ms(worker, runs)
             self._spells_ms.append(resumed_ms - worker.suspected_clock_ms)
         worker.suspected_since_s = 0.0
         worker.silent_jobs = 0
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -171,6 +171,8 @@
     # progressed last, on its clock; how many silent jobs tell of it alone.
     suspected_since_s: float = 0.0
     suspected_clock_ms: int = 0
+    # Its clock in the report that made it suspected.
+    suspected_report_ms: int = 0
     silent_jobs: int = 0
     # When runs that have ended progressed last, on its clock; 0: not known.
     ended_progress_ms: int = 0
--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -196,3 +196,51 @@
     for number in range(24):
         fleet.submit(job_spec(f'short-{number}', step()))
         assert not fleet.play(0.5)
+
+
+def standstill_lengths(fleet):
+    return list(fleet.bench.engine.progress._spells_ms)
+
+
+def test_a_standstill_of_a_gang_teaches_no_length():
+    """It may be long by itself; its members are on many workers."""
+    fleet = Fleet(
+        *(entry(f'w{number}', accelerators=4) for number in range(6)),
+        percent_s=lambda _: 0.1,
+    )
+    fleet.submit(job_spec('gang', gang(24)))
+    fleet.play(6)
+    fleet.standing = {'w1'}
+    assert not fleet.play(4)
+    fleet.standing = set()
+    fleet.play(1)
+    assert not standstill_lengths(fleet)
+
+
+def test_long_percents_teach_no_length():
+    fleet = Fleet(entry('w1'), entry('w2'), percent_s=lambda _: 12.0)
+    fleet.submit(*(job_spec(f'long-{number}', gang(8)) for number in range(2)))
+    fleet.play(30)
+    assert not standstill_lengths(fleet)
+
+
+def test_past_standstills_tell_how_long_the_next_one_lasts():
+    """Once known to be long, one is ended before it has cost more."""
+    percents_s = {'a': 0.5, 'b': 0.5}
+    fleet = Fleet(
+        entry('w1'), percent_s=lambda unit: percents_s.get(unit.job.id, 0.1)
+    )
+    fleet.submit(*(job_spec(name, gang(3)) for name in 'ab'))
+    fleet.play(26)
+    for _ in range(3):
+        fleet.standing = {'w1'}
+        assert not fleet.play(10)
+        fleet.standing = set()
+        assert not fleet.play(3)
+    assert len(standstill_lengths(fleet)) == 3
+    fleet.play(18)
+    fleet.submit(*(job_spec(name, gang(3)) for name in 'cd'))
+    fleet.play(4)
+    fleet.standing = {'w1'}
+    # Without them it would be ended after about 4 s of work and 2 s more.
+    assert fleet.play(4)
