Bound the short polls and the stops kept of suspected workers

Cause: a suspected worker was polled each 0.25 s for as long as the suspicion lasted, which on a sound worker with a long percent is that percent. Times of stops were dropped only for workers that had gone while a run there was silent.

Change: short polls end 5 s after the suspicion began; stops are dropped with what they show, after 2 s.

Ruled out: a clock in the link; the last report's time tells.

Before: with no bound and with nothing dropped (each put back alone) test_a_long_suspicion_does_not_cost_more_reports_for_ever and test_stops_are_forgotten_with_what_they_show fail. After: they pass.

--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -48,6 +48,9 @@
 # A suspected worker gets nothing new for this long, then one unit at a time.
 # Callers are promised a start within 3 s where there is room.
 MAX_CLOSED_S = 2.0
+# A suspected worker reports more often for this long, in which most standing
+# runs are found.
+MAX_SHORT_POLLS_S = 5.0
 # Jobs that fall silent together before a standstill is certain.
 CONFIRMING_JOBS = 2
 # Past standstills that tell how long the present one will last.
@@ -147,7 +150,11 @@
         """Return the runs to stop, and count the stalls of their units."""
         for gone in self._overdue.keys() - self._workers.keys():
             self._overdue.pop(gone)
-            self._last_stop_s.pop(gone, None)
+        self._last_stop_s = {
+            worker_id: stopped_at_s
+            for worker_id, stopped_at_s in self._last_stop_s.items()
+            if now_s - stopped_at_s < PROOF_S
+        }
         stalls = []
         judged: set[UnitRef] = set()
         for allocation in self._overdue_runs():
@@ -272,6 +279,13 @@
     return Standing.QUARANTINED if is_closed else Standing.PROBATION
 
 
+def needs_short_polls(worker: Worker) -> bool:
+    """Return whether progress there is to be known at once."""
+    since_s = worker.suspected_since_s
+    suspected_for_s = worker.last_report_at_s - since_s
+    return bool(since_s) and suspected_for_s < MAX_SHORT_POLLS_S
+
+
 def count_trial_units(worker: Worker) -> int | None:
     """Return how many more units a suspected worker may get; None: any."""
     if not worker.suspected_since_s:
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -12,6 +12,7 @@
     WorkerReplacedError,
 )
 from ..batch.pacing import has_colocated_services
+from ..batch.progress_model import needs_short_polls
 from ..batch.workers import Worker
 from ..clock import Clock
 from ..exceptions import WorkerError
@@ -276,7 +277,7 @@
             return OPEN_ORDER_WAIT_MS
         # Progress ends a suspicion.
         if (
-            worker.suspected_since_s
+            needs_short_polls(worker)
             or worker.orphans
             or any(
                 allocation.phase is not AllocationPhase.RUNNING
--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -4,6 +4,11 @@
 from batch_builders import Bench, entry, job_spec, step
 from progress_fleet import Fleet
 
+from bulrushcove.batch.progress_expectation import is_far
+from bulrushcove.batch.progress_model import (
+    MAX_SHORT_POLLS_S,
+    needs_short_polls,
+)
 from bulrushcove.batch.workers import RunningTask, WorkerReport
 
 # Users are promised a start within this time where there is room.
@@ -244,3 +249,105 @@
     fleet.standing = {'w1'}
     # Without them it would be ended after about 4 s of work and 2 s more.
     assert fleet.play(4)
+
+
+def test_a_long_suspicion_does_not_cost_more_reports_for_ever():
+    bench = Bench(entry('w1'))
+    job = bench.submit(job_spec('long', step()))
+    bench.start_all()
+    (run,) = job.units[0].allocations.values()
+    worker = bench.engine.workers['w1']
+    polls = []
+    for _ in range(40):
+        bench.advance(0.5)
+        bench.report('w1', running=[(run.ref, '', 0)])
+        if worker.suspected_since_s:
+            polls.append(needs_short_polls(worker))
+    assert polls[0]
+    assert sum(polls) * 0.5 <= MAX_SHORT_POLLS_S
+    assert not polls[-1]
+
+
+def test_stops_are_forgotten_with_what_they_show():
+    """Also on workers that have gone."""
+    fleet = Fleet(entry('w1'), entry('w2'), percent_s=lambda _: 0.1)
+    fleet.submit(job_spec('gang', gang(16)))
+    fleet.play(6)
+    fleet.standing = {'w1'}
+    while not fleet.play(PASS_S):
+        assert fleet.bench.now_s < 200
+    fleet.standing = set()
+    fleet.play(4)
+    assert not fleet.bench.engine.progress._last_stop_s
+
+
+def test_a_gang_waits_for_a_moment_after_each_stop():
+    """The stop of a single task may show which worker is at fault."""
+    fleet = Fleet(
+        entry('w1', accelerators=5),
+        entry('w2', accelerators=5),
+        percent_s=lambda _: 0.1,
+    )
+    fleet.submit(
+        job_spec('gang', gang(8)), job_spec('a', step()), job_spec('b', step())
+    )
+    fleet.play(2.5)
+    fleet.standing = {'w1', 'w2'}
+    stopped_at_s = {}
+    for _ in range(48):
+        for stop in fleet.play(PASS_S):
+            stopped_at_s.setdefault(stop.unit.job.id, fleet.bench.now_s)
+    others_s = min(stopped_at_s['a'], stopped_at_s['b'])
+    assert stopped_at_s['gang'] - others_s >= 2.0
+
+
+def test_a_gang_beside_a_certain_worker_does_not_make_others_suspected():
+    fleet = Fleet(
+        entry('w1', accelerators=4),
+        entry('w2', accelerators=3),
+        percent_s=lambda _: 0.5,
+    )
+    fleet.submit(job_spec('gang', gang(6, max_per_worker=3)))
+    fleet.play(1)
+    fleet.submit(job_spec('single', step()))
+    fleet.play(20)
+    fleet.standing = {'w1'}
+    fleet.play(4.5)
+    assert fleet.workers['w1'].silent_jobs == 2
+    assert not fleet.workers['w2'].suspected_since_s
+
+
+def test_a_gang_alone_gets_longer_to_its_first_percent():
+    """Nothing else tells whether its workers stand still."""
+    stopped_at_s = []
+    for spec in (gang(4), step(1, estimated_ms=12_000)):
+        fleet = Fleet(entry('w1'), percent_s=lambda _: 1000.0)
+        fleet.submit(job_spec('silent', spec))
+        while not fleet.play(PASS_S):
+            assert fleet.bench.now_s < 200
+        stopped_at_s.append(fleet.bench.now_s - 100)
+    assert stopped_at_s[0] > 1.8 * stopped_at_s[1]
+
+
+def test_a_run_that_stood_still_once_is_not_expected_to_again():
+    bench = Bench(entry('w1'))
+    job = bench.submit(job_spec('task'))
+    bench.start_all()
+    (run,) = job.units[0].allocations.values()
+    for percent in range(1, 8):
+        bench.advance(0.5)
+        bench.report('w1', running=[(run.ref, '', percent)])
+    bench.advance(60)
+    bench.report('w1', running=[(run.ref, '', 8)])
+    assert run.percent_ms == pytest.approx(2.5 * 500)
+
+
+def test_runs_far_from_their_data_do_not_lengthen_those_near_it():
+    """Their limits are learnt apart."""
+    bench = Bench(entry('w1', rack='r1'), entry('w2', rack='r2'))
+    near = bench.submit(job_spec('near', step(near_rack='r1')))
+    far = bench.submit(job_spec('far', step(near_rack='r3')))
+    bench.start_all()
+    workers = bench.engine.workers
+    assert not is_far(near.units[0], workers)
+    assert is_far(far.units[0], workers)
