--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -27,7 +27,7 @@
     Expectation,
     ProgressExpectations,
 )
-from .run_progress import unsaved_ms
+from .run_progress import silent_since_ms, unsaved_ms
 from .worker_reliability import Standing
 from .workers import Worker
 
@@ -49,6 +49,9 @@
 # A suspected worker gets nothing new for this long, then one unit at a time.
 # Callers are promised a start within 3 s where there is room.
 MAX_CLOSED_S = 2.0
+# A suspected worker reports more often for this long, in which most standing
+# runs are found.
+MAX_SHORT_POLLS_S = 5.0
 # Jobs that fall silent together before a standstill is certain.
 CONFIRMING_JOBS = 2
 # Past standstills that tell how long the present one will last.
@@ -127,7 +130,7 @@
             self._overdue.pop(worker.id, None)
         else:
             self._overdue[worker.id] = [one.allocation for one in overdue]
-        evidence = _select_evidence(overdue, _last_progress_ms(runs))
+        evidence = _select_evidence(overdue, _last_progress_ms(worker, runs))
         if not evidence or _stands_elsewhere(evidence, worker, self._workers):
             self._end_suspicion(worker, runs)
             return []
@@ -135,8 +138,9 @@
         if worker.suspected_since_s:
             return []
         worker.suspected_since_s = now_s
+        worker.suspected_report_ms = worker.clock_ms
         worker.suspected_clock_ms = min(
-            one.allocation.progress_clock_ms for one in evidence
+            silent_since_ms(one.allocation) for one in evidence
         )
         return [
             msgspec.structs.replace(one, silent_jobs=worker.silent_jobs)
@@ -147,7 +151,11 @@
         """Return the runs to stop, and count the stalls of their units."""
         for gone in self._overdue.keys() - self._workers.keys():
             self._overdue.pop(gone)
-            self._last_stop_s.pop(gone, None)
+        self._last_stop_s = {
+            worker_id: stopped_at_s
+            for worker_id, stopped_at_s in self._last_stop_s.items()
+            if now_s - stopped_at_s < PROOF_S
+        }
         stalls = []
         judged: set[UnitRef] = set()
         for allocation in self._overdue_runs():
@@ -175,7 +183,7 @@
     ) -> list[Suspicion]:
         overdue = []
         for run in runs:
-            silent_ms = worker.clock_ms - run.progress_clock_ms
+            silent_ms = worker.clock_ms - silent_since_ms(run)
             if silent_ms > MIN_SUSPECT_MS:
                 expected = self._expectations.expectation(run)
                 if silent_ms > expected.limit_ms:
@@ -183,11 +191,20 @@
         return overdue
 
     def _end_suspicion(self, worker: Worker, runs: list[Allocation]) -> None:
-        """End the suspicion; learn its length if the worker has gone on."""
+        """End the suspicion; learn its length if it was a standstill.
+
+        One job may be long by itself; a gang is silent on all of its workers.
+        """
         if not worker.suspected_since_s:
             return
-        resumed_ms = _last_progress_ms(runs)
-        if resumed_ms > worker.suspected_clock_ms:
+        resumed = {
+            run.unit.job.id
+            for run in runs
+            if run.progress_clock_ms > worker.suspected_report_ms
+        }
+        is_certain = worker.silent_jobs >= CONFIRMING_JOBS
+        if is_certain and len(resumed) >= CONFIRMING_JOBS:
+            resumed_ms = _last_progress_ms(worker, runs)
             self._spells_ms.append(resumed_ms - worker.suspected_clock_ms)
         worker.suspected_since_s = 0.0
         worker.silent_jobs = 0
@@ -213,7 +230,7 @@
         limit_ms = max(MIN_STALL_MS, expected.limit_ms)
         limit_ms *= _patience_factor(unit, expected, suspects)
         worker = self._workers[allocation.worker]
-        silent_ms = worker.clock_ms - allocation.progress_clock_ms
+        silent_ms = worker.clock_ms - silent_since_ms(allocation)
         lost_ms = max(map(unsaved_ms, members))
         if silent_ms <= limit_ms or not self._is_stop_cheaper(
             unit, silent_ms, lost_ms, bool(suspects)
@@ -263,6 +280,13 @@
     return Standing.QUARANTINED if is_closed else Standing.PROBATION
 
 
+def needs_short_polls(worker: Worker) -> bool:
+    """Return whether progress there is to be known at once."""
+    since_s = worker.suspected_since_s
+    suspected_for_s = worker.last_report_at_s - since_s
+    return bool(since_s) and suspected_for_s < MAX_SHORT_POLLS_S
+
+
 def count_trial_units(worker: Worker) -> int | None:
     """Return how many more units a suspected worker may get; None: any."""
     if not worker.suspected_since_s:
@@ -290,16 +314,14 @@
     )
 
 
-def _last_progress_ms(runs: Iterable[Allocation]) -> int:
-    """Return when any of ``runs`` progressed last; a start is no progress."""
-    return max(
-        (
-            run.progress_clock_ms
-            for run in runs
-            if run.progress_clock_ms > run.started_clock_ms
-        ),
-        default=0,
+def _last_progress_ms(worker: Worker, runs: Iterable[Allocation]) -> int:
+    """Return when any run there progressed last; a start is no progress."""
+    current_ms = (
+        run.progress_clock_ms
+        for run in runs
+        if run.progress_clock_ms > run.started_clock_ms
     )
+    return max((worker.ended_progress_ms, *current_ms))
 
 
 def _select_evidence(
@@ -314,7 +336,7 @@
         for one in overdue
         if not one.allocation.unit.spec.fills_idle
         and last_progress_ms
-        <= one.allocation.progress_clock_ms + one.expectation.limit_ms
+        <= silent_since_ms(one.allocation) + one.expectation.limit_ms
     ]
 
 
