Decide who waits, is refused and is stopped when room is short

At a burst of two to three times the load urgent units stopped more than they needed: a gang's loss counted on each of its workers, a run far beyond the usual time counted as no loss, runs about to end and capacity already being freed were not counted, and the same unit was stopped each time. Jobs that could not be of use any more were accepted, and ran in turn with others by their next step only; timed jobs counted from their submission.

--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -1,7 +1,8 @@
 """Admission control: refused jobs and the delay before a retry.
 
-Refuses jobs that no worker of the pool can ever run, and computes the retry
-delay for jobs that cannot be stored because the store is unavailable.
+Refuses jobs that no worker of the pool can ever run, and those that could only
+end when they are of no use any more, and computes the retry delay for jobs
+that cannot be stored because the store is unavailable.
 """
 
 from __future__ import annotations
@@ -9,13 +10,29 @@
 from typing import TYPE_CHECKING
 
 from .exceptions import JobConflictError, JobRefusedError
+from .guarantee import is_within_guarantee
+from .ids import PoolName
 from .job_spec import JobSpec, StepSpec
+from .job_state import Job
+from .overload_admission import OverloadAdmission, may_refuse
+from .pool_loads import sum_load
+from .queue_order import URGENT
 from .runtime_estimates import RuntimeEstimates
-from .workers import Worker
+from .start_forecast import PoolLoad, StartForecast
+from .workers import Worker, is_in_service
 
 if TYPE_CHECKING:
     from .engine import Engine
 
+__all__ = (
+    'OverloadAdmission',
+    'check_same_job',
+    'find_start_forecast',
+    'outage_retry_s',
+    'refuse_hopeless',
+    'refuse_unplaceable',
+)
+
 # Workers that are added later may be large enough.
 UNPLACEABLE_RETRY_S = 30.0
 # Bounds of the retry delay during a store outage: callers retry only a few
@@ -57,6 +74,34 @@
             )
 
 
+def refuse_hopeless(job: Job, engine: Engine, now_s: float) -> None:
+    """Raise ``JobRefusedError`` if new ``job`` is too late in any case."""
+    terms = job.spec.terms
+    if not may_refuse(job.spec, engine.estimates):
+        return
+    if terms.priority == URGENT and is_within_guarantee(
+        terms.organisation,
+        (*engine.active.values(), job),
+        engine.desired_state.policy,
+    ):
+        return
+    engine.overload.refuse_hopeless(
+        job.spec,
+        find_start_forecast(engine, terms.pool, now_s),
+        engine.estimates,
+        now_s,
+    )
+
+
+def find_start_forecast(
+    engine: Engine, pool: PoolName, now_s: float
+) -> StartForecast:
+    """Return the forecast of starts in ``pool``, a second old at most."""
+    return engine.overload.forecasts.find(
+        pool, now_s, lambda: _sum_pool_load(engine, pool)
+    )
+
+
 def outage_retry_s(
     spec: JobSpec, estimates: RuntimeEstimates, lasted_s: float
 ) -> float:
@@ -74,3 +119,16 @@
     labels = worker.entry.labels
     has_label = not step.required_label or step.required_label in labels
     return has_label and step.requirements.fits(worker.full_capacity)
+
+
+def _sum_pool_load(engine: Engine, pool: PoolName) -> PoolLoad:
+    closed = engine.desired_state.closed_domains
+    return sum_load(
+        (job for job in engine.active.values() if job.spec.terms.pool == pool),
+        (
+            worker.entry.capacity
+            for worker in engine.workers.values()
+            if worker.entry.pool == pool and is_in_service(worker, closed)
+        ),
+        engine.estimates,
+    )
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -9,7 +9,12 @@
 
 from ..clock import MS_PER_S
 from ..ids import JobId, WorkerId
-from .admission import check_same_job, refuse_unplaceable
+from .admission import (
+    OverloadAdmission,
+    check_same_job,
+    refuse_hopeless,
+    refuse_unplaceable,
+)
 from .advice import TicketCache
 from .cancellations import Cancellations
 from .completion import apply_run_end, apply_unmatched_ends, cancel_job
@@ -71,6 +76,7 @@
         self.tickets = TicketCache()
         self.lease_expiry = LeaseExpiryTable()
         self.urgent_demand = UrgentDemand()
+        self.overload = OverloadAdmission()
         # Passes so far; each examines other workers of a large pool.
         self.pass_count = 0
         # Preemptions in progress, and until when their capacity is reserved.
@@ -95,8 +101,9 @@
     ) -> tuple[Job, bool]:
         """Return the accepted job and whether it is new.
 
-        Raises ``JobRefusedError`` if no worker can ever run it,
-        ``JobConflictError`` if its id is used with different content, and
+        Raises ``JobRefusedError`` if no worker can ever run it or it could
+        only end when it is of no use any more, ``JobConflictError`` if its id
+        is used with different content, and
         ``JobCancelledError`` if it was cancelled before.
         """
         known = self.jobs.get(spec.job)
@@ -106,6 +113,7 @@
         self.cancellations.refuse_cancelled(spec.job, spec.terms.organisation)
         refuse_unplaceable(spec, self, now_s)
         job = new_job(spec, unix_ms, now_s)
+        refuse_hopeless(job, self, now_s)
         self.jobs[job.id] = job
         self.active[job.id] = job
         self.urgent_demand.record_job(spec, now_s)
@@ -274,6 +282,7 @@
         plan.stops.extend(mark_for_stop(outlasting, StopReason.WORKER_DRAINING))
         plan.advice_request = current.next_advice_request()
         plan.is_partial |= current.decider.is_partial
+        plan.preempted = current.preempted
         return plan
 
     def remove_ended_jobs(self, now_s: float) -> list[JobId]:
@@ -355,6 +364,7 @@
         if not allocations:
             plan.stops.extend(current.preempt(unit))
             current.reserve(unit)
+    plan.stops.extend(current.stop_overdue())
     for retried in current.units_tried_last():
         if len(plan.starts) >= MAX_STARTS_PER_PASS:
             plan.is_partial = True
--- a/src/bulrushcove/batch/exceptions.py
+++ b/src/bulrushcove/batch/exceptions.py
@@ -1,5 +1,7 @@
 """Errors raised by the batch scheduler."""
 
+from enum import Enum
+
 from ..exceptions import BulrushcoveError
 
 
@@ -19,6 +21,15 @@
     """The job id was cancelled before a job with it was accepted."""
 
 
+class RefusalCause(Enum):
+    """Why a job was refused."""
+
+    # No worker has room for one of its tasks.
+    UNPLACEABLE = 'unplaceable'
+    # The pool has so much work that the job would end too late.
+    OVERLOAD = 'overload'
+
+
 class JobRefusedError(BatchError):
     """The job was refused and will not run.
 
@@ -26,6 +37,8 @@
     submitted again.
     """
 
+    cause = RefusalCause.UNPLACEABLE
+
     def __init__(self, message: str, retry_after_s: float) -> None:
         """Store the message and the retry delay in seconds."""
         super().__init__(message)
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -189,6 +189,14 @@
     ]
 
 
+def is_unstopped(allocation: Allocation) -> bool:
+    """Return whether ``allocation`` is held and its run is not stopped."""
+    unit = allocation.unit
+    is_held = unit.allocations.get(allocation.index) is allocation
+    is_stopping = allocation.phase is AllocationPhase.STOPPING
+    return is_held and not is_stopping and not unit.is_aborting
+
+
 class Job(msgspec.Struct, eq=False, kw_only=True):
     """One accepted job."""
 
--- a/src/bulrushcove/batch/plan.py
+++ b/src/bulrushcove/batch/plan.py
@@ -4,10 +4,20 @@
 
 from ..ids import JobId
 from .advice import AdviceRequest
+from .ids import UnitRef
 from .job_state import Allocation, Job
 from .worker_crashes import AccusedRun
 
 
+class PreemptedUnit(msgspec.Struct, frozen=True):
+    """A unit that is stopped for an urgent one, and what that loses."""
+
+    unit: UnitRef
+    run: int
+    urgent_unit: UnitRef
+    loss_core_s: float
+
+
 class Plan(msgspec.Struct):
     """Actions to carry out, in the order of the fields."""
 
@@ -19,6 +29,8 @@
     stops: list[Allocation] = msgspec.field(default_factory=list)
     # Runs that a crash of their worker was counted against.
     accused: list[AccusedRun] = msgspec.field(default_factory=list)
+    # Units that the stops preempt.
+    preempted: list[PreemptedUnit] = msgspec.field(default_factory=list)
     # Whether another pass must follow immediately.
     is_partial: bool = False
     # Request for the first waiting unit that lacks tickets.
--- a/src/bulrushcove/batch/preemption_decider.py
+++ b/src/bulrushcove/batch/preemption_decider.py
@@ -13,13 +13,17 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ..ids import OrganisationId
+from .admission import find_start_forecast
 from .backfill_reservation import find_earliest_placement
-from .capacity_forecast import CapacityForecast
+from .capacity_forecast import CapacityForecast, VictimQuery
 from .guarantee import is_within_guarantee
 from .job_state import Unit
 from .placement import Candidate
 from .preemption_plan import PreemptionPlan, is_worth_loss, plan_preemption
+from .queue_order import is_too_late, job_times
 from .shapes import Shape, shape_of
 
 if TYPE_CHECKING:
@@ -75,11 +79,13 @@
         if not self._preemptions_left:
             self.is_partial = True
             return None
-        found = plan_preemption(unit, candidates, self._forecast)
+        query = VictimQuery(
+            terms.priority, awaits_ends=waited_s <= MAX_RELEASE_WAIT_S
+        )
+        found = plan_preemption(unit, candidates, self._forecast, query)
         if found is None and self._is_covered(terms.organisation):
-            found = plan_preemption(
-                unit, candidates, self._forecast, self._borrowers()
-            )
+            query = msgspec.structs.replace(query, borrowers=self._borrowers())
+            found = plan_preemption(unit, candidates, self._forecast, query)
         if found is not None and self._is_justified(unit, found):
             self._preemptions_left -= 1
             return found
@@ -106,11 +112,21 @@
     def _is_justified(self, unit: Unit, found: PreemptionPlan) -> bool:
         """Return whether ``found`` may be carried out.
 
-        Either a guarantee covers ``unit``, or the loss is acceptable.
+        Either a guarantee covers ``unit``, or the loss is acceptable and the
+        unit is still of use.
         """
         if self._is_covered(unit.job.spec.terms.organisation):
             return True
-        return is_worth_loss(unit, found, self._engine.estimates)
+        estimates = self._engine.estimates
+        times = job_times(unit.job, estimates)
+        if is_too_late(unit, times, self._now_s):
+            return False
+        forecast = find_start_forecast(
+            self._engine, unit.job.spec.terms.pool, self._now_s
+        )
+        return is_worth_loss(
+            unit, found, estimates, is_overcommitted=forecast.is_overcommitted
+        )
 
     def _is_covered(self, organisation: OrganisationId) -> bool:
         """Return whether its guarantee covers the urgent jobs it has."""
--- a/src/bulrushcove/batch/preemption_plan.py
+++ b/src/bulrushcove/batch/preemption_plan.py
@@ -1,28 +1,35 @@
 """Selects the units to stop in a full pool so that urgent work starts in time.
 
-Victims are whole units, as a gang that loses one member loses all. They are
-chosen to lose the least work that is not saved in a checkpoint.
+Answers bursts of urgent units. Victims are whole units, as a gang that loses
+one member loses all; its loss counts once, on however many workers it frees
+capacity. They are chosen to lose the least unsaved work.
 """
 
-from collections import defaultdict
+import heapq
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Sequence
 from itertools import repeat
 
 import msgspec
 
 from ..clock import MS_PER_S
-from ..ids import OrganisationId, RackId
-from .capacity_forecast import NO_BORROWERS, CapacityForecast, Victim
+from ..ids import RackId
+from .capacity_forecast import CapacityForecast, Victim, VictimQuery
 from .disruption_budget import is_within_disruption_budget
 from .ids import UnitRef
-from .job_spec import TaskSize
-from .job_state import Unit
-from .placement import Candidate, count_fitting_tasks
+from .job_state import Allocation, Unit, unstopped_allocations
+from .placement import Candidate
+from .preemption_options import OptionMaker, VictimOption
 from .runtime_estimates import RuntimeEstimates
 
 # Beyond its organisation's guarantee an urgent unit may make others lose up to
 # this many times its own work; a larger loss outweighs the early start.
 MAX_LOSS_RATIO = 4.0
+# The same while more work waits than there is room for: what is lost then
+# delays other callers by as much as the early start saves.
+MAX_OVERCOMMITTED_LOSS_RATIO = 1.0
+# Gangs for which a plan that stops them first is compared with the others.
+MAX_COMPARED_GANGS = 3
 
 
 class PreemptionPlan(msgspec.Struct, frozen=True):
@@ -31,28 +38,23 @@
     placement: tuple[Candidate, ...]
     victims: tuple[Unit, ...]
     total_loss_core_s: float
-
-
-class _VictimOption(msgspec.Struct):
-    """A worker and the units to stop there, with the free capacity then."""
-
-    candidate: Candidate
-    victims: list[Unit]
-    free: TaskSize
-    total_loss_core_s: float
+    # The losses, multiplied for units that were stopped before.
+    total_cost_core_s: float = 0
+    # Runs that must end for it and are not stopped yet.
+    awaited: tuple[Allocation, ...] = ()
 
 
 def plan_preemption(
     unit: Unit,
     candidates: Sequence[Candidate],
     forecast: CapacityForecast,
-    borrowers: frozenset[OrganisationId] = NO_BORROWERS,
+    query: VictimQuery,
 ) -> PreemptionPlan | None:
     """Return the cheapest plan that lets ``unit`` run; None if there is none.
 
-    Work of the same priority is stopped only if it belongs to ``borrowers``.
-    A gang that wants one rack gets one if preemption can free enough of any
-    rack. The rack of the unit's data is tried first.
+    Only work that ``query`` names is stopped. A gang that wants one rack gets
+    one if preemption can free enough of any rack. The rack of the unit's data
+    is tried first.
     """
     step = unit.spec
     groups: dict[RackId, list[Candidate]] = defaultdict(list)
@@ -60,145 +62,183 @@
         groups[candidate.rack].append(candidate)
     near = groups.get(step.near_rack)
     if near is not None:
-        near_plan = _plan_on(unit, near, forecast, borrowers)
+        near_plan = _plan_on(unit, near, forecast, query)
         if near_plan is not None:
             return near_plan
     elif step.same_rack and unit.size > 1:
         plans = [
-            _plan_on(unit, group, forecast, borrowers)
-            for group in groups.values()
+            _plan_on(unit, group, forecast, query) for group in groups.values()
         ]
         possible = [plan for plan in plans if plan is not None]
         if possible:
-            return min(possible, key=lambda plan: plan.total_loss_core_s)
-    return _plan_on(unit, candidates, forecast, borrowers)
+            return min(possible, key=_cost_of)
+    return _plan_on(unit, candidates, forecast, query)
 
 
 def is_worth_loss(
-    unit: Unit, plan: PreemptionPlan, estimates: RuntimeEstimates
+    unit: Unit,
+    plan: PreemptionPlan,
+    estimates: RuntimeEstimates,
+    *,
+    is_overcommitted: bool = False,
 ) -> bool:
     """Return whether the plan's loss is acceptable for the work of ``unit``."""
     queue = unit.job.spec.terms.queue
     work_s = estimates.task_ms(queue, unit.spec) / MS_PER_S
     work_core_s = work_s * unit.weight_cores
-    return plan.total_loss_core_s <= MAX_LOSS_RATIO * work_core_s
+    max_ratio = (
+        MAX_OVERCOMMITTED_LOSS_RATIO if is_overcommitted else MAX_LOSS_RATIO
+    )
+    return plan.total_loss_core_s <= max_ratio * work_core_s
+
+
+def _cost_of(plan: PreemptionPlan) -> float:
+    return plan.total_cost_core_s
 
 
 def _plan_on(
     unit: Unit,
     candidates: Sequence[Candidate],
     forecast: CapacityForecast,
-    borrowers: frozenset[OrganisationId],
+    query: VictimQuery,
 ) -> PreemptionPlan | None:
+    maker = OptionMaker(unit, forecast, query)
     options = [
-        option
-        for candidate in candidates
-        if (option := _make_option(unit, candidate, forecast, borrowers))
+        option for candidate in candidates if (option := maker.make(candidate))
     ]
-    options.sort(key=lambda option: option.total_loss_core_s)
-    plan = _fill_plan(unit, options, forecast)
-    if plan is not None or unit.size <= len(options):
-        return plan
+    plan = _PlanBuilder(unit, maker, forecast, options).build()
+    if plan is not None:
+        return min(
+            (plan, *_gang_plans(unit, maker, forecast, options)), key=_cost_of
+        )
+    if unit.size <= len(options):
+        return None
     # A gang with more tasks than there are workers.
+    options.sort(key=VictimOption.cost_core_s)
     extended = []
     missing = unit.size
     for option in options:
-        extended.append(
-            _extend_option(option, unit, forecast, borrowers, missing)
-        )
-        missing -= min(missing, _count_tasks(extended[-1], unit))
-    return _fill_plan(unit, extended, forecast)
+        extended.append(maker.extend(option, missing))
+        missing -= min(missing, maker.count_tasks(extended[-1]))
+    return _PlanBuilder(unit, maker, forecast, extended).build()
 
 
-def _fill_plan(
+def _gang_plans(
     unit: Unit,
-    options: Iterable[_VictimOption],
+    maker: OptionMaker,
     forecast: CapacityForecast,
-) -> PreemptionPlan | None:
-    """Return a plan of the first of ``options`` that hold ``unit``."""
-    chosen: dict[UnitRef, Unit] = {}
-    placement: list[Candidate] = []
-    for option in options:
-        count = _count_tasks(option, unit)
-        extended = chosen | {victim.ref: victim for victim in option.victims}
-        if not count or not is_within_disruption_budget(extended.values()):
-            continue
-        missing = unit.size - len(placement)
-        placement.extend(repeat(option.candidate, min(count, missing)))
-        chosen = extended
-        if len(placement) == unit.size:
-            victims = tuple(chosen.values())
-            victims_loss_core_s = sum(
-                forecast.loss_core_s(victim) for victim in victims
-            )
-            return PreemptionPlan(
-                tuple(placement), victims, victims_loss_core_s
-            )
-    return None
-
-
-def _make_option(
-    unit: Unit,
-    candidate: Candidate,
-    forecast: CapacityForecast,
-    borrowers: frozenset[OrganisationId],
-) -> _VictimOption | None:
-    """Return what to stop on ``candidate`` so that one more task fits.
+    options: Sequence[VictimOption],
+) -> Iterable[PreemptionPlan]:
+    """Return plans that each stop one gang first, on several workers."""
+    if unit.size == 1:
+        return
+    gangs = {
+        victim.unit.ref: victim
+        for option in options
+        for victim in option.victims
+        if victim.unit.size > 1 and not victim.is_ending
+    }
+    counts = Counter(
+        victim.unit.ref for option in options for victim in option.victims
+    )
+    cheapest = sorted(
+        gangs.values(), key=lambda one: one.cost_core_s / counts[one.unit.ref]
+    )
+    for gang in cheapest[:MAX_COMPARED_GANGS]:
+        plan = _PlanBuilder(unit, maker, forecast, options).build(gang)
+        if plan is not None:
+            yield plan
 
-    Takes the units of the lowest priority and the least loss first; none if a
-    task fits already. Returns None if stopping all of them is not enough.
-    """
-    step = unit.spec
-    if step.required_label and step.required_label not in candidate.labels:
-        return None
-    option = _VictimOption(candidate, [], candidate.free, 0)
-    if count_fitting_tasks(candidate, step):
-        return option
-    if candidate.units_left is not None:
-        return None
-    priority = unit.job.spec.terms.priority
-    for victim in forecast.victims(candidate.worker, priority, borrowers):
-        _add_victim(option, victim)
-        if step.requirements.fits(option.free):
-            return option
-    return None
 
+class _PlanBuilder:
+    """Takes the cheapest options until they hold the unit.
 
-def _extend_option(
-    option: _VictimOption,
-    unit: Unit,
-    forecast: CapacityForecast,
-    borrowers: frozenset[OrganisationId],
-    wanted: int,
-) -> _VictimOption:
-    """Return what to stop there so that up to ``wanted`` tasks fit."""
-    worker = option.candidate.worker
-    priority = unit.job.spec.terms.priority
-    victims = forecast.victims(worker, priority, borrowers)
-    best, best_count = option, _count_tasks(option, unit)
-    extended = _copy_option(option)
-    for victim in victims[len(option.victims) :]:
-        if best_count >= wanted:
-            break
-        _add_victim(extended, victim)
-        count = _count_tasks(extended, unit)
-        if count > best_count:
-            best, best_count = _copy_option(extended), count
-    return best
-
-
-def _copy_option(option: _VictimOption) -> _VictimOption:
-    return msgspec.structs.replace(option, victims=list(option.victims))
-
-
-def _add_victim(option: _VictimOption, victim: Victim) -> None:
-    option.victims.append(victim.unit)
-    option.total_loss_core_s += victim.loss_core_s
-    for allocation in victim.allocations:
-        option.free = option.free.plus(allocation.unit.spec.requirements)
-
-
-def _count_tasks(option: _VictimOption, unit: Unit) -> int:
-    return count_fitting_tasks(
-        option.candidate, unit.spec, future_free=option.free
-    )
+    What an option costs depends on the units that are stopped for those
+    before it.
+    """
+
+    def __init__(
+        self,
+        unit: Unit,
+        maker: OptionMaker,
+        forecast: CapacityForecast,
+        options: Sequence[VictimOption],
+    ) -> None:
+        self._unit = unit
+        self._maker = maker
+        self._forecast = forecast
+        self._options = list(options)
+        self._chosen: dict[UnitRef, Victim] = {}
+        self._placement: list[Candidate] = []
+        self._awaited: dict[UnitRef, Victim] = {}
+        # Positions of the options that stop a unit, and of those tried.
+        self._positions: dict[UnitRef, list[int]] = defaultdict(list)
+        self._tried: set[int] = set()
+        # Cost and position; an entry whose cost has changed is void.
+        self._queue: list[tuple[float, int]] = []
+
+    def build(self, first: Victim | None = None) -> PreemptionPlan | None:
+        """Return the plan, which stops ``first``; None if it is impossible."""
+        for number, option in enumerate(self._options):
+            for victim in option.victims:
+                self._positions[victim.unit.ref].append(number)
+            self._queue.append((option.cost_core_s(), number))
+        heapq.heapify(self._queue)
+        if first is not None:
+            self._choose({first.unit.ref: first})
+        while self._queue and len(self._placement) < self._unit.size:
+            cost, position = heapq.heappop(self._queue)
+            cheapest = self._options[position]
+            is_current = cost == cheapest.cost_core_s(self._chosen)
+            if is_current and position not in self._tried:
+                self._tried.add(position)
+                self._take(cheapest)
+        if len(self._placement) < self._unit.size:
+            return None
+        return self._make_plan()
+
+    def _take(self, option: VictimOption) -> None:
+        count = self._maker.count_tasks(option)
+        added = {
+            victim.unit.ref: victim
+            for victim in option.victims
+            if not victim.is_ending
+        }
+        stopped = (self._chosen | added).values()
+        if not count or not is_within_disruption_budget(
+            victim.unit for victim in stopped
+        ):
+            return
+        missing = self._unit.size - len(self._placement)
+        self._placement.extend(repeat(option.candidate, min(count, missing)))
+        for victim in option.victims:
+            if victim.is_ending:
+                self._awaited[victim.unit.ref] = victim
+        self._choose(added)
+
+    def _choose(self, added: dict[UnitRef, Victim]) -> None:
+        """Stop ``added``; the options that they are part of become cheaper."""
+        new = [ref for ref in added if ref not in self._chosen]
+        self._chosen.update(added)
+        positions = {at for ref in new for at in self._positions[ref]}
+        for position in sorted(positions - self._tried):
+            old = self._options[position]
+            option = self._maker.make(old.candidate, self._chosen) or old
+            self._options[position] = option
+            cost = option.cost_core_s(self._chosen)
+            heapq.heappush(self._queue, (cost, position))
+
+    def _make_plan(self) -> PreemptionPlan:
+        victims = tuple(victim.unit for victim in self._chosen.values())
+        return PreemptionPlan(
+            tuple(self._placement),
+            victims,
+            sum(map(self._forecast.loss_core_s, victims)),
+            sum(victim.cost_core_s for victim in self._chosen.values()),
+            tuple(
+                allocation
+                for victim in self._awaited.values()
+                for allocation in unstopped_allocations(victim.unit)
+                if not victim.unit.is_aborting
+            ),
+        )
--- a/src/bulrushcove/batch/runtime_estimates.py
+++ b/src/bulrushcove/batch/runtime_estimates.py
@@ -49,6 +49,11 @@
         """
         self._means.setdefault(queue, _Mean()).add(duration_ms)
 
+    def is_learnt(self, queue: QueueName) -> bool:
+        """Return whether the declared times of ``queue`` are not used."""
+        mean = self._means.get(queue)
+        return mean is not None and mean.count >= MIN_OBSERVED_RUNS
+
     def task_ms(self, queue: QueueName, step: StepSpec) -> float:
         """Return the expected milliseconds of a task of ``step``."""
         if step.is_service:
@@ -69,6 +74,17 @@
             ends_ms.append(start_ms + self.task_ms(queue, step))
         return max(ends_ms)
 
+    def later_steps_ms(self, spec: JobSpec) -> list[float]:
+        """Return the longest chain of steps after each step of ``spec``."""
+        queue = spec.terms.queue
+        later_ms = [0.0 for _ in spec.steps]
+        for number in reversed(range(len(spec.steps))):
+            step = spec.steps[number]
+            chain_ms = self.task_ms(queue, step) + later_ms[number]
+            for predecessor in step.after:
+                later_ms[predecessor] = max(later_ms[predecessor], chain_ms)
+        return later_ms
+
     def remaining_ms(self, unit: Unit) -> float:
         """Return the expected milliseconds until ``unit`` is done."""
         total_ms = self.task_ms(unit.job.spec.terms.queue, unit.spec)
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import TYPE_CHECKING
 
 from ..ids import WorkerId
@@ -29,6 +29,7 @@
     StopReason,
     Unit,
     UnitPhase,
+    is_unstopped,
     mark_for_stop,
     ready_units,
     unstopped_allocations,
@@ -40,20 +41,23 @@
     find_placement,
     rank_candidates,
 )
+from .plan import PreemptedUnit
 from .policy import find_adviser
 from .preemption_decider import PreemptionDecider
-from .preemption_plan import PreemptionPlan
 from .queue_order import URGENT, sort_waiting_units
 from .sampling import select_examined
 from .shapes import Shape, shape_of
 from .worker_crashes import is_stable
-from .workers import FULL_SPEED_PERCENT, Worker
+from .workers import FULL_SPEED_PERCENT, Worker, is_in_service
 
 if TYPE_CHECKING:
     from .engine import Engine
 
 # Preempted capacity stays reserved for the preempting unit this long.
 PREEMPTION_RESERVATION_S = 2.5
+# Runs that were expected to end within 0.5 s are stopped after this time, so
+# that the unit still starts in time.
+MAX_AWAITED_S = 0.6
 # Smaller units fit between small tasks without a reservation.
 MIN_RESERVED_ACCELERATORS = 4
 
@@ -80,8 +84,12 @@
         self._ranked: dict[tuple[StepRef, Patience], deque[Candidate]] = {}
         # Shapes that did not fit, so that equal units are not tried again.
         self._unplaceable: set[tuple[Shape, Patience]] = set()
-        self._forecast = CapacityForecast(engine.workers, engine.estimates)
+        self._forecast = CapacityForecast(
+            engine.workers, engine.estimates, now_s
+        )
         self.decider = PreemptionDecider(engine, self._forecast, now_s)
+        # Units that this pass preempts.
+        self.preempted: list[PreemptedUnit] = []
 
     def place(self, unit: Unit) -> list[Allocation]:
         """Place ``unit``; returns its allocations, none if it does not fit."""
@@ -138,7 +146,34 @@
         self._engine.preemptions[unit.ref] = (plan, reserved_until_s)
         deduct_requirements(plan.placement, unit.spec)
         self.decider.record_capacity_change()
-        return _stop_victims(plan)
+        return _stop_victims(unit, plan.victims, self._forecast, self.preempted)
+
+    def stop_overdue(self) -> list[Allocation]:
+        """Return the runs to stop that did not end as a plan expected."""
+        stops: list[Allocation] = []
+        preemptions = self._engine.preemptions
+        if not any(plan.awaited for plan, _ in preemptions.values()):
+            return stops
+        for unit in self.waiting:
+            if unit.ref not in preemptions:
+                continue
+            plan, reserved_until_s = preemptions[unit.ref]
+            planned_at_s = reserved_until_s - PREEMPTION_RESERVATION_S
+            if self._now_s - planned_at_s >= MAX_AWAITED_S:
+                overdue = {
+                    awaited.unit.ref: awaited.unit
+                    for awaited in plan.awaited
+                    if is_unstopped(awaited)
+                }
+                stops.extend(
+                    _stop_victims(
+                        unit,
+                        overdue.values(),
+                        self._forecast,
+                        self.preempted,
+                    )
+                )
+        return stops
 
     def reserve(self, unit: Unit) -> None:
         """Reserve the workers that will have capacity for ``unit`` first."""
@@ -353,6 +388,12 @@
         ),
         engine.estimates,
         now_s,
+        running=(
+            unit
+            for job in engine.active.values()
+            for unit in job.units
+            if unit.allocations
+        ),
     )
     if engine.preemptions:
         # What is stopped for a unit must not take the capacity back.
@@ -374,18 +415,16 @@
         and not worker.failed_polls
         and not worker.unknown_incarnation_since_s
     )
-    if not is_responding or worker.orphans or not is_in_service(engine, worker):
+    closed_domains = engine.desired_state.closed_domains
+    if (
+        not is_responding
+        or worker.orphans
+        or not is_in_service(worker, closed_domains)
+    ):
         return False
     return worker.id not in engine.lease_expiry.named
 
 
-def is_in_service(engine: Engine, worker: Worker) -> bool:
-    """Return whether ``worker`` is listed, not draining and its domain open."""
-    entry = worker.entry
-    is_listed = worker.is_listed and not entry.is_draining
-    return is_listed and entry.domain not in engine.desired_state.closed_domains
-
-
 def _make_candidate(engine: Engine, worker: Worker, now_s: float) -> Candidate:
     entry = worker.entry
     reliability = engine.reliability
@@ -420,9 +459,24 @@
     return counts
 
 
-def _stop_victims(plan: PreemptionPlan) -> list[Allocation]:
+def _stop_victims(
+    unit: Unit,
+    victims: Iterable[Unit],
+    forecast: CapacityForecast,
+    preempted: list[PreemptedUnit],
+) -> list[Allocation]:
+    """Return the allocations to stop so that ``unit`` can start.
+
+    Adds the victims to ``preempted``.
+    """
     stops = []
-    for victim in plan.victims:
+    for victim in victims:
+        loss_core_s = forecast.loss_core_s(victim)
+        preempted.append(
+            PreemptedUnit(victim.ref, victim.run, unit.ref, loss_core_s)
+        )
         victim.is_aborting = True
         stops.extend(unstopped_allocations(victim))
+    for allocation in stops:
+        forecast.invalidate(allocation.worker)
     return mark_for_stop(stops, StopReason.PREEMPTED)
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -1,7 +1,7 @@
 """State of a worker as known to the scheduler."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from enum import Enum
 
 import msgspec
@@ -263,6 +263,13 @@
     ]
 
 
+def is_in_service(worker: Worker, closed_domains: Set[DomainName]) -> bool:
+    """Return whether ``worker`` is listed, not draining and its domain open."""
+    entry = worker.entry
+    is_listed = worker.is_listed and not entry.is_draining
+    return is_listed and entry.domain not in closed_domains
+
+
 def find_expired_workers(
     workers: Iterable[Worker], now_s: float
 ) -> list[Worker]:
--- a/src/bulrushcove/node/job_requests.py
+++ b/src/bulrushcove/node/job_requests.py
@@ -1,17 +1,20 @@
 """Submission, cancellation and queries of jobs on the leader."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable
 
 from ..batch.admission import outage_retry_s
 from ..batch.cancellations import CancellationRecord
 from ..batch.engine import Engine
-from ..batch.exceptions import JobCancelledError
+from ..batch.exceptions import JobCancelledError, JobRefusedError
 from ..batch.ids import QueueName
 from ..batch.job_spec import JobSpec
 from ..batch.job_state import Allocation, Job, JobPhase
+from ..batch.overload_admission import JobHopelessError
 from ..clock import Clock
 from ..ids import JobId, OrganisationId
+from ..logs import log_event
 from .exceptions import ServiceUnavailableError
 from .job_records import JobRecords, PendingWrite
 from .metrics import NodeMetrics
@@ -23,6 +26,8 @@
 STORE_CHECK_INTERVAL_S = 0.1
 STORE_UNAVAILABLE = 'the store is unavailable; no job can be accepted'
 
+logger = logging.getLogger(__name__)
+
 
 class JobRequestHandler:
     """Carries out callers' job requests on the leader."""
@@ -62,6 +67,10 @@
             # Until it is stored, a new leader would accept the job.
             await _wait_if_pending(self._records.pending_cancellation(spec.job))
             raise
+        except JobRefusedError as exc:
+            _log_refused_job(spec, exc)
+            self._metrics.record_refused_job(exc)
+            raise
         if is_new:
             self._records.write_submission(job)
             self._metrics.record_accepted_job(job)
@@ -169,6 +178,27 @@
         await asyncio.shield(write)
 
 
+def _log_refused_job(spec: JobSpec, refused: JobRefusedError) -> None:
+    fields: dict[str, float] = {}
+    if isinstance(refused, JobHopelessError):
+        outlook = refused.outlook
+        fields = {
+            'wait_s': round(outlook.wait_s, 1),
+            'latest_start_s': round(outlook.latest_start_s, 1),
+            'used_share': round(outlook.used_share, 2),
+            'age_s': round(refused.age_s, 1),
+        }
+    log_event(
+        logger,
+        'job.refused',
+        job=spec.job,
+        queue=spec.terms.queue,
+        cause=refused.cause.value,
+        retry_after_s=round(refused.retry_after_s, 1),
+        **fields,
+    )
+
+
 def _do_nothing() -> None:
     """Stand in for a handler that is set later."""
 
--- a/src/bulrushcove/node/metrics.py
+++ b/src/bulrushcove/node/metrics.py
@@ -1,7 +1,9 @@
 """Prometheus metrics of the node program."""
 
 from ..batch.engine import Engine
+from ..batch.exceptions import JobRefusedError
 from ..batch.job_state import Job
+from ..batch.plan import PreemptedUnit
 from ..batch.worker_crashes import AccusedRun
 from ..metrics import Metrics
 
@@ -35,6 +37,17 @@
             'bulrushcove_jobs_given_up_total',
             'Jobs that failed as a task crashes its workers.',
         )
+        self._refused_jobs = metrics.counter(
+            'bulrushcove_jobs_refused_total', 'Jobs refused by cause.'
+        )
+        self._preempted_core_seconds = metrics.counter(
+            'bulrushcove_preempted_core_seconds_total',
+            'Work lost by stops for urgent units.',
+        )
+        self._backlog_seconds = metrics.gauge(
+            'bulrushcove_backlog_seconds',
+            'Time that the pool with most work needs for all of it.',
+        )
         self._loop_delay_seconds = metrics.histogram(
             'bulrushcove_loop_delay_seconds',
             'Delays of the event loop above 10 ms.',
@@ -62,6 +75,14 @@
         if accused.history.is_conclusive:
             self._jobs_given_up.inc({})
 
+    def record_refused_job(self, refused: JobRefusedError) -> None:
+        """Count a refused job."""
+        self._refused_jobs.inc({'cause': refused.cause.value})
+
+    def record_preempted_unit(self, preempted: PreemptedUnit) -> None:
+        """Add the work that is lost with a preempted unit."""
+        self._preempted_core_seconds.add({}, preempted.loss_core_s)
+
     def record_engine_state(self, engine: Engine) -> None:
         """Set the gauges from the leader's engine."""
         self._active_jobs.set({}, len(engine.active))
@@ -71,3 +92,5 @@
             if worker.has_reported and not worker.failed_polls
         )
         self._usable_workers.set({}, usable)
+        backlogs_s = engine.overload.forecasts.latest_backlogs_s()
+        self._backlog_seconds.set({}, max(backlogs_s.values(), default=0))
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -8,7 +8,7 @@
 from ..batch.engine import Engine
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
-from ..batch.plan import Plan
+from ..batch.plan import Plan, PreemptedUnit
 from ..batch.policy import DesiredState
 from ..clock import MS_PER_S, Clock
 from ..exceptions import StoreError
@@ -239,6 +239,9 @@
         for accused in plan.accused:
             log_accused_run(accused)
             self._metrics.record_accused_run(accused)
+        for preempted in plan.preempted:
+            _log_preempted_unit(preempted)
+            self._metrics.record_preempted_unit(preempted)
         starts = plan.starts_by_job()
         for job in plan.changed:
             write = self._records.write_progress(job)
@@ -266,3 +269,18 @@
                 self._worker_events.handle_start_dropped(allocation)
             else:
                 link.orders.order_start(allocation, ticket)
+
+
+def _log_preempted_unit(preempted: PreemptedUnit) -> None:
+    unit = preempted.unit
+    log_event(
+        logger,
+        'run.preempted',
+        job=unit.job,
+        occurrence=unit.occurrence,
+        step=unit.step,
+        index=unit.index,
+        run=preempted.run,
+        urgent_job=preempted.urgent_unit.job,
+        loss_core_s=round(preempted.loss_core_s, 1),
+    )
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -12,7 +12,7 @@
 from ..batch.pacing import update_throttle
 from ..batch.plan import Plan
 from ..batch.reconcile import AllocationEnd
-from ..batch.scheduling_pass import is_in_service, is_schedulable
+from ..batch.scheduling_pass import is_schedulable
 from ..batch.worker_crashes import AccusedRun
 from ..batch.workers import (
     EndedTask,
@@ -20,6 +20,7 @@
     ReportedEnds,
     Worker,
     WorkerReport,
+    is_in_service,
 )
 from ..clock import MS_PER_S, Clock
 from ..ids import WorkerId
@@ -107,7 +108,7 @@
         return (
             is_start_open
             and not worker.exceeds_capacity()
-            and is_in_service(self._engine, worker)
+            and is_in_service(worker, self._engine.desired_state.closed_domains)
         )
 
     def handle_report(
