Learn slowdowns from the rate of a run, not relative to its image

Only changes within one run are compared, so that its length cancels without a mean. 64 images of earlier jobs no longer keep new ones from being learnt either. The new test fails without the change; test_batch_interference, test_batch_pacing and test_node_worker_events pass.

--- a/src/bulrushcove/batch/interference.py
+++ b/src/bulrushcove/batch/interference.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import msgspec
 
@@ -17,7 +17,7 @@
 from .job_spec import JobSpec
 from .job_state import Allocation
 from .neighbour_changes import FULL_WORKER, NeighbourChanges, ObservedChange
-from .recent_rate import RecentRates
+from .recent_rate import MAX_WINDOW_S, RecentRates
 from .workers import Worker
 
 # Slowdown from the ratio of tail latency to target at which best-effort tasks
@@ -42,12 +42,11 @@
 MAX_PAIRS = 256
 # How often old evidence is dropped; much shorter than it lasts.
 REVIEW_INTERVAL_S = 1.0
-# Progress below a twentieth of the expected rate is no effect of a neighbour.
-MIN_RELATIVE_RATE = 0.05
+# Less than a percent in the time over which a rate is taken tells nothing.
+MIN_RATE_PERCENT_PER_S = 1 / MAX_WINDOW_S
 
 # Victim and neighbour.
 Pair = tuple[ImageName, ImageName]
-RelativeRate = Callable[[Allocation], float | None]
 
 
 class PairChange(msgspec.Struct, frozen=True, kw_only=True):
@@ -116,15 +115,9 @@
 class InterferenceModel:
     """Pairs of images of which one slows the other; the leader's memory."""
 
-    def __init__(self, relative_rate: RelativeRate | None = None) -> None:
-        """Start without any evidence.
-
-        ``relative_rate`` returns the progress rate of a run over the last
-        seconds relative to the expected one; by default to the mean of other
-        runs of its image.
-        """
+    def __init__(self) -> None:
+        """Start without any evidence."""
         self._rates = RecentRates()
-        self._relative_rate = relative_rate or self._rates.relative_rate
         # Whether a job with an image was accepted; without any, nothing is
         # learnt and nothing is done.
         self.sees_images = False
@@ -199,8 +192,11 @@
             if allocation.load <= 0:
                 return None
             return math.log(allocation.load / (spec.target_tail_ms or 1))
-        rate = self._relative_rate(allocation)
-        return None if rate is None else -math.log(max(rate, MIN_RELATIVE_RATE))
+        # Only changes within one run count, so that its length cancels out.
+        rate = self._rates.recent_rate(allocation)
+        if rate is None:
+            return None
+        return -math.log(max(rate, MIN_RATE_PERCENT_PER_S))
 
     def _has_room(self, pair: Pair) -> bool:
         return pair in self._evidence or len(self._evidence) < MAX_PAIRS
--- a/src/bulrushcove/batch/recent_rate.py
+++ b/src/bulrushcove/batch/recent_rate.py
@@ -1,16 +1,13 @@
-"""Progress rates of the last seconds, relative to other runs of the image.
+"""Progress rates of runs over the last seconds.
 
 A rate is never taken over a time in which other tasks came to the worker or
 left it.
 """
 
-import math
-
 import msgspec
 
 from ..ids import WorkerId
-from .effect_estimate import EffectEstimate
-from .ids import ImageName, RunRef
+from .ids import RunRef
 from .job_state import Allocation, AllocationPhase
 from .workers import FULL_SPEED_PERCENT, Worker
 
@@ -21,8 +18,6 @@
 MAX_WINDOW_S = 3.0
 # Reports are at most 1.5 s apart.
 MAX_SILENCE_S = 10.0
-# Images whose mean rate is remembered.
-MAX_IMAGES = 64
 
 
 class _Window(msgspec.Struct, eq=False):
@@ -43,8 +38,6 @@
     def __init__(self) -> None:
         """Start without any rate."""
         self._workers: dict[WorkerId, _WorkerRates] = {}
-        # Of the logarithms of rates.
-        self._means: dict[ImageName, EffectEstimate] = {}
 
     def record(self, worker: Worker, now_s: float) -> None:
         """Record the progress in a worker's report that was just applied."""
@@ -75,18 +68,14 @@
         for worker in silent:
             self._workers.pop(worker)
 
-    def relative_rate(self, allocation: Allocation) -> float | None:
-        """Return the rate of a run over the mean of its image.
+    def recent_rate(self, allocation: Allocation) -> float | None:
+        """Return the rate of a run in percent per second.
 
         None: not known, as the run has just begun or has no image.
         """
         rates = self._workers.get(allocation.worker, _WorkerRates())
         window = rates.windows.get(allocation.ref)
-        mean = self._means.get(allocation.unit.spec.image)
-        if window is None or mean is None:
-            return None
-        rate = window.rate_percent_per_s
-        return None if rate is None else rate / math.exp(mean.mean)
+        return None if window is None else window.rate_percent_per_s
 
     def _update(
         self, window: _Window, allocation: Allocation, now_s: float
@@ -102,10 +91,6 @@
         window.rate_percent_per_s = rate
         window.began_at_s = now_s
         window.began_percent = allocation.percent
-        image = allocation.unit.spec.image
-        if rate > 0 and (image in self._means or len(self._means) < MAX_IMAGES):
-            mean = self._means.setdefault(image, EffectEstimate())
-            mean.add(math.log(rate), 1, now_s)
 
 
 def _makes_progress(allocation: Allocation) -> bool:
--- a/tests/test_batch_interference.py
+++ b/tests/test_batch_interference.py
@@ -340,3 +340,30 @@
     world.ends_at_s[added.ref] += 10
     world.run(5)
     assert bool(world.model._evidence) is is_observed
+
+
+class WavesOfShortTasks(World):
+    """A long task of an image on each worker, short ones of it in waves."""
+
+    def come_and_go(self, worker):
+        for ref in tuple(worker.allocations):
+            if self.now_s >= self.ends_at_s[ref]:
+                worker.allocations.pop(ref)
+        if not worker.allocations:
+            self.add_task(worker, 10, 1e9)
+        if (self.now_s - 100) % 14 == 2 + 0.5 * (int(worker.id[1:]) % 2):
+            self.add_task(worker, 0.5, 5.5)
+
+    def add_task(self, worker, factor, lasts_s):
+        added = self.add(worker, 'train')
+        self.factors[added.ref] = factor
+        self.ends_at_s[added.ref] = self.now_s + lasts_s
+
+
+def test_short_tasks_of_an_image_do_not_make_its_long_ones_slow():
+    world = WavesOfShortTasks(
+        0, service_images=(), filling_images=(), cold_share=0
+    )
+    world.slowness = dict.fromkeys(world.slowness, 0)
+    world.run(90)
+    assert not world.named_ever
