Let urgent units preempt on workers that were suspected a moment ago

Cause: preemption leaves out workers with a limit of units. Since closed ones have one, so that an urgent unit displaced nothing there.

Change: a worker that only a new suspicion limits takes one urgent unit by preemption, as long as it takes a unit at all.

Ruled out: preemption on all limited workers; those where runs failed or stalled stay left out as before.

--- a/src/bulrushcove/batch/pass_candidates.py
+++ b/src/bulrushcove/batch/pass_candidates.py
@@ -10,6 +10,7 @@
 from .placement import Candidate
 from .progress_model import count_trial_units, suspicion_standing
 from .worker_crashes import is_stable
+from .worker_reliability import Standing
 from .workers import Worker
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
         units_left=_count_units_left(engine, worker, now_s),
         awaits_progress=bool(worker.suspected_since_s)
         or reliability.has_stalled(worker.id),
+        is_closed=_is_closed(engine, worker, now_s),
         is_trial_due=reliability.is_trial_due(worker.id, now_s),
         is_idle=not worker.allocations,
         is_stable=is_stable(worker, now_s),
@@ -72,6 +74,13 @@
     )
 
 
+def _is_closed(engine: Engine, worker: Worker, now_s: float) -> bool:
+    """Return whether nothing but a new suspicion limits the worker."""
+    standing = suspicion_standing(worker, now_s)
+    limit = engine.reliability.count_trial_units(worker, now_s)
+    return standing is Standing.QUARANTINED and limit is None
+
+
 def _count_units_left(
     engine: Engine, worker: Worker, now_s: float
 ) -> int | None:
--- a/src/bulrushcove/batch/placement.py
+++ b/src/bulrushcove/batch/placement.py
@@ -38,6 +38,8 @@
     units_left: int | None = None
     # Whether it may get more only once a run has progressed there.
     awaits_progress: bool = False
+    # Whether it is limited only as it was suspected a moment ago.
+    is_closed: bool = False
     # Whether it may be tried although it is quarantined.
     is_trial_due: bool = False
     # Whether it has no runs, and whether it has been up for a while.
--- a/src/bulrushcove/batch/preemption_plan.py
+++ b/src/bulrushcove/batch/preemption_plan.py
@@ -154,7 +154,8 @@
     option = _VictimOption(candidate, [], candidate.free, 0)
     if count_fitting_tasks(candidate, step):
         return option
-    if candidate.units_left is not None:
+    is_closed = candidate.is_closed and candidate.units_left
+    if candidate.units_left is not None and not is_closed:
         return None
     priority = unit.job.spec.terms.priority
     for victim in forecast.victims(candidate.worker, priority, borrowers):
