Go on with chunked bodies after an error, and after a full turn

Cause: an error of one body left a turn marked as scheduled that never came, so that no chunked body of the address was decoded any more. A body whose last chunk was the last one of a turn was decoded again in the next turn, which took the next pipelined request for its trailer.

Ruled out: to swallow errors in the turns; who raises them still logs them.

The comment on the size of a turn named a measurement; it says where the bound comes from.

--- a/src/bulrushcove/node/chunk_turns.py
+++ b/src/bulrushcove/node/chunk_turns.py
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 from itertools import count
 
-# Takes about two milliseconds.
+# Far shorter than the wait for an answer that callers notice.
 MAX_CHUNKS_PER_TURN = 1000
 
 # Decodes up to so many chunks; returns how many. If it is as many, there may
@@ -44,12 +44,14 @@
 
     def _begin_turn(self) -> None:
         self._left = MAX_CHUNKS_PER_TURN
-        while self._waiting and self._left > 0:
-            decoded_before, _, decode = heappop(self._waiting)
-            self._run(decoded_before, decode)
-        self._is_scheduled = bool(self._waiting)
-        if self._is_scheduled:
-            self._call_soon(self._begin_turn)
+        try:
+            while self._waiting and self._left > 0:
+                decoded_before, _, decode = heappop(self._waiting)
+                self._run(decoded_before, decode)
+        finally:
+            self._is_scheduled = bool(self._waiting)
+            if self._is_scheduled:
+                self._call_soon(self._begin_turn)
 
     def _run(self, decoded_before: int, decode: Decode) -> None:
         allowed = self._left
--- a/src/bulrushcove/node/chunked_body.py
+++ b/src/bulrushcove/node/chunked_body.py
@@ -71,7 +71,7 @@
             position = line.end()
             self._begin_chunk(int(line[1], HEX_BASE))
             chunks += 1
-        if self._has_last_chunk:
+        if self._has_last_chunk and not self.is_whole:
             position = self._read_trailer(raw, position)
         return Decoded(chunks, position)
 
--- a/tests/test_node_chunk_turns.py
+++ b/tests/test_node_chunk_turns.py
@@ -1,5 +1,7 @@
 """Chunked bodies share the event loop out among them."""
 
+import pytest
+
 from bulrushcove.node.chunk_turns import MAX_CHUNKS_PER_TURN, ChunkTurns
 
 MANY_CHUNKS = 262_144
@@ -71,3 +73,22 @@
         turn_count += 1
         assert turn_count < 10
     assert [body.left for body in bodies] == [0, 0]
+
+
+def test_an_error_of_one_body_does_not_stop_the_turns():
+    loop = Loop()
+    turns = ChunkTurns(loop.call_soon)
+
+    def fail(_max_chunks):
+        raise OSError
+
+    first, last = Body(MAX_CHUNKS_PER_TURN), Body(3)
+    turns.decode(0, first.decode)
+    turns.decode(0, fail)
+    turns.decode(1, last.decode)
+    with pytest.raises(OSError):
+        loop.run_turn()
+    loop.run_turn()
+    assert last.left == 0
+    turns.decode(0, Body(3).decode)
+    assert loop.scheduled
