Hold clients that do not read, and stops that wait, within the limits

Causes: - A refusal of a client that had reset raised an OSError in a turn. - The next pipelined request was handled while the answer before it was unread, so that its connection counted as handled and was exempt from all limits; unread answers did not count as held. - A byte more, received while a request was handled, took the place of the handled request in what is held; chunks that wait for a turn did not count before the first of them was decoded. - A stop closed connections whose answer was being written or whose whole body waited to be decoded, and the wait for turns counted as the time of the client. - A new caller was closed before idle ones that had been served.

Now a connection whose answer is partly unread begins no request, is idle from the end of the handling on and may be closed; a stop waits for decoding, handling and answers within SHUTDOWN_TIMEOUT_S, and closes the others at once. The few connections accepted last go after the idle ones.

Ruled out: to decode all waiting bodies at once in a stop, which would hold up the answers of the others; the age of a new connection in seconds, by which a fast crowd of silent ones would push out all idle callers.

Before: the tests of tests/test_node_request_intake.py but test_a_client_that_reads_late_gets_its_next_answer failed, and two new ones of tests/test_node_connection_budget.py. After: they pass.

--- a/src/bulrushcove/node/connection_budget.py
+++ b/src/bulrushcove/node/connection_budget.py
@@ -9,9 +9,9 @@
 chosen, and passes the time in.
 """
 
+from bisect import bisect_left
 from collections.abc import Iterator
 from enum import Enum
-from heapq import nsmallest
 from operator import attrgetter
 
 import msgspec
@@ -55,6 +55,7 @@
 
     __slots__ = (
         'began_at_s',
+        'decoding_since_s',
         'heard_at_s',
         'idle_timeout_s',
         'held_bytes',
@@ -79,11 +80,32 @@
         self.is_body = False
         # Whether a complete request is being handled.
         self.is_handled = False
+        # When its chunks began to wait for turns; None: they do not.
+        self.decoding_since_s: float | None = None
         # Whether it has completed a request.
         self.served = False
         # Longest silence between two requests; None: that of callers.
         self.idle_timeout_s: float | None = None
 
+    @property
+    def is_decoding(self) -> bool:
+        """Return whether chunks that arrived wait to be decoded."""
+        return self.decoding_since_s is not None
+
+    def begin_decoding(self, now_s: float) -> None:
+        """Note that chunks wait for turns, which is not the client's time."""
+        self.decoding_since_s = now_s
+
+    def end_decoding(self, now_s: float) -> None:
+        """Note that all chunks that arrived are decoded."""
+        if self.decoding_since_s is None:
+            return
+        waited_s = now_s - self.decoding_since_s
+        self.decoding_since_s = None
+        self.heard_at_s += waited_s
+        if self.began_at_s is not None:
+            self.began_at_s += waited_s
+
     def begin_request(self, *, is_body: bool) -> None:
         """Note that a part of a request has arrived, its head if ``is_body``.
 
@@ -158,7 +180,7 @@
 
         Those that hold most are closed for memory. For connections those that
         have never completed a request go first, then those whose last one is
-        the longest ago.
+        the longest ago; the few that were accepted last go after them.
         """
         chosen = dict.fromkeys(self._choose_largest(), CloseReason.MEMORY)
         for connection in self._choose_silent():
@@ -198,17 +220,21 @@
         if excess <= 0:
             return []
         spared = int(self.limits.connections * (1 - SHARE_AFTER_CLOSING))
-        return nsmallest(
-            excess + spared,
+        closable = sorted(
             (each for each in self.connections if not each.is_handled),
             key=attrgetter('served', 'progressed_at_s'),
         )
+        # Those accepted last have had no time for a request yet.
+        end = bisect_left(closable, 1, key=attrgetter('served'))
+        begin = max(0, end - max(1, spared))
+        ranked = closable[:begin] + closable[end:] + closable[begin:end]
+        return ranked[: excess + spared]
 
 
 def _find_overdue(
     connection: ClientConnection, now_s: float, limits: RequestLimits
 ) -> CloseReason | None:
-    if connection.is_handled:
+    if connection.is_handled or connection.is_decoding:
         return None
     idle_s = connection.idle_timeout_s or limits.idle_timeout_ms / MS_PER_S
     if connection.began_at_s is None:
--- a/src/bulrushcove/node/http_ports.py
+++ b/src/bulrushcove/node/http_ports.py
@@ -1,6 +1,7 @@
 """HTTP servers of the node program: start of a server, metrics handler."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -17,6 +18,8 @@
 BACKLOG = 1024
 # Time for open connections to finish when the server stops.
 SHUTDOWN_TIMEOUT_S = 0.4
+# Then what is still handled is cancelled; zero would mean no limit.
+CANCELLATION_TIMEOUT_S = 0.01
 # All connections of an address read into one buffer of this size.
 READ_BYTES = 65_536
 # Beyond any head: its size was checked before the parser sees it.
@@ -55,7 +58,9 @@
                 cast(_ConnectionHandler, request.protocol).finish_request()
 
         super().__init__(handle)
-        self.intakes: set[RequestIntake] = set()
+        self._intakes: set[RequestIntake] = set()
+        self._has_closed_all = asyncio.Event()
+        self._has_closed_all.set()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._guard = guard
         self._turns = ChunkTurns(asyncio.get_running_loop().call_soon)
@@ -71,13 +76,29 @@
             self._turns,
             lambda: _ConnectionHandler(self, intake.finish_request),
         )
-        self.intakes.add(intake)
+        self._intakes.add(intake)
+        self._has_closed_all.clear()
         return intake
 
+    def forget_intake(self, intake: RequestIntake) -> None:
+        """Forget a connection that was closed."""
+        self._intakes.discard(intake)
+        if not self._intakes:
+            self._has_closed_all.set()
+
     def pre_shutdown(self) -> None:
-        super().pre_shutdown()
-        for intake in tuple(self.intakes):
-            intake.close_unless_handled()
+        # The handlers are not closed here: those whose whole request is still
+        # decoded would not handle it any more.
+        for intake in tuple(self._intakes):
+            intake.stop()
+
+    async def shutdown(self, timeout_s: float | None = None) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._has_closed_all.wait()
+        for intake in tuple(self._intakes):
+            intake.abort()
+        await super().shutdown(CANCELLATION_TIMEOUT_S)
 
 
 class _BoundedProtocol(asyncio.BufferedProtocol):
@@ -101,8 +122,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if self._intake is not None:
-            self._server.intakes.discard(self._intake)
             self._intake.end(exc)
+            self._server.forget_intake(self._intake)
 
     def pause_writing(self) -> None:
         if self._intake is not None and self._intake.server is not None:
@@ -111,6 +132,7 @@
     def resume_writing(self) -> None:
         if self._intake is not None and self._intake.server is not None:
             self._intake.server.resume_writing()
+            self._intake.resume()
 
 
 async def start_http_server(
--- a/src/bulrushcove/node/request_intake.py
+++ b/src/bulrushcove/node/request_intake.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -59,9 +60,15 @@
         self._loop = asyncio.get_running_loop()
         # After a refusal, or the end of the connection.
         self._is_ended = False
-        # Chunks decoded of the unfinished body; whether more wait.
+        # Chunks decoded of the unfinished body.
         self._decoded_chunks = 0
-        self._is_decoding = False
+        # Size of the request that is being handled.
+        self._handled_bytes = 0
+        # Whether a part of the last response waits for the client to read.
+        self._is_answering = False
+        self._is_stopping = False
+        # A response that is partly unread keeps the next request waiting.
+        transport.set_write_buffer_limits(0)
         self._connection = guard.open(transport.abort)
 
     def receive(self, piece: memoryview) -> None:
@@ -70,7 +77,7 @@
             return
         self._connection.heard_at_s = self._loop.time()
         self._assembly.feed(piece)
-        if self._connection.is_handled or self._is_decoding:
+        if self._is_busy:
             self._transport.pause_reading()
             self._hold()
         else:
@@ -88,15 +95,42 @@
         """Go on with the next request, once the response is written."""
         self._loop.call_soon(self._begin_next)
 
-    def close_unless_handled(self) -> None:
-        """Close the connection unless a request of it is handled."""
-        if not self._connection.is_handled:
-            self._transport.abort()
+    def resume(self) -> None:
+        """Go on once the client has read what was written."""
+        if self._is_answering:
+            self.finish_request()
+
+    def stop(self) -> None:
+        """Close the connection once its whole request is answered."""
+        self._is_stopping = True
+        if not self._is_busy:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+    @property
+    def _is_busy(self) -> bool:
+        connection = self._connection
+        return (
+            connection.is_handled
+            or connection.is_decoding
+            or self._is_answering
+        )
 
     def _begin_next(self) -> None:
         self._connection.is_handled = False
+        self._handled_bytes = 0
         self._connection.heard_at_s = self._loop.time()
-        if not self._is_ended:
+        self._is_answering = self._transport.get_write_buffer_size() > 0
+        if self._is_ended:
+            return
+        if self._is_answering:
+            self._hold()
+        elif self._is_stopping:
+            self._transport.close()
+        else:
             self._process()
 
     def _process(self) -> None:
@@ -106,7 +140,8 @@
             self._refuse(exc)
             return
         if self._assembly.needs_decoding:
-            self._is_decoding = True
+            self._connection.begin_decoding(self._loop.time())
+            self._hold()
             self._turns.decode(self._decoded_chunks, self._decode)
         else:
             self._settle()
@@ -121,8 +156,8 @@
             self._refuse(exc)
             return 0
         self._decoded_chunks += chunks
-        self._is_decoding = chunks == max_chunks
-        if not self._is_decoding:
+        if chunks < max_chunks:
+            self._connection.end_decoding(self._loop.time())
             self._settle()
         return chunks
 
@@ -132,6 +167,9 @@
         if self._assembly.is_whole:
             self._hand_over()
             return
+        if self._is_stopping:
+            self._transport.close()
+            return
         if not self._assembly.is_empty:
             self._connection.begin_request(is_body=self._assembly.has_head)
         self._hold()
@@ -141,25 +179,32 @@
         self._decoded_chunks = 0
         self._connection.complete_request()
         self._connection.is_handled = True
-        self._hold(len(message))
+        self._handled_bytes = len(message)
+        self._hold()
         if self.server is None:
             self.server = self._make_server()
             self.server.connection_made(self._transport)
         self.server.data_received(message)
 
-    def _hold(self, handled_bytes: int = 0) -> None:
-        held_bytes = self._assembly.held_bytes + handled_bytes
-        self._guard.hold(self._connection, held_bytes)
+    def _hold(self) -> None:
+        unread_bytes = self._transport.get_write_buffer_size()
+        self._guard.hold(
+            self._connection,
+            self._assembly.held_bytes + self._handled_bytes + unread_bytes,
+        )
 
     def _refuse(self, exc: RequestRefusedError) -> None:
         """Answer and end; the client has the time of a head to read it."""
         self._is_ended = True
+        self._connection.end_decoding(self._loop.time())
         self._guard.report_refusal(str(exc.status.value))
         self._assembly = RequestAssembly()
         self._connection.complete_request()
         self._connection.begin_request(is_body=False)
         self._transport.write(_render_refusal(exc))
-        self._transport.write_eof()
+        # The client may have reset the connection meanwhile.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
         self._transport.resume_reading()
         self._hold()
 
--- a/tests/test_node_connection_budget.py
+++ b/tests/test_node_connection_budget.py
@@ -85,6 +85,17 @@
     assert list(close_excess(budget)) == [connections[1]]
 
 
+def test_a_new_caller_is_closed_after_idle_ones():
+    """Connections that were served fill the budget."""
+    budget = ConnectionBudget(BudgetLimits(10**6, 20))
+    for number in range(20):
+        accept(budget, float(number)).complete_request()
+    caller = accept(budget, 30.0)
+    closed = close_excess(budget)
+    assert closed
+    assert caller not in closed
+
+
 def test_a_request_that_is_handled_is_never_closed():
     budget = ConnectionBudget(BudgetLimits(1000, 1))
     handled = accept(budget)
@@ -127,6 +138,18 @@
     assert found.get(connection) is reason
 
 
+def test_the_wait_for_turns_is_not_the_time_of_the_client():
+    budget = ConnectionBudget(BudgetLimits(10**6, 10))
+    connection = accept(budget)
+    begin_body(budget, connection, 1)
+    connection.begin_decoding(10.0)
+    assert budget.choose_overdue(1000.0, LIMITS) == []
+    connection.end_decoding(1000.0)
+    assert budget.choose_overdue(1004.9, LIMITS) == []
+    found = budget.choose_overdue(1020.1, LIMITS)
+    assert found == [(connection, CloseReason.BODY_LATE)]
+
+
 def test_an_idle_connection_is_closed_by_the_limits_in_force():
     budget = ConnectionBudget(BudgetLimits(10**6, 10))
     caller = accept(budget)
