Keep room for peers, readiness and metrics beside a crowd of callers

Cause: the largest unfinished request went first for memory, which was the large frame of a peer, and connections of peers, readiness and metrics ranked among callers. While requests in the handler took the memory, the smallest unfinished requests were closed, although that freed nothing.

Now frames of two peers (at most half of the memory) and an eighth of the connections are kept for those that are no callers' and were served; these are closed only for what they hold beyond that, and callers then only for what is still missing. None is closed for memory that holds less than its even share of it: if all held less, nothing would be exceeded.

Ruled out: room for streams on top of the budget, which the machine may not have; room for unserved connections to the internal ports, which anyone may open.

Before: the five new tests of tests/test_node_connection_budget.py failed. After: they pass.

--- a/src/bulrushcove/node/application.py
+++ b/src/bulrushcove/node/application.py
@@ -160,7 +160,12 @@
             ),
         ):
             self._servers.append(
-                await start_http_server(address, handler, self._guard)
+                await start_http_server(
+                    address,
+                    handler,
+                    self._guard,
+                    is_internal=handler != self._job_api.handle,
+                )
             )
         leader_record = PrefixCache(
             self._store,
--- a/src/bulrushcove/node/connection_budget.py
+++ b/src/bulrushcove/node/connection_budget.py
@@ -10,7 +10,7 @@
 """
 
 from bisect import bisect_left
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from enum import Enum
 from operator import attrgetter
 
@@ -18,6 +18,7 @@
 
 from ..batch.policy import RequestLimits
 from ..clock import MS_PER_S
+from ..wire import MAX_FRAME_BYTES
 
 BYTES_PER_MB = 1024 * 1024
 # Memory and descriptors of a machine whose settings do not name them.
@@ -31,6 +32,11 @@
 CONNECTION_SHARE = 0.5
 # Closes as many as leave this share, so that a crowd is rarely searched.
 SHARE_AFTER_CLOSING = 0.875
+# Kept for the served connections of peers, readiness and metrics: frames of
+# two peers, at most this share of the memory, and this share of connections.
+RESERVED_BYTES = 2 * MAX_FRAME_BYTES
+RESERVED_HELD_SHARE = 0.5
+RESERVED_CONNECTION_SHARE = 0.125
 # A body of 256 KB takes 21 s at 100 kbit/s, the slowest link worth waiting for.
 MAX_BODY_S = 30.0
 
@@ -61,6 +67,7 @@
         'held_bytes',
         'is_body',
         'is_handled',
+        'is_internal',
         'progressed_at_s',
         'served',
     )
@@ -84,9 +91,16 @@
         self.decoding_since_s: float | None = None
         # Whether it has completed a request.
         self.served = False
+        # Whether it is no caller's: a peer's, or one for readiness or metrics.
+        self.is_internal = False
         # Longest silence between two requests; None: that of callers.
         self.idle_timeout_s: float | None = None
 
+    @property
+    def is_reserved(self) -> bool:
+        """Return whether room is kept for it; a peer has sent its hello."""
+        return self.is_internal and self.served
+
     @property
     def is_decoding(self) -> bool:
         """Return whether chunks that arrived wait to be decoded."""
@@ -178,9 +192,11 @@
     ) -> list[tuple[ClientConnection, CloseReason]]:
         """Return the connections to close for the limits to hold again.
 
-        Those that hold most are closed for memory. For connections those that
-        have never completed a request go first, then those whose last one is
-        the longest ago; the few that were accepted last go after them.
+        Those that hold most are closed for memory, none that holds less than
+        its even share. For connections those that have never completed a
+        request go first, then those whose last one is the longest ago; the
+        few that were accepted last go after them. Room that is reserved is
+        exceeded only by the connections that it is kept for.
         """
         chosen = dict.fromkeys(self._choose_largest(), CloseReason.MEMORY)
         for connection in self._choose_silent():
@@ -198,32 +214,56 @@
                 overdue.append((connection, reason))
         return overdue
 
-    def _choose_largest(self) -> Iterator[ClientConnection]:
-        excess_bytes = self.held_bytes - self.limits.held_bytes
+    def _choose_largest(self) -> list[ClientConnection]:
+        limit_bytes = self.limits.held_bytes
+        excess_bytes = self.held_bytes - limit_bytes
         if excess_bytes <= 0:
-            return
-        spared_bytes = self.limits.held_bytes * (1 - SHARE_AFTER_CLOSING)
-        to_free_bytes = excess_bytes + spared_bytes
-        unfinished = sorted(
-            (each for each in self.connections if not each.is_handled),
-            key=attrgetter('held_bytes'),
-            reverse=True,
+            return []
+        closable, reserved = self._group_closable()
+        kept_bytes = min(RESERVED_BYTES, limit_bytes * RESERVED_HELD_SHARE)
+        chosen = list(
+            self._take_largest(reserved, _add_held(reserved) - kept_bytes)
         )
-        for connection in unfinished:
-            if to_free_bytes <= 0 or not connection.held_bytes:
+        excess_bytes -= _add_held(chosen)
+        if excess_bytes > 0:
+            spared_bytes = limit_bytes * (1 - SHARE_AFTER_CLOSING)
+            chosen += self._take_largest(closable, excess_bytes + spared_bytes)
+        return chosen
+
+    def _take_largest(
+        self, group: list[ClientConnection], to_free_bytes: float
+    ) -> Iterator[ClientConnection]:
+        """Yield the largest of ``group`` until ``to_free_bytes`` are free."""
+        share_bytes = self.limits.held_bytes / self.limits.connections
+        for connection in sorted(
+            group, key=attrgetter('held_bytes'), reverse=True
+        ):
+            if to_free_bytes <= 0 or connection.held_bytes < share_bytes:
                 return
             to_free_bytes -= connection.held_bytes
             yield connection
 
+    def _group_closable(
+        self,
+    ) -> tuple[list[ClientConnection], list[ClientConnection]]:
+        """Return those that may be closed, and those with reserved room."""
+        groups: tuple[list[ClientConnection], list[ClientConnection]]
+        groups = ([], [])
+        for connection in self.connections:
+            if not connection.is_handled:
+                groups[connection.is_reserved].append(connection)
+        return groups
+
     def _choose_silent(self) -> list[ClientConnection]:
         excess = len(self.connections) - self.limits.connections
         if excess <= 0:
             return []
         spared = int(self.limits.connections * (1 - SHARE_AFTER_CLOSING))
-        closable = sorted(
-            (each for each in self.connections if not each.is_handled),
-            key=attrgetter('served', 'progressed_at_s'),
-        )
+        closable, reserved = self._group_closable()
+        reserved.sort(key=attrgetter('progressed_at_s'))
+        kept = int(self.limits.connections * RESERVED_CONNECTION_SHARE)
+        closable += reserved[: max(0, len(reserved) - kept)]
+        closable.sort(key=attrgetter('served', 'progressed_at_s'))
         # Those accepted last have had no time for a request yet.
         end = bisect_left(closable, 1, key=attrgetter('served'))
         begin = max(0, end - max(1, spared))
@@ -231,6 +271,10 @@
         return ranked[: excess + spared]
 
 
+def _add_held(connections: Iterable[ClientConnection]) -> int:
+    return sum(each.held_bytes for each in connections)
+
+
 def _find_overdue(
     connection: ClientConnection, now_s: float, limits: RequestLimits
 ) -> CloseReason | None:
--- a/src/bulrushcove/node/connection_guard.py
+++ b/src/bulrushcove/node/connection_guard.py
@@ -53,9 +53,15 @@
         """Return what all connections hold."""
         return self._budget.held_bytes
 
-    def open(self, close: Callable[[], None]) -> ClientConnection:
-        """Count an accepted connection that ``close`` closes at once."""
+    def open(
+        self, close: Callable[[], None], *, is_internal: bool = False
+    ) -> ClientConnection:
+        """Count an accepted connection that ``close`` closes at once.
+
+        ``is_internal``: it is no caller's.
+        """
         connection = ClientConnection(asyncio.get_running_loop().time())
+        connection.is_internal = is_internal
         self._close_by_connection[connection] = close
         self._budget.add(connection)
         self._close_excess()
@@ -63,7 +69,7 @@
 
     def admit_stream(self, close: Callable[[], None]) -> 'StreamAdmission':
         """Count a stream that a peer opened."""
-        connection = self.open(close)
+        connection = self.open(close, is_internal=True)
         connection.idle_timeout_s = STREAM_IDLE_TIMEOUT_S
         return StreamAdmission(self, connection)
 
--- a/src/bulrushcove/node/http_ports.py
+++ b/src/bulrushcove/node/http_ports.py
@@ -50,7 +50,13 @@
 class _BoundedServer(web.Server):
     """Server whose connections pass through ``RequestIntake``."""
 
-    def __init__(self, handler: RequestHandler, guard: ConnectionGuard) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        guard: ConnectionGuard,
+        *,
+        is_internal: bool,
+    ) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             try:
                 return await handler(request)
@@ -63,6 +69,7 @@
         self._has_closed_all.set()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._guard = guard
+        self._is_internal = is_internal
         self._turns = ChunkTurns(asyncio.get_running_loop().call_soon)
 
     def __call__(self) -> '_BoundedProtocol':
@@ -75,6 +82,7 @@
             self._guard,
             self._turns,
             lambda: _ConnectionHandler(self, intake.finish_request),
+            is_internal=self._is_internal,
         )
         self._intakes.add(intake)
         self._has_closed_all.clear()
@@ -136,14 +144,19 @@
 
 
 async def start_http_server(
-    address: str, handler: RequestHandler, guard: ConnectionGuard
+    address: str,
+    handler: RequestHandler,
+    guard: ConnectionGuard,
+    *,
+    is_internal: bool = False,
 ) -> web.ServerRunner:
     """Serve ``handler`` at ``address`` (``host:port``); return the runner.
 
-    ``guard`` keeps its connections within the limits of the machine.
+    ``guard`` keeps its connections within the limits of the machine;
+    ``is_internal``: they are no callers'.
     """
     runner = web.ServerRunner(
-        _BoundedServer(handler, guard),
+        _BoundedServer(handler, guard, is_internal=is_internal),
         handle_signals=False,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
--- a/src/bulrushcove/node/request_intake.py
+++ b/src/bulrushcove/node/request_intake.py
@@ -45,10 +45,13 @@
         guard: ConnectionGuard,
         turns: ChunkTurns,
         make_server: Callable[[], HttpServer],
+        *,
+        is_internal: bool = False,
     ) -> None:
         """Count the connection, which may close others.
 
-        ``make_server`` is called with the first request.
+        ``make_server`` is called with the first request; ``is_internal``: the
+        connection is no caller's.
         """
         # None before the first request.
         self.server: HttpServer | None = None
@@ -69,7 +72,7 @@
         self._is_stopping = False
         # A response that is partly unread keeps the next request waiting.
         transport.set_write_buffer_limits(0)
-        self._connection = guard.open(transport.abort)
+        self._connection = guard.open(transport.abort, is_internal=is_internal)
 
     def receive(self, piece: memoryview) -> None:
         """Take bytes that arrived."""
--- a/tests/test_node_connection_budget.py
+++ b/tests/test_node_connection_budget.py
@@ -13,6 +13,7 @@
     ConnectionBudget,
     derive_budget,
 )
+from bulrushcove.wire import MAX_FRAME_BYTES
 
 LIMITS = RequestLimits()
 BODY_BYTES = 262_143
@@ -25,6 +26,14 @@
     return connection
 
 
+def accept_peer(budget, now_s=0.0):
+    """Return a stream whose hello was read."""
+    peer = accept(budget, now_s)
+    peer.is_internal = True
+    peer.complete_request()
+    return peer
+
+
 def begin_body(budget, connection, held_bytes, now_s=0.0):
     connection.heard_at_s = now_s
     connection.begin_request(is_body=True)
@@ -96,6 +105,72 @@
     assert caller not in closed
 
 
+def test_the_frame_of_a_peer_outlives_a_crowd_of_bodies():
+    """A frame of 4 MB arrives beside 900 bodies of just under 256 KB."""
+    budget = ConnectionBudget(BudgetLimits(20 * 1024 * 1024, 719))
+    peer = accept_peer(budget)
+    begin_body(budget, peer, MAX_FRAME_BYTES)
+    closed = {}
+    for _ in range(900):
+        begin_body(budget, accept(budget), BODY_BYTES)
+        closed.update(close_excess(budget))
+        assert budget.held_bytes <= budget.limits.held_bytes
+    assert closed
+    assert peer not in closed
+
+
+def test_frames_of_a_crowd_of_peers_leave_room_for_callers():
+    budget = ConnectionBudget(BudgetLimits(20 * 1024 * 1024, 719))
+    callers = [accept(budget) for _ in range(40)]
+    for caller in callers:
+        begin_body(budget, caller, BODY_BYTES)
+    closed = {}
+    for _ in range(100):
+        begin_body(budget, accept_peer(budget), MAX_FRAME_BYTES)
+        closed.update(close_excess(budget))
+        assert budget.held_bytes <= budget.limits.held_bytes
+    assert closed
+    assert not closed.keys() & set(callers)
+
+
+def test_handled_requests_close_no_small_ones():
+    """Requests in the handler take all of the memory."""
+    budget = ConnectionBudget(BudgetLimits(20 * 1024 * 1024, 719))
+    for _ in range(100):
+        handled = accept(budget)
+        handled.is_handled = True
+        budget.hold(handled, BODY_BYTES)
+    begin_body(budget, accept(budget), ORDINARY_BYTES)
+    assert budget.is_exceeded
+    assert not close_excess(budget)
+
+
+def test_a_crowd_of_callers_leaves_the_streams_of_peers():
+    """Peers that last sent a frame before all callers."""
+    budget = ConnectionBudget(BudgetLimits(10**6, 100))
+    peers = [accept_peer(budget) for _ in range(12)]
+    closed = {}
+    for number in range(1000):
+        caller = accept(budget, float(number))
+        caller.heard_at_s = float(number)
+        caller.complete_request()
+        closed.update(close_excess(budget))
+        assert len(budget.connections) <= budget.limits.connections
+    assert not closed.keys() & set(peers)
+
+
+def test_a_crowd_of_streams_leaves_callers():
+    budget = ConnectionBudget(BudgetLimits(10**6, 100))
+    callers = [accept(budget, 1.0) for _ in range(50)]
+    for caller in callers:
+        caller.complete_request()
+    for _ in range(1000):
+        accept_peer(budget)
+        close_excess(budget)
+        assert len(budget.connections) <= budget.limits.connections
+    assert set(callers) <= budget.connections
+
+
 def test_a_request_that_is_handled_is_never_closed():
     budget = ConnectionBudget(BudgetLimits(1000, 1))
     handled = accept(budget)
