Ask clients that wait for the body, and answer those that send no more

Cause: the HTTP server sees whole requests alone, so that nobody answered "Expect: 100-continue" and such a client waited until it gave up waiting. The end of what a client sends closed its connection, also while a request of it was handled or waited in line.

Ruled out: to keep a connection open that has ended within a request; it is closed at once.

Before: test_a_client_that_waits_is_asked_for_the_body and test_a_client_that_sends_no_more_gets_its_answers failed. After: they pass.

--- a/src/bulrushcove/node/http_ports.py
+++ b/src/bulrushcove/node/http_ports.py
@@ -128,6 +128,9 @@
         if self._intake is not None:
             self._intake.receive(self._server.read_buffer[:nbytes])
 
+    def eof_received(self) -> bool:
+        return self._intake is not None and self._intake.receive_eof()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self._intake is not None:
             self._intake.end(exc)
--- a/src/bulrushcove/node/request_assembly.py
+++ b/src/bulrushcove/node/request_assembly.py
@@ -16,6 +16,10 @@
     rb'\r\n(content-length|transfer-encoding)[ \t]*:[ \t]*([^\r\n]*)',
     re.IGNORECASE,
 )
+_EXPECTATION_PATTERN = re.compile(
+    rb' HTTP/1\.1\r\n(?:.*\r\n)?expect[ \t]*:[ \t]*100-continue[ \t]*\r\n',
+    re.IGNORECASE | re.DOTALL,
+)
 _LENGTH_PATTERN = re.compile('[0-9]{1,18}')
 
 
@@ -30,6 +34,7 @@
         '_body_bytes',
         '_chunked',
         '_empty_line_bytes',
+        '_expects_continue',
         '_head',
         '_length_span',
         '_limits',
@@ -100,6 +105,13 @@
         self.is_whole = self._chunked.is_whole
         return decoded.chunks
 
+    def take_expectation(self) -> bool:
+        """Return once whether the client waits to be asked for the body."""
+        expects = self._expects_continue
+        self._expects_continue = False
+        has_begun = self._raw or self._body or self.is_whole
+        return expects and not has_begun
+
     def take(self) -> bytes:
         """Return the whole request, with a length, and begin the next."""
         message = self._head
@@ -123,6 +135,8 @@
         # Where the head names the encoding, which a length replaces.
         self._length_span = (0, 0)
         self._empty_line_bytes = 0
+        # Whether the client may wait for a word before it sends the body.
+        self._expects_continue = False
         # Bytes in which the end of the head was looked for.
         self._searched_bytes = 0
 
@@ -143,6 +157,8 @@
         if found >= 0:
             self._head = bytes(self._take_front(end))
             self._read_framing()
+            found = _EXPECTATION_PATTERN.search(self._head)
+            self._expects_continue = found is not None
 
     def _skip_empty_lines(self) -> None:
         length = len(self._raw) - len(self._raw.lstrip(LINE_END))
--- a/src/bulrushcove/node/request_intake.py
+++ b/src/bulrushcove/node/request_intake.py
@@ -16,6 +16,8 @@
 from .exceptions import RequestRefusedError
 from .request_assembly import RequestAssembly
 
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 
 class HttpServer(Protocol):
     """Handles the whole requests of one connection."""
@@ -70,6 +72,8 @@
         # Whether a part of the last response waits for the client to read.
         self._is_answering = False
         self._is_stopping = False
+        # Whether the client has sent its last byte.
+        self._has_eof = False
         # A response that is partly unread keeps the next request waiting.
         transport.set_write_buffer_limits(0)
         self._connection = guard.open(transport.abort, is_internal=is_internal)
@@ -86,6 +90,11 @@
         else:
             self._process()
 
+    def receive_eof(self) -> bool:
+        """Note the last byte; return whether to stay open for an answer."""
+        self._has_eof = True
+        return self._is_busy and not self._is_ended
+
     def end(self, exc: Exception | None) -> None:
         """Forget the connection, which was lost."""
         self._is_ended = True
@@ -170,9 +179,11 @@
         if self._assembly.is_whole:
             self._hand_over()
             return
-        if self._is_stopping:
+        if self._is_stopping or self._has_eof:
             self._transport.close()
             return
+        if self._assembly.take_expectation():
+            self._transport.write(CONTINUE)
         if not self._assembly.is_empty:
             self._connection.begin_request(is_body=self._assembly.has_head)
         self._hold()
--- a/tests/test_node_request_intake.py
+++ b/tests/test_node_request_intake.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+import pytest
 from aiohttp import web
 from test_node_http_ports import (
     CHUNKED,
@@ -183,3 +184,41 @@
         await runner.cleanup()
         assert await read_response(reader) == (200, f'/0 {chunks}')
     rig.close()
+
+
+@pytest.mark.parametrize('pause_s', [0, 0.1])
+async def test_a_client_that_sends_no_more_gets_its_answers(pause_s):
+    async with serving() as rig:
+        rig.may_answer.clear()
+        reader, writer = await rig.connect(get(1) + get(2) + get(3)[:-2])
+        writer.write_eof()
+        await asyncio.sleep(pause_s)
+        rig.may_answer.set()
+        answers = [await read_response(reader) for _ in range(2)]
+        assert answers == [(200, '/1 0'), (200, '/2 0')]
+        assert await is_closed(reader)
+        assert rig.handled == ['/1', '/2']
+
+
+@pytest.mark.parametrize(
+    ('head', 'body'),
+    [(post(1, 3), b'abc'), (CHUNKED, b'3\r\nabc\r\n0\r\n\r\n')],
+)
+async def test_a_client_that_waits_is_asked_for_the_body(head, body):
+    async with serving() as rig:
+        expectation = b'Expect: 100-continue\r\n\r\n'
+        reader, writer = await rig.connect(head[:-2] + expectation)
+        asked = await reader.readuntil(b'\r\n\r\n')
+        assert asked == b'HTTP/1.1 100 Continue\r\n\r\n'
+        writer.write(body[:2])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(body[2:])
+        assert (await read_response(reader))[1].endswith(' 3')
+
+
+async def test_a_client_that_waits_is_refused_at_once():
+    async with serving() as rig:
+        head = post(1, 10**9)[:-2] + b'Expect: 100-continue\r\n\r\n'
+        reader, _ = await rig.connect(head)
+        assert (await read_response(reader))[0] == 413
