--- a/src/bulrushcove/node/http_ports.py
+++ b/src/bulrushcove/node/http_ports.py
@@ -1,6 +1,7 @@
 """HTTP servers of the node program: start of a server, metrics handler."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 from typing import cast
@@ -17,6 +18,8 @@
 BACKLOG = 1024
 # Time for open connections to finish when the server stops.
 SHUTDOWN_TIMEOUT_S = 0.4
+# Then what is still handled is cancelled; zero would mean no limit.
+CANCELLATION_TIMEOUT_S = 0.01
 # All connections of an address read into one buffer of this size.
 READ_BYTES = 65_536
 # Beyond any head: its size was checked before the parser sees it.
@@ -47,7 +50,13 @@
 class _BoundedServer(web.Server):
     """Server whose connections pass through ``RequestIntake``."""
 
-    def __init__(self, handler: RequestHandler, guard: ConnectionGuard) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        guard: ConnectionGuard,
+        *,
+        is_internal: bool,
+    ) -> None:
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
             try:
                 return await handler(request)
@@ -55,9 +64,12 @@
                 cast(_ConnectionHandler, request.protocol).finish_request()
 
         super().__init__(handle)
-        self.intakes: set[RequestIntake] = set()
+        self._intakes: set[RequestIntake] = set()
+        self._has_closed_all = asyncio.Event()
+        self._has_closed_all.set()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self._guard = guard
+        self._is_internal = is_internal
         self._turns = ChunkTurns(asyncio.get_running_loop().call_soon)
 
     def __call__(self) -> '_BoundedProtocol':
@@ -70,14 +82,31 @@
             self._guard,
             self._turns,
             lambda: _ConnectionHandler(self, intake.finish_request),
+            is_internal=self._is_internal,
         )
-        self.intakes.add(intake)
+        self._intakes.add(intake)
+        self._has_closed_all.clear()
         return intake
 
+    def forget_intake(self, intake: RequestIntake) -> None:
+        """Forget a connection that was closed."""
+        self._intakes.discard(intake)
+        if not self._intakes:
+            self._has_closed_all.set()
+
     def pre_shutdown(self) -> None:
-        super().pre_shutdown()
-        for intake in tuple(self.intakes):
-            intake.close_unless_handled()
+        # The handlers are not closed here: those whose whole request is still
+        # decoded would not handle it any more.
+        for intake in tuple(self._intakes):
+            intake.stop()
+
+    async def shutdown(self, timeout_s: float | None = None) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._has_closed_all.wait()
+        for intake in tuple(self._intakes):
+            intake.abort()
+        await super().shutdown(CANCELLATION_TIMEOUT_S)
 
 
 class _BoundedProtocol(asyncio.BufferedProtocol):
@@ -99,10 +128,13 @@
         if self._intake is not None:
             self._intake.receive(self._server.read_buffer[:nbytes])
 
+    def eof_received(self) -> bool:
+        return self._intake is not None and self._intake.receive_eof()
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self._intake is not None:
-            self._server.intakes.discard(self._intake)
             self._intake.end(exc)
+            self._server.forget_intake(self._intake)
 
     def pause_writing(self) -> None:
         if self._intake is not None and self._intake.server is not None:
@@ -111,17 +143,23 @@
     def resume_writing(self) -> None:
         if self._intake is not None and self._intake.server is not None:
             self._intake.server.resume_writing()
+            self._intake.resume()
 
 
 async def start_http_server(
-    address: str, handler: RequestHandler, guard: ConnectionGuard
+    address: str,
+    handler: RequestHandler,
+    guard: ConnectionGuard,
+    *,
+    is_internal: bool = False,
 ) -> web.ServerRunner:
     """Serve ``handler`` at ``address`` (``host:port``); return the runner.
 
-    ``guard`` keeps its connections within the limits of the machine.
+    ``guard`` keeps its connections within the limits of the machine;
+    ``is_internal``: they are no callers'.
     """
     runner = web.ServerRunner(
-        _BoundedServer(handler, guard),
+        _BoundedServer(handler, guard, is_internal=is_internal),
         handle_signals=False,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
