--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -258,9 +258,7 @@
     assert bench.start_all().starts
     bench.submit(job_spec('urgent', priority=0))
     bench.advance(2)
-    # The runs progress, so that the worker is not taken for standing still.
-    refs = bench.engine.workers['w1'].allocations
-    bench.report('w1', [(ref, '', 10) for ref in refs])
+    bench.confirm()
 
     reasons = {stop.stop_reason for stop in bench.plan().stops}
     assert (StopReason.PREEMPTED in reasons) is stops
