--- a/tests/test_batch_suspicion.py
+++ b/tests/test_batch_suspicion.py
@@ -204,7 +204,7 @@
 
 
 def standstill_lengths(fleet):
-    return list(fleet.bench.engine.progress._spells_ms)
+    return list(fleet.bench.engine.evidence.progress._spells_ms)
 
 
 def test_a_standstill_of_a_gang_teaches_no_length():
@@ -278,7 +278,7 @@
         assert fleet.bench.now_s < 200
     fleet.standing = set()
     fleet.play(4)
-    assert not fleet.bench.engine.progress._last_stop_s
+    assert not fleet.bench.engine.evidence.progress._last_stop_s
 
 
 def test_a_gang_waits_for_a_moment_after_each_stop():
