--- a/review/standins-2/minion.py
+++ b/review/standins-2/minion.py
@@ -1,8 +1,10 @@
 """Stand-in for one life of a minion, as PROTOCOL.md describes it.
 
-python3 minion.py ID PORT LOG STOP_MS MAX_HOLD_MS
+python3 minion.py ID PORT LOG STOP_MS MAX_HOLD_MS [CALL LATE_S CUT_S]
 
-It is killed to crash it. A task's spec is its work in milliseconds. Each
+It is killed to crash it. With the last three, one call is not answered and is
+carried out LATE_S later: its first start (CALL is start), or the first hold
+after that (hold). From that call on it is cut off for CUT_S: others are lost. A task's spec is its work in milliseconds. Each
 start and each end of a run is one line of LOG: Unix time, minion, event, task,
 run.
 """
@@ -20,7 +22,7 @@
 class Minion:
     """Runs tasks under one lease."""
 
-    def __init__(self, name, log_path, stop_ms, max_hold_ms):
+    def __init__(self, name, log_path, stop_ms, max_hold_ms, *trouble):
         self.name = name
         self.log_path = log_path
         self.stop_s = stop_ms / 1000 / 2
@@ -35,6 +37,12 @@
         # Highest run of each task that was stopped or has ended here.
         self.closed = {}
         self.has_ended_one = asyncio.Event()
+        # The call that is carried out late, and the cut that follows it.
+        call, late_s, cut_s = trouble or ('', 0, 0)
+        self.late_call = call
+        self.late_s = float(late_s)
+        self.cut_s = float(cut_s)
+        self.cut_until = 0.0
 
     def clock_ms(self):
         return int((time.monotonic() - self.started_at) * 1000)
@@ -66,10 +74,22 @@
             end = min(body['deadline-ms'], latest)
             self.lease_end_ms = max(self.lease_end_ms, end)
 
+    async def lose_if_cut(self):
+        """Keep a call that is lost on the way until its sender gives up."""
+        while time.monotonic() < self.cut_until:
+            await asyncio.sleep(60)
+
     async def start(self, request):
+        await self.lose_if_cut()
+        if self.late_call == 'start':
+            await self.carry_out_late(await request.json())
         body, refusal = await self.check(request)
         if refusal is not None:
             return refusal
+        return self.begin(body)
+
+    def begin(self, body):
+        """Carry out a start."""
         task, run = body['task'], body['run']
         if (task, run) in self.running:
             return self.answer()
@@ -83,6 +103,7 @@
         return self.answer()
 
     async def stop(self, request):
+        await self.lose_if_cut()
         body, refusal = await self.check(request)
         if refusal is not None:
             return refusal
@@ -94,6 +115,9 @@
         return self.answer()
 
     async def hold(self, request):
+        await self.lose_if_cut()
+        if self.late_call == 'hold' and self.running:
+            await self.carry_out_late(await request.json())
         body, refusal = await self.check(request)
         if refusal is not None:
             return refusal
@@ -116,7 +140,27 @@
         ]
         return self.answer(running=rows, ended=self.ended[:ENDS_AT_A_TIME])
 
+    async def carry_out_late(self, body):
+        """Carry a call out late, without an answer, and be cut off."""
+        call, self.late_call = self.late_call, ''
+        self.cut_until = time.monotonic() + self.cut_s
+        self.log(f'late-{call}-arrives', '-', 0)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.late_s, self.act_late, call, body)
+        await asyncio.sleep(60)
+
+    def act_late(self, call, body):
+        if body.get('fence', 0) < self.fence:
+            self.log(f'late-{call}-refused', '-', 0)
+        elif call == 'hold':
+            self.extend_lease(body)
+            self.log('late-hold-done', '-', 0)
+        else:
+            answer = self.begin(body)
+            self.log(f'late-start-{answer.status}', '-', 0)
+
     async def pace(self, request):
+        await self.lose_if_cut()
         _, refusal = await self.check(request)
         return refusal or self.answer()
 
@@ -143,8 +187,8 @@
 
 
 async def main():
-    name, port, log_path, stop_ms, max_hold_ms = sys.argv[1:]
-    minion = Minion(name, log_path, int(stop_ms), int(max_hold_ms))
+    name, port, log_path, stop_ms, max_hold_ms, *trouble = sys.argv[1:]
+    minion = Minion(name, log_path, int(stop_ms), int(max_hold_ms), *trouble)
     app = web.Application()
     app.router.add_post('/api/run-start', minion.start)
     app.router.add_post('/api/run-stop', minion.stop)
--- a/review/standins-2/play.py
+++ b/review/standins-2/play.py
@@ -108,6 +108,10 @@
         self.heartbeat = None
         self.lives = 0
         self.id = ''
+        # Further words for the minion's command, and the time from its start
+        # to its first entry in the store.
+        self.trouble = ()
+        self.first_entry_s = 0.0
 
     async def start(self, keeps_id=False):
         """Start a life: under a new id, or under the one that it had."""
@@ -123,6 +127,7 @@
             str(play.minion_log),
             str(play.stop_ms),
             str(play.max_hold_ms),
+            *self.trouble,
             stdout=asyncio.subprocess.PIPE,
             env=play.environment(),
         )
@@ -140,6 +145,7 @@
     async def _report(self, process, name, born):
         """Write the entry at each heartbeat; remove it after three missed."""
         seq = 0
+        await asyncio.sleep(self.first_entry_s)
         while process.returncode is None:
             seq += 1
             self.play.store.put_json(
