A start takes effect only on the incarnation that it names

Cause: deadline and epoch are known to one incarnation of a worker only, and a call reached whichever incarnation was at the address. The next leader had heard that the run was not there, and relied on the epoch.

Ruled out: a later look at leadership (leaders replace each other without waiting, and a process may be suspended after any look); uncounted suspension (it is counted, authority lasts 12 s).

Change: a connection ends with the process that accepted it. A start names the incarnation on which its run was placed and is sent only on a connection on which that one has reported; such a connection is never opened again. A start that finds another incarnation, or none, was not sent.

In the model of worker lives no call reaches a later life any more, as a connection does not ("It then holds and knows nothing of before", PROTOCOL.md); before, starts did.

--- a/src/bulrushcove/batch/membership.py
+++ b/src/bulrushcove/batch/membership.py
@@ -6,7 +6,7 @@
 from .ids import PoolName
 from .job_spec import TaskSize
 from .worker_reliability import WorkerReliability
-from .workers import Worker, WorkerEntry
+from .workers import UNKNOWN_START, Worker, WorkerEntry
 
 # A worker without an entry is gone, except after a store outage: live workers
 # write their entries again within 2 s of its end.
@@ -14,9 +14,6 @@
 # A worker whose runs may have crashed it is waited for this long, to tell.
 CRASH_GRACE_S = 20.0
 
-# Start time of an entry that states none.
-UNKNOWN_START = 0
-
 Workers = dict[WorkerId, Worker]
 
 
@@ -51,9 +48,7 @@
     elif is_other_incarnation:
         # The worker's own reports determine its incarnation. It may have
         # restarted while it was idle, and is asked for a report.
-        worker.unknown_incarnation_since_s = (
-            worker.unknown_incarnation_since_s or now_s
-        )
+        worker.expect_incarnation(now_s)
     if worker.has_reported:
         entry = msgspec.structs.replace(
             entry, started_unix_ms=known.started_unix_ms
--- a/src/bulrushcove/batch/orders.py
+++ b/src/bulrushcove/batch/orders.py
@@ -29,6 +29,12 @@
     NOT_SENT = 'not-sent'
     # No reply: it may have been carried out, or still may be.
     UNKNOWN = 'unknown'
+    # The process at the address did not tell which incarnation it is, so the
+    # order was not sent.
+    UNREACHED = 'unreached'
+    # Another incarnation answers: the one that was to carry out the order is
+    # gone, and the order was not sent.
+    OTHER_INCARNATION = 'other-incarnation'
     FENCED = 'fenced'
     # A run of the task with this number or a higher one has already ended or
     # was stopped on the worker.
@@ -50,6 +56,8 @@
 OUTCOMES_NEVER_STARTED = frozenset(
     (
         OrderOutcome.NOT_SENT,
+        OrderOutcome.UNREACHED,
+        OrderOutcome.OTHER_INCARNATION,
         OrderOutcome.FENCED,
         OrderOutcome.STALE_RUN,
         OrderOutcome.TOO_LATE,
@@ -74,6 +82,8 @@
 
     ref: RunRef
     payload: str
+    # Start time of the incarnation that may carry it out.
+    started_unix_ms: int
     # On the worker's clock; it rejects a start that arrives later.
     deadline_ms: int
     checkpoint: str = ''
--- a/src/bulrushcove/batch/reconcile.py
+++ b/src/bulrushcove/batch/reconcile.py
@@ -22,7 +22,14 @@
     record_start,
 )
 from .worker_crashes import WorkerCrash, find_crashed_runs, observe_crash
-from .workers import EndedTask, EndKind, RunningTask, Worker, WorkerReport
+from .workers import (
+    UNKNOWN_START,
+    EndedTask,
+    EndKind,
+    RunningTask,
+    Worker,
+    WorkerReport,
+)
 
 
 class AllocationEnd(msgspec.Struct, frozen=True):
@@ -48,6 +55,8 @@
     # Starts sent to the previous incarnation of the worker and not confirmed.
     # They must be stopped, as the new one may still carry them out.
     unconfirmed: list[Allocation] = msgspec.field(default_factory=list)
+    # Runs that the worker's incarnation carried out in place of another one.
+    crossed: list[RunRef] = msgspec.field(default_factory=list)
     # Runs of suspects that have lasted long enough to clear them.
     survived: list[Allocation] = msgspec.field(default_factory=list)
     # Pairs of images that were named or forgotten as slowing each other down.
@@ -169,6 +178,9 @@
         worker.orphans.add(running.ref)
         report_changes.orphans.append(running.ref)
         return
+    placed_on = allocation.worker_started_unix_ms
+    if placed_on not in {UNKNOWN_START, worker.entry.started_unix_ms}:
+        report_changes.crossed.append(running.ref)
     if allocation.start_confirmed_at_s is None:
         report_changes.confirmed.append(allocation)
     confirm_running(allocation, now_s)
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -19,6 +19,8 @@
 # A worker that was heard of within this time has not restarted and received an
 # order since. Longer than the wait of a poll.
 RECENT_REPORT_S = 2.5
+# Start time of an incarnation that states none.
+UNKNOWN_START = 0
 # Speed of a task that is not throttled.
 FULL_SPEED_PERCENT = 100
 # Workers end a run within this time of a stop or of the end of its lease.
@@ -55,7 +57,7 @@
     labels: frozenset[str]
     capacity: TaskSize
     # Start time of the worker process; identifies its incarnation.
-    started_unix_ms: int = 0
+    started_unix_ms: int = UNKNOWN_START
     is_draining: bool = False
     # Minimum time until a draining worker shuts down.
     shutdown_in_ms: int = 0
@@ -152,8 +154,8 @@
     orphans: set[RunRef] = msgspec.field(default_factory=set)
     # What the incarnation of ``entry`` has reported as ended.
     ends: ReportedEnds = msgspec.field(default_factory=ReportedEnds)
-    # When the list of workers first named an incarnation that has not reported
-    # yet; zero: it has. What is known of the worker may be void.
+    # Since when another incarnation may be up than the one that reported last;
+    # zero: none. What is known of the worker may be void.
     unknown_incarnation_since_s: float = 0.0
     # Last reading of its clock, and when it was received.
     clock_ms: int = 0
@@ -260,6 +262,15 @@
         self.max_lease_end_ms = max(self.max_lease_end_ms, deadline_ms)
         self._update_lease_expiry()
 
+    def expect_incarnation(self, now_s: float) -> None:
+        """Record at ``now_s`` that the worker may have restarted.
+
+        It is polled, and gets no start before it has reported.
+        """
+        self.unknown_incarnation_since_s = (
+            self.unknown_incarnation_since_s or now_s
+        )
+
     def record_order(
         self, deadline_ms: int, now_s: float, max_lease_ms: int
     ) -> None:
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -131,6 +131,8 @@
             _log_end(end)
         for ended in report_changes.unmatched_ends:
             _log_unmatched_end(worker, ended)
+        for crossed in report_changes.crossed:
+            _log_crossed_run(worker, crossed)
         for pair in report_changes.interference:
             _log_pair(pair)
         link = self.find_link(worker.id)
@@ -258,7 +260,13 @@
 
 
 def _is_held(worker: Worker, allocation: Allocation) -> bool:
-    """Return whether the run of ``allocation`` has not ended meanwhile."""
+    """Return whether the run of ``allocation`` has not ended meanwhile.
+
+    It has if the incarnation on which it was placed is gone.
+    """
+    started_unix_ms = allocation.worker_started_unix_ms
+    if started_unix_ms != worker.entry.started_unix_ms:
+        return False
     return worker.allocations.get(allocation.ref) is allocation
 
 
@@ -334,6 +342,22 @@
     )
 
 
+def _log_crossed_run(worker: Worker, ref: RunRef) -> None:
+    """Log that an incarnation runs what was placed on another one."""
+    log_event(
+        logger,
+        'run.crossed',
+        level=logging.ERROR,
+        worker=worker.id,
+        incarnation=worker.entry.started_unix_ms,
+        job=ref.task.job,
+        occurrence=ref.task.occurrence,
+        step=ref.task.step,
+        index=ref.task.index,
+        run=ref.run,
+    )
+
+
 def _log_unmatched_end(worker: Worker, ended: EndedTask) -> None:
     ref = ended.ref
     log_event(
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -45,9 +45,12 @@
         OrderOutcome.NO_TICKET,
         OrderOutcome.UNHEALTHY,
         OrderOutcome.NOT_SENT,
+        OrderOutcome.OTHER_INCARNATION,
         OrderOutcome.INVALID,
     )
 )
+# Outcomes after which a start is sent again.
+_RESENT = frozenset((OrderOutcome.UNKNOWN, OrderOutcome.UNREACHED))
 # Outcomes after which a stop is not sent again.
 _STOP_ANSWERED = frozenset((OrderOutcome.DONE, OrderOutcome.FENCED))
 
@@ -74,7 +77,7 @@
         """
 
     async def start(self, epoch: Epoch, order: StartOrder) -> OrderReply:
-        """Order the start of a run."""
+        """Order the start of a run by the incarnation that ``order`` names."""
 
     async def stop(self, epoch: Epoch, ref: RunRef) -> OrderReply:
         """Order the stop of a run."""
@@ -198,12 +201,12 @@
         allocation.start_deadline_ms = deadline_ms
         allocation.is_start_sent = True
         allocation.start_sent_at_s = now_s
-        allocation.worker_started_unix_ms = worker.entry.started_unix_ms
         worker.record_order(deadline_ms, now_s, self._max_lease_ms)
         unit = allocation.unit
         order = StartOrder(
             ref=allocation.ref,
             payload=unit.job.spec.payload,
+            started_unix_ms=allocation.worker_started_unix_ms,
             deadline_ms=deadline_ms,
             checkpoint=unit.checkpoint,
             ticket=ticket,
@@ -218,6 +221,7 @@
 
         A start that gets no response is stopped after the last attempt.
         """
+        may_have_run = False
         is_retry = False
         attempts_left = MAX_START_ATTEMPTS
         while attempts_left:
@@ -228,13 +232,25 @@
             sent_at_s = self._clock.monotonic_s()
             reply = await self._client.start(self._epoch, order)
             self._log_order('run.start', allocation, reply)
-            if reply.outcome is not OrderOutcome.UNKNOWN:
-                self._handle_start_reply(allocation, reply, is_retry)
+            if reply.outcome not in _RESENT:
+                self._handle_start_reply(allocation, reply, may_have_run)
                 return
+            may_have_run |= reply.outcome is OrderOutcome.UNKNOWN
             is_retry = True
             if not self._was_late(sent_at_s, order):
                 attempts_left -= 1
-        if allocation.phase is AllocationPhase.STARTING:
+        self._give_up_start(allocation, may_have_run)
+
+    def _give_up_start(
+        self, allocation: Allocation, may_have_run: bool
+    ) -> None:
+        """Stop a start that got no response; release one that was not sent."""
+        if not may_have_run:
+            self.worker.expect_incarnation(self._clock.monotonic_s())
+            self._event_handler.handle_start_rejected(
+                allocation, OrderOutcome.UNREACHED
+            )
+        elif allocation.phase is AllocationPhase.STARTING:
             # The worker rejects a late start once it has confirmed the stop.
             mark_for_stop((allocation,), StopReason.START_UNANSWERED)
             self.order_stop(allocation)
@@ -250,14 +266,16 @@
         ) < order.deadline_ms and self._event_handler.was_late_since(sent_at_s)
 
     def _handle_start_reply(
-        self, allocation: Allocation, reply: OrderReply, is_retry: bool
+        self, allocation: Allocation, reply: OrderReply, may_have_run: bool
     ) -> None:
         outcome = reply.outcome
+        if outcome is OrderOutcome.OTHER_INCARNATION:
+            self.worker.expect_incarnation(self._clock.monotonic_s())
         if outcome is OrderOutcome.DONE:
             self._event_handler.handle_started(allocation)
         elif outcome is OrderOutcome.FENCED:
             self._event_handler.handle_fenced(self.worker)
-        elif is_retry and outcome in _MAY_HAVE_RUN:
+        elif may_have_run and outcome in _MAY_HAVE_RUN:
             self._log_order('run.start_open', allocation, reply)
         elif outcome in OUTCOMES_NEVER_STARTED:
             self._event_handler.handle_start_rejected(allocation, outcome)
--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -159,6 +159,7 @@
             logger,
             'worker.listed',
             worker=entry.worker,
+            incarnation=entry.started_unix_ms,
             leaving=entry.is_draining,
             domain=entry.domain,
             accelerators=entry.capacity.accelerators,
--- a/src/bulrushcove/platform/exceptions.py
+++ b/src/bulrushcove/platform/exceptions.py
@@ -15,6 +15,10 @@
     """No connection was made, so the call had no effect."""
 
 
+class UnidentifiedError(NotSentError):
+    """The process at the address did not tell which worker it is."""
+
+
 class NoResponseError(CallError):
     """The outcome is unknown: the call may still take effect later."""
 
--- a/src/bulrushcove/platform/http_client.py
+++ b/src/bulrushcove/platform/http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any, NamedTuple, TypeVar
 
@@ -37,6 +37,8 @@
 JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
 
 Decoded = TypeVar('Decoded')
+# Takes what ``getaddrinfo`` returns for an address.
+SocketFactory = Callable[[Any], socket.socket]
 
 
 class Reply(NamedTuple):
@@ -51,12 +53,12 @@
 class _ConnectionPool:
     """Connection pool that closes once it is retired and idle."""
 
-    def __init__(self) -> None:
+    def __init__(self, make_socket: SocketFactory) -> None:
         self.client = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
                 keepalive_timeout=IDLE_CONNECTION_TIMEOUT_S,
-                socket_factory=_make_socket,
+                socket_factory=make_socket,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
         )
@@ -75,9 +77,15 @@
     After a call without a response, later calls therefore use a new pool.
     """
 
-    def __init__(self, address: str) -> None:
-        """Use ``address``, given as host:port; connects on the first call."""
+    def __init__(
+        self, address: str, make_socket: SocketFactory | None = None
+    ) -> None:
+        """Use ``address``, given as host:port; connects on the first call.
+
+        ``make_socket`` may refuse a new connection by an ``OSError``.
+        """
         self._base_url = f'http://{address}'
+        self._make_socket = make_socket or _make_socket
         self._pool: _ConnectionPool | None = None
         self._large_body_count = 0
 
@@ -103,7 +111,7 @@
         long as it keeps arriving; ``PartialResponseError`` if it does not.
         """
         if self._pool is None:
-            self._pool = _ConnectionPool()
+            self._pool = _ConnectionPool(self._make_socket)
         pool = self._pool
         pool.in_progress += 1
         large_body = bytearray()
@@ -162,6 +170,54 @@
             self._pool = None
 
 
+class Connection:
+    """One connection, for one call at a time.
+
+    Once sealed it is never opened again, so that all calls on it reach the
+    process that accepted it, or no process.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Use ``address``, given as host:port; connects on the first call."""
+        # Whether a call is in progress or got no response.
+        self.is_unusable = False
+        self.is_sealed = False
+        self._address = address
+        self._endpoint = Endpoint(address, self._open_socket)
+
+    async def call(
+        self,
+        path: str,
+        *,
+        timeout_s: float,
+        body: object,
+        headers: Mapping[str, str],
+    ) -> Reply:
+        """Post ``body`` and return the response; errors as ``Endpoint.call``.
+
+        Raises ``NotSentError`` if the connection was sealed and is closed.
+        """
+        self.is_unusable = True
+        reply = await self._endpoint.call(
+            'POST', path, timeout_s=timeout_s, body=body, headers=headers
+        )
+        self.is_unusable = False
+        return reply
+
+    def seal(self) -> None:
+        """Never open the connection again."""
+        self.is_sealed = True
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._endpoint.close()
+
+    def _open_socket(self, address_info: Any) -> socket.socket:
+        if self.is_sealed:
+            raise OSError(f'connection to {self._address} is closed')
+        return _make_socket(address_info)
+
+
 def decode(body: bytes, message_type: type[Decoded]) -> Decoded:
     """Decode JSON as ``message_type``; raises ``UndecodableError``."""
     try:
--- a/src/bulrushcove/platform/worker_client.py
+++ b/src/bulrushcove/platform/worker_client.py
@@ -1,8 +1,11 @@
 """HTTP client of one worker: sends orders and fetches reports."""
 
+import logging
 import re
+from collections.abc import Mapping
 from http import HTTPStatus
 from types import MappingProxyType
+from typing import NamedTuple
 
 import msgspec
 
@@ -18,9 +21,17 @@
 from ..batch.workers import EndedTask, EndKind, RunningTask, WorkerReport
 from ..decoding import DECODE_ERRORS, quote
 from ..ids import Epoch, JobId, WorkerId
-from .exceptions import CallError, NotSentError, UndecodableError
-from .http_client import Endpoint, Reply, decode
+from ..logs import log_event
+from .exceptions import (
+    CallError,
+    NoResponseError,
+    NotSentError,
+    UndecodableError,
+    UnidentifiedError,
+)
+from .http_client import Reply, decode
 from .numbers import MAX_NUMBER, WireInt
+from .worker_connections import WorkerConnection, WorkerConnections
 
 # The round trip to the farthest worker takes 60 ms, and opening a connection
 # as long again; a healthy worker responds at once.
@@ -29,6 +40,7 @@
 REPORT_TIMEOUT_MARGIN_S = 0.4
 # Holds the id of the expected worker; another one rejects the request.
 INSTANCE_HEADER = 'X-Expect-Instance'
+_REPORT_PATH = '/api/hold'
 
 _OUTCOME_BY_REASON = MappingProxyType(
     {
@@ -48,6 +60,7 @@
 MAX_ENDS_PER_REPORT = 500
 # ASCII digits only: ``int`` reads other digits, signs and spaces too.
 _NUMBER_PATTERN = re.compile('[0-9]{1,9}')
+logger = logging.getLogger(__name__)
 _REPORT_ERRORS = (UndecodableError, *DECODE_ERRORS)
 _Cell = str | int | float | None
 
@@ -62,6 +75,30 @@
     born: WireInt = 0
 
 
+class _Identity(msgspec.Struct):
+    # Unix milliseconds at which the worker started.
+    born: WireInt = 0
+
+
+class _OtherIncarnationError(NotSentError):
+    """Another incarnation answers than the one that was called."""
+
+
+# The first one that an error is an instance of tells the outcome.
+_OUTCOME_BY_ERROR = (
+    (_OtherIncarnationError, OrderOutcome.OTHER_INCARNATION),
+    (UnidentifiedError, OrderOutcome.UNREACHED),
+    (NotSentError, OrderOutcome.NOT_SENT),
+    (CallError, OrderOutcome.UNKNOWN),
+)
+
+
+class _Call(NamedTuple):
+    path: str
+    body: Mapping[str, object]
+    timeout_s: float
+
+
 class _OrderResponse(msgspec.Struct, rename='kebab'):
     clock_ms: WireInt = 0
     reason: str = ''
@@ -73,12 +110,12 @@
     def __init__(self, worker: WorkerId, address: str) -> None:
         """Use ``worker`` at ``address``; any other worker rejects calls."""
         self._worker = worker
-        self._endpoint = Endpoint(address)
+        self._connections = WorkerConnections(address)
         self._headers = {INSTANCE_HEADER: worker}
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._endpoint.close()
+        await self._connections.close()
 
     async def report(
         self,
@@ -102,7 +139,7 @@
         if wait_ms:
             body['wait-ms'] = wait_ms
         timeout_s = wait_ms / 1000 + REPORT_TIMEOUT_MARGIN_S
-        reply = await self._call('/api/hold', body, timeout_s)
+        reply = await self._request_report(_Call(_REPORT_PATH, body, timeout_s))
         if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             raise WorkerReplacedError(
                 f'another worker uses the address of {self._worker}'
@@ -118,7 +155,7 @@
         return _decode_report(reply.body)
 
     async def start(self, epoch: Epoch, order: StartOrder) -> OrderReply:
-        """Order the worker to start a run."""
+        """Order one incarnation of the worker to start a run."""
         body: dict[str, object] = {
             'task': format_task_name(order.ref.task),
             'run': order.ref.run,
@@ -130,7 +167,9 @@
             body['checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        return await self._send_order('/api/run-start', body)
+        return await self._send_order(
+            '/api/run-start', body, order.started_unix_ms
+        )
 
     async def stop(self, epoch: Epoch, ref: RunRef) -> OrderReply:
         """Order the worker to stop a run."""
@@ -153,30 +192,133 @@
         }
         return await self._send_order('/api/pace', body)
 
+    async def _request_report(self, call: _Call) -> Reply:
+        try:
+            return await self._call(call, None)
+        except CallError as exc:
+            raise WorkerCallError(str(exc)) from exc
+
     async def _send_order(
-        self, path: str, body: dict[str, object]
+        self,
+        path: str,
+        body: Mapping[str, object],
+        started_unix_ms: int | None = None,
     ) -> OrderReply:
+        """Send an order; None: any incarnation may carry it out."""
+        call = _Call(path, body, ORDER_TIMEOUT_S)
         try:
-            reply = await self._call(path, body, ORDER_TIMEOUT_S)
-        except WorkerCallError as exc:
-            was_sent = not isinstance(exc.__cause__, NotSentError)
-            outcome = (
-                OrderOutcome.UNKNOWN if was_sent else OrderOutcome.NOT_SENT
-            )
-            return OrderReply(outcome)
+            reply = await self._call(call, started_unix_ms)
+        except CallError as exc:
+            return OrderReply(_outcome_of(exc))
         return _decode_order_response(reply)
 
-    async def _call(self, path: str, body: object, timeout_s: float) -> Reply:
+    async def _call(self, call: _Call, started_unix_ms: int | None) -> Reply:
+        """Call the incarnation ``started_unix_ms``, or any if that is None.
+
+        A connection that the worker has closed since its last use is replaced.
+        """
+        reply = None
+        while reply is None:
+            async with self._connections.borrow(started_unix_ms) as connection:
+                if connection.is_sealed:
+                    reply = await self._call_if_open(connection, call)
+                else:
+                    reply = await self._call_new(
+                        connection, call, started_unix_ms
+                    )
+        return reply
+
+    async def _call_if_open(
+        self, connection: WorkerConnection, call: _Call
+    ) -> Reply | None:
+        """Return the response; None if ``connection`` was closed before."""
         try:
-            return await self._endpoint.call(
-                'POST',
-                path,
-                body=body,
-                headers=self._headers,
-                timeout_s=timeout_s,
+            return await self._call_on(connection, call)
+        except NotSentError:
+            return None
+
+    async def _call_new(
+        self,
+        connection: WorkerConnection,
+        call: _Call,
+        started_unix_ms: int | None,
+    ) -> Reply:
+        """Identify the worker unless ``started_unix_ms`` is None, and call it.
+
+        Returns the response, or the rejection of the report that was to
+        identify it. Raises ``_OtherIncarnationError``.
+        """
+        if started_unix_ms is None:
+            return await self._call_on(connection, call)
+        reply = await self._identify(connection, call.body['fence'])
+        if reply.status != HTTPStatus.OK:
+            return reply
+        if connection.started_unix_ms != started_unix_ms:
+            raise _OtherIncarnationError(
+                f'another incarnation of worker {self._worker} answers'
             )
-        except CallError as exc:
-            raise WorkerCallError(str(exc)) from exc
+        return await self._call_on(connection, call)
+
+    async def _identify(
+        self, connection: WorkerConnection, epoch: Epoch
+    ) -> Reply:
+        """Ask for a report without effect; return it or its rejection.
+
+        Raises ``UnidentifiedError`` if it does not tell the incarnation.
+        """
+        body = {'fence': epoch, 'acked-through': 0}
+        call = _Call(_REPORT_PATH, body, REPORT_TIMEOUT_MARGIN_S)
+        try:
+            reply = await self._call_on(connection, call)
+        except NoResponseError as exc:
+            raise UnidentifiedError(str(exc)) from exc
+        if reply.status == HTTPStatus.OK and not connection.is_sealed:
+            raise UnidentifiedError(
+                f'undecodable report of worker {self._worker}'
+            )
+        return reply
+
+    async def _call_on(
+        self, connection: WorkerConnection, call: _Call
+    ) -> Reply:
+        reply = await connection.call(
+            call.path,
+            body=call.body,
+            headers=self._headers,
+            timeout_s=call.timeout_s,
+        )
+        if call.path == _REPORT_PATH and reply.status == HTTPStatus.OK:
+            _bind(connection, reply)
+        return reply
+
+
+def _outcome_of(exc: CallError) -> OrderOutcome:
+    return next(
+        outcome
+        for error, outcome in _OUTCOME_BY_ERROR
+        if isinstance(exc, error)
+    )
+
+
+def _bind(connection: WorkerConnection, reply: Reply) -> None:
+    """Bind ``connection`` to the incarnation that has made a report."""
+    try:
+        started_unix_ms = decode(reply.body, _Identity).born
+    except UndecodableError:
+        return
+    known_unix_ms = connection.started_unix_ms
+    if known_unix_ms is None:
+        connection.bind(started_unix_ms)
+    elif known_unix_ms != started_unix_ms:
+        # Something between the two keeps a connection for both.
+        connection.is_unusable = True
+        log_event(
+            logger,
+            'worker.connection_crossed',
+            level=logging.ERROR,
+            bound_to=known_unix_ms,
+            incarnation=started_unix_ms,
+        )
 
 
 def format_task_name(task: TaskRef) -> str:
--- a/tests/test_node_worker_events.py
+++ b/tests/test_node_worker_events.py
@@ -42,6 +42,28 @@
     assert not getattr(handler, method)(starts[0])
 
 
+@pytest.mark.parametrize('method', ['is_start_wanted', 'may_resend_start'])
+def test_start_is_not_sent_to_a_worker_that_has_restarted_since(method):
+    """A later leader reckons with the incarnation that the record names."""
+    bench, handler, (start,) = place_tasks(1)
+    assert getattr(handler, method)(start)
+    bench.report('w1', started_unix_ms=2)
+    assert not getattr(handler, method)(start)
+
+
+def test_a_run_on_another_incarnation_than_it_was_placed_on_is_logged(caplog):
+    """No order crosses from one to the other, as far as is known."""
+    bench, handler, (start,) = place_tasks(1)
+    start.is_start_sent = True
+    crossed = report(
+        clock_ms=10, running=[(start.ref, '', 1)], started_unix_ms=2
+    )
+    with caplog.at_level(logging.ERROR):
+        handler.handle_report(bench.engine.workers['w1'], crossed, bench.now_s)
+    (line,) = caplog.records
+    assert (line.msg, line.worker, line.incarnation) == ('run.crossed', 'w1', 2)
+
+
 def test_runs_that_are_being_stopped_count_against_a_shrunk_worker():
     bench, handler, starts = place_tasks(4)
     stopping = starts[:2]
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -189,6 +189,63 @@
     assert harness.allocation.ref in harness.worker.allocations
 
 
+async def test_a_start_names_the_incarnation_on_which_it_was_placed(harness):
+    """Its record was stored while the worker restarted."""
+    harness.worker.begin_incarnation(2)
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    (order,) = harness.client.starts
+    assert order.started_unix_ms == 1
+
+
+async def test_a_start_that_reaches_no_worker_is_repeated_and_released(harness):
+    """Nothing was sent, so there is nothing to stop."""
+    harness.client.start_outcome = OrderOutcome.UNREACHED
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    assert len(harness.client.starts) == orders_module.MAX_START_ATTEMPTS
+    assert harness.client.stops == []
+    assert harness.event_handler.events == [OrderOutcome.UNREACHED]
+
+
+async def test_a_start_that_reached_a_worker_once_is_stopped(harness):
+    harness.client.initial_start_outcomes = [OrderOutcome.UNKNOWN]
+    harness.client.start_outcome = OrderOutcome.UNREACHED
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    assert harness.client.stops == [harness.allocation.ref]
+    assert harness.event_handler.events == []
+
+
+async def test_a_start_for_an_incarnation_that_is_gone_is_released(harness):
+    """It is neither repeated nor stopped on the next incarnation."""
+    harness.client.start_outcome = OrderOutcome.OTHER_INCARNATION
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    assert len(harness.client.starts) == 1
+    assert harness.client.stops == []
+    assert harness.event_handler.events == [OrderOutcome.OTHER_INCARNATION]
+
+
+@pytest.mark.parametrize(
+    'outcome', [OrderOutcome.UNREACHED, OrderOutcome.OTHER_INCARNATION]
+)
+async def test_a_worker_that_may_have_restarted_reports_before_it_gets_work(
+    harness, outcome
+):
+    harness.client.start_outcome = outcome
+    harness.link.orders.order_start(harness.allocation)
+    await settle()
+    harness.worker.allocations.clear()
+    harness.bench.submit(job_spec('next'))
+    assert not harness.bench.plan().starts
+    await harness.link.start()
+    await settle()
+    assert harness.client.leases
+    harness.bench.report('w1')
+    assert harness.bench.plan().starts
+
+
 async def test_a_start_that_is_no_longer_wanted_is_not_retried(harness):
     harness.client.initial_start_outcomes = [OrderOutcome.UNKNOWN]
     start = harness.client.start
--- a/tests/test_organisation_limits_model.py
+++ b/tests/test_organisation_limits_model.py
@@ -189,6 +189,19 @@
     find_breach()
 
 
+# An urgent gang stops all work of its organisation while one worker is cut off.
+STOPS_UNDER_WAY = (
+    (0, SetLimit('mill', 4)),
+    (0, Submit('mill', 4, 4.0, is_gang=False, is_urgent=False)),
+    (1, CallTrouble('w0', (CUT,), 0, 2.0)),
+    (0, Submit('mill', 4, 4.0, is_gang=True, is_urgent=True)),
+)
+
+
+def test_urgent_work_waits_for_stops_under_way():
+    assert_no_breach(play_limits(STOPS_UNDER_WAY))
+
+
 def test_control_stops_under_way_do_not_count(monkeypatch):
     count_only(
         monkeypatch,
@@ -196,7 +209,8 @@
             allocation.phase is not AllocationPhase.STOPPING
         ),
     )
-    find_breach(SCRIPTS)
+    breaches = play_limits(STOPS_UNDER_WAY).breaches
+    assert any(line.startswith('1:') for line in breaches)
 
 
 def test_control_silent_workers_do_not_count(monkeypatch):
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -20,6 +20,8 @@
 
 REF = RunRef(TaskRef(JobId('5c0e7a21d94b36f8'), 0, 1, 17), 2)
 EPOCH = Epoch(7)
+# On the worker's clock.
+START_DEADLINE_MS = 5000
 
 
 @pytest.fixture
@@ -46,21 +48,31 @@
     await worker_client.close()
 
 
-async def start_run(client):
-    order = StartOrder(ref=REF, payload='60', deadline_ms=5000)
+async def start_run(client, worker):
+    order = StartOrder(
+        ref=REF,
+        payload='60',
+        started_unix_ms=worker.started_unix_ms,
+        deadline_ms=START_DEADLINE_MS,
+    )
     return await client.start(EPOCH, order)
 
 
-async def request_report(client, epoch=EPOCH):
+async def request_report(client, worker, epoch=EPOCH):
     return await client.report(
-        epoch, stored_end=0, lease_end_ms=8000, wait_ms=0
+        epoch,
+        stored_end=0,
+        lease_end_ms=8000,
+        wait_ms=0,
     )
 
 
 async def test_report_contains_the_load_of_each_run(standin_worker, client):
-    assert (await start_run(client)).outcome is OrderOutcome.DONE
+    assert (
+        await start_run(client, standin_worker)
+    ).outcome is OrderOutcome.DONE
     standin_worker.loads[format_task_name(REF.task)] = 120
-    (running_task,) = (await request_report(client)).running
+    (running_task,) = (await request_report(client, standin_worker)).running
     assert (running_task.ref, running_task.load) == (REF, 120)
 
 
@@ -74,17 +86,19 @@
         [number, format_task_name(REF.task), number, 'done', '']
         for number in range(1, count + 1)
     ]
-    assert (await request_report(client)).is_cut is is_cut
+    assert (await request_report(client, standin_worker)).is_cut is is_cut
 
 
 async def test_start_sent_twice_starts_one_run(standin_worker, client):
-    await start_run(client)
-    assert (await start_run(client)).outcome is OrderOutcome.DONE
+    await start_run(client, standin_worker)
+    assert (
+        await start_run(client, standin_worker)
+    ).outcome is OrderOutcome.DONE
     assert len(standin_worker.started_runs) == 1
 
 
 async def test_throttle_order_reaches_the_worker(standin_worker, client):
-    await start_run(client)
+    await start_run(client, standin_worker)
     reply = await client.throttle(EPOCH, REF, 25)
     assert reply.outcome is OrderOutcome.DONE
     assert standin_worker.throttle_percents == {
@@ -92,16 +106,16 @@
     }
 
 
-async def test_lower_epoch_raises_fenced_error(client):
-    await request_report(client)
+async def test_lower_epoch_raises_fenced_error(standin_worker, client):
+    await request_report(client, standin_worker)
     with pytest.raises(WorkerFencedError):
-        await request_report(client, Epoch(6))
+        await request_report(client, standin_worker, Epoch(6))
 
 
-async def test_other_worker_raises_replaced_error(server):
+async def test_other_worker_raises_replaced_error(standin_worker, server):
     other_client = make_client(server, 'w2')
     with pytest.raises(WorkerReplacedError):
-        await request_report(other_client)
+        await request_report(other_client, standin_worker)
     await other_client.close()
 
 
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -278,18 +278,33 @@
     assert_no_breach(world)
 
 
+# Review case 6: the start has no answer, the next leader hears that the worker
+# runs nothing, and the worker restarts before the start is repeated.
+REPEATED_START = (
+    (0, CallTrouble('w0', (CUT,) + (SOUND,) * 6, 0, 0.3)),
+    (0, Submit(1, 8.0)),
+    (0.05, ChangeLeader(0, 6.0)),
+    (0.15, Restart('w0', 0.05)),
+)
+# Review case 7: a late poll of a worker that restarted while it was idle, and
+# silence for as long as the lease is reckoned to last.
+LATE_POLL = (
+    (0, Submit(1, 0.01)),
+    (3, Restart('w0', 0.8)),
+    (0.9, CallTrouble('w0', (SOUND, LATE), 3.0, 1.5)),
+    (0, Submit(1, 8.0)),
+    (1.5, CallTrouble('w0', (CUT,), 0, 5.0)),
+)
+
+
+def test_a_replaced_leader_repeats_no_start_to_a_restarted_worker():
+    """The next leader has not raised the epoch of the new life."""
+    assert_no_breach(play_script(REPEATED_START))
+
+
 def test_a_late_poll_of_a_restarted_worker_grants_the_longest_lease():
     """The poll carries a time of the earlier clock, far ahead of the new."""
-    world = play_script(
-        (
-            (0, Submit(1, 0.01)),
-            (3, Restart('w0', 0.8)),
-            (0.9, CallTrouble('w0', (SOUND, LATE), 3.0, 1.5)),
-            (0, Submit(1, 8.0)),
-            (1.5, CallTrouble('w0', (CUT,), 0, 5.0)),
-        )
-    )
-    assert_no_breach(world)
+    assert_no_breach(play_script(LATE_POLL))
 
 
 @settings(max_examples=400, deadline=None, derandomize=True)
@@ -339,6 +354,11 @@
     assert count_draws_until_breach(LIMIT) <= LIMIT
 
 
+def test_control_review_case_with_starts_that_reach_any_life(monkeypatch):
+    monkeypatch.setattr(World, 'binds_calls', False)
+    assert play_script(REPEATED_START).breaches
+
+
 def test_control_ends_of_runs_given_up_have_no_effect(monkeypatch):
     monkeypatch.setattr(
         engine_module, 'apply_unmatched_ends', lambda *ignored: Plan()
--- a/tests/worker_lives_model.py
+++ b/tests/worker_lives_model.py
@@ -382,8 +382,7 @@
         sent_to = self._worker.life
 
         async def execute(life):
-            if life is not sent_to and not self._world.may_holds_cross_lives:
-                raise WorkerCallError('sent to an earlier life')
+            self._check_connection(life, sent_to)
             answer = await life.report(epoch, stored_end, lease_end_ms, wait_ms)
             return life, answer
 
@@ -398,12 +397,22 @@
 
     async def start(self, epoch, order):
         self._world.check_order(self._leader, order.ref)
-        return await self._order(
-            lambda life: life.order(epoch, life.start, order)
+        sent_to = self._worker.life
+        if self._is_bound(sent_to, order.started_unix_ms):
+            return await self._order(
+                lambda life: life.order(epoch, life.start, order), sent_to
+            )
+        reply = await self._order(
+            lambda life: life.order(epoch, _identify, order), sent_to
         )
+        if reply.outcome is OrderOutcome.UNKNOWN:
+            return OrderReply(OrderOutcome.UNREACHED)
+        return reply
 
     async def stop(self, epoch, ref):
-        return await self._order(lambda life: life.order(epoch, life.stop, ref))
+        return await self._order(
+            lambda life: life.order(epoch, life.stop, ref), self._worker.life
+        )
 
     async def throttle(self, epoch, ref, percent):
         return OrderReply(OrderOutcome.UNKNOWN)
@@ -411,9 +420,27 @@
     async def close(self):
         """Do nothing: no connection is open."""
 
-    async def _order(self, execute):
+    def _is_bound(self, life, started_unix_ms):
+        """Return whether a call that is sent now is meant for ``life``.
+
+        A call to a worker that is down reaches nobody.
+        """
+        if not self._world.binds_calls or life is None:
+            return True
+        return life.started_unix_ms == started_unix_ms
+
+    def _check_connection(self, life, sent_to):
+        """Check that ``life`` accepted the connection of a call."""
+        if self._world.binds_calls and life is not sent_to:
+            raise WorkerCallError('sent to an earlier life')
+
+    async def _order(self, execute, sent_to):
+        async def execute_order(life):
+            self._check_connection(life, sent_to)
+            return await execute(life)
+
         try:
-            return await self._call(execute, ORDER_TIMEOUT_S)
+            return await self._call(execute_order, ORDER_TIMEOUT_S)
         except WorkerCallError:
             return OrderReply(OrderOutcome.UNKNOWN)
 
@@ -450,6 +477,10 @@
             reply.set_result(answer)
 
 
+async def _identify(_order):
+    return OrderOutcome.OTHER_INCARNATION
+
+
 class LeaderStore:
     """The store as one leader reaches it."""
 
@@ -578,14 +609,14 @@
 
     # Whether the adapter marks reports whose list of ends is cut.
     marks_cut_lists = True
+    # Whether the adapter binds each call to one life of a worker.
+    binds_calls = True
 
     def __init__(self, clock, loop, *, list_limit=500, workers=2, slots=4):
         self.clock = clock
         self.loop = loop
         self.list_limit = list_limit
         self.slots = slots
-        # Whether a poll that is carried out late may reach the next life.
-        self.may_holds_cross_lives = False
         self.store = FakeWatchableStore(clock)
         self.store_trouble = Trouble(clock)
         self.breaches = []
