Leases and acknowledgements go only to the incarnation that they name

Cause: a hold refers to the clock and the ends of one incarnation, and reached whichever was at the address. Three special cases reckoned with that in part: the longest lease for a worker not heard of for 2.5 s, no acknowledgement more than 1 s after a report, none while a new entry was unread.

Ruled out: counting the longest lease from the last moment at which a call may arrive (12 s more before the work of any silent worker is restarted); no lease in the first hold (the start before it carries a time too).

Tests: what the link said at such times is replaced by what another incarnation gets from it, on real sockets: no lease, and it drops no ends. Both tests fail if holds alone are sent on any connection.

--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -16,9 +16,6 @@
 # Largest share by which a worker's monotonic clock may run slow, as its
 # operators state.
 MAX_CLOCK_DRIFT = 0.02
-# A worker that was heard of within this time has not restarted and received an
-# order since. Longer than the wait of a poll.
-RECENT_REPORT_S = 2.5
 # Start time of an incarnation that states none.
 UNKNOWN_START = 0
 # Speed of a task that is not throttled.
@@ -271,19 +268,6 @@
             self.unknown_incarnation_since_s or now_s
         )
 
-    def record_order(
-        self, deadline_ms: int, now_s: float, max_lease_ms: int
-    ) -> None:
-        """Record an order sent at ``now_s`` with a lease until ``deadline_ms``.
-
-        Unless the worker was heard of lately, it may have restarted. Its clock
-        then started anew, so that it holds the longest lease that it permits.
-        """
-        if now_s - self.last_report_at_s > RECENT_REPORT_S:
-            longest_ms = self.estimate_clock_ms(now_s) + max_lease_ms
-            deadline_ms = max(deadline_ms, longest_ms)
-        self.record_lease(deadline_ms)
-
     def may_hold_lapsed_runs(self, now_s: float) -> bool:
         """Return whether runs may go on there without a further lease."""
         return now_s <= self.leases_expire_at_s + LAPSED_STOP_S
--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -37,9 +37,6 @@
 MAX_IGNORED_POLLS = 3
 # How long a poll waits until reported ends are stored, to acknowledge them.
 STORE_WAIT_S = 0.4
-# Ends are acknowledged to a worker that has reported within this time. After
-# it, another incarnation may have started and ended runs with the same numbers.
-MAX_REPORT_AGE_S = 1.0
 # Single responses get lost, so the first retry is fast; the delay doubles.
 RETRY_S = 0.05
 # Interval between checks whether orders may be sent again.
@@ -71,8 +68,6 @@
         super().__init__()
         self.worker = worker
         self.client = client
-        # When the last poll was answered; None: it was not.
-        self._reported_at_s: float | None = None
         self._event_handler = event_handler
         self._epoch = epoch
         self._lease_ms = lease_ms
@@ -88,7 +83,6 @@
             client,
             event_handler,
             epoch=epoch,
-            max_lease_ms=max_lease_ms,
             clock=clock,
         )
         self.orders.on_outcome = self.wake
@@ -155,15 +149,13 @@
         lease_ms = self._next_lease_ms()
         if lease_ms:
             lease_end_ms = worker.estimate_clock_ms(requested_at_s) + lease_ms
-            worker.record_order(
-                lease_end_ms, requested_at_s, self._max_lease_ms
-            )
+            worker.record_lease(lease_end_ms)
         ends = worker.ends
-        acknowledged_end = self._next_acknowledged_end(requested_at_s)
-        self._reported_at_s = None
+        acknowledged_end = self._next_acknowledged_end()
         try:
             report = await self.client.report(
                 self._epoch,
+                started_unix_ms=worker.entry.started_unix_ms,
                 stored_end=acknowledged_end,
                 lease_end_ms=lease_end_ms,
                 wait_ms=self._report_wait_ms(),
@@ -180,30 +172,22 @@
                 self._record_failed_poll(exc)
             return False
         self._ignored_polls = 0
-        self._reported_at_s = self._clock.monotonic_s()
         if acknowledged_end:
             ends.acknowledged = acknowledged_end
         self._event_handler.handle_report(worker, report, requested_at_s)
         if is_first_report or worker.ends is not ends:
-            # An earlier leader may have granted a lease just before, also to
-            # the incarnation before, on whose clock its end then was.
+            # An earlier leader may have granted a lease just before.
             worker.record_lease(report.clock_ms + self._max_lease_ms)
         return True
 
-    def _next_acknowledged_end(self, now_s: float) -> int:
+    def _next_acknowledged_end(self) -> int:
         """Return the number of the last end to acknowledge; zero: none.
 
-        Returns zero unless the last poll was answered at most
-        ``MAX_REPORT_AGE_S`` ago. A new incarnation numbers its ends from 1 and
-        would forget ends that it has not reported.
+        Only the incarnation that has reported these ends drops them.
         """
         worker = self.worker
         stored = worker.ends.stored
-        reported_at_s = self._reported_at_s
-        if reported_at_s is None or stored <= worker.ends.acknowledged:
-            return 0
-        is_report_old = now_s - reported_at_s > MAX_REPORT_AGE_S
-        if is_report_old or worker.unknown_incarnation_since_s:
+        if stored <= worker.ends.acknowledged:
             return 0
         log_event(
             logger,
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -64,6 +64,7 @@
         self,
         epoch: Epoch,
         *,
+        started_unix_ms: int,
         stored_end: int,
         lease_end_ms: int | None,
         wait_ms: int,
@@ -72,8 +73,8 @@
 
         The worker responds when another run ends, at the latest after
         ``wait_ms``. ``stored_end`` acknowledges ended runs up to that number.
-        Raises ``WorkerCallError``, ``WorkerFencedError`` or
-        ``WorkerReplacedError``.
+        Another incarnation than ``started_unix_ms`` only reports. Raises
+        ``WorkerCallError``, ``WorkerFencedError`` or ``WorkerReplacedError``.
         """
 
     async def start(self, epoch: Epoch, order: StartOrder) -> OrderReply:
@@ -149,20 +150,15 @@
         event_handler: LinkEventHandler,
         *,
         epoch: Epoch,
-        max_lease_ms: int,
         clock: Clock,
     ) -> None:
-        """Send orders to ``worker`` with the fencing token ``epoch``.
-
-        The worker cuts leases to ``max_lease_ms``.
-        """
+        """Send orders to ``worker`` with the fencing token ``epoch``."""
         self.worker = worker
         # Called when the outcome of an order is known.
         self.on_outcome: Callable[[], None] = _do_nothing
         self._client = client
         self._event_handler = event_handler
         self._epoch = epoch
-        self._max_lease_ms = max_lease_ms
         self._clock = clock
         self._tasks = BackgroundTasks()
 
@@ -201,7 +197,7 @@
         allocation.start_deadline_ms = deadline_ms
         allocation.is_start_sent = True
         allocation.start_sent_at_s = now_s
-        worker.record_order(deadline_ms, now_s, self._max_lease_ms)
+        worker.record_lease(deadline_ms)
         unit = allocation.unit
         order = StartOrder(
             ref=allocation.ref,
--- a/src/bulrushcove/platform/worker_client.py
+++ b/src/bulrushcove/platform/worker_client.py
@@ -83,6 +83,11 @@
 class _OtherIncarnationError(NotSentError):
     """Another incarnation answers than the one that was called."""
 
+    def __init__(self, reply: Reply) -> None:
+        """Keep ``reply``, a report of that incarnation."""
+        super().__init__('another incarnation of the worker answers')
+        self.reply = reply
+
 
 # The first one that an error is an instance of tells the outcome.
 _OUTCOME_BY_ERROR = (
@@ -121,6 +126,7 @@
         self,
         epoch: Epoch,
         *,
+        started_unix_ms: int,
         stored_end: int,
         lease_end_ms: int | None,
         wait_ms: int,
@@ -129,8 +135,10 @@
 
         ``lease_end_ms`` is on the worker's clock; None renews nothing. The
         worker drops ended runs up to number ``stored_end``, and waits up to
-        ``wait_ms`` for another run to end. Raises ``WorkerCallError``,
-        ``WorkerFencedError`` or ``WorkerReplacedError``.
+        ``wait_ms`` for another run to end. Another incarnation than
+        ``started_unix_ms`` reports, and neither renews nor drops anything.
+        Raises ``WorkerCallError``, ``WorkerFencedError`` or
+        ``WorkerReplacedError``.
         """
         body: dict[str, int] = {'fence': epoch, 'acked-through': stored_end}
         if lease_end_ms is not None:
@@ -139,7 +147,11 @@
         if wait_ms:
             body['wait-ms'] = wait_ms
         timeout_s = wait_ms / 1000 + REPORT_TIMEOUT_MARGIN_S
-        reply = await self._request_report(_Call(_REPORT_PATH, body, timeout_s))
+        has_effect = stored_end > 0 or lease_end_ms is not None
+        reply = await self._request_report(
+            _Call(_REPORT_PATH, body, timeout_s),
+            started_unix_ms if has_effect else None,
+        )
         if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             raise WorkerReplacedError(
                 f'another worker uses the address of {self._worker}'
@@ -192,9 +204,13 @@
         }
         return await self._send_order('/api/pace', body)
 
-    async def _request_report(self, call: _Call) -> Reply:
+    async def _request_report(
+        self, call: _Call, started_unix_ms: int | None
+    ) -> Reply:
         try:
-            return await self._call(call, None)
+            return await self._call(call, started_unix_ms)
+        except _OtherIncarnationError as exc:
+            return exc.reply
         except CallError as exc:
             raise WorkerCallError(str(exc)) from exc
 
@@ -254,9 +270,7 @@
         if reply.status != HTTPStatus.OK:
             return reply
         if connection.started_unix_ms != started_unix_ms:
-            raise _OtherIncarnationError(
-                f'another incarnation of worker {self._worker} answers'
-            )
+            raise _OtherIncarnationError(reply)
         return await self._call_on(connection, call)
 
     async def _identify(
--- a/tests/test_node_leader_changes.py
+++ b/tests/test_node_leader_changes.py
@@ -67,7 +67,9 @@
             raise WorkerCallError('no response')
         self.max_epoch = max(self.max_epoch, epoch)
 
-    async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
+    async def report(
+        self, epoch, *, started_unix_ms, stored_end, lease_end_ms, wait_ms
+    ):
         await asyncio.sleep(0.005)
         self.check_call(epoch)
         self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0)
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -27,6 +27,8 @@
 
     def __init__(self):
         self.leases = []
+        # That the polls named.
+        self.incarnations = []
         self.stops = []
         self.starts = []
         self.reports = [report()]
@@ -36,8 +38,11 @@
         # Outcomes of the first stops; later ones are carried out.
         self.initial_stop_outcomes = []
 
-    async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
+    async def report(
+        self, epoch, *, started_unix_ms, stored_end, lease_end_ms, wait_ms
+    ):
         self.leases.append(lease_end_ms)
+        self.incarnations.append(started_unix_ms)
         await asyncio.sleep(0)
         response = self.reports[0]
         if len(self.reports) > 1:
@@ -246,6 +251,12 @@
     assert harness.bench.plan().starts
 
 
+async def test_a_poll_names_the_incarnation_that_reported_last(harness):
+    await harness.link.start()
+    await settle()
+    assert set(harness.client.incarnations) == {1}
+
+
 async def test_a_start_that_is_no_longer_wanted_is_not_retried(harness):
     harness.client.initial_start_outcomes = [OrderOutcome.UNKNOWN]
     start = harness.client.start
--- a/tests/test_node_worker_registry.py
+++ b/tests/test_node_worker_registry.py
@@ -26,7 +26,9 @@
 class SilentWorkerClient(FakeWorkerClient):
     """A client of a worker that lost power: no call ever returns."""
 
-    async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
+    async def report(
+        self, epoch, *, started_unix_ms, stored_end, lease_end_ms, wait_ms
+    ):
         await asyncio.Event().wait()
 
 
--- a/tests/test_odd_reports.py
+++ b/tests/test_odd_reports.py
@@ -81,7 +81,13 @@
     _, port = server.sockets[0].getsockname()
     client = HttpWorkerClient('x\r\ny', f'127.0.0.1:{port}')
     with pytest.raises(WorkerCallError):
-        await client.report(Epoch(1), stored_end=0, lease_end_ms=0, wait_ms=0)
+        await client.report(
+            Epoch(1),
+            started_unix_ms=0,
+            stored_end=0,
+            lease_end_ms=0,
+            wait_ms=0,
+        )
     await client.close()
     server.close()
 
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -61,6 +61,7 @@
 async def request_report(client, worker, epoch=EPOCH):
     return await client.report(
         epoch,
+        started_unix_ms=worker.started_unix_ms,
         stored_end=0,
         lease_end_ms=8000,
         wait_ms=0,
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -105,6 +105,7 @@
 async def request_report(client, started_unix_ms, stored_end=0, lease=None):
     return await client.report(
         EPOCH,
+        started_unix_ms=started_unix_ms,
         stored_end=stored_end,
         lease_end_ms=lease,
         wait_ms=0,
@@ -131,6 +132,24 @@
     assert address.worker._lease_end_ms == 0
 
 
+async def test_a_report_renews_no_lease_of_another_incarnation(address, client):
+    """Review case 7: on the new clock it was the longest lease."""
+    earlier = address.started_unix_ms
+    await address.restart()
+    report = await request_report(client, earlier, lease=LATE_MS)
+    assert report.started_unix_ms == address.started_unix_ms
+    assert address.worker._lease_end_ms == 0
+
+
+async def test_a_report_drops_no_ends_of_another_incarnation(address, client):
+    """Both number their ends from 1."""
+    earlier = address.started_unix_ms
+    await address.restart()
+    address.worker.ended = [[1, '5c0e7a21d94b36f8.0.1.17', 2, 'done', '']]
+    await request_report(client, earlier, stored_end=3)
+    assert len(address.worker.ended) == 1
+
+
 async def test_an_incarnation_is_asked_once_for_each_connection(
     address, client
 ):
--- a/tests/test_worker_lives.py
+++ b/tests/test_worker_lives.py
@@ -41,7 +41,6 @@
 from bulrushcove.batch.membership import record_entry
 from bulrushcove.batch.plan import Plan
 from bulrushcove.batch.workers import EndKind, ReportedEnds
-from bulrushcove.node.worker_link import WorkerLink
 
 
 class Submit(msgspec.Struct, frozen=True):
@@ -345,18 +344,17 @@
     assert count_draws_until_breach(LIMIT) <= LIMIT
 
 
-def test_control_numbers_acknowledged_without_a_recent_report(monkeypatch):
-    monkeypatch.setattr(
-        WorkerLink,
-        '_next_acknowledged_end',
-        lambda link, now_s: link.worker.ends.stored,
-    )
+def test_control_calls_that_reach_any_life(monkeypatch):
+    monkeypatch.setattr(World, 'binds_calls', False)
     assert count_draws_until_breach(LIMIT) <= LIMIT
 
 
-def test_control_review_case_with_starts_that_reach_any_life(monkeypatch):
+@pytest.mark.parametrize('script', [REPEATED_START, LATE_POLL])
+def test_control_review_cases_with_calls_that_reach_any_life(
+    monkeypatch, script
+):
     monkeypatch.setattr(World, 'binds_calls', False)
-    assert play_script(REPEATED_START).breaches
+    assert play_script(script).breaches
 
 
 def test_control_ends_of_runs_given_up_have_no_effect(monkeypatch):
--- a/tests/worker_lives_model.py
+++ b/tests/worker_lives_model.py
@@ -378,8 +378,14 @@
         self._leader = leader
         self._worker = worker
 
-    async def report(self, epoch, *, stored_end, lease_end_ms, wait_ms):
+    async def report(
+        self, epoch, *, started_unix_ms, stored_end, lease_end_ms, wait_ms
+    ):
         sent_to = self._worker.life
+        has_effect = stored_end > 0 or lease_end_ms is not None
+        if has_effect and not self._is_bound(sent_to, started_unix_ms):
+            # Only the report by which the connection is identified is sent.
+            stored_end, lease_end_ms, wait_ms = 0, None, 0
 
         async def execute(life):
             self._check_connection(life, sent_to)
