--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
-sys.path.insert(0, str(HERE.parent / 'standins-3'))
+sys.path.insert(0, str(HERE.parent / '11' / 'standins'))
 
 from small import FINISH_S, Caller, Record, Small, has_trouble  # noqa: E402
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # those of the project that they use can be loaded with the packages of the
 # deploy file. All are plain Python: there is nothing else to build.
 cd "$(dirname "$0")/.." || exit 2
-export PYTHONPATH=target/deps:.:review/standins-3 PYTHONDONTWRITEBYTECODE=1
+export PYTHONPATH=target/deps:.:review/11/standins PYTHONDONTWRITEBYTECODE=1
 exec python3 - <<'END'
 from pathlib import Path
 
