Calls under way to workers are bounded, also those of one wide gang

Cause: the leader opened a connection, with a session and a pool of its own, for each of the 2,000 starts at once and went over its 300 MB; so did the next leaders, which loaded the job. Stops of them go the same way. Ruled out: the record (14 kB) and the pass (9 ms, engine alone).

Change: starts, stops and throttles each have a bound, in all and for each worker (node/order_limits.py). The deadline of a start counts from its sending. No pass places more while 600 starts are open. What grew with the square of a gang or job at its ends and starts does not any more: the stops of a cancelled job or broken gang are ordered once, the capacity that runs reserve is summed as they change, silent members of one gang are judged together.

The test of changes that are not counted put None into the table; it now puts an allocation there, and also checks the sum.

--- a/src/bulrushcove/batch/completion.py
+++ b/src/bulrushcove/batch/completion.py
@@ -40,8 +40,12 @@
     elif end.kind is EndKind.FAILED and unit.failed_run != allocation.run:
         unit.failed_run = allocation.run
         unit.failures += 1
-    stops = _abort_gang(unit, end.kind)
+    # What was left to stop of a job was stopped when the job ended.
+    had_ended = unit.job.has_ended
+    stops = [] if had_ended else _abort_gang(unit, end.kind)
     _reset_unit(unit, now_s)
+    if had_ended:
+        return stops
     _end_job_if_decided(unit.job, (unit,), unix_ms, now_s)
     return stops + _allocations_of_stopped_job(unit.job)
 
@@ -114,6 +118,10 @@
     """
     if kind in _NON_ABORTING_ENDS or unit.phase is not UnitPhase.ACTIVE:
         return []
+    if unit.is_aborting:
+        # The others were stopped then; a search for each end of thousands
+        # would hold up the event loop.
+        return []
     unit.is_aborting = True
     return mark_for_stop(unstopped_allocations(unit), StopReason.GANG_ABORTED)
 
--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -265,15 +265,22 @@
             )
         return plan
 
-    def plan(self, *, unix_ms: int, now_s: float) -> Plan:
+    def plan(
+        self,
+        *,
+        unix_ms: int,
+        now_s: float,
+        max_starts: int = MAX_STARTS_PER_PASS,
+    ) -> Plan:
         """Place waiting units and select the runs to stop.
 
+        No unit is placed once ``max_starts`` tasks are; a gang may exceed it.
         Stops are for preemption, stalled runs and draining workers.
         """
         self.pass_count += 1
         current = prepare_pass(self, unix_ms=unix_ms, now_s=now_s)
         plan = Plan()
-        _run_pass(current, plan)
+        _run_pass(current, plan, max_starts)
         _stop_stalled_runs(
             plan, self.evidence.progress, self.reliability, now_s
         )
@@ -362,10 +369,10 @@
         plan.stops.extend(mark_for_stop(stall.allocations, StopReason.STALLED))
 
 
-def _run_pass(current: SchedulingPass, plan: Plan) -> None:
+def _run_pass(current: SchedulingPass, plan: Plan, max_starts: int) -> None:
     """Place the waiting units in order; urgent ones may preempt others."""
     for unit in current.waiting:
-        if len(plan.starts) >= MAX_STARTS_PER_PASS:
+        if len(plan.starts) >= max_starts:
             plan.is_partial = True
             break
         allocations = current.place(unit)
@@ -374,7 +381,7 @@
             plan.stops.extend(current.preempt(unit))
             current.reserve(unit)
     for retried in current.units_tried_last():
-        if len(plan.starts) >= MAX_STARTS_PER_PASS:
+        if len(plan.starts) >= max_starts:
             plan.is_partial = True
             break
         plan.starts.extend(current.place(retried))
--- a/src/bulrushcove/batch/progress_model.py
+++ b/src/bulrushcove/batch/progress_model.py
@@ -84,6 +84,14 @@
     blamed: list[WorkerId]
 
 
+class _JudgedUnit(msgspec.Struct, frozen=True):
+    """What decides whether silent runs of one unit are stopped."""
+
+    suspects: list[Worker]
+    # Work that a stop throws away, the most of any task.
+    lost_ms: float
+
+
 class ProgressModel:
     """Progress expected of runs, silent runs and suspected workers."""
 
@@ -157,12 +165,16 @@
             if now_s - stopped_at_s < PROOF_S
         }
         stalls = []
-        judged: set[UnitRef] = set()
+        # A gang of thousands is searched once, not for each silent member.
+        judged: dict[UnitRef, _JudgedUnit | None] = {}
         for allocation in self._overdue_runs():
-            ref = allocation.unit.ref
-            stall = None if ref in judged else self._judge(allocation, now_s)
+            unit = allocation.unit
+            ref = unit.ref
+            if ref not in judged:
+                judged[ref] = _find_judged_unit(unit, self._workers)
+            stall = self._judge(allocation, judged[ref], now_s)
             if stall is not None:
-                judged.add(ref)
+                judged[ref] = None
                 _count_stall(allocation)
                 self._last_stop_s.update(dict.fromkeys(stall.suspects, now_s))
                 stalls.append(stall)
@@ -209,21 +221,18 @@
         worker.suspected_since_s = 0.0
         worker.silent_jobs = 0
 
-    def _judge(self, allocation: Allocation, now_s: float) -> Stall | None:
-        """Return the stall of the run of ``allocation``; None: let it go on."""
+    def _judge(
+        self, allocation: Allocation, judged: '_JudgedUnit | None', now_s: float
+    ) -> Stall | None:
+        """Return the stall of the run of ``allocation``; None: let it go on.
+
+        ``judged`` tells of its unit; None: that is not judged now.
+        """
         unit = allocation.unit
-        members = list(unit.allocations.values())
         is_current = unit.allocations.get(allocation.index) is allocation
-        if (
-            not is_current
-            or unit.is_aborting
-            or any(
-                member.phase is not AllocationPhase.RUNNING
-                for member in members
-            )
-        ):
+        if judged is None or not is_current:
             return None
-        suspects = _select_suspects(members, self._workers)
+        suspects = judged.suspects
         if self._is_trial_under_way(unit, suspects, now_s):
             return None
         expected = self._expectations.expectation(allocation)
@@ -231,7 +240,7 @@
         limit_ms *= _patience_factor(unit, expected, suspects)
         worker = self._workers[allocation.worker]
         silent_ms = worker.clock_ms - silent_since_ms(allocation)
-        lost_ms = max(map(unsaved_ms, members))
+        lost_ms = judged.lost_ms
         if silent_ms <= limit_ms or not self._is_stop_cheaper(
             unit, silent_ms, lost_ms, bool(suspects)
         ):
@@ -299,6 +308,19 @@
     return max(0, 1 - len(on_trial))
 
 
+def _find_judged_unit(
+    unit: Unit, workers: Mapping[WorkerId, Worker]
+) -> _JudgedUnit | None:
+    """Return what decides on the runs of ``unit``; None: it is not judged."""
+    members = list(unit.allocations.values())
+    if unit.is_aborting or any(
+        member.phase is not AllocationPhase.RUNNING for member in members
+    ):
+        return None
+    suspects = _select_suspects(members, workers)
+    return _JudgedUnit(suspects, max(map(unsaved_ms, members), default=0))
+
+
 def _is_judged(allocation: Allocation) -> bool:
     """Return whether silence of the run tells of its worker or itself.
 
@@ -346,14 +368,13 @@
     workers: Mapping[WorkerId, Worker],
 ) -> bool:
     """Return whether another worker certainly holds up each silent run."""
+    units = {one.allocation.unit.ref: one.allocation.unit for one in evidence}
     return all(
         any(
             other.id != worker.id and other.silent_jobs >= CONFIRMING_JOBS
-            for other in _select_suspects(
-                one.allocation.unit.allocations.values(), workers
-            )
+            for other in _select_suspects(unit.allocations.values(), workers)
         )
-        for one in evidence
+        for unit in units.values()
     )
 
 
@@ -363,11 +384,15 @@
     Gangs on the same workers tell no more than one of them: any worker that
     all of the silent runs share may be the cause.
     """
-    units = [one.allocation.unit for one in evidence]
+    units = {one.allocation.unit.ref: one.allocation.unit for one in evidence}
     shared = set.intersection(
-        *({run.worker for run in unit.allocations.values()} for unit in units)
+        *(
+            {run.worker for run in unit.allocations.values()}
+            for unit in units.values()
+        )
     )
-    return len({unit.job.id for unit in units}) if len(shared) == 1 else 1
+    jobs = {unit.job.id for unit in units.values()}
+    return len(jobs) if len(shared) == 1 else 1
 
 
 def _select_suspects(
--- a/src/bulrushcove/batch/workers.py
+++ b/src/bulrushcove/batch/workers.py
@@ -208,10 +208,7 @@
 
     def free_capacity(self) -> TaskSize:
         """Return the capacity that no allocation of the worker holds."""
-        free = self.entry.capacity
-        for allocation in self.allocations.values():
-            free = free.minus(allocation.unit.spec.requirements)
-        return free
+        return self.entry.capacity.minus(self.allocations.reserved)
 
     def exceeds_capacity(self) -> bool:
         """Return whether the allocations need more than the capacity.
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from ..batch.engine import Engine
+from ..batch.engine import MAX_STARTS_PER_PASS, Engine
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
 from ..batch.plan import Plan
@@ -40,6 +40,9 @@
 # Longest time between two passes when nothing changes.
 MAX_PASS_INTERVAL_S = 0.25
 LOAD_RETRY_S = 0.2
+# Nothing more is placed while as many starts are not answered; a gang that is
+# placed as a whole may exceed it.
+MAX_OPEN_STARTS = 600
 
 logger = logging.getLogger(__name__)
 
@@ -219,8 +222,13 @@
     def _run_pass(self) -> None:
         """Run one scheduling pass and carry out its plan."""
         started_at_s = self._clock.monotonic_s()
+        open_starts = self._worker_registry.order_limits.open_starts
         plan = self.engine.plan(
-            unix_ms=self._clock.unix_ms(), now_s=self._clock.monotonic_s()
+            unix_ms=self._clock.unix_ms(),
+            now_s=self._clock.monotonic_s(),
+            max_starts=min(
+                MAX_STARTS_PER_PASS, max(0, MAX_OPEN_STARTS - open_starts)
+            ),
         )
         self._apply(plan)
         self._advice_requester.submit(plan.advice_request)
--- a/src/bulrushcove/node/worker_orders.py
+++ b/src/bulrushcove/node/worker_orders.py
@@ -23,6 +23,7 @@
 from ..ids import Epoch
 from ..logs import log_event
 from .background_tasks import BackgroundTasks
+from .order_limits import OrderKind, OrderLimits, WorkerOrderLimits
 
 # The worker rejects a start that arrives later than this. Long enough for a
 # worker at a network distance of 60 ms, short enough for an early retry.
@@ -161,6 +162,8 @@
         self.worker = worker
         # Called when the outcome of an order is known.
         self.on_outcome: Callable[[], None] = _do_nothing
+        # Replaced by one that also bounds the calls to all workers.
+        self.limits = WorkerOrderLimits(OrderLimits())
         self._client = client
         self._event_handler = event_handler
         self._epoch = epoch
@@ -191,29 +194,32 @@
         self._tasks.spawn(self._stop_orphan(ref))
 
     async def _start(self, allocation: Allocation, ticket: str) -> None:
-        worker = self.worker
-        if not self._event_handler.is_start_wanted(allocation):
-            self._event_handler.handle_run_ended(
-                allocation, EndKind.NEVER_STARTED
+        """Send a start once a call is free; its deadline counts from then."""
+        limits = self.limits
+        async with limits.count_start(), limits.hold(OrderKind.START):
+            worker = self.worker
+            if not self._event_handler.is_start_wanted(allocation):
+                self._event_handler.handle_run_ended(
+                    allocation, EndKind.NEVER_STARTED
+                )
+                return
+            now_s = self._clock.monotonic_s()
+            deadline_ms = worker.estimate_clock_ms(now_s) + START_TTL_MS
+            allocation.start_deadline_ms = deadline_ms
+            allocation.is_start_sent = True
+            allocation.start_sent_at_s = now_s
+            worker.record_lease(deadline_ms)
+            unit = allocation.unit
+            order = StartOrder(
+                ref=allocation.ref,
+                payload=unit.job.spec.payload,
+                started_unix_ms=allocation.worker_started_unix_ms,
+                deadline_ms=deadline_ms,
+                checkpoint=unit.checkpoint,
+                ticket=ticket,
             )
-            return
-        now_s = self._clock.monotonic_s()
-        deadline_ms = worker.estimate_clock_ms(now_s) + START_TTL_MS
-        allocation.start_deadline_ms = deadline_ms
-        allocation.is_start_sent = True
-        allocation.start_sent_at_s = now_s
-        worker.record_lease(deadline_ms)
-        unit = allocation.unit
-        order = StartOrder(
-            ref=allocation.ref,
-            payload=unit.job.spec.payload,
-            started_unix_ms=allocation.worker_started_unix_ms,
-            deadline_ms=deadline_ms,
-            checkpoint=unit.checkpoint,
-            ticket=ticket,
-        )
-        await self._send_start(allocation, order)
-        self.on_outcome()
+            await self._send_start(allocation, order)
+            self.on_outcome()
 
     async def _send_start(
         self, allocation: Allocation, order: StartOrder
@@ -232,7 +238,7 @@
                 break
             sent_at_s = self._clock.monotonic_s()
             reply = await self._client.start(self._epoch, order)
-            self._log_order('run.start', allocation, reply)
+            _log_order('run.start', allocation, reply)
             if reply.outcome not in _RESENT:
                 self._handle_start_reply(allocation, reply, may_have_run)
                 return
@@ -277,7 +283,7 @@
         elif outcome is OrderOutcome.FENCED:
             self._event_handler.handle_fenced(self.worker)
         elif may_have_run and outcome in _MAY_HAVE_RUN:
-            self._log_order('run.start_open', allocation, reply)
+            _log_order('run.start_open', allocation, reply)
         elif outcome in OUTCOMES_NEVER_STARTED:
             self._event_handler.handle_start_rejected(allocation, outcome)
 
@@ -296,22 +302,30 @@
 
     async def _send_stop(self, allocation: Allocation) -> OrderOutcome:
         """Send one stop, if this VM has the authority to send orders."""
-        if not self._event_handler.may_send_orders():
+        reply = await self._call_stop(allocation.ref)
+        if reply is None:
             return OrderOutcome.NOT_SENT
-        reply = await self._client.stop(self._epoch, allocation.ref)
-        self._log_order('run.stop', allocation, reply)
+        _log_order('run.stop', allocation, reply)
         if reply.outcome is OrderOutcome.DONE:
             allocation.stop_confirmed_at_s = self._clock.monotonic_s()
         elif reply.outcome is OrderOutcome.FENCED:
             self._event_handler.handle_fenced(self.worker)
         return reply.outcome
 
+    async def _call_stop(self, ref: RunRef) -> OrderReply | None:
+        """Send a stop once a call is free; None: no orders may be sent then."""
+        async with self.limits.hold(OrderKind.STOP):
+            if not self._event_handler.may_send_orders():
+                return None
+            return await self._client.stop(self._epoch, ref)
+
     async def _throttle(self, allocation: Allocation, percent: int) -> None:
-        if not self._event_handler.may_send_orders():
-            return
-        reply = await self._client.throttle(
-            self._epoch, allocation.ref, percent
-        )
+        async with self.limits.hold(OrderKind.THROTTLE):
+            if not self._event_handler.may_send_orders():
+                return
+            reply = await self._client.throttle(
+                self._epoch, allocation.ref, percent
+            )
         # An unanswered order is sent again after the next report.
         if reply.outcome is OrderOutcome.DONE:
             allocation.speed_percent = percent
@@ -329,9 +343,9 @@
 
     async def _stop_orphan(self, ref: RunRef) -> None:
         # A leader without authority may take a new leader's run for an orphan.
-        if not self._event_handler.may_send_orders():
+        reply = await self._call_stop(ref)
+        if reply is None:
             return
-        reply = await self._client.stop(self._epoch, ref)
         log_event(
             logger,
             'run.stray_stopped',
@@ -342,24 +356,21 @@
         )
         self.on_outcome()
 
-    def _log_order(
-        self, event: str, allocation: Allocation, reply: OrderReply
-    ) -> None:
-        ref = allocation.ref
-        log_event(
-            logger,
-            event,
-            worker=allocation.worker,
-            job=ref.task.job,
-            occurrence=ref.task.occurrence,
-            step=ref.task.step,
-            index=ref.task.index,
-            run=ref.run,
-            reason=allocation.stop_reason.value
-            if allocation.stop_reason
-            else None,
-            outcome=reply.outcome.value,
-        )
+
+def _log_order(event: str, allocation: Allocation, reply: OrderReply) -> None:
+    ref = allocation.ref
+    log_event(
+        logger,
+        event,
+        worker=allocation.worker,
+        job=ref.task.job,
+        occurrence=ref.task.occurrence,
+        step=ref.task.step,
+        index=ref.task.index,
+        run=ref.run,
+        reason=allocation.stop_reason.value if allocation.stop_reason else None,
+        outcome=reply.outcome.value,
+    )
 
 
 def _do_nothing() -> None:
--- a/src/bulrushcove/node/worker_registry.py
+++ b/src/bulrushcove/node/worker_registry.py
@@ -17,6 +17,7 @@
 from ..store import WatchableStore
 from .advice_requests import RequestAdvice
 from .background_tasks import BackgroundTasks
+from .order_limits import OrderLimits, WorkerOrderLimits
 from .prefix_cache import Entries, PrefixCache
 from .settings import NodeSettings, run_lease_ms
 from .worker_link import WorkerLink
@@ -68,6 +69,7 @@
         super().__init__()
         # Called when a worker is listed, changed or unlisted.
         self.on_change: Callable[[], None] = _do_nothing
+        self.order_limits = OrderLimits()
         self._engine = engine
         self._store = store
         self._worker_adapter = worker_adapter
@@ -203,7 +205,7 @@
             await _wait_for_first_poll(link)
 
     def _make_link(self, worker: Worker) -> WorkerLink:
-        return WorkerLink(
+        link = WorkerLink(
             worker,
             self._worker_adapter.make_client(worker.id, worker.entry.address),
             self._event_handler,
@@ -212,6 +214,8 @@
             max_lease_ms=self._max_lease_ms,
             clock=self._clock,
         )
+        link.orders.limits = WorkerOrderLimits(self.order_limits)
+        return link
 
 
 def first_poll_limit(cpu_cores: float) -> int:
--- a/tests/test_batch_organisation_limits.py
+++ b/tests/test_batch_organisation_limits.py
@@ -8,10 +8,12 @@
 from bulrushcove.batch.exceptions import JobRefusedError
 from bulrushcove.batch.job_spec import TaskSize
 from bulrushcove.batch.job_state import (
+    Allocation,
     AllocationPhase,
     JobPhase,
     StopReason,
     UnitPhase,
+    new_job,
 )
 from bulrushcove.batch.limit_gate import HOLD_AFTER_S
 from bulrushcove.batch.membership import mark_unlisted, remove_departed
@@ -682,11 +684,14 @@
     ],
 )
 def test_a_change_of_allocations_that_is_not_counted_is_refused(change):
+    unit = new_job(job_spec('job'), unix_ms=0, now_s=0).units[0]
+    allocation = Allocation(unit=unit, index=0, run=1, worker='w')
     table = AllocationTable()
-    table['run'] = None
+    table['run'] = allocation
 
     with pytest.raises(TypeError, match='not be counted'):
         change(table)
 
-    assert table == {'run': None}
+    assert table == {'run': allocation}
     assert table.revision == 1
+    assert table.reserved == unit.spec.requirements
