A pass looks at each dependency of a step once

Cause: each pass went through the whole `after` of the step for each waiting task: 10^9 look-ups on the event loop, in each leader in turn.

Change: a step that is named again is dropped at intake; the job counts its units that are not done by step, and a dependency that was once done is not looked at again (batch/step_progress.py). The same on related paths: the end of a run no longer goes through all units to see whether the job is complete, nor does the search of a task's unit; the longest chain of a job of 64 steps or more is kept between passes; tasks by worker of `max-per-server` are counted once a pass; the budget of planned stops looks at the units of its step alone; a submission is compared with the different capacities of a pool, not with each worker for each step.

--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from .exceptions import JobConflictError, JobRefusedError
-from .job_spec import JobSpec, StepSpec, TaskSize
+from .job_spec import JobSpec, TaskSize
 from .limit_gate import find_limits, size_fits
 from .policy import Policy
 from .runtime_estimates import RuntimeEstimates
@@ -53,8 +54,11 @@
     ]
     if not workers:
         return
+    capacities = _capacities_by_label(workers, spec)
     for number, step in enumerate(spec.steps):
-        if not any(_fits_worker(worker, step) for worker in workers):
+        if not any(
+            map(step.requirements.fits, capacities[step.required_label])
+        ):
             raise JobRefusedError(
                 f'step {number} fits no worker of pool {spec.terms.pool}',
                 UNPLACEABLE_RETRY_S,
@@ -96,7 +100,19 @@
     return max(MIN_OUTAGE_RETRY_S, min(wait_s, MAX_OUTAGE_RETRY_S))
 
 
-def _fits_worker(worker: Worker, step: StepSpec) -> bool:
-    labels = worker.entry.labels
-    has_label = not step.required_label or step.required_label in labels
-    return has_label and step.requirements.fits(worker.full_capacity)
+def _capacities_by_label(
+    workers: Iterable[Worker], spec: JobSpec
+) -> dict[str, set[TaskSize]]:
+    """Return the different capacities of workers by label that steps require.
+
+    A pool has few, so that a job of thousands of steps is judged at once.
+    """
+    capacities: dict[str, set[TaskSize]] = {
+        step.required_label: set() for step in spec.steps
+    }
+    for worker in workers:
+        for label in ('', *worker.entry.labels):
+            known = capacities.get(label)
+            if known is not None:
+                known.add(worker.full_capacity)
+    return capacities
--- a/src/bulrushcove/batch/completion.py
+++ b/src/bulrushcove/batch/completion.py
@@ -12,6 +12,7 @@
     UnitPhase,
     find_unit,
     is_complete,
+    mark_done,
     mark_for_stop,
     unstopped_allocations,
 )
@@ -36,7 +37,7 @@
     if end.checkpoint and unit.phase is not UnitPhase.DONE:
         unit.checkpoint = end.checkpoint
     if end.kind is EndKind.DONE and not unit.spec.is_service:
-        unit.phase = UnitPhase.DONE
+        mark_done(unit)
     elif end.kind is EndKind.FAILED and unit.failed_run != allocation.run:
         unit.failed_run = allocation.run
         unit.failures += 1
@@ -91,7 +92,7 @@
         unit.checkpoint = ended.checkpoint
     if ended.kind is not EndKind.DONE:
         return []
-    unit.phase = UnitPhase.DONE
+    mark_done(unit)
     return mark_for_stop(unstopped_allocations(unit), StopReason.TASK_DONE)
 
 
--- a/src/bulrushcove/batch/disruption_budget.py
+++ b/src/bulrushcove/batch/disruption_budget.py
@@ -4,33 +4,33 @@
 time. A task that is down for any other cause counts too.
 """
 
-from collections import Counter
+from collections import defaultdict
 from collections.abc import Iterable
 
-from .advice import step_ref_of
-from .job_state import Allocation, AllocationPhase, Unit
+from .advice import StepRef, step_ref_of
+from .job_state import Allocation, AllocationPhase, Unit, units_of_step
 from .workers import FULL_SPEED_PERCENT
 
 
 def is_within_disruption_budget(victims: Iterable[Unit]) -> bool:
     """Return whether all ``victims`` may be stopped at the same time."""
-    services = [unit for unit in victims if unit.spec.is_service]
-    stopped = Counter(step_ref_of(unit) for unit in services)
+    by_step: dict[StepRef, list[Unit]] = defaultdict(list)
+    for unit in victims:
+        if unit.spec.is_service:
+            by_step[step_ref_of(unit)].append(unit)
     return all(
-        _count_unavailable(unit, services) + stopped[step_ref_of(unit)]
-        <= unit.spec.max_absent
-        for unit in services
+        _count_unavailable(stopped) + len(stopped) <= stopped[0].spec.max_absent
+        for stopped in by_step.values()
     )
 
 
-def _count_unavailable(unit: Unit, stopped: list[Unit]) -> int:
-    """Return how many tasks of the step are down, without ``stopped``."""
+def _count_unavailable(stopped: list[Unit]) -> int:
+    """Return how many other tasks are down of the step of all ``stopped``."""
+    indices = {unit.index for unit in stopped}
     return sum(
         1
-        for other in unit.job.units
-        if step_ref_of(other) == step_ref_of(unit)
-        and other not in stopped
-        and not _is_at_work(other)
+        for other in units_of_step(stopped[0])
+        if other.index not in indices and not _is_at_work(other)
     )
 
 
--- a/src/bulrushcove/batch/job_spec.py
+++ b/src/bulrushcove/batch/job_spec.py
@@ -1,7 +1,10 @@
 """Specification of a job: its steps, task sizes and queue terms."""
 
+from collections.abc import Iterable
+
 import msgspec
 
+from ..decoding import quote
 from ..ids import JobId, OrganisationId, RackId
 from .exceptions import InvalidJobError
 from .ids import ImageName, PoolName, QueueName
@@ -159,12 +162,24 @@
         raise InvalidJobError('a job needs at least one step')
     for number, step in enumerate(spec.steps):
         _check_step(number, step)
-    counts = [each.task_count for each in spec.steps]
-    tasks = sum(counts) * spec.occurrences
+    tasks = count_tasks(spec)
     if tasks > MAX_TASKS:
         raise InvalidJobError(f'{tasks} tasks exceed the limit of {MAX_TASKS}')
 
 
+def count_tasks(spec: JobSpec) -> int:
+    """Return the number of tasks of all occurrences of a job."""
+    return sum(step.task_count for step in spec.steps) * spec.occurrences
+
+
+def drop_repeated(after: Iterable[int]) -> tuple[int, ...]:
+    """Return the steps in ``after``, each once.
+
+    Callers may name a step tens of thousands of times.
+    """
+    return tuple(dict.fromkeys(after))
+
+
 def _check_step(number: int, step: StepSpec) -> None:
     if step.task_count < 1:
         raise InvalidJobError(
@@ -172,7 +187,8 @@
         )
     if any(dependency < 0 or dependency >= number for dependency in step.after):
         raise InvalidJobError(
-            f'step {number}: after {list(step.after)} must list earlier steps',
+            f'step {number}: after must list earlier steps, not '
+            f'{quote(step.after)}',
         )
     sizes = (
         step.size.cpu_millicores,
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -9,6 +9,7 @@
 from .crash_history import CrashHistory
 from .ids import RunRef, TaskRef, UnitRef
 from .job_spec import JobSpec, StepSpec
+from .step_progress import StepProgress
 
 # Index of the unit of a gang step, which covers all tasks of the step.
 WHOLE_GANG = -1
@@ -224,6 +225,7 @@
     has_failed_run: bool = False
     # Why the job failed; empty if it has not.
     reason: str = ''
+    progress: StepProgress
 
     @property
     def id(self) -> JobId:
@@ -238,7 +240,12 @@
 
 def new_job(spec: JobSpec, unix_ms: int, now_s: float) -> Job:
     """Return a newly accepted job with all its units."""
-    job = Job(spec=spec, accepted_unix_ms=unix_ms, accepted_at_s=now_s)
+    job = Job(
+        spec=spec,
+        accepted_unix_ms=unix_ms,
+        accepted_at_s=now_s,
+        progress=StepProgress(spec),
+    )
     job.units = list(_units(job))
     return job
 
@@ -257,27 +264,34 @@
     """Return the waiting units that are due and whose dependencies are done."""
     if job.has_ended:
         return []
-    waiting = [unit for unit in job.units if unit.phase is UnitPhase.WAITING]
-    unfinished = _unfinished_steps(job) if waiting else set()
     ready = []
-    for unit in waiting:
-        if job.spec.due_unix_ms(unit.occurrence) > unix_ms:
-            continue
-        if any(
-            (unit.occurrence, step) in unfinished for step in unit.spec.after
-        ):
+    for occurrence in range(job.spec.occurrences):
+        if job.spec.due_unix_ms(occurrence) > unix_ms:
             continue
-        unit.ready_since_s = unit.ready_since_s or now_s
-        ready.append(unit)
+        for unit in _open_units(job, occurrence):
+            unit.ready_since_s = unit.ready_since_s or now_s
+            ready.append(unit)
     return ready
 
 
-def _unfinished_steps(job: Job) -> set[tuple[int, int]]:
-    return {
-        (unit.occurrence, unit.step)
-        for unit in job.units
-        if unit.phase is not UnitPhase.DONE
-    }
+def _open_units(job: Job, occurrence: int) -> Iterator[Unit]:
+    """Yield the waiting units of the steps that may start."""
+    progress = job.progress
+    for number, step in enumerate(job.spec.steps):
+        if progress.count_missing(occurrence, number) and progress.may_start(
+            occurrence, number, step.after
+        ):
+            for position in progress.unit_range(occurrence, number):
+                unit = job.units[position]
+                if unit.phase is UnitPhase.WAITING:
+                    yield unit
+
+
+def mark_done(unit: Unit) -> None:
+    """Record that ``unit`` is done."""
+    if unit.phase is not UnitPhase.DONE:
+        unit.phase = UnitPhase.DONE
+        unit.job.progress.record_done(unit.occurrence, unit.step)
 
 
 def find_unit(job: Job, task: TaskRef) -> Unit | None:
@@ -288,12 +302,18 @@
     )
     if not is_step_known or task.index >= steps[task.step].task_count:
         return None
-    counts = [1 if step.is_gang else step.task_count for step in steps]
     offset = 0 if steps[task.step].is_gang else task.index
-    before = task.occurrence * sum(counts) + sum(counts[: task.step])
-    return job.units[before + offset]
+    positions = job.progress.unit_range(task.occurrence, task.step)
+    return job.units[positions.start + offset]
+
+
+def units_of_step(unit: Unit) -> list[Unit]:
+    """Return all units of the step that ``unit`` belongs to."""
+    job = unit.job
+    positions = job.progress.unit_range(unit.occurrence, unit.step)
+    return job.units[positions.start : positions.stop]
 
 
 def is_complete(job: Job) -> bool:
     """Return whether all tasks of the job are done."""
-    return all(unit.phase is UnitPhase.DONE for unit in job.units)
+    return not job.progress.missing
--- a/src/bulrushcove/batch/queue_order.py
+++ b/src/bulrushcove/batch/queue_order.py
@@ -51,12 +51,17 @@
     Units of a lower class go first, whatever organisations they are of.
     """
     classes: dict[tuple[JobId, int], tuple[float, ...]] = {}
+    objectives_s: dict[JobId, float] = {}
 
     def class_of(unit: Unit) -> tuple[float, ...]:
         step = (unit.job.id, unit.step)
         known = classes.get(step)
         if known is None:
-            objective_s = estimates.objective_s(unit.job.spec)
+            job = unit.job
+            objective_s = objectives_s.get(job.id)
+            if objective_s is None:
+                objective_s = estimates.objective_s(job.spec)
+                objectives_s[job.id] = objective_s
             key = _sort_key(unit, estimates, now_s, objective_s)
             known = key[:_CLASS_PARTS]
             classes[step] = known
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -17,6 +17,7 @@
     JobPhase,
     Unit,
     UnitPhase,
+    mark_done,
     new_job,
 )
 from .workers import FULL_SPEED_PERCENT
@@ -164,7 +165,10 @@
 
 
 def _restore_unit(unit: Unit, stored: UnitRecord) -> None:
-    unit.phase = UnitPhase(stored.phase)
+    if stored.phase == UnitPhase.DONE.value:
+        mark_done(unit)
+    else:
+        unit.phase = UnitPhase(stored.phase)
     unit.run = stored.run
     unit.failures = stored.failures
     unit.checkpoint = stored.checkpoint
--- a/src/bulrushcove/batch/runtime_estimates.py
+++ b/src/bulrushcove/batch/runtime_estimates.py
@@ -4,9 +4,12 @@
 used only until enough runs of the queue have completed.
 """
 
+import math
+
 import msgspec
 
 from ..clock import MS_PER_S
+from ..ids import JobId
 from .ids import QueueName
 from .job_spec import JobSpec, StepSpec
 from .job_state import Unit, UnitPhase
@@ -18,6 +21,11 @@
 # Expected duration of a task that declares none.
 DEFAULT_TASK_MS = 5000
 COMPLETE_PERCENT = 100
+# Jobs of at least so many steps, in which the search of the longest chain goes
+# through up to 100,000 dependencies, keep it between passes.
+MIN_KEPT_PATH_STEPS = 64
+MAX_KEPT_PATHS = 256
+PATH_TOLERANCE = 0.02
 # From this progress on a run's own rate predicts better than the queue's mean.
 MIN_RATE_PERCENT = 10
 # Services run until cancelled; they are estimated as if they ended after this.
@@ -40,6 +48,8 @@
     def __init__(self) -> None:
         """Start without any completed run."""
         self._means: dict[QueueName, _Mean] = {}
+        # Of jobs of many steps, with the mean that they were computed from.
+        self._paths: dict[JobId, tuple[float, float]] = {}
 
     def record_run(self, queue: QueueName, duration_s: float) -> None:
         """Record a run of ``duration_s`` from its start to its completion.
@@ -59,15 +69,22 @@
         return step.estimated_ms or DEFAULT_TASK_MS
 
     def critical_path_ms(self, spec: JobSpec) -> float:
-        """Return the expected milliseconds of the longest chain of steps."""
-        queue = spec.terms.queue
-        ends_ms: list[float] = []
-        for step in spec.steps:
-            start_ms = max(
-                (ends_ms[predecessor] for predecessor in step.after), default=0
-            )
-            ends_ms.append(start_ms + self.task_ms(queue, step))
-        return max(ends_ms)
+        """Return the expected milliseconds of the longest chain of steps.
+
+        That of a job of many steps is kept until the mean of its queue has
+        changed by ``PATH_TOLERANCE``.
+        """
+        if len(spec.steps) < MIN_KEPT_PATH_STEPS:
+            return self._compute_path_ms(spec)
+        mean = self._means.get(spec.terms.queue)
+        mean_ms = mean.mean_ms if mean else 0
+        known_mean_ms, path_ms = self._paths.get(spec.job, (math.inf, 0))
+        if abs(mean_ms - known_mean_ms) > PATH_TOLERANCE * mean_ms:
+            path_ms = self._compute_path_ms(spec)
+            if len(self._paths) >= MAX_KEPT_PATHS:
+                self._paths.clear()
+            self._paths[spec.job] = (mean_ms, path_ms)
+        return path_ms
 
     def remaining_ms(self, unit: Unit) -> float:
         """Return the expected milliseconds until ``unit`` is done."""
@@ -100,3 +117,14 @@
     def slack_s(self, spec: JobSpec) -> float:
         """Return how many seconds the job can wait and still be on time."""
         return self.objective_s(spec) - self.critical_path_ms(spec) / MS_PER_S
+
+    def _compute_path_ms(self, spec: JobSpec) -> float:
+        """Return the milliseconds of the longest chain by the present means."""
+        queue = spec.terms.queue
+        ends_ms: list[float] = []
+        for step in spec.steps:
+            start_ms = max(
+                (ends_ms[predecessor] for predecessor in step.after), default=0
+            )
+            ends_ms.append(start_ms + self.task_ms(queue, step))
+        return max(ends_ms)
--- a/src/bulrushcove/batch/scheduling_pass.py
+++ b/src/bulrushcove/batch/scheduling_pass.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import TYPE_CHECKING
 
-from ..ids import WorkerId
 from .advice import AdviceRequest, StepRef, needs_advice, step_ref_of
 from .backfill_reservation import (
     MAX_RESERVATIONS,
@@ -38,6 +37,7 @@
 )
 from .limit_gate import LimitGate, find_limits
 from .pass_candidates import find_candidates
+from .placed_tasks import PlacedTasks
 from .placement import (
     Candidate,
     count_fitting_tasks,
@@ -94,6 +94,7 @@
         self._reservation_count = 0
         # Candidates for the next single tasks of a step.
         self._ranked: dict[tuple[StepRef, Patience], Ranking] = {}
+        self._placed = PlacedTasks()
         self._disturbance = PassDisturbance(engine.interference, engine.workers)
         # Shapes that did not fit, so that equal units are not tried again.
         self._unplaceable: set[tuple[Shape, Patience]] = set()
@@ -251,7 +252,7 @@
                 unit,
                 isolated,
                 usable,
-                placed=_count_placed_tasks(unit),
+                placed=self._placed.of_step(unit),
                 allows_remote_rack=self._allows_remote_rack(unit),
             )
         chosen = self._choose_trusted(unit)
@@ -299,7 +300,7 @@
         return find_placement(
             unit,
             candidates,
-            placed=_count_placed_tasks(unit),
+            placed=self._placed.of_step(unit),
             allows_remote_rack=self._allows_remote_rack(unit),
         )
 
@@ -372,6 +373,7 @@
         unit.placed_at_s = self._now_s
         unit.job.has_started = True
         self.decider.record_capacity_change()
+        self._placed.record_start(unit, chosen)
         for index, candidate in zip(unit.indices, chosen, strict=True):
             allocation = Allocation(
                 unit=unit, index=index, run=unit.run, worker=candidate.worker
@@ -454,21 +456,6 @@
     return fits
 
 
-def _count_placed_tasks(unit: Unit) -> dict[WorkerId, int]:
-    """Return how many tasks of the unit's step run on each worker.
-
-    Empty when the step does not limit the tasks of a worker.
-    """
-    counts: dict[WorkerId, int] = {}
-    if not unit.spec.max_per_worker:
-        return counts
-    for other in unit.job.units:
-        if other.occurrence == unit.occurrence and other.step == unit.step:
-            for allocation in other.allocations.values():
-                counts[allocation.worker] = counts.get(allocation.worker, 0) + 1
-    return counts
-
-
 def _stop_units(victims: Iterable[Unit]) -> list[Allocation]:
     stops = []
     for victim in victims:
--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -13,6 +13,7 @@
     encode_cancellation,
 )
 from ..batch.exceptions import RecordError
+from ..batch.job_spec import count_tasks
 from ..batch.job_state import Job, JobPhase
 from ..batch.records import (
     decode_progress,
@@ -73,7 +74,7 @@
             organisation=terms.organisation,
             priority=terms.priority,
             phase=job.phase.value,
-            tasks=sum(unit.size for unit in job.units),
+            tasks=count_tasks(job.spec),
             epoch=self.store_writer.epoch,
             reason=job.reason or None,
         )
--- a/src/bulrushcove/platform/job_api.py
+++ b/src/bulrushcove/platform/job_api.py
@@ -19,7 +19,13 @@
     JobRefusedError,
 )
 from ..batch.ids import ImageName, QueueName
-from ..batch.job_spec import JobSpec, StepSpec, TaskSize, check_job
+from ..batch.job_spec import (
+    JobSpec,
+    StepSpec,
+    TaskSize,
+    check_job,
+    drop_repeated,
+)
 from ..batch.job_state import JobPhase
 from ..batch.policy import (
     DesiredState,
@@ -279,7 +285,7 @@
         task_count=step.count,
         size=TaskSize(step.cpu, step.mem_mb, step.gpu),
         estimated_ms=step.estimated_ms,
-        after=tuple(step.after),
+        after=drop_repeated(step.after),
         is_gang=step.gang,
         same_rack=step.same_rack,
         required_label=step.required_label,
--- a/tests/test_batch_large_jobs.py
+++ b/tests/test_batch_large_jobs.py
@@ -3,7 +3,10 @@
 import pytest
 from batch_builders import Bench, entry, job_spec
 
-from bulrushcove.batch.job_spec import StepSpec, TaskSize
+from bulrushcove.batch.job_spec import StepSpec, TaskSize, drop_repeated
+from bulrushcove.batch.job_state import JobPhase
+from bulrushcove.batch.runtime_estimates import RuntimeEstimates
+from bulrushcove.batch.step_progress import StepProgress
 from bulrushcove.batch.workers import EndKind
 
 WORKERS = tuple(f'w{number}' for number in range(6))
@@ -84,3 +87,100 @@
     )
     assert len(plan.starts) == max_starts
     assert plan.is_partial
+
+
+def count_dependency_checks(monkeypatch):
+    """Return a list that gets an entry for each look at a dependency."""
+    checks = []
+    count_missing = StepProgress.count_missing
+
+    def counted(progress, occurrence, step):
+        checks.append(step)
+        return count_missing(progress, occurrence, step)
+
+    monkeypatch.setattr(StepProgress, 'count_missing', counted)
+    return checks
+
+
+def test_a_pass_looks_at_each_dependency_of_a_step_once(monkeypatch):
+    """19,000 tasks whose step named 60,000 hung each VM (review case 12)."""
+    first = [StepSpec(task_count=1, size=SMALL) for _ in range(100)]
+    last = StepSpec(
+        task_count=19_000, size=TaskSize(0, 0, 8), after=tuple(range(100))
+    )
+    bench, job = run_job(*first, last)
+    end_all(bench, EndKind.DONE)
+    checks = count_dependency_checks(monkeypatch)
+    for _ in range(3):
+        bench.plan()
+    # Three passes look at each of 101 steps, the first at the dependencies.
+    assert len(checks) <= 3 * 101 + 100
+    assert sum(bool(unit.allocations) for unit in job.units) == len(WORKERS)
+
+
+def test_steps_start_once_all_that_they_name_are_done():
+    """Done dependencies are not looked at again, the others are."""
+    steps = [
+        StepSpec(task_count=2, size=SMALL),
+        StepSpec(task_count=1, size=SMALL, is_gang=True),
+        StepSpec(task_count=1, size=SMALL, after=(0, 1)),
+        StepSpec(task_count=3, size=SMALL, after=(1,)),
+    ]
+    bench = Bench(entry('w0'))
+    job = bench.submit(
+        job_spec('job', *steps, repeat_count=2, first_unix_ms=0, interval_ms=10)
+    )
+    ended = 0
+    order = []
+    while not job.has_ended:
+        bench.start_all()
+        ref = next(iter(bench.engine.workers['w0'].allocations))
+        ended += 1
+        order.append((ref.task.occurrence, ref.task.step))
+        running = [
+            (other, '', 10)
+            for other in bench.engine.workers['w0'].allocations
+            if other != ref
+        ]
+        bench.report(
+            'w0', running=running, ended=[(ended, ref, EndKind.DONE, '')]
+        )
+    assert job.phase is JobPhase.SUCCEEDED
+    assert len(order) == 2 * 7
+    for occurrence in range(2):
+        own = [step for each, step in order if each == occurrence]
+        assert own.index(2) > max(
+            position for position, step in enumerate(own) if step in {0, 1}
+        )
+        assert own.index(3) > own.index(1)
+
+
+def test_the_longest_chain_of_many_steps_is_kept(monkeypatch):
+    """Each pass went through all dependencies of the job again."""
+    estimates = RuntimeEstimates()
+    searches = []
+    search = RuntimeEstimates._compute_path_ms
+
+    def counted(self, spec):
+        searches.append(spec.job)
+        return search(self, spec)
+
+    monkeypatch.setattr(RuntimeEstimates, '_compute_path_ms', counted)
+    steps = [
+        StepSpec(task_count=1, size=SMALL, after=tuple(range(number)))
+        for number in range(100)
+    ]
+    spec = job_spec('job', *steps)
+    queue = spec.terms.queue
+    assert {estimates.critical_path_ms(spec) for _ in range(5)} == {500_000}
+    for _ in range(3):
+        estimates.record_run(queue, 2.0)
+    assert {estimates.critical_path_ms(spec) for _ in range(5)} == {200_000}
+    assert len(searches) == 2
+    estimates.record_run(queue, 4.0)
+    assert estimates.critical_path_ms(spec) > 220_000
+
+
+def test_dependencies_named_again_are_dropped():
+    """A step that named one 60,000 times was held and stored so."""
+    assert drop_repeated([0, 2, 0, 1, 2, 2]) == (0, 2, 1)
