Records within what the store takes; one that it rejects fails alone

Cause: the record of such a job named each field of each step, 4.8 MB for a body of 240 kB. The store rejects it (400); the writer took that for an outage, sent the transaction through another VM, where it is over a frame, took that for an unknown outcome and repeated it, with the writes of other jobs in it, for good.

Progress of 1,000 units and more names each worker once and units that are alike once; 20,000 running tasks with checkpoints are within 1 MB, and checkpoints are left out beyond that. A transaction has 1 MB at most, or a single record. A rejection is no outage: its writes are sent one by one, the one that is rejected fails, with what must follow it, and its caller is answered 429. A job whose records cannot be within `value-bytes` is refused at once. Progress is encoded when its transaction starts, and not again for five times as long as that took: the encoding of 20,000 tasks takes 70 ms, and each report asked for one.

Records of jobs of fewer units are as before, and earlier versions read them; the test of that reads the units by their place, no longer as the last field.

--- a/src/bulrushcove/batch/job_spec.py
+++ b/src/bulrushcove/batch/job_spec.py
@@ -12,11 +12,11 @@
 MILLICORES_PER_CORE = 1000
 # Cores that one accelerator counts as; from the users' price list.
 CORES_PER_ACCELERATOR = 8
-# Limit over all occurrences of a job; keeps its stored record within 1 MB.
+# Limit over all occurrences of a job; its progress takes 24 bytes a task.
 MAX_TASKS = 20_000
 
 
-class TaskSize(msgspec.Struct, frozen=True):
+class TaskSize(msgspec.Struct, frozen=True, omit_defaults=True):
     """Resources of one task or worker."""
 
     cpu_millicores: int = 0
@@ -70,8 +70,12 @@
         return cores + CORES_PER_ACCELERATOR * self.accelerators
 
 
-class StepSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """One step of a job: ``task_count`` tasks of equal size."""
+class StepSpec(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One step of a job: ``task_count`` tasks of equal size.
+
+    Stored without the fields that have their default: thousands of steps of a
+    caller's body take less than twice as many bytes in the record.
+    """
 
     task_count: int
     size: TaskSize
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -1,5 +1,6 @@
 """Stored records of a job: its submission, written once, and its progress."""
 
+from collections.abc import Iterator
 from itertools import chain, repeat
 from typing import Any
 
@@ -7,9 +8,8 @@
 
 from ..decoding import DECODE_ERRORS
 from ..ids import WorkerId
-from .crash_history import CrashHistory
 from .exceptions import RecordError
-from .job_spec import JobSpec
+from .job_spec import JobSpec, count_tasks
 from .job_state import (
     UNKNOWN_SPEED_PERCENT,
     Allocation,
@@ -20,8 +20,14 @@
     mark_done,
     new_job,
 )
+from .progress_record import Progress, UnitRecord, UnitSpan, progress_of
 from .workers import FULL_SPEED_PERCENT
 
+# Largest value that the store takes, unless the settings name another one.
+MAX_RECORD_BYTES = 1024 * 1024
+# A running task takes 24 bytes; more where tasks have crashed their workers.
+PROGRESS_BYTES_PER_TASK = 32
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -32,44 +38,6 @@
     accepted_unix_ms: int
 
 
-class UnitRecord(msgspec.Struct, frozen=True, array_like=True):
-    """State of one unit.
-
-    ``workers`` is in the order of the tasks; empty string: no allocation.
-    """
-
-    phase: int
-    run: int
-    failures: int
-    checkpoint: str
-    workers: tuple[str, ...] = ()
-    # Start times of these workers' processes, in Unix milliseconds.
-    incarnations: tuple[int, ...] = ()
-    # Indices of the tasks that must not share these workers.
-    isolated: tuple[int, ...] = ()
-    # By index of the task.
-    crashes: dict[int, CrashHistory] = msgspec.field(default_factory=dict)
-    stalls: int = 0
-    # Number of the run whose failure was counted last.
-    failed_run: int = 0
-    # Clocks of the workers when the tasks began there, in milliseconds.
-    clocks_ms: tuple[int, ...] = ()
-
-
-class Progress(msgspec.Struct, frozen=True, array_like=True):
-    """Value stored under ``bulrushcove/progress/``.
-
-    ``units`` holds the units that have ever run, by their position in the
-    job's list of units.
-    """
-
-    phase: str
-    has_started: bool
-    ended_unix_ms: int
-    reason: str
-    units: dict[int, UnitRecord]
-
-
 _submissions = msgspec.msgpack.Decoder(Submission)
 _progress = msgspec.msgpack.Decoder(Progress)
 
@@ -79,27 +47,33 @@
     return _encoder.encode(Submission(job.spec, job.accepted_unix_ms))
 
 
+def submission_bytes(spec: JobSpec) -> int:
+    """Return about how many bytes the submission of a job takes."""
+    return len(_encoder.encode(spec))
+
+
 def decode_submission(stored: bytes) -> Submission:
     """Return the decoded submission; raises ``RecordError``."""
     return _decode(_submissions, stored)
 
 
-def encode_progress(job: Job) -> bytes:
-    """Return the encoded progress of ``job``."""
-    units = {
-        position: _unit_record(unit)
-        for position, unit in enumerate(job.units)
-        if unit.run
-    }
-    return _encoder.encode(
-        Progress(
-            job.phase.value,
-            job.has_started,
-            job.ended_unix_ms,
-            job.reason,
-            units,
-        )
-    )
+def encode_progress(job: Job, max_bytes: int = MAX_RECORD_BYTES) -> bytes:
+    """Return the encoded progress of ``job``, of ``max_bytes`` if possible.
+
+    A larger one leaves checkpoints out: the runs begin anew after a failover.
+    """
+    encoded = _encoder.encode(progress_of(job))
+    if len(encoded) > max_bytes:
+        encoded = _encoder.encode(progress_of(job, keeps_checkpoints=False))
+    return encoded
+
+
+def largest_progress_bytes(spec: JobSpec) -> int:
+    """Return about how many bytes the progress of a job takes at most.
+
+    Without checkpoints, which may be left out.
+    """
+    return PROGRESS_BYTES_PER_TASK * count_tasks(spec)
 
 
 def decode_progress(stored: bytes) -> Progress:
@@ -120,7 +94,9 @@
     try:
         job.phase = JobPhase(progress.phase)
         for position, stored in progress.units.items():
-            _restore_unit(job.units[position], stored)
+            _restore_unit(job.units[position], stored, progress.hosts)
+        for span in progress.spans:
+            _restore_span(job, span)
     except (ValueError, IndexError) as exc:
         raise RecordError(
             f'invalid progress record of job {job.id}: {exc}'
@@ -132,54 +108,49 @@
     return job
 
 
-def _unit_record(unit: Unit) -> UnitRecord:
-    workers: tuple[str, ...] = ()
-    incarnations: tuple[int, ...] = ()
-    clocks_ms: tuple[int, ...] = ()
-    if unit.allocations:
-        allocations = [unit.allocations.get(index) for index in unit.indices]
-        workers = tuple(one.worker if one else '' for one in allocations)
-        incarnations = tuple(
-            one.worker_started_unix_ms if one else 0 for one in allocations
-        )
-        clocks_ms = tuple(
-            one.started_clock_ms if one else 0 for one in allocations
+def _named_hosts(
+    stored: UnitRecord, hosts: tuple[tuple[str, int], ...]
+) -> Iterator[tuple[str, int]]:
+    """Yield worker and incarnation for each task; no name: no allocation."""
+    if not stored.hosts:
+        # Records of earlier versions name workers, or no incarnations.
+        yield from zip(
+            stored.workers,
+            chain(stored.incarnations, repeat(0)),
+            strict=False,
         )
-    return UnitRecord(
-        unit.phase.value,
-        unit.run,
-        unit.failures,
-        unit.checkpoint,
-        workers,
-        incarnations,
-        tuple(
-            index
-            for index, allocation in unit.allocations.items()
-            if allocation.is_isolated
-        ),
-        unit.crashes,
-        unit.stalls,
-        unit.failed_run,
-        clocks_ms,
-    )
-
-
-def _restore_unit(unit: Unit, stored: UnitRecord) -> None:
-    if stored.phase == UnitPhase.DONE.value:
+    for number in stored.hosts:
+        yield hosts[number - 1] if number else ('', 0)
+
+
+def _restore_span(job: Job, span: UnitSpan) -> None:
+    phase = UnitPhase(span.phase)
+    for unit in job.units[span.first : span.first + span.count]:
+        _restore_phase(unit, phase)
+        unit.run = span.run
+
+
+def _restore_phase(unit: Unit, phase: UnitPhase) -> None:
+    if phase is UnitPhase.DONE:
         mark_done(unit)
     else:
-        unit.phase = UnitPhase(stored.phase)
+        unit.phase = phase
+
+
+def _restore_unit(
+    unit: Unit, stored: UnitRecord, hosts: tuple[tuple[str, int], ...]
+) -> None:
+    _restore_phase(unit, UnitPhase(stored.phase))
     unit.run = stored.run
     unit.failures = stored.failures
     unit.checkpoint = stored.checkpoint
     unit.crashes = dict(stored.crashes)
     unit.stalls = stored.stalls
     unit.failed_run = stored.failed_run
-    # Records of earlier versions name no incarnations and no clocks.
-    incarnations = chain(stored.incarnations, repeat(0))
+    # Records of earlier versions name no clocks.
     clocks_ms = chain(stored.clocks_ms, repeat(0))
-    for index, worker, incarnation, clock_ms in zip(
-        unit.indices, stored.workers, incarnations, clocks_ms, strict=False
+    for index, (worker, incarnation), clock_ms in zip(
+        unit.indices, _named_hosts(stored, hosts), clocks_ms, strict=False
     ):
         if worker:
             unit.allocations[index] = Allocation(
--- a/src/bulrushcove/exceptions.py
+++ b/src/bulrushcove/exceptions.py
@@ -15,6 +15,10 @@
     """The call definitely had no effect."""
 
 
+class StoreRejectedError(StoreUnavailableError):
+    """The store will never carry out the call as it is."""
+
+
 class StoreLinkBusyError(StoreUnavailableError):
     """The store responds, but too slowly over the link of this VM."""
 
--- a/src/bulrushcove/node/exceptions.py
+++ b/src/bulrushcove/node/exceptions.py
@@ -25,6 +25,14 @@
     """It is unknown whether the request took effect."""
 
 
+class WriteWithdrawnError(BulrushcoveError):
+    """The write was withdrawn before it could take effect."""
+
+
+class WriteRejectedError(WriteWithdrawnError):
+    """The write, or one that it must follow, can never be stored."""
+
+
 class RequestRefusedError(NodeError):
     """The bytes of a request are outside the limits; it was not handled."""
 
--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Iterable
+from functools import partial
 
 import msgspec
 
@@ -12,15 +13,18 @@
     decode_cancellation,
     encode_cancellation,
 )
-from ..batch.exceptions import RecordError
-from ..batch.job_spec import count_tasks
+from ..batch.exceptions import JobRefusedError, RecordError
+from ..batch.job_spec import JobSpec, count_tasks
 from ..batch.job_state import Job, JobPhase
 from ..batch.records import (
+    MAX_RECORD_BYTES,
     decode_progress,
     decode_submission,
     encode_progress,
     encode_submission,
+    largest_progress_bytes,
     restore_job,
+    submission_bytes,
 )
 from ..clock import MS_PER_S, Clock
 from ..ids import JobId
@@ -38,6 +42,9 @@
 
 logger = logging.getLogger(__name__)
 
+# No store takes the record soon, but the settings may change.
+RECORD_RETRY_S = 30.0
+
 PendingWrite = asyncio.Future[None]
 
 
@@ -53,9 +60,14 @@
 class JobRecords:
     """Writes the job records of the leader."""
 
-    def __init__(self, store_writer: StoreWriter) -> None:
-        """Write through ``store_writer``."""
+    def __init__(
+        self,
+        store_writer: StoreWriter,
+        max_record_bytes: int = MAX_RECORD_BYTES,
+    ) -> None:
+        """Write records of at most ``max_record_bytes``."""
         self.store_writer = store_writer
+        self._max_record_bytes = max_record_bytes
         # Writes of submissions that are not stored yet.
         self._submission_writes: dict[JobId, PendingWrite] = {}
         # Writes of job ends that are not stored yet.
@@ -79,6 +91,18 @@
             reason=job.reason or None,
         )
 
+    def refuse_too_large(self, spec: JobSpec) -> None:
+        """Raise ``JobRefusedError`` if the store takes no records of a job."""
+        largest_bytes = max(
+            submission_bytes(spec), largest_progress_bytes(spec)
+        )
+        if largest_bytes > self._max_record_bytes:
+            raise JobRefusedError(
+                f'job {spec.job}: a record of {largest_bytes} bytes is over '
+                f'the {self._max_record_bytes} that the store takes',
+                RECORD_RETRY_S,
+            )
+
     def write_submission(self, job: Job) -> None:
         """Write the submission of an accepted job."""
         write = self.store_writer.put(job_key(job.id), encode_submission(job))
@@ -95,7 +119,9 @@
         that may still be refused.
         """
         return self.store_writer.put(
-            progress_key(job.id), encode_progress(job), after=job_key(job.id)
+            progress_key(job.id),
+            partial(encode_progress, job, self._max_record_bytes),
+            after=job_key(job.id),
         )
 
     def write_end(self, job: Job) -> None:
--- a/src/bulrushcove/node/job_request_router.py
+++ b/src/bulrushcove/node/job_request_router.py
@@ -18,7 +18,11 @@
 from ..ids import JobId, OrganisationId
 from ..logs import log_event
 from ..store import WatchableStore
-from .exceptions import OutcomeUnknownError, ServiceUnavailableError
+from .exceptions import (
+    OutcomeUnknownError,
+    ServiceUnavailableError,
+    WriteRejectedError,
+)
 from .leadership import Leadership
 from .leadership_check import LeadershipCheck
 from .messages import (
@@ -207,7 +211,7 @@
                 phase = await scheduler.job_requests.cancel(
                     request.job, request.organisation
                 )
-            except LeadershipLostError:
+            except (LeadershipLostError, WriteRejectedError):
                 return JobAnswer('', is_known=False)
         else:
             phase = scheduler.job_requests.find_phase(
--- a/src/bulrushcove/node/job_requests.py
+++ b/src/bulrushcove/node/job_requests.py
@@ -6,14 +6,14 @@
 from ..batch.admission import outage_retry_s
 from ..batch.cancellations import CancellationRecord
 from ..batch.engine import Engine
-from ..batch.exceptions import JobCancelledError
+from ..batch.exceptions import JobCancelledError, JobRefusedError
 from ..batch.ids import QueueName
 from ..batch.job_spec import JobSpec
 from ..batch.job_state import Allocation, Job, JobPhase
 from ..clock import Clock
 from ..ids import JobId, OrganisationId
-from .exceptions import ServiceUnavailableError
-from .job_records import JobRecords, PendingWrite
+from .exceptions import ServiceUnavailableError, WriteRejectedError
+from .job_records import RECORD_RETRY_S, JobRecords, PendingWrite
 from .metrics import NodeMetrics
 from .store_writer import WriteWithdrawnError
 
@@ -52,6 +52,8 @@
         """
         if self._is_store_unavailable() and spec.job not in self._engine.jobs:
             raise self._unavailable_error(spec)
+        if spec.job not in self._engine.jobs:
+            self._records.refuse_too_large(spec)
         try:
             job, is_new = self._engine.submit(
                 spec,
@@ -78,7 +80,8 @@
         """Cancel a job and return its phase once that is stored.
 
         Returns None if ``organisation`` has no such job; its submission is
-        refused from then on. Raises ``LeadershipLostError``.
+        refused from then on. Raises ``LeadershipLostError`` or
+        ``WriteRejectedError``.
         """
         job = self._find_job(job_id, organisation)
         while job is not None:
@@ -87,6 +90,8 @@
             # reported as cancelled.
             try:
                 await _wait_if_pending(self._records.pending_end(job_id))
+            except WriteRejectedError:
+                raise
             except WriteWithdrawnError:
                 # It was not accepted after all, but may be submitted again.
                 job = self._find_job(job_id, organisation)
@@ -143,6 +148,14 @@
                 self._records.log_job_event('job.withdrawn', job)
         try:
             await asyncio.shield(write)
+        except WriteRejectedError as exc:
+            # No start was sent: starts wait until their record is stored.
+            self._engine.discard_job(job)
+            self._records.log_job_event('job.rejected', job)
+            raise JobRefusedError(
+                f'job {job.id}: the store does not take its record',
+                RECORD_RETRY_S,
+            ) from exc
         except WriteWithdrawnError as exc:
             raise self._unavailable_error(job.spec) from exc
 
--- a/src/bulrushcove/node/messages.py
+++ b/src/bulrushcove/node/messages.py
@@ -163,6 +163,7 @@
     UNAVAILABLE = 'unavailable'
     UNKNOWN = 'unknown'
     HISTORY_GONE = 'history-gone'
+    REJECTED = 'rejected'
 
 
 class StoreReply(msgspec.Struct, frozen=True):
--- a/src/bulrushcove/node/relayed_store.py
+++ b/src/bulrushcove/node/relayed_store.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from types import MappingProxyType
 from typing import TypeVar
 
 from ..clock import Clock
@@ -15,6 +16,7 @@
     StoreHistoryGoneError,
     StoreLinkBusyError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from ..logs import log_event
@@ -139,8 +141,9 @@
         if self._clock.monotonic_s() >= self._direct_retry_at_s:
             try:
                 return await self._call_directly(call_directly)
-            except StoreLinkBusyError:
-                # A relayed response would pass the same link.
+            except (StoreLinkBusyError, StoreRejectedError):
+                # A relayed response would pass the same link, and a call that
+                # the store does not permit would be rejected again.
                 raise
             except StoreUnavailableError as exc:
                 failure = exc
@@ -152,6 +155,10 @@
     ) -> ResponseType:
         try:
             response = await call_directly()
+        except StoreRejectedError:
+            # It has answered.
+            self._record_direct_success()
+            raise
         except StoreOutcomeUnknownError as exc:
             # Only the caller knows whether a retry is safe.
             self._lost_response_count += 1
@@ -223,6 +230,14 @@
 _MUTATING_OPERATIONS = frozenset(
     (StoreOperation.COMMIT, StoreOperation.GRANT, StoreOperation.END)
 )
+# How another VM is told; any other error means that the store is unavailable.
+_FAILURE_BY_ERROR = MappingProxyType(
+    {
+        StoreHistoryGoneError: StoreFailure.HISTORY_GONE,
+        StoreRejectedError: StoreFailure.REJECTED,
+        StoreOutcomeUnknownError: StoreFailure.UNKNOWN,
+    }
+)
 
 
 async def serve_store_call(
@@ -231,12 +246,9 @@
     """Run ``call`` on ``store`` for another VM and return its reply."""
     try:
         return await _execute(store, call)
-    except StoreHistoryGoneError as exc:
-        return StoreReply(StoreFailure.HISTORY_GONE, str(exc))
-    except StoreOutcomeUnknownError as exc:
-        return StoreReply(StoreFailure.UNKNOWN, str(exc))
     except StoreError as exc:
-        return StoreReply(StoreFailure.UNAVAILABLE, str(exc))
+        failure = _FAILURE_BY_ERROR.get(type(exc), StoreFailure.UNAVAILABLE)
+        return StoreReply(failure, str(exc))
 
 
 async def _execute(store: WatchableStore, call: StoreCall) -> StoreReply:
@@ -268,6 +280,8 @@
 def _raise_if_failed(reply: StoreReply) -> None:
     if reply.failure is StoreFailure.HISTORY_GONE:
         raise StoreHistoryGoneError(reply.message)
+    if reply.failure is StoreFailure.REJECTED:
+        raise StoreRejectedError(reply.message)
     if reply.failure is StoreFailure.UNKNOWN:
         raise StoreOutcomeUnknownError(reply.message)
 
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -28,7 +28,11 @@
 from .messages import LeaderRecord
 from .metrics import NodeMetrics
 from .settings import NodeSettings
-from .store_writer import LeadershipLostError, StoreWriter, WriteWithdrawnError
+from .store_writer import (
+    LeadershipLostError,
+    StoreWriter,
+    WriteWithdrawnError,
+)
 from .worker_events import WorkerEventHandler, log_evidence
 from .worker_registry import WorkerAdapter, WorkerRegistry
 
@@ -72,7 +76,9 @@
         self._metrics = metrics
         self._max_lease_ms = settings.max_lease_ms
         self._store_writer = StoreWriter(store, leadership, leader, clock)
-        self._records = JobRecords(self._store_writer)
+        self._records = JobRecords(
+            self._store_writer, settings.max_record_bytes
+        )
         self._has_changes = asyncio.Event()
         self._next_pass_at_s = 0.0
         self._tasks = BackgroundTasks()
@@ -263,8 +269,13 @@
         """Send the starts of one job once their record is stored."""
         try:
             await asyncio.shield(write)
-        except (LeadershipLostError, WriteWithdrawnError):
-            # A new leader schedules the job, or it was never accepted.
+        except LeadershipLostError:
+            # A new leader schedules the job.
+            return
+        except WriteWithdrawnError:
+            # The job was never accepted, or the store does not take its record.
+            for allocation in allocations:
+                self._worker_events.handle_start_dropped(allocation)
             return
         for allocation in allocations:
             link = self._worker_registry.find_link(allocation.worker)
--- a/src/bulrushcove/node/settings.py
+++ b/src/bulrushcove/node/settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..batch.records import MAX_RECORD_BYTES
 from ..ids import DomainName, VmId
 
 # Lease of a worker's runs. Long enough to outlast a failover; a longer lease
@@ -32,6 +33,8 @@
     # Time from the stop request until the process is killed.
     stop_grace_ms: int
     min_store_lease_ms: int
+    # Largest value that the store takes.
+    max_record_bytes: int = MAX_RECORD_BYTES
     # CPU of the VM, in cores of the reference speed.
     cpu_cores: float = 1.0
     # Memory and descriptors that the process may use; 0: not known.
--- a/src/bulrushcove/node/store_writer.py
+++ b/src/bulrushcove/node/store_writer.py
@@ -15,10 +15,12 @@
     BulrushcoveError,
     StoreError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
 )
 from ..logs import log_event, log_unexpected_error
 from ..store import Check, StoredValue, WatchableStore, Write, WriteAnswer
 from .background_tasks import BackgroundTasks
+from .exceptions import WriteWithdrawnError
 from .leadership import Leadership
 from .messages import LeaderRecord
 from .store_keys import LEADER_KEY
@@ -26,6 +28,7 @@
     MAX_WRITES_PER_TRANSACTION,
     Batch,
     PendingWrite,
+    RecordValue,
     WriteQueue,
 )
 
@@ -39,10 +42,6 @@
 logger = logging.getLogger(__name__)
 
 
-class WriteWithdrawnError(BulrushcoveError):
-    """The write was withdrawn before it could take effect."""
-
-
 class LeadershipLostError(BulrushcoveError):
     """This VM ceased to be the leader before the write was confirmed."""
 
@@ -113,14 +112,16 @@
         return bool(found)
 
     def put(
-        self, key: str, value: bytes | None, after: str = ''
+        self, key: str, value: RecordValue, after: str = ''
     ) -> asyncio.Future[None]:
         """Write ``value`` (None: delete); the future is done once it is stored.
 
-        It is not stored before a write of the key ``after`` that was put
+        A function is called when the transaction starts, and returns the bytes.
+        The write is not stored before one of the key ``after`` that was put
         earlier; both may be stored in one transaction. The future fails with
-        ``LeadershipLostError`` if leadership ends first, and with
-        ``WriteWithdrawnError`` after ``withdraw``.
+        ``LeadershipLostError`` if leadership ends first, with
+        ``WriteWithdrawnError`` after ``withdraw``, and with
+        ``WriteRejectedError`` if the store does not take it.
         """
         loop = asyncio.get_running_loop()
         if self._has_lost_leadership:
@@ -142,13 +143,17 @@
     @Service.task
     async def _run(self) -> None:
         while not self.should_stop and not self._has_lost_leadership:
-            keys = self._queue.next_keys()
+            read_time_s = asyncio.get_running_loop().time
+            keys = self._queue.next_keys(read_time_s())
             delay_s = self._start_delay_s(len(keys))
             if delay_s == 0:
-                batch = self._queue.start_batch(keys)
-                self._last_started_at_s = asyncio.get_running_loop().time()
+                batch = self._queue.start_batch(keys, read_time_s)
+                self._last_started_at_s = read_time_s()
                 self._tasks.spawn(self._store_batch(batch))
-            elif await _is_set_within(self._wake, delay_s):
+                continue
+            if delay_s is None:
+                delay_s = self._queue.pause_s(read_time_s())
+            if await _is_set_within(self._wake, delay_s):
                 self._wake.clear()
 
     def _start_delay_s(self, count: int) -> float | None:
@@ -186,12 +191,13 @@
 
     async def _try_store(self, batch: Batch) -> None:
         sent_at_s = self._clock.monotonic_s()
-        response = await self._try_commit(batch)
+        writes = batch.next_writes()
+        response = await self._try_commit(batch, writes)
         if response is None:
             return
         if response.written:
             self._leadership.confirm(sent_at_s)
-            for key, pending in batch.writes.items():
+            for key, pending in writes.items():
                 is_deleted = pending.value is None
                 _record_revision(
                     self.revisions,
@@ -199,22 +205,31 @@
                     0 if is_deleted else response.store_revision,
                 )
                 _resolve(pending)
-            batch.writes.clear()
-        elif not self._adopt_store_state(batch.writes, response):
+            batch.drop_done()
+        elif self._adopt_store_state(writes, response):
+            batch.drop_done()
+        else:
             _fail(batch.writes)
             self._abandon_writes()
             await self._leadership.step_down(
                 'another VM has replaced the leader record'
             )
 
-    async def _try_commit(self, batch: Batch) -> WriteAnswer | None:
-        """Commit ``batch``; returns None if the caller is to retry."""
+    async def _try_commit(
+        self, batch: Batch, writes: dict[str, PendingWrite]
+    ) -> WriteAnswer | None:
+        """Commit ``writes``; returns None if the caller is to go on."""
         try:
-            response = await self._commit(batch)
+            response = await self._commit(batch, writes)
         except StoreOutcomeUnknownError as exc:
-            for pending in batch.writes.values():
+            for pending in writes.values():
                 pending.may_have_taken_effect = True
-            await self._handle_lost_response(exc, batch.writes)
+            await self._handle_lost_response(exc, writes)
+            return None
+        except StoreRejectedError as exc:
+            # The store responds, so this is no outage.
+            self._outage_since_s = 0.0
+            self._queue.reject(batch, writes, exc)
             return None
         except StoreError as exc:
             self._record_failure('journal.unavailable', exc, batch.writes)
@@ -239,11 +254,13 @@
         log_event(logger, 'journal.answer_lost', writes=len(batch), error=exc)
         self._outage_since_s = 0.0
 
-    async def _commit(self, batch: Batch) -> WriteAnswer:
+    async def _commit(
+        self, batch: Batch, pending_writes: dict[str, PendingWrite]
+    ) -> WriteAnswer:
         self.transaction_count += 1
         writes = tuple(
-            Write(key, pending.value, self.revisions.get(key, 0))
-            for key, pending in batch.writes.items()
+            Write(key, pending.encoded, self.revisions.get(key, 0))
+            for key, pending in pending_writes.items()
         )
         check = Check(LEADER_KEY, self._leader.epoch)
         batch.is_commit_in_flight = True
@@ -266,13 +283,12 @@
             or leader_record.mod_revision != self._leader.epoch
         ):
             return False
-        for key, pending in tuple(batch.items()):
+        for key, pending in batch.items():
             found = current.get(key, _absent_value(key))
             _record_revision(self.revisions, key, found.mod_revision)
             stored_value = found.value if found.mod_revision else None
-            if stored_value == pending.value:
+            if stored_value == pending.encoded:
                 _resolve(pending)
-                batch.pop(key)
         return True
 
     def _record_failure(
--- a/src/bulrushcove/node/worker_events.py
+++ b/src/bulrushcove/node/worker_events.py
@@ -29,7 +29,10 @@
 from .job_records import JobRecords
 from .leadership import Leadership, longest_lease_s
 from .standstill_log import log_stall, log_suspicion
-from .store_writer import LeadershipLostError, WriteWithdrawnError
+from .store_writer import (
+    LeadershipLostError,
+    WriteWithdrawnError,
+)
 from .worker_link import WorkerLink
 
 logger = logging.getLogger(__name__)
--- a/src/bulrushcove/platform/settings.py
+++ b/src/bulrushcove/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..batch.records import MAX_RECORD_BYTES
 from ..clock import MS_PER_S
 from ..decoding import DECODE_ERRORS
 from ..ids import DomainName, VmId
@@ -30,6 +31,8 @@
     address: str
     # Shortest lease that the store grants.
     min_ttl_ms: int = 1000
+    # Largest value that it takes.
+    value_bytes: int = MAX_RECORD_BYTES
 
 
 class _Bounds(msgspec.Struct, rename='kebab'):
@@ -102,6 +105,7 @@
         max_lease_ms=decoded.bounds.max_hold_ms,
         stop_grace_ms=int(decoded.bounds.grace_s * MS_PER_S),
         min_store_lease_ms=decoded.platform.min_ttl_ms,
+        max_record_bytes=decoded.platform.value_bytes,
         cpu_cores=decoded.limits.cpu_share * decoded.limits.cores,
         memory_mb=decoded.limits.memory_mb,
         max_descriptors=decoded.limits.max_fds,
--- a/src/bulrushcove/platform/store.py
+++ b/src/bulrushcove/platform/store.py
@@ -14,6 +14,7 @@
     StoreHistoryGoneError,
     StoreLinkBusyError,
     StoreOutcomeUnknownError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from ..logs import MAX_LOGGED_ERRORS, log_event
@@ -42,6 +43,15 @@
 _REJECTED_STATUSES = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
+# Responses to a request that is not allowed, such as a value that is too large.
+_INVALID_STATUSES = frozenset(
+    (
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+    )
+)
 
 logger = logging.getLogger(__name__)
 
@@ -195,6 +205,10 @@
                 if item.revision and not item.deleted
             )
             return WriteAnswer(False, 0, current)
+        if reply.status in _INVALID_STATUSES:
+            raise StoreRejectedError(
+                f'transaction of {len(writes)} writes: status {reply.status}'
+            )
         raise StoreUnavailableError(
             f'transaction failed with status {reply.status}'
         )
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -9,6 +9,7 @@
 from fake_watchable_store import FakeWatchableStore
 from test_node_worker_link import FakeWorkerClient, RecordingEventHandler
 
+from bulrushcove.batch.records import MAX_RECORD_BYTES
 from bulrushcove.clock import ManualClock
 from bulrushcove.ids import Epoch
 from bulrushcove.node.worker_registry import WorkerAdapter, WorkerRegistry
@@ -73,7 +74,12 @@
             ),
             RecordingEventHandler(bench),
             epoch=Epoch(1),
-            settings=SimpleNamespace(max_lease_ms=8000, cpu_cores=1.0),
+            settings=SimpleNamespace(
+                max_lease_ms=8000,
+                cpu_cores=1.0,
+                max_record_bytes=MAX_RECORD_BYTES,
+                memory_mb=0,
+            ),
             clock=ManualClock(),
         )
 
--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -371,10 +371,11 @@
     bench.start_all()
     bench.crash('w1')
     stored = msgspec.msgpack.decode(encode_progress(job))
-    unit = stored[-1][0]
+    units = stored[4]
+    unit = units[0]
     # Earlier versions read the first five fields.
     assert unit[:5] == [0, 1, 0, '', []]
-    stored[-1][0] = unit[:5]
+    units[0] = unit[:5]
     earlier = decode_progress(msgspec.msgpack.encode(stored))
     assert not earlier.units[0].crashes
 
--- a/tests/test_node_leader_changes.py
+++ b/tests/test_node_leader_changes.py
@@ -18,6 +18,7 @@
     OrderReply,
     WorkerCallError,
 )
+from bulrushcove.batch.records import MAX_RECORD_BYTES
 from bulrushcove.clock import ManualClock
 from bulrushcove.ids import Epoch, IncarnationId, VmId
 from bulrushcove.metrics import new_metrics
@@ -152,7 +153,12 @@
             Epoch(answer.store_revision),
         )
         scheduler = Scheduler(
-            SimpleNamespace(max_lease_ms=MAX_LEASE_MS, cpu_cores=1.0),
+            SimpleNamespace(
+                max_lease_ms=MAX_LEASE_MS,
+                cpu_cores=1.0,
+                max_record_bytes=MAX_RECORD_BYTES,
+                memory_mb=0,
+            ),
             self.store,
             self.leadership(),
             record,
--- a/tests/test_node_scheduler.py
+++ b/tests/test_node_scheduler.py
@@ -12,6 +12,7 @@
 from test_batch_advice import advised_job_spec
 
 from bulrushcove.batch.advice import Advice
+from bulrushcove.batch.records import MAX_RECORD_BYTES
 from bulrushcove.clock import ManualClock
 from bulrushcove.ids import Epoch, IncarnationId, VmId
 from bulrushcove.metrics import new_metrics
@@ -48,7 +49,12 @@
             VmId('vm'), IncarnationId('i'), 'a:1', StoreLeaseId(0), Epoch(1)
         )
         self.scheduler = Scheduler(
-            SimpleNamespace(max_lease_ms=6000, cpu_cores=1.0),
+            SimpleNamespace(
+                max_lease_ms=6000,
+                cpu_cores=1.0,
+                max_record_bytes=MAX_RECORD_BYTES,
+                memory_mb=0,
+            ),
             FakeWatchableStore(),
             SimpleNamespace(
                 has_authority=True,
--- a/tests/worker_lives_model.py
+++ b/tests/worker_lives_model.py
@@ -23,7 +23,7 @@
     WorkerCallError,
     WorkerFencedError,
 )
-from bulrushcove.batch.records import decode_progress
+from bulrushcove.batch.records import MAX_RECORD_BYTES, decode_progress
 from bulrushcove.batch.workers import EndKind
 from bulrushcove.clock import ManualClock
 from bulrushcove.exceptions import (
@@ -583,7 +583,12 @@
             world, previous_epoch, has_previous_ended
         )
         self.scheduler = Scheduler(
-            SimpleNamespace(max_lease_ms=MAX_LEASE_MS, cpu_cores=1.0),
+            SimpleNamespace(
+                max_lease_ms=MAX_LEASE_MS,
+                cpu_cores=1.0,
+                max_record_bytes=MAX_RECORD_BYTES,
+                memory_mb=0,
+            ),
             self.leadership.store,
             self.leadership,
             LeaderRecord(
