A budget for what accepted jobs hold, also in a leader that loads more

Cause: nothing bounded what jobs hold together, and each held a unit for each task of each accepted job in each pass.

Change: jobs may hold 0.35 of the memory together (batch/job_budget.py), those of one organisation three quarters of that; a job may take three quarters of what is left, so that small ones are still accepted when large ones are not. What does not fit is answered 429 at once, with Retry-After. A leader parks jobs of the store that have never run and do not fit, without units, until others have ended (batch/held_jobs.py); ended jobs give their units up once their record is stored. A job with more than 300 ready units is large: a pass looks at a part of them, in turn, and gives large jobs half of its starts if others wait (batch/start_limits.py).

--- a/src/bulrushcove/batch/engine.py
+++ b/src/bulrushcove/batch/engine.py
@@ -5,15 +5,15 @@
 The record of a job must be stored before its starts are sent.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..ids import JobId, WorkerId
 from .admission import check_same_job, refuse_unplaceable
 from .advice import TicketCache
 from .cancellations import Cancellations
 from .completion import apply_run_end, apply_unmatched_ends, cancel_job
-from .draining import find_outlasting_runs
 from .evidence import Evidence
+from .held_jobs import HeldJobs
 from .ids import QueueName
 from .interference import InterferenceModel
 from .job_spec import JobSpec
@@ -30,9 +30,9 @@
 from .lease_expiry import LeaseExpiryTable
 from .membership import placeholder_worker
 from .organisation_usage import OrganisationUsage
+from .pass_runner import run_pass, stop_outlasting_runs, stop_stalled_runs
 from .plan import Plan
 from .policy import DesiredState
-from .progress_model import ProgressModel
 from .reconcile import (
     AllocationEnd,
     ReportChanges,
@@ -40,24 +40,27 @@
     reconcile_worker,
 )
 from .runtime_estimates import RuntimeEstimates
-from .scheduling_pass import Preemptions, SchedulingPass, prepare_pass
+from .scheduling_pass import Preemptions, prepare_pass
+from .start_limits import limit_starts
 from .worker_reliability import WorkerReliability
 from .workers import EndKind, Worker, WorkerReport, find_expired_workers
 
 # Ended jobs stay in memory and in the store for this long. Callers are
 # promised 120 s.
 ENDED_JOB_RETENTION_S = 600.0
-# Starts that are planned at once: 1,500 kept the leader's loop busy for 2 s.
-MAX_STARTS_PER_PASS = 300
 _FAILED_ENDS = frozenset((EndKind.FAILED,))
 
 
 class Engine:
     """Jobs, workers and the statistics that placement is based on."""
 
-    def __init__(self) -> None:
-        """Create an engine without jobs and workers."""
+    def __init__(self, memory_mb: int = 0) -> None:
+        """Create an engine without jobs and workers.
+
+        ``memory_mb`` is what the process may use; 0: not known.
+        """
         self.jobs: dict[JobId, Job] = {}
+        self._held = HeldJobs(memory_mb)
         # Of jobs that were not known then; their submissions are refused.
         self.cancellations = Cancellations()
         # Jobs that have not ended or still hold allocations.
@@ -79,17 +82,19 @@
     def restore(self, jobs: Iterable[Job], leases_expire_at_s: float) -> None:
         """Add ``jobs`` that were loaded from the store.
 
-        The runs of workers that do not report expire at
-        ``leases_expire_at_s``.
+        Those without units wait until the budget has room for them. The runs
+        of workers that do not report expire at ``leases_expire_at_s``.
         """
-        for job in jobs:
+        for job in sorted(jobs, key=_accepted_unix_ms):
             self.jobs[job.id] = job
             self.interference.record_job(job.spec)
             if not job.has_ended or any(unit.allocations for unit in job.units):
                 self.active[job.id] = job
+            self._held.restore(job)
             for unit in job.units:
                 for allocation in unit.allocations.values():
                     self._restore_allocation(allocation, leases_expire_at_s)
+        self._held.unpark(self.active)
 
     def submit(
         self, spec: JobSpec, *, unix_ms: int, now_s: float
@@ -106,6 +111,7 @@
             return known, False
         self.cancellations.refuse_cancelled(spec.job, spec.terms.organisation)
         refuse_unplaceable(spec, self, now_s)
+        self._held.accept(spec)
         job = new_job(spec, unix_ms, now_s)
         self.jobs[job.id] = job
         self.active[job.id] = job
@@ -115,7 +121,8 @@
 
     def discard_job(self, job: Job) -> None:
         """Remove ``job``, of which nothing has been stored or sent."""
-        self.jobs.pop(job.id, None)
+        if self.jobs.pop(job.id, None) is not None:
+            self._held.release((job.id,))
         self.active.pop(job.id, None)
         job.phase = JobPhase.CANCELLED
         for unit in job.units:
@@ -270,24 +277,18 @@
         *,
         unix_ms: int,
         now_s: float,
-        max_starts: int = MAX_STARTS_PER_PASS,
+        open_starts: int = 0,
     ) -> Plan:
         """Place waiting units and select the runs to stop.
 
-        No unit is placed once ``max_starts`` tasks are; a gang may exceed it.
+        ``open_starts`` are not answered yet: the more, the fewer are placed.
         Stops are for preemption, stalled runs and draining workers.
         """
         self.pass_count += 1
         current = prepare_pass(self, unix_ms=unix_ms, now_s=now_s)
-        plan = Plan()
-        _run_pass(current, plan, max_starts)
-        _stop_stalled_runs(
-            plan, self.evidence.progress, self.reliability, now_s
-        )
-        outlasting = find_outlasting_runs(self, now_s)
-        plan.stops.extend(mark_for_stop(outlasting, StopReason.WORKER_DRAINING))
-        plan.advice_request = current.next_advice_request()
-        plan.is_partial |= current.decider.is_partial
+        plan = run_pass(current, limit_starts(open_starts))
+        stop_stalled_runs(plan, self.evidence.progress, self.reliability, now_s)
+        stop_outlasting_runs(plan, self, now_s)
         return plan
 
     def remove_ended_jobs(self, now_s: float) -> list[JobId]:
@@ -300,18 +301,24 @@
         for job_id in expired:
             self.jobs.pop(job_id)
             self.active.pop(job_id, None)
+        self._held.release(expired)
         return expired
 
-    def prune_active_jobs(self) -> None:
-        """Drop jobs that ended and hold no allocation from later passes."""
+    def prune_active_jobs(self, is_stored: Callable[[Job], bool]) -> None:
+        """Drop jobs that ended and hold no allocation from later passes.
+
+        Their units go once ``is_stored``, which makes room for parked jobs.
+        """
         inactive = [
             job.id
             for job in self.active.values()
             if job.has_ended and not any(unit.allocations for unit in job.units)
         ]
         for job_id in inactive:
-            self.active.pop(job_id)
+            self._held.record_ended(self.active.pop(job_id))
             self.tickets.forget(job_id)
+        self._held.drop_units(is_stored)
+        self._held.unpark(self.active)
 
     def _update_statistics(self, end: AllocationEnd, now_s: float) -> None:
         allocation = end.allocation
@@ -342,6 +349,10 @@
         worker.allocations[allocation.ref] = allocation
 
 
+def _accepted_unix_ms(job: Job) -> int:
+    return job.accepted_unix_ms
+
+
 def _reason_to_stop(allocation: Allocation) -> StopReason | None:
     """Return why a started run must stop; None if it goes on.
 
@@ -354,36 +365,3 @@
     if is_job_stopped or unit.is_aborting:
         return StopReason.JOB_ENDED
     return StopReason.TASK_DONE if unit.phase is UnitPhase.DONE else None
-
-
-def _stop_stalled_runs(
-    plan: Plan,
-    progress: ProgressModel,
-    reliability: WorkerReliability,
-    now_s: float,
-) -> None:
-    plan.stalls = progress.find_stalls(now_s)
-    for stall in plan.stalls:
-        for worker in stall.blamed:
-            reliability.record_stall(worker, now_s)
-        plan.stops.extend(mark_for_stop(stall.allocations, StopReason.STALLED))
-
-
-def _run_pass(current: SchedulingPass, plan: Plan, max_starts: int) -> None:
-    """Place the waiting units in order; urgent ones may preempt others."""
-    for unit in current.waiting:
-        if len(plan.starts) >= max_starts:
-            plan.is_partial = True
-            break
-        allocations = current.place(unit)
-        plan.starts.extend(allocations)
-        if not allocations:
-            plan.stops.extend(current.preempt(unit))
-            current.reserve(unit)
-    for retried in current.units_tried_last():
-        if len(plan.starts) >= max_starts:
-            plan.is_partial = True
-            break
-        plan.starts.extend(current.place(retried))
-    changed = {start.unit.job.id: start.unit.job for start in plan.starts}
-    plan.changed = list(changed.values())
--- a/src/bulrushcove/batch/job_state.py
+++ b/src/bulrushcove/batch/job_state.py
@@ -226,6 +226,11 @@
     # Why the job failed; empty if it has not.
     reason: str = ''
     progress: StepProgress
+    # Whether so many units are ready that a pass looks at a part of them; the
+    # position of the first one of it among them, and that one.
+    is_large: bool = False
+    window_start: int = 0
+    window_head: Unit | None = None
 
     @property
     def id(self) -> JobId:
@@ -240,14 +245,24 @@
 
 def new_job(spec: JobSpec, unix_ms: int, now_s: float) -> Job:
     """Return a newly accepted job with all its units."""
-    job = Job(
+    job = new_parked_job(spec, unix_ms, now_s)
+    unpark(job)
+    return job
+
+
+def unpark(job: Job) -> None:
+    """Give ``job``, of which nothing has run, its units."""
+    job.units = list(_units(job))
+
+
+def new_parked_job(spec: JobSpec, unix_ms: int, now_s: float) -> Job:
+    """Return an accepted job without units, none of which starts yet."""
+    return Job(
         spec=spec,
         accepted_unix_ms=unix_ms,
         accepted_at_s=now_s,
         progress=StepProgress(spec),
     )
-    job.units = list(_units(job))
-    return job
 
 
 def _units(job: Job) -> Iterator[Unit]:
@@ -262,7 +277,7 @@
 
 def ready_units(job: Job, unix_ms: int, now_s: float) -> list[Unit]:
     """Return the waiting units that are due and whose dependencies are done."""
-    if job.has_ended:
+    if job.has_ended or not job.units:
         return []
     ready = []
     for occurrence in range(job.spec.occurrences):
@@ -295,18 +310,31 @@
 
 
 def find_unit(job: Job, task: TaskRef) -> Unit | None:
-    """Return the unit of ``task``; None if the job has no such task."""
+    """Return the unit of ``task``; None if the job has no such task.
+
+    The units of a job that has ended may be gone; then it is a new one.
+    """
     steps = job.spec.steps
     is_step_known = task.occurrence < job.spec.occurrences and task.step < len(
         steps
     )
     if not is_step_known or task.index >= steps[task.step].task_count:
         return None
+    if not job.units:
+        return _gone_unit(job, task) if job.has_ended else None
     offset = 0 if steps[task.step].is_gang else task.index
     positions = job.progress.unit_range(task.occurrence, task.step)
     return job.units[positions.start + offset]
 
 
+def _gone_unit(job: Job, task: TaskRef) -> Unit:
+    is_gang = job.spec.steps[task.step].is_gang
+    index = WHOLE_GANG if is_gang else task.index
+    return Unit(
+        job=job, occurrence=task.occurrence, step=task.step, index=index
+    )
+
+
 def units_of_step(unit: Unit) -> list[Unit]:
     """Return all units of the step that ``unit`` belongs to."""
     job = unit.job
--- a/src/bulrushcove/batch/records.py
+++ b/src/bulrushcove/batch/records.py
@@ -93,10 +93,7 @@
         return job
     try:
         job.phase = JobPhase(progress.phase)
-        for position, stored in progress.units.items():
-            _restore_unit(job.units[position], stored, progress.hosts)
-        for span in progress.spans:
-            _restore_span(job, span)
+        _restore_units(job, progress)
     except (ValueError, IndexError) as exc:
         raise RecordError(
             f'invalid progress record of job {job.id}: {exc}'
@@ -123,6 +120,13 @@
         yield hosts[number - 1] if number else ('', 0)
 
 
+def _restore_units(job: Job, progress: Progress) -> None:
+    for position, stored in progress.units.items():
+        _restore_unit(job.units[position], stored, progress.hosts)
+    for span in progress.spans:
+        _restore_span(job, span)
+
+
 def _restore_span(job: Job, span: UnitSpan) -> None:
     phase = UnitPhase(span.phase)
     for unit in job.units[span.first : span.first + span.count]:
--- a/src/bulrushcove/node/job_records.py
+++ b/src/bulrushcove/node/job_records.py
@@ -15,7 +15,7 @@
 )
 from ..batch.exceptions import JobRefusedError, RecordError
 from ..batch.job_spec import JobSpec, count_tasks
-from ..batch.job_state import Job, JobPhase
+from ..batch.job_state import Job, JobPhase, new_parked_job
 from ..batch.records import (
     MAX_RECORD_BYTES,
     decode_progress,
@@ -118,12 +118,20 @@
         It is not stored before the submission: a run must not start for a job
         that may still be refused.
         """
+        key = progress_key(job.id)
+        if job.has_ended and not job.units:
+            # Its last record is stored: it says more than this one would.
+            return self.store_writer.queue.find(key) or _stored_write()
         return self.store_writer.put(
-            progress_key(job.id),
+            key,
             partial(encode_progress, job, self._max_record_bytes),
             after=job_key(job.id),
         )
 
+    def is_stored(self, job: Job) -> bool:
+        """Return whether no record of ``job`` waits to be stored."""
+        return self.store_writer.queue.find(progress_key(job.id)) is None
+
     def write_end(self, job: Job) -> None:
         """Write the end of ``job``; it is shown as running until stored."""
         self.log_job_event('job.ended', job)
@@ -222,15 +230,21 @@
 def _restore(
     item: StoredValue, encoded_progress: bytes | None, clock: Clock
 ) -> Job:
+    """Return the job; one that has never run has no units yet."""
     submission = decode_submission(item.value)
-    progress = (
-        None if encoded_progress is None else decode_progress(encoded_progress)
-    )
     now_s = clock.monotonic_s()
-    job = restore_job(submission, progress, now_s)
+    if encoded_progress is None:
+        job = new_parked_job(
+            submission.spec, submission.accepted_unix_ms, now_s
+        )
+    else:
+        progress = decode_progress(encoded_progress)
+        job = restore_job(submission, progress, now_s)
     job.accepted_at_s = now_s - _age_s(submission.accepted_unix_ms, clock)
     if job.has_ended:
         job.ended_at_s = now_s - _age_s(job.ended_unix_ms, clock)
+        if not any(unit.allocations for unit in job.units):
+            job.units = []
     return job
 
 
@@ -257,6 +271,12 @@
     )
 
 
+def _stored_write() -> PendingWrite:
+    stored = asyncio.get_running_loop().create_future()
+    stored.set_result(None)
+    return stored
+
+
 def _track(
     writes: dict[JobId, PendingWrite], job: JobId, write: PendingWrite
 ) -> None:
--- a/src/bulrushcove/node/scheduler.py
+++ b/src/bulrushcove/node/scheduler.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from ..batch.engine import MAX_STARTS_PER_PASS, Engine
+from ..batch.engine import Engine
 from ..batch.job_state import Allocation
 from ..batch.membership import remove_departed
 from ..batch.plan import Plan
@@ -44,9 +44,9 @@
 # Longest time between two passes when nothing changes.
 MAX_PASS_INTERVAL_S = 0.25
 LOAD_RETRY_S = 0.2
-# Nothing more is placed while as many starts are not answered; a gang that is
-# placed as a whole may exceed it.
-MAX_OPEN_STARTS = 600
+# While as many starts are not answered, a pass can place few more.
+BUSY_OPEN_STARTS = 150
+BUSY_PASS_PAUSE_S = 0.05
 
 logger = logging.getLogger(__name__)
 
@@ -67,7 +67,7 @@
     ) -> None:
         """Create the services; orders carry the epoch of ``leader``."""
         super().__init__()
-        self.engine = Engine()
+        self.engine = Engine(settings.memory_mb)
         self.is_loaded = False
         self._store = store
         self._leadership = leadership
@@ -215,7 +215,7 @@
         self._records.delete_cancellations(
             engine.cancellations.remove_expired(now_s)
         )
-        engine.prune_active_jobs()
+        engine.prune_active_jobs(self._records.is_stored)
         self._metrics.record_engine_state(engine, now_s)
 
     def _run_pass_if_due(self) -> None:
@@ -232,18 +232,17 @@
         plan = self.engine.plan(
             unix_ms=self._clock.unix_ms(),
             now_s=self._clock.monotonic_s(),
-            max_starts=min(
-                MAX_STARTS_PER_PASS, max(0, MAX_OPEN_STARTS - open_starts)
-            ),
+            open_starts=open_starts,
         )
         self._apply(plan)
         self._advice_requester.submit(plan.advice_request)
         if plan.is_partial:
             self._has_changes.set()
         ended_at_s = self._clock.monotonic_s()
-        self._next_pass_at_s = ended_at_s + PASS_PAUSE_FACTOR * (
-            ended_at_s - started_at_s
-        )
+        pause_s = PASS_PAUSE_FACTOR * (ended_at_s - started_at_s)
+        if open_starts > BUSY_OPEN_STARTS:
+            pause_s = max(pause_s, BUSY_PASS_PAUSE_S)
+        self._next_pass_at_s = ended_at_s + pause_s
 
     def _apply(self, plan: Plan) -> None:
         """Write the changed jobs of ``plan`` and send its orders.
--- a/src/bulrushcove/node/write_queue.py
+++ b/src/bulrushcove/node/write_queue.py
@@ -124,6 +124,14 @@
         pending.after = after
         return pending.stored
 
+    def find(self, key: str) -> asyncio.Future[None] | None:
+        """Return the last write of ``key``; None if there is none."""
+        for writes in (self.pending, *(batch.writes for batch in self.batches)):
+            found = writes.get(key)
+            if found is not None:
+                return found.stored
+        return None
+
     def next_keys(self, now_s: float) -> list[str]:
         """Return the keys of the next transaction; empty if none may start.
 
--- a/tests/test_batch_scheduling_pass.py
+++ b/tests/test_batch_scheduling_pass.py
@@ -6,8 +6,8 @@
 from batch_builders import Bench, job_spec, racks, step
 
 from bulrushcove.batch import completion, preemption_decider
-from bulrushcove.batch.engine import MAX_STARTS_PER_PASS
 from bulrushcove.batch.preemption_decider import MAX_PREEMPTIONS
+from bulrushcove.batch.start_limits import MAX_STARTS_PER_PASS
 from bulrushcove.batch.workers import EndKind
 
 WORKERS = 48
