--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -21,6 +21,9 @@
 
 # Workers that are added later may be large enough.
 UNPLACEABLE_RETRY_S = 30.0
+# A leader sends about 1,200 starts a second, and a gang must be complete 3 s
+# after its first task is there.
+MAX_GANG_TASKS = 3000
 # Bounds of the retry delay during a store outage: callers retry only a few
 # times, and an outage lasts up to about 10 s.
 MIN_OUTAGE_RETRY_S = 1.0
@@ -44,8 +47,10 @@
     """Raise ``JobRefusedError`` if no worker can ever run some step.
 
     Accepts every job while the pool has no listed worker, unless a step is
-    larger than its organisation may have running.
+    larger than its organisation may have running or a gang that cannot be
+    started in time.
     """
+    _refuse_wide_gang(spec)
     _refuse_above_limit(spec, engine.desired_state.policy)
     workers = [
         worker
@@ -65,6 +70,17 @@
             )
 
 
+def _refuse_wide_gang(spec: JobSpec) -> None:
+    for number, step in enumerate(spec.steps):
+        if step.is_gang and step.task_count > MAX_GANG_TASKS:
+            raise JobRefusedError(
+                f'step {number}: a gang of {step.task_count} tasks cannot be '
+                f'started within the time in which it must be complete; at '
+                f'most {MAX_GANG_TASKS} can',
+                UNPLACEABLE_RETRY_S,
+            )
+
+
 def _refuse_above_limit(spec: JobSpec, policy: Policy | None) -> None:
     organisation = spec.terms.organisation
     limit = find_limits(policy).get(organisation)
--- a/tests/test_batch_admission.py
+++ b/tests/test_batch_admission.py
@@ -5,11 +5,13 @@
 from batch_builders import Bench, entry, job_spec, step
 
 from bulrushcove.batch.admission import (
+    MAX_GANG_TASKS,
     MAX_OUTAGE_RETRY_S,
     UNPLACEABLE_RETRY_S,
     outage_retry_s,
 )
 from bulrushcove.batch.exceptions import JobRefusedError
+from bulrushcove.batch.job_spec import StepSpec, TaskSize
 from bulrushcove.batch.runtime_estimates import RuntimeEstimates
 
 # Attempts of a caller, the first one included, as stated by the users.
@@ -78,3 +80,21 @@
     with pytest.raises(JobRefusedError) as refused:
         bench.submit(job_spec('job', step(accelerators=8)))
     assert refused.value.retry_after_s == UNPLACEABLE_RETRY_S
+
+
+@pytest.mark.parametrize(
+    ('count', 'is_refused'), [(MAX_GANG_TASKS, False), (20_000, True)]
+)
+def test_a_gang_that_cannot_start_in_time_is_refused_at_once(count, is_refused):
+    """Starts of a gang of 20,000 took the leader's time for good."""
+    bench = Bench(entry('w1'))
+    gang = StepSpec(task_count=count, size=TaskSize(), is_gang=True)
+    if is_refused:
+        with pytest.raises(JobRefusedError, match='gang of 20000') as raised:
+            bench.submit(job_spec('wide', gang))
+        assert raised.value.retry_after_s == UNPLACEABLE_RETRY_S
+    else:
+        assert bench.submit(job_spec('wide', gang)).units
+        assert len(bench.plan().starts) == count
+    single = StepSpec(task_count=20_000, size=TaskSize())
+    assert bench.submit(job_spec('single', single)).units
