--- a/src/bulrushcove/node/worker_link.py
+++ b/src/bulrushcove/node/worker_link.py
@@ -30,6 +30,8 @@
 MAX_FAILED_POLLS = 1
 # Report wait while the outcome of an order is not known.
 OPEN_ORDER_WAIT_MS = 250
+# Added to it for each run that the report lists.
+MS_PER_LISTED_RUN = 1
 # Report wait while services share the worker with best-effort tasks, whose
 # speed follows the services' tail latency over the last half second.
 COLOCATED_WAIT_MS = 500
@@ -258,7 +260,7 @@
             return 0
         if not self._event_handler.longest_lease_ms(worker):
             # Polled again soon, so that the lease is renewed in time.
-            return OPEN_ORDER_WAIT_MS
+            return _open_order_wait_ms(worker)
         # Progress ends a suspicion.
         if (
             needs_short_polls(worker)
@@ -268,7 +270,17 @@
                 for allocation in worker.allocations.values()
             )
         ):
-            return OPEN_ORDER_WAIT_MS
+            return _open_order_wait_ms(worker)
         if has_colocated_services(worker):
             return COLOCATED_WAIT_MS
         return REPORT_WAIT_MS if worker.allocations else 0
+
+
+def _open_order_wait_ms(worker: Worker) -> int:
+    """Return the report wait while the outcome of an order is not known.
+
+    A report lists all runs: four a second of thousands of runs took all of the
+    event loop's time.
+    """
+    wait_ms = OPEN_ORDER_WAIT_MS + MS_PER_LISTED_RUN * len(worker.allocations)
+    return min(wait_ms, REPORT_WAIT_MS)
--- a/tests/test_node_worker_link.py
+++ b/tests/test_node_worker_link.py
@@ -5,6 +5,7 @@
 import pytest
 from batch_builders import Bench, entry, job_spec, report
 
+from bulrushcove.batch.job_spec import StepSpec, TaskSize
 from bulrushcove.batch.job_state import AllocationPhase
 from bulrushcove.batch.orders import (
     OrderOutcome,
@@ -478,3 +479,26 @@
     harness.worker.allocations.clear()
     await settle()
     assert harness.client.stops == []
+
+
+@pytest.mark.parametrize(
+    ('count', 'wait_ms'), [(1, 251), (8, 258), (500, 750), (2000, 1500)]
+)
+def test_reports_of_many_runs_are_asked_for_less_often(count, wait_ms):
+    """Four a second of thousands of runs took all of the loop's time."""
+    bench = Bench(entry('w1'))
+    size = TaskSize(10, 0, 0)
+    bench.submit(
+        job_spec('job', StepSpec(task_count=count, size=size, is_gang=True))
+    )
+    assert len(bench.plan().starts) == count
+    link = WorkerLink(
+        bench.engine.workers['w1'],
+        FakeWorkerClient(),
+        RecordingEventHandler(bench),
+        epoch=Epoch(1),
+        lease_ms=LEASE_MS,
+        max_lease_ms=MAX_LEASE_MS,
+        clock=ManualClock(),
+    )
+    assert link._report_wait_ms() == wait_ms
