--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
-.PHONY: venv test lint format lock demo soak node-soak measure measure-path measure-capacity measure-node
+.PHONY: venv test lint format lock demo soak node-soak measure measure-path measure-capacity measure-node measure-large
 venv: $(STAMP)
 
 $(STAMP): requirements.lock
@@ -65,3 +65,7 @@
 # What the node program's decisions cost at 24, 176 and 740 workers.
 measure-node: venv
 	$(BIN)/python -m dev.node_speed
+
+# What one large job costs the leader, for docs/PLATFORM.md.
+measure-large: venv
+	$(BIN)/python -m dev.large_job_cost
