--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SECONDS ?= 60
 JOBS ?= 3
 SEEDS ?= 10
-ALONE = tests/test_hostile_clients.py
+ALONE = tests/test_hostile_clients.py tests/test_large_jobs_processes.py
 STAMP = $(VENV)/.installed
 SOURCES = src tests dev
 
