--- a/src/bulrushcove/batch/admission.py
+++ b/src/bulrushcove/batch/admission.py
@@ -21,8 +21,7 @@
 
 # Workers that are added later may be large enough.
 UNPLACEABLE_RETRY_S = 30.0
-# A leader sends about 1,200 starts a second, and a gang must be complete 3 s
-# after its first task is there.
+# Estimated: a gang must be complete 3 s after its first task is there.
 MAX_GANG_TASKS = 3000
 # Bounds of the retry delay during a store outage: callers retry only a few
 # times, and an outage lasts up to about 10 s.
